Route index, and copies of attempts refused for want of memory

Cause: the first matching rule was found by looking at every rule; an attempt refused because the registry was full could run when a copy came later, which made the refusal untrue.

--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -111,7 +111,7 @@
 
 class Admission {
  public:
-  Admission(std::uint32_t slots, AdmissionLimits limits = {});
+  explicit Admission(std::uint32_t slots, AdmissionLimits limits = {});
 
   AdmissionResult Offer(const AdmissionOffer& offer, Time now);
   // The upstream is done with the call, or can be proven not to run it.
--- a/src/core/attempt_registry.cc
+++ b/src/core/attempt_registry.cc
@@ -1,10 +1,21 @@
 #include "core/attempt_registry.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "core/digest.h"
 
 namespace verbenastile {
+namespace {
+
+constexpr std::size_t kFilterBits = std::size_t{1} << 20;
+constexpr std::size_t kFilterProbes = 4;
+
+std::size_t FilterBit(const AttemptId& id, std::size_t probe) {
+  return (id.high + probe * (id.low | 1)) % kFilterBits;
+}
+
+}  // namespace
 
 std::string ToString(const AttemptId& id) {
   return ToString(Digest{id.high, id.low});
@@ -36,7 +47,7 @@
                                       Duration remaining,
                                       Time now) {
   Tick(now);
-  if (known_.contains(id)) {
+  if (known_.contains(id) || WasRefused(id)) {
     return AttemptVerdict::kDuplicate;
   }
   if (remaining > limits_.max_deadline) {
@@ -53,6 +64,26 @@
   return AttemptVerdict::kNew;
 }
 
+bool AttemptRegistry::WasRefused(const AttemptId& id) const {
+  return std::any_of(refused_.begin(), refused_.end(),
+                     [&](const RefusedFilter& filter) {
+                       bool all = !filter.bits.empty();
+                       for (std::size_t i = 0; all && i < kFilterProbes; ++i) {
+                         all = filter.bits[FilterBit(id, i)];
+                       }
+                       return all;
+                     });
+}
+
+void AttemptRegistry::RememberRefused(const AttemptId& id, Duration until) {
+  RefusedFilter& filter = refused_[0];
+  filter.bits.resize(kFilterBits);
+  filter.end = std::max(filter.end, until);
+  for (std::size_t i = 0; i < kFilterProbes; ++i) {
+    filter.bits[FilterBit(id, i)] = true;
+  }
+}
+
 void AttemptRegistry::Tick(Time now) {
   if (last_event_ && now > *last_event_) {
     awake_ += std::min<Duration>(now - *last_event_, limits_.max_gap);
@@ -66,6 +97,12 @@
     }
     by_expiry_.erase(by_expiry_.begin());
   }
+  if (!refused_[1].bits.empty() && awake_ > refused_[1].end) {
+    refused_[1] = {};
+  }
+  if (!refused_[0].bits.empty() && refused_[1].bits.empty()) {
+    std::swap(refused_[0], refused_[1]);
+  }
 }
 
 }  // namespace verbenastile
--- a/src/core/attempt_registry.h
+++ b/src/core/attempt_registry.h
@@ -5,10 +5,16 @@
 // can be under way after that. Only time during which this process ran counts:
 // what waits in its sockets while it is paused is as old as it was. When the
 // memory is full, new attempts are refused as not run; nothing is forgotten
-// early.
+// early. That refusal stays true for later copies: refused attempts are kept in
+// Bloom filters of fixed size, whose errors refuse too much and never too
+// little.
+//
+// All attempts belong in here, repeatable ones too, and before admission: a
+// copy of an attempt that was refused as not run must not run either.
 #ifndef CORE_ATTEMPT_REGISTRY_H_
 #define CORE_ATTEMPT_REGISTRY_H_
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -47,8 +53,8 @@
 };
 
 enum class AttemptVerdict : std::uint8_t {
-  kNew = 0,       // Run it; it is remembered now.
-  kDuplicate,     // Do not run it; the outcome of the first copy is unknown.
+  kNew = 0,       // May run; it is remembered now.
+  kDuplicate,     // Do not run it; the outcome is that of the first copy.
   kFull,          // Not run: there is no memory to remember it.
   kDeadlineLong,  // Not run: its deadline is beyond `max_deadline`.
 };
@@ -80,11 +86,22 @@
   // Whole seconds of awake time, rounded up.
   using Second = std::int64_t;
 
+  // Attempts that were refused for want of memory, until `end`.
+  struct RefusedFilter {
+    std::vector<bool> bits;
+    Duration end{0};  // Of awake time.
+  };
+
+  bool WasRefused(const AttemptId& id) const;
+  void RememberRefused(const AttemptId& id, Duration until);
+
   AttemptRegistryLimits limits_;
   std::optional<Time> last_event_;
   Duration awake_{0};
   std::unordered_set<AttemptId, Hash> known_;
   std::map<Second, std::vector<AttemptId>> by_expiry_;
+  // The first takes new ones until it is old enough to become the second.
+  std::array<RefusedFilter, 2> refused_;
 };
 
 }  // namespace verbenastile
--- a/src/core/route_table.cc
+++ b/src/core/route_table.cc
@@ -1,36 +1,6 @@
 #include "core/route_table.h"
 
-#include <algorithm>
-
 namespace verbenastile {
-namespace {
-
-bool MatchesText(const std::string& wanted, std::string_view actual) {
-  return wanted.empty() || wanted == actual;
-}
-
-bool HasHeader(const RequestView& request, const HeaderMatch& wanted) {
-  return std::any_of(request.headers.begin(), request.headers.end(),
-                     [&](const HeaderView& header) {
-                       return header.name == wanted.name &&
-                              header.value == wanted.value;
-                     });
-}
-
-}  // namespace
-
-bool Matches(const RuleMatch& match, const RequestView& request) {
-  return MatchesText(match.group, request.group) &&
-         MatchesText(match.service, request.service) &&
-         MatchesText(match.host, request.host) &&
-         MatchesText(match.method, request.method) &&
-         request.path.starts_with(match.path_prefix) &&
-         std::all_of(match.headers.begin(), match.headers.end(),
-                     [&](const HeaderMatch& header) {
-                       return HasHeader(request, header);
-                     });
-}
-
 std::string_view ChooseTarget(const RouteAction& route, std::uint64_t point) {
   std::uint64_t total = 0;
   for (const RouteTarget& target : route.targets) {
@@ -55,6 +25,7 @@
   if (!faults.empty()) {
     return leaf::new_error(ConfigError{std::move(faults)});
   }
+  table.index_ = RouteIndex(table.document_.rules);
   for (const Group& group : table.document_.groups) {
     table.group_weights_[group.name] = group.weight;
   }
@@ -65,11 +36,8 @@
 }
 
 const Rule* RouteTable::Decide(const RequestView& request) const {
-  const auto& rules = document_.rules;
-  const auto found = std::find_if(
-      rules.begin(), rules.end(),
-      [&](const Rule& rule) { return Matches(rule.match, request); });
-  return found == rules.end() ? nullptr : &*found;
+  const auto found = index_.Find(document_.rules, request);
+  return found ? &document_.rules[*found] : nullptr;
 }
 
 std::uint32_t RouteTable::GroupWeight(std::string_view group) const {
--- a/src/core/route_table.h
+++ b/src/core/route_table.h
@@ -7,34 +7,16 @@
 #include <functional>
 #include <map>
 #include <set>
-#include <span>
 #include <string>
 #include <string_view>
 
 #include "config/rules.h"
+#include "core/request_view.h"
+#include "core/route_index.h"
 #include "core/snapshot.h"
 
 namespace verbenastile {
 
-// One header of a request; `name` is in lower case.
-struct HeaderView {
-  std::string_view name;
-  std::string_view value;
-};
-
-// What rules look at; the views must outlive the decision only.
-struct RequestView {
-  std::string_view group;
-  std::string_view service;  // The logical service the caller asks for.
-  std::string_view host;     // Lower case, without a port.
-  std::string_view path;     // Without the query.
-  std::string_view method;
-  std::span<const HeaderView> headers;
-};
-
-// Whether `match` holds for `request`.
-bool Matches(const RuleMatch& match, const RequestView& request);
-
 // The service among `route`'s targets for `point`, a number that is spread
 // evenly over all values of its type. Targets are chosen by weight.
 std::string_view ChooseTarget(const RouteAction& route, std::uint64_t point);
@@ -60,6 +42,7 @@
  private:
   Generation generation_ = 0;
   RuleDocument document_;
+  RouteIndex index_;
   std::map<std::string, std::uint32_t, std::less<>> group_weights_;
   std::set<std::string, std::less<>> services_;
 };
