--- a/src/core/attempt_registry.cc
+++ b/src/core/attempt_registry.cc
@@ -53,11 +53,12 @@
   if (remaining > limits_.max_deadline) {
     return AttemptVerdict::kDeadlineLong;
   }
+  const Duration until =
+      awake_ + std::max(remaining, Duration::zero()) + limits_.max_transit;
   if (known_.size() >= limits_.max_attempts) {
+    RememberRefused(id, until);
     return AttemptVerdict::kFull;
   }
-  const Duration until =
-      awake_ + std::max(remaining, Duration::zero()) + limits_.max_transit;
   const auto second = std::chrono::ceil<std::chrono::seconds>(until).count();
   known_.insert(id);
   by_expiry_[second].push_back(id);
