Read each item once, not with every generation

Cause: compiling a generation of 1,000 rules read all of their texts again: 79 ms in ToDocument and 9 ms in FindFaults, on the loop that serves calls, while the target is 1.1 ms added for 99 in 100.

Change: an item is read when it is made and keeps what it says; generations that share items share that. Quotas count the size kept with the rule.

--- a/src/config/rules.cc
+++ b/src/config/rules.cc
@@ -166,6 +166,7 @@
   } else {
     rule.action = ReadAction(reader.Section("then"));
   }
+  rule.bytes = ToCanonicalText(rule).size();
   return rule;
 }
 
@@ -333,7 +334,7 @@
       const Group& group = *owner->second;
       Use& use = uses[group.name];
       ++use.rules;
-      use.bytes += ToCanonicalText(rule).size();
+      use.bytes += rule.bytes;
       const bool over =
           use.rules > group.quota.rules || use.bytes > group.quota.bytes;
       if (over && !use.reported) {
--- a/src/config/rules.h
+++ b/src/config/rules.h
@@ -98,6 +98,7 @@
   RuleMatch match;
   RuleAction action;
   SourceMark mark;
+  std::size_t bytes = 0;  // Of its canonical text; counts against quotas.
 };
 
 struct RuleDocument {
--- a/src/core/snapshot.cc
+++ b/src/core/snapshot.cc
@@ -1,28 +1,81 @@
 #include "core/snapshot.h"
 
-#include <cstring>
+#include <boost/leaf/handle_errors.hpp>
 #include <numeric>
 
 namespace verbenastile {
 namespace {
 
+ItemPointer MakeReadItem(ItemKind kind, std::string body, ItemContent content) {
+  std::string tagged(1, static_cast<char>(kind));
+  tagged += body;
+  const Digest digest = DigestOf(tagged);
+  return std::make_shared<const ConfigItem>(
+      ConfigItem{kind, std::move(body), digest, std::move(content)});
+}
+
 template <typename T>
 void AppendItems(ItemKind kind,
                  const std::vector<T>& parts,
                  std::vector<ItemPointer>& items) {
   for (const T& part : parts) {
-    items.push_back(MakeItem(kind, ToCanonicalText(part)));
+    items.push_back(MakeReadItem(kind, ToCanonicalText(part), part));
   }
 }
 
+// Reads `body` by `parse`, one of the parsers of rules.h.
+template <typename T>
+ItemContent ReadContent(const std::string& body,
+                        leaf::result<T> (*parse)(const std::string&)) {
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<ItemContent> {
+        BOOST_LEAF_AUTO(part, parse(body));
+        return ItemContent(std::move(part));
+      },
+      [](const ConfigError& error) {
+        return ItemContent(ItemFault{ToString(error)});
+      },
+      [] { return ItemContent(ItemFault{"unknown error"}); });
+}
+
+ItemContent ReadContent(ItemKind kind, const std::string& body) {
+  switch (kind) {
+    case ItemKind::kService:
+      return ReadContent<Service>(body, ParseService);
+    case ItemKind::kGroup:
+      return ReadContent<Group>(body, ParseGroup);
+    case ItemKind::kRule:
+      return ReadContent<Rule>(body, ParseRule);
+  }
+  return ItemFault{"unknown kind"};
+}
+
+// Adds what an item says to a document.
+struct DocumentAppender {
+  RuleDocument& document;
+
+  leaf::result<void> operator()(const ItemFault& fault) const {
+    return leaf::new_error(ConfigError{{{"item", {}, fault.reason}}});
+  }
+  leaf::result<void> operator()(const Service& service) const {
+    document.services.push_back(service);
+    return {};
+  }
+  leaf::result<void> operator()(const Group& group) const {
+    document.groups.push_back(group);
+    return {};
+  }
+  leaf::result<void> operator()(const Rule& rule) const {
+    document.rules.push_back(rule);
+    return {};
+  }
+};
+
 }  // namespace
 
 ItemPointer MakeItem(ItemKind kind, std::string body) {
-  std::string tagged(1, static_cast<char>(kind));
-  tagged += body;
-  const Digest digest = DigestOf(tagged);
-  return std::make_shared<const ConfigItem>(
-      ConfigItem{kind, std::move(body), digest});
+  ItemContent content = ReadContent(kind, body);
+  return MakeReadItem(kind, std::move(body), std::move(content));
 }
 
 Digest DigestOfItems(std::span<const ItemPointer> items) {
@@ -56,24 +109,9 @@
 
 leaf::result<RuleDocument> ToDocument(const Snapshot& snapshot) {
   RuleDocument document;
+  const DocumentAppender appender{document};
   for (const ItemPointer& item : snapshot.items) {
-    switch (item->kind) {
-      case ItemKind::kService: {
-        BOOST_LEAF_AUTO(service, ParseService(item->body));
-        document.services.push_back(std::move(service));
-        break;
-      }
-      case ItemKind::kGroup: {
-        BOOST_LEAF_AUTO(group, ParseGroup(item->body));
-        document.groups.push_back(std::move(group));
-        break;
-      }
-      case ItemKind::kRule: {
-        BOOST_LEAF_AUTO(rule, ParseRule(item->body));
-        document.rules.push_back(std::move(rule));
-        break;
-      }
-    }
+    BOOST_LEAF_CHECK(std::visit(appender, item->content));
   }
   return document;
 }
--- a/src/core/snapshot.h
+++ b/src/core/snapshot.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <span>
 #include <string>
+#include <variant>
 #include <vector>
 
 #include "config/rules.h"
@@ -20,11 +21,21 @@
 
 enum class ItemKind : std::uint8_t { kService = 0, kGroup = 1, kRule = 2 };
 
-// One service, group or rule in its canonical text.
+// Why a body cannot be read.
+struct ItemFault {
+  std::string reason;
+};
+
+// What a body says.
+using ItemContent = std::variant<ItemFault, Service, Group, Rule>;
+
+// One service, group or rule in its canonical text. It is read once, when it
+// is made: the generations that share it need not read it again.
 struct ConfigItem {
   ItemKind kind = ItemKind::kRule;
   std::string body;
   Digest digest;  // Of the kind and the body.
+  ItemContent content;
 };
 
 // Items are never changed and are shared by the snapshots that hold them.
@@ -37,6 +48,7 @@
   std::vector<ItemPointer> items;
 };
 
+// An item with a fault as its content when `body` cannot be read.
 ItemPointer MakeItem(ItemKind kind, std::string body);
 
 Digest DigestOfItems(std::span<const ItemPointer> items);
@@ -45,7 +57,7 @@
 
 Snapshot MakeSnapshot(Generation generation, const RuleDocument& document);
 
-// Errors: `ConfigError` when an item cannot be read.
+// Errors: `ConfigError` when an item could not be read.
 leaf::result<RuleDocument> ToDocument(const Snapshot& snapshot);
 
 // The bytes of all bodies.
