--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -93,6 +93,25 @@
             self.reached[number] = []
         self.selector.register(process.stderr, selectors.EVENT_READ, number)
 
+    def start_upstream(self, number, slots=10):
+        log = open(os.path.join(self.work, f"upstream-{number}.log"), "ab")
+        self.processes[f"upstream-{number}"] = subprocess.Popen(
+            [f"{self.binaries}/standin_upstream", "--listen",
+             f"127.0.{self.block}.{number}:9000", "--name",
+             f"upstream-{number}", "--slots", str(slots)],
+            stdout=log, stderr=log)
+
+    def load(self, numbers, path, rate, seconds, *options):
+        """Calls the nodes in turn at `rate` a second; the load's report."""
+        urls = []
+        for n in numbers:
+            urls += ["--url", f"http://127.0.{self.block}.{n}:8080{path}"]
+        done = subprocess.run(
+            [f"{self.binaries}/standin_load", *urls, "--rate", str(rate),
+             "--seconds", str(seconds), "--json", *options],
+            capture_output=True, text=True, timeout=seconds + 60, check=False)
+        return json.loads(done.stdout)
+
     def kill(self, key, number=signal.SIGKILL):
         process = self.processes[key]
         process.send_signal(number)
@@ -113,6 +132,9 @@
     def admin(self, number):
         return f"http://127.0.{self.block}.{number}:8083"
 
+    def admin_text(self, number, path):
+        return fetch(self.admin(number) + path)
+
     def wait_generation(self, generation, numbers, timeout):
         """Times at which each node had `generation`; None where it had not."""
         end = time.monotonic() + timeout
@@ -169,6 +191,16 @@
             json.dump(rules_document(rules), file)
         return path
 
+    def write_route(self, service):
+        """A document with one rule that sends all to `service`."""
+        document = rules_document(0)
+        document["rules"] = [{"id": "all", "when": {}, "then": {
+            "route": [{"service": service}], "repeatable": True}}]
+        path = os.path.join(self.work, "rules.yaml")
+        with open(path, "w", encoding="utf-8") as file:
+            json.dump(document, file)
+        return path
+
     def write_rule(self, name):
         path = os.path.join(self.work, f"{name}.yaml")
         with open(path, "w", encoding="utf-8") as file:
