--- a/soak/main.cc
+++ b/soak/main.cc
@@ -5,6 +5,7 @@
 
 #include "base/log.h"
 #include "core/invariant.h"
+#include "overload_experiment.h"
 #include "soak.h"
 
 namespace verbenastile {
@@ -51,7 +52,13 @@
                                         false, "", "NAME", cmd);
   TCLAP::SwitchArg list("", "list-mutations", "print topics and mutations",
                         cmd);
+  TCLAP::SwitchArg overload("", "overload",
+                            "print the overload experiment and end", cmd);
   cmd.parse(argc, argv);
+  if (overload.getValue()) {
+    PrintOverloadExperiment(seed.getValue());
+    return 0;
+  }
   if (list.getValue()) {
     ListMutations();
     return 0;
