--- a/soak/calls_world.cc
+++ b/soak/calls_world.cc
@@ -21,6 +21,8 @@
 constexpr std::int64_t kSecond = 1'000'000;
 constexpr Duration kTick = std::chrono::milliseconds(20);
 constexpr std::uint64_t kTicksPerAnnouncement = 12;
+// The most that a copy comes after the deadline of its attempt.
+constexpr Duration kLongestTransit = std::chrono::milliseconds(500);
 constexpr Duration kLeaveBound = std::chrono::seconds(3);
 constexpr Duration kShortestDrain = std::chrono::seconds(4);
 constexpr Duration kRemembered = std::chrono::seconds(60);
@@ -39,7 +41,7 @@
 AttemptRegistryLimits RegistryLimits(const CallsMutation& mutation) {
   AttemptRegistryLimits limits;
   limits.max_attempts = 300;
-  limits.max_transit = std::chrono::seconds(3);
+  limits.max_transit = kLongestTransit + kTick;
   limits.max_gap = mutation.forget_when_paused ? Duration(3600 * kSecond)
                                                : Duration(50 * kMillisecond);
   return limits;
@@ -316,9 +318,9 @@
   if (!Chance(100)) {
     Schedule(arrive, Between(500, 3 * kMillisecond));
   }
-  if (Chance(8)) {
+  if (Chance(4)) {
     const bool late = Chance(2);
-    Schedule(arrive, Between(500, 2 * kSecond) +
+    Schedule(arrive, Between(500, kLongestTransit.count()) +
                          (late ? attempt.remaining : Duration(0)));
   }
 }
