--- a/src/config/yaml_reader.cc
+++ b/src/config/yaml_reader.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <boost/locale/utf.hpp>
 #include <charconv>
 #include <filesystem>
 #include <fstream>
@@ -38,20 +39,26 @@
   return {std::max(mark.line, 0) + 1, std::max(mark.column, 0) + 1};
 }
 
-bool IsControlByte(char c) {
-  const auto byte = static_cast<unsigned char>(c);
-  return (byte < 0x20 && c != '\n' && c != '\r' && c != '\t') || byte == 0x7f;
+namespace utf = boost::locale::utf;
+
+bool IsControl(utf::code_point point) {
+  const bool blank = point == '\n' || point == '\r' || point == '\t';
+  return (point < 0x20 && !blank) || point == 0x7f;
 }
 
-// The position of the first control byte, if there is one.
-std::optional<SourceMark> FindControlByte(std::string_view text) {
+// The first place that no text file has: a control character, or bytes that
+// are not UTF-8.
+std::optional<SourceMark> FindNoText(std::string_view text) {
   SourceMark mark;
-  for (const char c : text) {
-    if (IsControlByte(c)) {
+  const char* next = text.data();
+  const char* end = text.data() + text.size();
+  while (next != end) {
+    const utf::code_point point = utf::utf_traits<char>::decode(next, end);
+    if (!utf::is_valid_codepoint(point) || IsControl(point)) {
       return mark;
     }
     ++mark.column;
-    if (c == '\n') {
+    if (point == '\n') {
       ++mark.line;
       mark.column = 1;
     }
@@ -94,9 +101,9 @@
 
 leaf::result<YAML::Node> LoadYamlMapping(const std::string& text,
                                          const std::string& file) {
-  if (const auto mark = FindControlByte(text)) {
+  if (const auto mark = FindNoText(text)) {
     return leaf::new_error(
-        OneFault(file, *mark, "a control byte; this is not a text file"));
+        OneFault(file, *mark, "this is no UTF-8 text, or a control character"));
   }
   YAML::Node root;
   try {
--- a/src/core/state_chart.cc
+++ b/src/core/state_chart.cc
@@ -44,7 +44,10 @@
       return;
     }
     for (const auto& entry : node) {
-      const std::string name = entry.first.as<std::string>();
+      if (!entry.first.IsScalar()) {
+        continue;  // Reported with the unknown keys.
+      }
+      const std::string& name = entry.first.Scalar();
       chart_.states[name] = ReadState(name, states.Section(name), entry.second);
     }
     states.RejectUnknownKeys();
@@ -59,7 +62,10 @@
     const YAML::Node arrows = node.IsMap() ? node["on"] : YAML::Node();
     if (arrows.IsDefined() && arrows.IsMap()) {
       for (const auto& arrow : arrows) {
-        const std::string event = arrow.first.as<std::string>();
+        if (!arrow.first.IsScalar()) {
+          continue;  // Reported with the unknown keys.
+        }
+        const std::string& event = arrow.first.Scalar();
         state.transitions[event] = ReadTransition(on.Section(event));
       }
     }
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -57,6 +57,7 @@
     CHECK(Faults("- a\n- b\n").find("a mapping is expected") !=
           std::string::npos);
     CHECK(Faults(std::string("a: \x01\xff", 5)).find("node.yaml:1:4: ") == 0);
+    CHECK(Faults("a: b\nb: \"\xc3\xa4\xa4\"\n").find("node.yaml:2:6: ") == 0);
     CHECK(Faults("a: [1, 2").find("node.yaml:") == 0);
     CHECK(FaultsOf([] {
             return LoadSettings("/no/such/file");
--- a/tests/state_chart_test.cc
+++ b/tests/state_chart_test.cc
@@ -53,6 +53,10 @@
           std::string::npos);
     CHECK(FaultsWith("ignore: [close]", "ignore: [close, x]")
               .find("unknown event x") != std::string::npos);
+    CHECK(FaultsWith("closed: {on", "[closed]: {on")
+              .find("a key must be a single text") != std::string::npos);
+    CHECK(FaultsWith("{open: {to", "{[open]: {to")
+              .find("a key must be a single text") != std::string::npos);
   }
   GIVEN("the charts of this build") {
     CHECK(EmbeddedCharts().size() >= 4);
