--- a/soak/soak.h
+++ b/soak/soak.h
@@ -69,6 +69,7 @@
 // The topics, each in a file of its own.
 SoakTopic ApplyTopic();
 SoakTopic ParsersTopic();
+SoakTopic CallsTopic();
 
 }  // namespace verbenastile
 
