--- a/src/core/member_directory.cc
+++ b/src/core/member_directory.cc
@@ -58,7 +58,7 @@
   }
   for (const std::string& name : names->second) {
     const Member& member = members_.find(name)->second;
-    if (member.state <= MemberState::kSuspect) {
+    if (member.serving && member.state <= MemberState::kSuspect) {
       serving.push_back(&member);
     }
   }
--- a/src/core/member_directory.h
+++ b/src/core/member_directory.h
@@ -39,6 +39,7 @@
   SocketAddress control;
   std::uint32_t slots = 0;
   std::uint32_t connections = 0;
+  bool serving = true;  // False while it starts: no work yet.
 
   bool operator==(const Member&) const = default;
 };
@@ -53,7 +54,7 @@
   // Null when there is none of that name. Valid until the next change.
   const Member* Find(std::string_view name) const;
 
-  // Members of `service` that take new work: alive or suspect.
+  // Members of `service` that take new work: alive or suspect, and serving.
   std::vector<const Member*> Serving(std::string_view service) const;
 
   const std::map<std::string, Member, std::less<>>& members() const {
--- /dev/null
+++ b/src/core/membership_probe.cc
@@ -0,0 +1,280 @@
+// The probes of the membership protocol: direct, indirect, to other failure
+// domains, and to members that are held dead.
+#include <algorithm>
+
+#include "core/membership.h"
+#include "core/membership_timing.h"
+
+namespace verbenastile {
+namespace {
+
+constexpr std::size_t kMaxRelays = 64;
+
+}  // namespace
+
+void Membership::InsertNeighbour(const std::string& name) {
+  if (std::find(neighbours_.begin(), neighbours_.end(), name) !=
+      neighbours_.end()) {
+    return;
+  }
+  const auto position = random_.Below(neighbours_.size() + 1);
+  neighbours_.insert(
+      neighbours_.begin() + static_cast<std::ptrdiff_t>(position), name);
+}
+
+// The next live member of the own domain; each comes once in a round.
+const MemberRecord* Membership::NextNeighbour() {
+  while (!neighbours_.empty()) {
+    if (neighbour_ >= neighbours_.size()) {
+      neighbour_ = 0;
+      random_.Shuffle(neighbours_);
+    }
+    const MemberRecord* record = table_.Find(neighbours_[neighbour_]);
+    if (record != nullptr && IsLive(record->member.state) &&
+        record->member.failure_domain == self_.failure_domain) {
+      ++neighbour_;
+      return record;
+    }
+    neighbours_.erase(neighbours_.begin() +
+                      static_cast<std::ptrdiff_t>(neighbour_));
+  }
+  return nullptr;
+}
+
+void Membership::StartDueProbes() {
+  if (next_near_ <= clock_) {
+    ProbeNear();
+  }
+  if (next_far_ <= clock_) {
+    ProbeFar();
+  }
+  if (next_gone_ <= clock_) {
+    ProbeGone();
+  }
+}
+
+void Membership::ProbeNear() {
+  next_near_ = clock_ + Stretched(kProbeInterval);
+  if (const MemberRecord* record = NextNeighbour()) {
+    StartProbe(*record, ProbeKind::kNear);
+  }
+}
+
+void Membership::ProbeFar() {
+  const bool alone = table_.views().neighbours.empty();
+  if (far_alarm_ > 0 || alone) {
+    next_far_ = clock_ + kProbeInterval;
+    far_alarm_ -= far_alarm_ > 0 ? 1 : 0;
+  } else {
+    next_far_ = clock_ + random_.Around(kFarProbeInterval);
+  }
+  const auto& distant = table_.views().distant;
+  if (!distant.empty()) {
+    StartProbe(*distant[random_.Below(distant.size())], ProbeKind::kFar);
+  }
+}
+
+// The fleet as a whole probes each dead member once in an interval, however
+// many members there are.
+void Membership::ProbeGone() {
+  next_gone_ = clock_ + random_.Around(kGoneProbeInterval);
+  std::vector<const MemberRecord*> dead;
+  for (const MemberRecord* record : table_.views().gone) {
+    if (record->member.state == MemberState::kDead) {
+      dead.push_back(record);
+    }
+  }
+  if (dead.empty() || fault_ == MembershipFault::kNeverProbeGone ||
+      random_.Below(table_.live()) >= dead.size()) {
+    return;
+  }
+  StartProbe(*dead[random_.Below(dead.size())], ProbeKind::kGone);
+}
+
+void Membership::StartProbe(const MemberRecord& record, ProbeKind kind) {
+  const Member& member = record.member;
+  const auto same = [&](const auto& probe) {
+    return probe.second.name == member.name;
+  };
+  if (std::any_of(probes_.begin(), probes_.end(), same)) {
+    return;
+  }
+  GossipMessage ping;
+  ping.kind = GossipKind::kPing;
+  ping.sequence = ++sequence_;
+  ping.target = member.name;
+  AddNewsOf(member.name, member.incarnation, ping);
+  if (kind != ProbeKind::kGone) {
+    AddQueued(ping);
+  }
+  Probe probe;
+  probe.kind = kind;
+  probe.name = member.name;
+  probe.address = member.control;
+  probe.helpers_due = clock_ + Stretched(kProbeTimeout);
+  probe.deadline = clock_ + Stretched(kProbeInterval);
+  probe.helpers_asked = kind == ProbeKind::kGone;
+  if (Send(probe.address, std::move(ping), Priority::kAnswer)) {
+    probes_.emplace(sequence_, std::move(probe));
+  }
+}
+
+void Membership::ExpireProbes() {
+  std::vector<Probe> failed;
+  for (auto& [sequence, probe] : probes_) {
+    if (!probe.helpers_asked && probe.helpers_due <= clock_) {
+      AskHelpers(sequence, probe);
+    }
+    if (probe.deadline <= clock_) {
+      failed.push_back(probe);
+    }
+  }
+  std::erase_if(probes_, [&](const auto& entry) {
+    return entry.second.deadline <= clock_;
+  });
+  for (const Probe& probe : failed) {
+    OnProbeFailed(probe);
+  }
+}
+
+void Membership::AskHelpers(std::uint32_t sequence, Probe& probe) {
+  probe.helpers_asked = true;
+  const MemberRecord* target = table_.Find(probe.name);
+  if (target == nullptr) {
+    return;
+  }
+  std::vector<const MemberRecord*> helpers = table_.views().neighbours;
+  if (probe.kind == ProbeKind::kFar) {
+    for (const MemberRecord* record : table_.views().distant) {
+      if (record->member.failure_domain == target->member.failure_domain) {
+        helpers.push_back(record);
+      }
+    }
+  }
+  std::erase(helpers, target);
+  random_.Shuffle(helpers);
+  helpers.resize(std::min(helpers.size(), kHelpers));
+  for (const MemberRecord* helper : helpers) {
+    GossipMessage request;
+    request.kind = GossipKind::kPingRequest;
+    request.sequence = sequence;
+    request.target = probe.name;
+    request.target_address = probe.address;
+    Send(helper->member.control, std::move(request), Priority::kAnswer);
+  }
+  probe.nacks_expected = static_cast<unsigned>(helpers.size());
+}
+
+void Membership::OnProbeFailed(const Probe& probe) {
+  if (probe.kind == ProbeKind::kGone) {
+    return;
+  }
+  // Helpers that say nothing either make the node doubt itself.
+  const bool silent =
+      probe.nacks_expected == 0 || probe.nacks < probe.nacks_expected;
+  if (probe.kind == ProbeKind::kNear && silent) {
+    AddHealth(1);
+  }
+  if (probe.kind == ProbeKind::kFar) {
+    far_alarm_ = kFarAlarmProbes;
+    next_far_ = std::min(next_far_, clock_ + kProbeInterval);
+  }
+  const MemberRecord* record = table_.Find(probe.name);
+  if (record != nullptr && record->member.control == probe.address) {
+    ++stats_.suspicions;
+    Accuse(probe.name, AccuserTag(self_.name));
+  }
+}
+
+void Membership::ExpireRelays() {
+  for (auto relay = relays_.begin(); relay != relays_.end();) {
+    if (relay->second.deadline > clock_) {
+      ++relay;
+      continue;
+    }
+    GossipMessage nack;
+    nack.kind = GossipKind::kNack;
+    nack.sequence = relay->second.asker_sequence;
+    nack.target = relay->second.target;
+    Send(relay->second.asker, std::move(nack), Priority::kAnswer);
+    relay = relays_.erase(relay);
+  }
+}
+
+void Membership::OnPing(const SocketAddress& from,
+                        const GossipMessage& message) {
+  const bool meant = message.target.empty() || message.target == self_.name;
+  if (!meant || yielded_ || self_.state == MemberState::kLeft) {
+    return;
+  }
+  GossipMessage ack;
+  ack.kind = GossipKind::kAck;
+  ack.sequence = message.sequence;
+  ack.target = self_.name;
+  const bool was_doubted =
+      std::any_of(message.updates.begin(), message.updates.end(),
+                  [&](const MemberUpdate& update) {
+                    return update.member.name == self_.name;
+                  });
+  if (was_doubted) {
+    ack.updates.push_back(UpdateOf(self_, true));
+  }
+  AddNewsOf(message.sender, message.incarnation, ack);
+  AddQueued(ack);
+  Send(from, std::move(ack), Priority::kAnswer);
+}
+
+void Membership::OnPingRequest(const SocketAddress& from,
+                               const GossipMessage& message) {
+  if (relays_.size() >= kMaxRelays) {
+    return;
+  }
+  GossipMessage ping;
+  ping.kind = GossipKind::kPing;
+  ping.sequence = ++sequence_;
+  ping.target = message.target;
+  if (!Send(message.target_address, std::move(ping), Priority::kAnswer)) {
+    return;
+  }
+  Relay relay;
+  relay.asker = from;
+  relay.asker_sequence = message.sequence;
+  relay.target = message.target;
+  relay.deadline = clock_ + kProbeTimeout;
+  relays_.emplace(sequence_, std::move(relay));
+}
+
+void Membership::OnAck(const GossipMessage& message) {
+  const auto relay = relays_.find(message.sequence);
+  if (relay != relays_.end() && relay->second.target == message.target) {
+    GossipMessage ack;
+    ack.kind = GossipKind::kAck;
+    ack.sequence = relay->second.asker_sequence;
+    ack.target = message.target;
+    Send(relay->second.asker, std::move(ack), Priority::kAnswer);
+    relays_.erase(relay);
+    return;
+  }
+  const auto probe = probes_.find(message.sequence);
+  if (probe == probes_.end() || probe->second.name != message.target) {
+    return;
+  }
+  AddHealth(-1);
+  if (probe->second.kind == ProbeKind::kGone) {
+    SyncSoonWith(probe->second.address);
+  }
+  const MemberRecord* record = table_.Find(message.target);
+  if (record != nullptr && record->member.state == MemberState::kLeaving) {
+    suspicions_.erase(message.target);
+  }
+  probes_.erase(probe);
+}
+
+void Membership::OnNack(const GossipMessage& message) {
+  const auto probe = probes_.find(message.sequence);
+  if (probe != probes_.end() && probe->second.name == message.target) {
+    ++probe->second.nacks;
+  }
+}
+
+}  // namespace verbenastile
--- /dev/null
+++ b/src/core/membership_sync.cc
@@ -0,0 +1,324 @@
+// How the membership protocol passes news on: rounds of gossip, and
+// anti-entropy by digests for what gossip missed.
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <bit>
+
+#include "core/invariant.h"
+#include "core/membership.h"
+#include "core/membership_timing.h"
+
+namespace verbenastile {
+namespace {
+
+constexpr Duration kStrangerInterval = std::chrono::milliseconds(200);
+constexpr std::size_t kMaxSeedsAsked = 3;
+// One round of gossip in so many goes to another failure domain.
+constexpr std::uint64_t kGossipFarOneIn = 3;
+constexpr std::uint64_t kSyncFarOneIn = 4;
+constexpr unsigned kExtraRetransmits = 2;
+constexpr std::int64_t kMicrosecondsPerSecond = 1'000'000;
+constexpr std::uint64_t kAllBuckets = ~0ULL;
+static_assert(kSyncBuckets == 64, "a set of buckets is a 64-bit word");
+
+}  // namespace
+
+// --- Sending.
+
+void Membership::Sign(GossipMessage& message) const {
+  message.cluster = cluster_;
+  message.sender = self_.name;
+  message.incarnation = self_.incarnation;
+}
+
+bool Membership::Send(const SocketAddress& to,
+                      GossipMessage message,
+                      Priority priority) {
+  Sign(message);
+  const std::size_t bytes = DatagramBytes(message);
+  CheckInvariant(bytes <= kMaxDatagramBytes, "membership_datagram_bound",
+                 self_.name);
+  const std::int64_t floor =
+      priority == Priority::kAnswer ? -kMembershipReserveBytes : 0;
+  if (!budget_.Spend(clock_, static_cast<std::int64_t>(bytes), floor) &&
+      fault_ != MembershipFault::kFlood) {
+    ++stats_.over_budget;
+    return false;
+  }
+  ++stats_.messages_sent;
+  stats_.bytes_sent += bytes;
+  const std::int64_t allowed = kMembershipBurstBytes + kMembershipReserveBytes +
+                               (clock_ - start_).count() *
+                                   kMembershipBytesPerSecond /
+                                   kMicrosecondsPerSecond;
+  CheckInvariant(static_cast<std::int64_t>(stats_.bytes_sent) <= allowed,
+                 "membership_byte_budget", self_.name);
+  actions_.emplace_back(SendGossip{to, std::move(message)});
+  return true;
+}
+
+MemberUpdate Membership::UpdateOf(const Member& member, bool whole) const {
+  MemberUpdate update;
+  update.member = member;
+  if (member.state == MemberState::kSuspect) {
+    update.whole = whole;
+    const auto suspicion = suspicions_.find(member.name);
+    update.accuser =
+        suspicion == suspicions_.end() ? 0 : suspicion->second.latest_accuser();
+  } else {
+    update.whole = member.state == MemberState::kAlive || whole;
+    update.whole = update.whole && IsLive(member.state);
+  }
+  return update;
+}
+
+void Membership::AddNewsOf(std::string_view name,
+                           std::uint64_t incarnation,
+                           GossipMessage& message) const {
+  const MemberRecord* record = table_.Find(name);
+  if (record == nullptr) {
+    return;
+  }
+  const Member& member = record->member;
+  const bool well = member.state == MemberState::kAlive ||
+                    member.state == MemberState::kLeaving;
+  if (!well || member.incarnation > incarnation) {
+    message.updates.push_back(UpdateOf(member, false));
+  }
+}
+
+unsigned Membership::RetransmitLimit() const {
+  return static_cast<unsigned>(std::bit_width(table_.live())) +
+         kExtraRetransmits;
+}
+
+void Membership::AddQueued(GossipMessage& message) {
+  if (queue_.empty() || budget_.Left(clock_) <= 0) {
+    return;
+  }
+  Sign(message);
+  DatagramSizer sizer(message);
+  for (const MemberUpdate& update : message.updates) {
+    sizer.Add(update);
+  }
+  queue_.Drain(RetransmitLimit(), [&](const std::string& name) {
+    const MemberRecord* record = table_.Find(name);
+    if (record == nullptr) {
+      return true;
+    }
+    MemberUpdate update = UpdateOf(record->member, false);
+    if (!sizer.Add(update) && fault_ != MembershipFault::kIgnoreDatagramBound) {
+      return false;
+    }
+    message.updates.push_back(std::move(update));
+    return true;
+  });
+}
+
+// --- Gossip.
+
+const MemberRecord* Membership::RandomLive(std::uint64_t far_one_in) {
+  const auto& near = table_.views().neighbours;
+  const auto& far = table_.views().distant;
+  if (near.empty() && far.empty()) {
+    return nullptr;
+  }
+  const bool go_far =
+      near.empty() || (!far.empty() && random_.Below(far_one_in) == 0);
+  const auto& from = go_far ? far : near;
+  return from[random_.Below(from.size())];
+}
+
+void Membership::GossipRound(std::size_t fanout) {
+  next_gossip_ = clock_ + kGossipInterval;
+  if (fault_ == MembershipFault::kFlood) {
+    Flood();
+  }
+  std::vector<const MemberRecord*> told;
+  for (std::size_t i = 0; i < fanout; ++i) {
+    const MemberRecord* peer = RandomLive(kGossipFarOneIn);
+    const bool again = std::find(told.begin(), told.end(), peer) != told.end();
+    if (peer == nullptr || again) {
+      continue;
+    }
+    told.push_back(peer);
+    if (budget_.Left(clock_) < static_cast<std::int64_t>(kMaxDatagramBytes)) {
+      ++stats_.over_budget;
+      return;
+    }
+    GossipMessage news;
+    news.kind = GossipKind::kNews;
+    AddQueued(news);
+    if (!news.updates.empty()) {
+      Send(peer->member.control, std::move(news), Priority::kNews);
+    }
+  }
+}
+
+// A planned stop must be known everywhere at once: each member is told, and
+// gossip makes good for what is lost.
+void Membership::TellAll() {
+  std::vector<const MemberRecord*> others = table_.views().neighbours;
+  const auto& distant = table_.views().distant;
+  others.insert(others.end(), distant.begin(), distant.end());
+  random_.Shuffle(others);
+  for (const MemberRecord* other : others) {
+    GossipMessage news;
+    news.kind = GossipKind::kNews;
+    news.updates.push_back(UpdateOf(self_, false));
+    if (!Send(other->member.control, std::move(news), Priority::kNews)) {
+      return;
+    }
+  }
+}
+
+void Membership::Flood() {
+  for (const MemberRecord* record : table_.views().neighbours) {
+    SendState(record->member.control, kAllBuckets, 0);
+  }
+}
+
+// --- Whom a message comes from.
+
+// Returns whether the sender is a member that is known as it is.
+bool Membership::NoteSender(const SocketAddress& from,
+                            const GossipMessage& message) {
+  const MemberRecord* record = table_.Find(message.sender);
+  if (record == nullptr || record->member.incarnation < message.incarnation) {
+    return false;
+  }
+  if (record->member.control == from &&
+      record->member.incarnation == message.incarnation) {
+    table_.Heard(message.sender, clock_);
+  }
+  return true;
+}
+
+void Membership::MeetStranger(const SocketAddress& from,
+                              const GossipMessage& message) {
+  const MemberRecord* record = table_.Find(message.sender);
+  const bool known_now =
+      record != nullptr && record->member.incarnation >= message.incarnation;
+  if (known_now || next_stranger_ > clock_) {
+    return;
+  }
+  next_stranger_ = clock_ + kStrangerInterval;
+  SendSyncRoot(from);
+}
+
+// --- Anti-entropy.
+
+void Membership::SyncSoonWith(const SocketAddress& peer) {
+  sync_with_ = peer;
+  next_sync_ = clock_;
+}
+
+void Membership::StartSync() {
+  next_sync_ = clock_ + random_.Around(kSyncInterval);
+  if (!quick_sync_due_) {
+    quick_syncs_ = 0;
+  }
+  quick_sync_due_ = false;
+  if (sync_with_) {
+    SendSyncRoot(*sync_with_);
+    sync_with_.reset();
+    return;
+  }
+  if (const MemberRecord* peer = RandomLive(kSyncFarOneIn)) {
+    SendSyncRoot(peer->member.control);
+  }
+}
+
+void Membership::SendSyncRoot(const SocketAddress& to) {
+  GossipMessage root;
+  root.kind = GossipKind::kSyncRoot;
+  root.root = table_.root();
+  root.updates.push_back(UpdateOf(table_.Find(self_.name)->member, true));
+  Send(to, std::move(root), Priority::kAnswer);
+}
+
+void Membership::OnSeeds(Time now, std::span<const SocketAddress> seeds) {
+  Advance(now);
+  std::vector<SocketAddress> others(seeds.begin(), seeds.end());
+  std::erase(others, self_.control);
+  random_.Shuffle(others);
+  others.resize(std::min(others.size(), kMaxSeedsAsked));
+  for (const SocketAddress& seed : others) {
+    SendSyncRoot(seed);
+  }
+}
+
+void Membership::OnSyncRoot(const SocketAddress& from,
+                            const GossipMessage& message) {
+  if (yielded_ || self_.state == MemberState::kLeft) {
+    return;
+  }
+  GossipMessage reply;
+  reply.kind = GossipKind::kNews;
+  AddNewsOf(message.sender, message.incarnation, reply);
+  if (message.root != table_.root()) {
+    reply.kind = GossipKind::kSyncDigests;
+    reply.buckets.assign(table_.buckets().begin(), table_.buckets().end());
+  } else if (reply.updates.empty()) {
+    return;
+  }
+  Send(from, std::move(reply), Priority::kNews);
+}
+
+void Membership::OnSyncBuckets(const SocketAddress& from,
+                               const GossipMessage& message) {
+  std::uint64_t different = 0;
+  for (std::size_t i = 0; i < message.buckets.size(); ++i) {
+    const bool differs = message.buckets[i] != table_.buckets()[i];
+    different |= static_cast<std::uint64_t>(differs) << i;
+  }
+  if (different == 0) {
+    return;
+  }
+  SendState(from, different, different);
+  if (quick_syncs_ < kMaxQuickSyncs) {
+    ++quick_syncs_;
+    quick_sync_due_ = true;
+    next_sync_ = std::min(next_sync_, clock_ + random_.Around(kQuickSync));
+  }
+}
+
+// Sends the members of `buckets` and asks for those of `wanted`, as far as the
+// budget goes.
+void Membership::SendState(const SocketAddress& to,
+                           std::uint64_t buckets,
+                           std::uint64_t wanted) {
+  if (buckets == 0) {
+    return;
+  }
+  GossipMessage blank;
+  blank.kind = GossipKind::kSyncState;
+  Sign(blank);
+  GossipMessage state = blank;
+  state.wanted = wanted;
+  DatagramSizer sizer(state);
+  const std::size_t first = random_.Below(kSyncBuckets);
+  for (std::size_t i = 0; i < kSyncBuckets; ++i) {
+    const std::size_t bucket = (first + i) % kSyncBuckets;
+    if ((buckets >> bucket & 1) == 0) {
+      continue;
+    }
+    for (const MemberRecord* record : table_.InBucket(bucket)) {
+      MemberUpdate update = UpdateOf(record->member, true);
+      if (!sizer.Add(update)) {
+        if (!Send(to, std::exchange(state, blank), Priority::kNews)) {
+          return;
+        }
+        sizer = DatagramSizer(blank);
+        sizer.Add(update);
+      }
+      state.updates.push_back(std::move(update));
+    }
+  }
+  if (!state.updates.empty() || state.wanted != 0) {
+    Send(to, std::move(state), Priority::kNews);
+  }
+}
+
+}  // namespace verbenastile
--- /dev/null
+++ b/src/core/seeded_random.h
@@ -0,0 +1,48 @@
+// Random choices of the decision logic: the same for the same seed on any
+// machine.
+#ifndef CORE_SEEDED_RANDOM_H_
+#define CORE_SEEDED_RANDOM_H_
+
+#include <algorithm>
+#include <boost/random/uniform_int_distribution.hpp>
+#include <cstdint>
+#include <random>
+#include <vector>
+
+#include "base/time.h"
+
+namespace verbenastile {
+
+class SeededRandom {
+ public:
+  explicit SeededRandom(std::uint64_t seed) : engine_(seed) {}
+
+  // Evenly from 0 to `count` - 1; `count` is above 0.
+  std::uint64_t Below(std::uint64_t count) {
+    return boost::random::uniform_int_distribution<std::uint64_t>(
+        0, count - 1)(engine_);
+  }
+
+  // Evenly from 0 to `longest`.
+  Duration UpTo(Duration longest) {
+    const auto limit = std::max<std::int64_t>(longest.count(), 0);
+    return Duration(Below(static_cast<std::uint64_t>(limit) + 1));
+  }
+
+  // Evenly from nine tenths of `mean` to eleven tenths.
+  Duration Around(Duration mean) { return mean * 9 / 10 + UpTo(mean / 5); }
+
+  template <typename T>
+  void Shuffle(std::vector<T>& values) {
+    for (std::size_t left = values.size(); left > 1; --left) {
+      std::swap(values[left - 1], values[Below(left)]);
+    }
+  }
+
+ private:
+  std::mt19937_64 engine_;
+};
+
+}  // namespace verbenastile
+
+#endif  // CORE_SEEDED_RANDOM_H_
