Nodes find each other by gossip; the platform holds a bounded roster

Cause: every node polled and wrote all rosters at the platform twice a second, so that the store's load grew with the fleet.

--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -17,6 +17,7 @@
 constexpr std::int64_t kMaxSlots = 10'000;
 constexpr std::int64_t kMaxConnections = 100'000;
 constexpr std::size_t kMaxNameBytes = 100;
+constexpr std::size_t kMaxSeedAddresses = 64;
 
 bool IsName(std::string_view text) {
   constexpr std::string_view kAllowed =
@@ -106,6 +107,25 @@
   return platform;
 }
 
+std::vector<SocketAddress> ReadSeeds(YamlReader reader) {
+  std::vector<SocketAddress> seeds;
+  for (const std::string& text : reader.Strings("seeds")) {
+    const auto address = ParseSocketAddress(text);
+    if (address) {
+      seeds.push_back(*address);
+    } else {
+      reader.AddFault(
+          "seeds", fmt::format("seeds: IP:PORT is expected, not \"{}\"", text));
+    }
+  }
+  if (seeds.size() > kMaxSeedAddresses) {
+    reader.AddFault("seeds",
+                    fmt::format("seeds: at most {}", kMaxSeedAddresses));
+  }
+  reader.RejectUnknownKeys();
+  return seeds;
+}
+
 Settings ReadSettings(YamlReader& reader) {
   Settings settings;
   YamlReader node = reader.Section("node");
@@ -116,6 +136,7 @@
   settings.listen = ReadListen(reader.Section("listen"));
   settings.upstream = ReadUpstream(reader.Section("upstream"));
   settings.platform = ReadPlatform(reader.Section("platform"));
+  settings.membership_seeds = ReadSeeds(reader.Section("membership"));
   YamlReader distribution = reader.Section("distribution");
   settings.policy = static_cast<DistributionPolicy>(
       distribution.Choice("policy",
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "base/log.h"
 #include "base/time.h"
@@ -69,6 +70,8 @@
   ListenSettings listen;
   UpstreamSettings upstream;
   PlatformSettings platform;
+  // Control addresses to join the fleet by when the platform is down.
+  std::vector<SocketAddress> membership_seeds;
   DistributionPolicy policy = DistributionPolicy::kDeltaTree;
   Duration drain_timeout = std::chrono::seconds(30);
   Duration default_deadline = std::chrono::seconds(10);
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -48,6 +48,7 @@
   self.control = settings.listen.control;
   self.slots = settings.upstream.slots;
   self.connections = settings.upstream.connections;
+  self.serving = false;
   return self;
 }
 
@@ -79,7 +80,10 @@
               [this](const std::shared_ptr<const Snapshot>& snapshot) {
                 OnSnapshot(snapshot);
               }),
-      roster_(io_, platform_, directory_, FreshSeed()),
+      membership_(io_,
+                  {&settings_, &platform_, &directory_, &metrics_},
+                  MakeSelf(settings_),
+                  FreshSeed()),
       proxy_({&settings_, &applier_, &directory_, &call_http_, &metrics_},
              FreshSeed()),
       admin_(io_,
@@ -96,8 +100,7 @@
                ServerInit(settings_.listen.callers),
                [this](HttpRequest request, HttpReply reply) {
                  proxy_.OnCallerRequest(std::move(request), std::move(reply));
-               }),
-      self_(MakeSelf(settings_)) {}
+               }) {}
 
 int Node::Run() {
   Open();
@@ -114,6 +117,7 @@
   });
   admin_.Open([this](const std::string& error) { OnOpened("admin", error); });
   peers_.Open([this](const std::string& error) { OnOpened("peers", error); });
+  OnOpened("control", membership_.Open());
   source_.Start();
 }
 
@@ -166,27 +170,21 @@
     callers_.Open(
         [this](const std::string& error) { OnOpened("callers", error); });
   } else if (action == "announce_serving") {
-    AnnounceAs(MemberState::kAlive);
+    membership_.Announce(MemberState::kAlive, true);
     Log(LogLevel::kInfo, kPart, "Serving.", {{"name", settings_.name}});
   } else if (action == "announce_leaving") {
     BeginLeaving();
   } else if (action == "announce_left") {
-    AnnounceAs(MemberState::kLeft);
+    membership_.Announce(MemberState::kLeft, false);
   } else if (action == "stop") {
     Stop();
   }
 }
 
-void Node::AnnounceAs(MemberState state) {
-  self_.state = state;
-  ++self_.incarnation;
-  roster_.Announce(self_);
-}
-
 void Node::BeginLeaving() {
   Log(LogLevel::kInfo, kPart, "Leaving.",
       {{"name", settings_.name}, {"active", proxy_.active()}});
-  AnnounceAs(MemberState::kLeaving);
+  membership_.Announce(MemberState::kLeaving, true);
   const Time now = SteadyNow();
   WaitForCalls(now + settings_.drain_timeout, now + kLeaveNoticeTime);
 }
@@ -217,7 +215,7 @@
   drain_timer_.expires_after(kLastWriteTime);
   drain_timer_.async_wait([this](const asio::error_code&) {
     source_.Stop();
-    roster_.Stop();
+    membership_.Close();
     io_.stop();
   });
 }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -17,8 +17,8 @@
 #include "io/platform_client.h"
 #include "node/admin_server.h"
 #include "node/call_proxy.h"
+#include "node/membership_service.h"
 #include "node/platform_source.h"
-#include "node/roster_keeper.h"
 
 namespace verbenastile {
 
@@ -48,7 +48,6 @@
   void OnSnapshot(const std::shared_ptr<const Snapshot>& snapshot);
   void Fire(std::string_view event);
   void RunAction(std::string_view action);
-  void AnnounceAs(MemberState state);
   void BeginLeaving();
   void WaitForCalls(Time expiry, Time earliest_end);
   void Stop();
@@ -68,12 +67,11 @@
   HttpClient call_http_;     // To upstreams and other nodes.
   PlatformClient platform_;
   PlatformSource source_;
-  RosterKeeper roster_;
+  MembershipService membership_;
   CallProxy proxy_;
   AdminServer admin_;
   HttpServer peers_;
   HttpServer callers_;
-  Member self_;
   int exit_code_ = 0;
 };
 
--- a/src/node/roster_keeper.cc
+++ b/src/node/roster_keeper.cc
@@ -1,15 +1,26 @@
 #include "node/roster_keeper.h"
 
+#include <algorithm>
 #include <boost/leaf/handle_errors.hpp>
 #include <nlohmann/json.hpp>
 
 #include "base/log.h"
+#include "core/roster_mending.h"
+#include "core/rules_head.h"
 
 namespace verbenastile {
 namespace {
 
 constexpr std::string_view kPart = "roster";
-constexpr Duration kPollInterval = std::chrono::milliseconds(500);
+// The first read after a start comes within this time, later ones back off.
+constexpr Duration kFirstRead = std::chrono::seconds(2);
+constexpr Duration kLongestRead = std::chrono::seconds(10);
+constexpr unsigned kMaxDoublings = 4;
+// Without a wish for seeds in this time, the back-off starts anew.
+constexpr Duration kQuietTime = std::chrono::seconds(30);
+constexpr Duration kCheckInterval = std::chrono::seconds(10);
+// A keeper looks at its roster this often even when nothing has happened.
+constexpr Duration kLookInterval = std::chrono::minutes(10);
 
 Roster ReadRoster(const nlohmann::json& spec) {
   return leaf::try_handle_all(
@@ -22,87 +33,198 @@
       [] { return Roster{}; });
 }
 
+void AddAddresses(const Roster& roster, std::vector<SocketAddress>& addresses) {
+  for (const Member& member : roster.members) {
+    addresses.push_back(member.control);
+  }
+}
+
 }  // namespace
 
 RosterKeeper::RosterKeeper(asio::io_context& io,
                            PlatformClient& platform,
-                           MemberDirectory& directory,
-                           std::uint32_t seed)
-    : platform_(platform), directory_(directory), timer_(io), random_(seed) {}
-
-void RosterKeeper::Announce(Member self) {
-  self_ = std::move(self);
-  directory_.Put(self_);
-  Poll();
+                           const MemberDirectory& directory,
+                           Member self,
+                           std::uint32_t seed,
+                           SeedsHandler on_seeds)
+    : platform_(platform),
+      directory_(directory),
+      self_(std::move(self)),
+      on_seeds_(std::move(on_seeds)),
+      read_timer_(io),
+      check_timer_(io),
+      random_(seed) {}
+
+void RosterKeeper::Start() {
+  next_look_ = SteadyNow() + UpTo(kLookInterval);
+  ScheduleCheck(kCheckInterval + UpTo(kCheckInterval));
 }
 
 void RosterKeeper::Stop() {
   stopped_ = true;
-  timer_.cancel();
+  read_timer_.cancel();
+  check_timer_.cancel();
+}
+
+Duration RosterKeeper::UpTo(Duration longest) {
+  return Duration(
+      std::uniform_int_distribution<std::int64_t>(0, longest.count())(random_));
 }
 
-void RosterKeeper::Poll() {
-  if (polling_ || stopped_) {
+// --- Reading.
+
+void RosterKeeper::WantSeeds() {
+  const Time now = SteadyNow();
+  if (now - last_wanted_ > kQuietTime) {
+    failed_reads_ = 0;
+  }
+  last_wanted_ = now;
+  if (read_pending_ || stopped_) {
     return;
   }
-  polling_ = true;
+  read_pending_ = true;
+  const Duration longest = std::min(
+      kLongestRead, kFirstRead * (1 << std::min(failed_reads_, kMaxDoublings)));
+  ++failed_reads_;
+  read_timer_.expires_after(UpTo(longest));
+  read_timer_.async_wait([this](const asio::error_code& error) {
+    if (!error) {
+      Read();
+    }
+  });
+}
+
+void RosterKeeper::Read() {
+  ++reads_;
   platform_.List(kRosterKind, [this](PlatformResult<PlatformList> result) {
-    polling_ = false;
+    read_pending_ = false;
     if (stopped_) {
       return;
     }
     if (const auto* list = std::get_if<PlatformList>(&result)) {
       OnRosters(*list);
+      return;
     }
-    ScheduleNext();
-  });
-}
-
-void RosterKeeper::ScheduleNext() {
-  std::uniform_int_distribution<std::int64_t> jitter(kPollInterval.count() / 2,
-                                                     kPollInterval.count());
-  timer_.expires_after(Duration(jitter(random_)));
-  timer_.async_wait([this](const asio::error_code& error) {
-    if (!error) {
-      Poll();
-    }
+    const auto& error = std::get<PlatformError>(result);
+    Log(LogLevel::kInfo, kPart, "The rosters cannot be read.",
+        {{"kind", ToString(error.kind)}, {"detail", error.detail}});
   });
 }
 
 void RosterKeeper::OnRosters(const PlatformList& list) {
-  const PlatformObject* own = nullptr;
+  std::vector<SocketAddress> addresses;
+  known_.emplace();
   for (const PlatformObject& object : list.items) {
+    Roster roster = ReadRoster(object.spec);
+    AddAddresses(roster, addresses);
     if (object.name == self_.failure_domain) {
-      own = &object;
+      known_ = std::move(roster);
     }
-    for (Member& member : ReadRoster(object.spec).members) {
-      if (member.name != self_.name) {
-        directory_.Put(std::move(member));
-      }
+  }
+  std::erase(addresses, self_.control);
+  const bool first_here = known_->members.empty();
+  on_seeds_(std::move(addresses));
+  if (first_here) {
+    bad_before_ = true;
+    ScheduleCheck(UpTo(kFirstRead));
+  }
+}
+
+// --- Keeping.
+
+void RosterKeeper::ScheduleCheck(Duration delay) {
+  check_timer_.expires_after(delay);
+  check_timer_.async_wait([this](const asio::error_code& error) {
+    if (!error) {
+      Check();
     }
+  });
+}
+
+void RosterKeeper::Check() {
+  ScheduleCheck(kCheckInterval + UpTo(kCheckInterval));
+  if (mending_ || !IsRosterKeeper(directory_, self_)) {
+    bad_before_ = false;
+    return;
+  }
+  const Time now = SteadyNow();
+  const bool look = !known_ || now >= next_look_;
+  const bool bad = !known_ || MendedRoster(*known_, directory_, self_);
+  // A seed that restarts is back before the next check.
+  if (look || (bad && bad_before_)) {
+    next_look_ = now + kLookInterval + UpTo(kLookInterval);
+    Mend();
   }
-  WriteSelf(own);
+  bad_before_ = bad;
 }
 
-void RosterKeeper::WriteSelf(const PlatformObject* known) {
-  Roster roster = known == nullptr ? Roster{} : ReadRoster(known->spec);
-  if (!PutMember(roster, self_)) {
+void RosterKeeper::Mend() {
+  mending_ = true;
+  ++reads_;
+  platform_.Get(kRosterKind, self_.failure_domain,
+                [this](PlatformResult<PlatformObject> result) {
+                  mending_ = false;
+                  if (!stopped_) {
+                    OnOwnRoster(result);
+                  }
+                });
+}
+
+bool RosterKeeper::KnowsAll(const Roster& roster) const {
+  return std::all_of(roster.members.begin(), roster.members.end(),
+                     [&](const Member& seed) {
+                       return directory_.Find(seed.name) != nullptr;
+                     });
+}
+
+void RosterKeeper::OnOwnRoster(const PlatformResult<PlatformObject>& result) {
+  const auto* error = std::get_if<PlatformError>(&result);
+  if (error != nullptr && error->kind != PlatformError::Kind::kNotFound) {
+    return;
+  }
+  std::optional<PlatformObject> object;
+  Roster roster;
+  if (error == nullptr) {
+    object = std::get<PlatformObject>(result);
+    roster = ReadRoster(object->spec);
+  }
+  const bool news = !known_ || known_->members != roster.members;
+  known_ = roster;
+  if (news && !KnowsAll(roster)) {
+    // They may be met yet; the next check judges them.
+    std::vector<SocketAddress> addresses;
+    AddAddresses(roster, addresses);
+    on_seeds_(std::move(addresses));
     return;
   }
-  const auto on_done = [](const PlatformResult<PlatformObject>& result) {
-    if (const auto* error = std::get_if<PlatformError>(&result)) {
-      Log(LogLevel::kDebug, kPart, "The roster was not written.",
-          {{"kind", ToString(error->kind)}});
+  if (const auto mended = MendedRoster(roster, directory_, self_)) {
+    Write(object, *mended);
+  }
+}
+
+void RosterKeeper::Write(const std::optional<PlatformObject>& object,
+                         const Roster& mended) {
+  ++writes_;
+  Log(LogLevel::kInfo, kPart, "Writing the failure domain's roster.",
+      {{"failure_domain", self_.failure_domain},
+       {"seeds", mended.members.size()}});
+  // An answer that is lost or a lost race shows at the next look.
+  const auto on_done = [this,
+                        mended](const PlatformResult<PlatformObject>& result) {
+    if (std::holds_alternative<PlatformObject>(result)) {
+      known_ = mended;
+    } else {
+      known_.reset();
     }
   };
-  if (known == nullptr) {
-    platform_.Create(kRosterKind, self_.failure_domain, ToJson(roster),
+  if (!object) {
+    platform_.Create(kRosterKind, self_.failure_domain, ToJson(mended),
                      on_done);
     return;
   }
-  PlatformObject object = *known;
-  object.spec = ToJson(roster);
-  platform_.Update(kRosterKind, object, on_done);
+  PlatformObject changed = *object;
+  changed.spec = ToJson(mended);
+  platform_.Update(kRosterKind, changed, on_done);
 }
 
 }  // namespace verbenastile
