--- a/soak/soak.h
+++ b/soak/soak.h
@@ -70,6 +70,7 @@
 SoakTopic ApplyTopic();
 SoakTopic ParsersTopic();
 SoakTopic CallsTopic();
+SoakTopic MembershipTopic();
 
 }  // namespace verbenastile
 
