--- a/soak/main.cc
+++ b/soak/main.cc
@@ -11,7 +11,7 @@
 namespace verbenastile {
 
 std::vector<SoakTopic> SoakTopics() {
-  return {ApplyTopic(), CallsTopic()};
+  return {ApplyTopic(), CallsTopic(), MembershipTopic(), ParsersTopic()};
 }
 
 namespace {
