Count gossip in the measured control bytes

Cause: the measurement looked for other names than the nodes use.

Change: sums control_bytes_* and membership_*_bytes, sent and received.

Conclusion: control bytes of gossip and configuration are both counted.

--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -24,8 +24,9 @@
 SERVICES = 22
 IN_FORCE = re.compile(rb"A generation is in force\..* generation=(\d+)")
 BYTES_METRIC = re.compile(
-    r"^verbenastile_\w*bytes_(?:sent|received)_total\S* (\d+)", re.M)
-PLATFORM_CALLS = re.compile(r"^verbenastile_platform_calls_total (\d+)", re.M)
+    r"^verbenastile_(?:control_bytes_(?:sent|received)|"
+    r"membership_(?:sent|received)_bytes)_total (\d+)", re.M)
+
 TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
 
 
