HTTP: streams with back-pressure, aborts, callers that have gone, no second send

Cause: answers were kept whole, a cut answer could not be shown, and each call that may not repeat opened a connection of its own. Change: HttpReply aborts, streams with a known length and tells when the caller has gone; bad requests get a status; HttpClient pauses and stops libcurl's second send before the request is handed over, on kept connections.

--- /dev/null
+++ b/src/io/curl_driver.cc
@@ -0,0 +1,234 @@
+#include "io/curl_driver.h"
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <asio/post.hpp>
+
+namespace verbenastile {
+namespace {
+
+// Initialises libcurl once for the process.
+class CurlGlobal {
+ public:
+  CurlGlobal() { curl_global_init(CURL_GLOBAL_DEFAULT); }
+  ~CurlGlobal() { curl_global_cleanup(); }
+};
+
+void EnsureCurlGlobal() {
+  static const CurlGlobal global;
+}
+
+// The local port of `fd`; 0 while it has none.
+int LocalPort(curl_socket_t fd) {
+  sockaddr_storage address{};
+  socklen_t size = sizeof(address);
+  if (getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size) != 0) {
+    return 0;
+  }
+  if (address.ss_family == AF_INET) {
+    return ntohs(reinterpret_cast<const sockaddr_in*>(&address)->sin_port);
+  }
+  return ntohs(reinterpret_cast<const sockaddr_in6*>(&address)->sin6_port);
+}
+
+}  // namespace
+
+CurlDriver::CurlDriver(asio::io_context& io,
+                       std::size_t max_idle,
+                       std::function<void(CURL*, CURLcode)> on_done)
+    : io_(io), timer_(io), on_done_(std::move(on_done)) {
+  EnsureCurlGlobal();
+  multi_.reset(curl_multi_init());
+  curl_multi_setopt(multi_.get(), CURLMOPT_SOCKETFUNCTION, &OnSocket);
+  curl_multi_setopt(multi_.get(), CURLMOPT_SOCKETDATA, this);
+  curl_multi_setopt(multi_.get(), CURLMOPT_TIMERFUNCTION, &OnTimer);
+  curl_multi_setopt(multi_.get(), CURLMOPT_TIMERDATA, this);
+  curl_multi_setopt(multi_.get(), CURLMOPT_MAXCONNECTS,
+                    static_cast<long>(max_idle));
+}
+
+CurlDriver::~CurlDriver() {
+  *alive_ = false;
+  multi_.reset();
+  for (auto& [fd, watch] : watches_) {
+    watch->descriptor.release();
+  }
+}
+
+void CurlDriver::Adopt(CURL* easy) {
+  curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &OnOpenSocket);
+  curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, this);
+  curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &OnCloseSocket);
+  curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
+}
+
+void CurlDriver::RunOutside(std::function<void()> task) {
+  if (!inside_) {
+    task();
+    return;
+  }
+  asio::post(io_, [alive = alive_, task = std::move(task)] {
+    if (*alive) {
+      task();
+    }
+  });
+}
+
+bool CurlDriver::IsQuiet(int local_port) {
+  LearnPorts();
+  const auto found = by_port_.find(local_port);
+  if (found == by_port_.end()) {
+    return true;
+  }
+  char byte = 0;
+  const auto size = recv(found->second, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+void CurlDriver::LearnPorts() {
+  for (auto it = unnamed_.begin(); it != unnamed_.end();) {
+    const int port = LocalPort(*it);
+    if (port == 0) {
+      ++it;
+      continue;
+    }
+    by_port_[port] = *it;
+    port_of_[*it] = port;
+    it = unnamed_.erase(it);
+  }
+}
+
+curl_socket_t CurlDriver::OnOpenSocket(void* user,
+                                       curlsocktype,
+                                       curl_sockaddr* address) {
+  const curl_socket_t fd = socket(
+      address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
+  if (fd != CURL_SOCKET_BAD) {
+    static_cast<CurlDriver*>(user)->unnamed_.insert(fd);
+  }
+  return fd;
+}
+
+int CurlDriver::OnCloseSocket(void* user, curl_socket_t fd) {
+  auto* self = static_cast<CurlDriver*>(user);
+  self->RemoveWatch(fd);
+  self->unnamed_.erase(fd);
+  const auto port = self->port_of_.find(fd);
+  if (port != self->port_of_.end()) {
+    const auto by_port = self->by_port_.find(port->second);
+    if (by_port != self->by_port_.end() && by_port->second == fd) {
+      self->by_port_.erase(by_port);
+    }
+    self->port_of_.erase(port);
+  }
+  return close(fd);
+}
+
+int CurlDriver::OnSocket(CURL*, curl_socket_t fd, int what, void* user, void*) {
+  auto* self = static_cast<CurlDriver*>(user);
+  if (what == CURL_POLL_REMOVE) {
+    self->RemoveWatch(fd);
+    return 0;
+  }
+  auto& watch = self->watches_[fd];
+  if (!watch) {
+    watch = std::make_shared<Watch>(self->io_, fd);
+  }
+  watch->wanted = what;
+  self->Arm(fd, watch);
+  return 0;
+}
+
+void CurlDriver::RemoveWatch(curl_socket_t fd) {
+  const auto found = watches_.find(fd);
+  if (found == watches_.end()) {
+    return;
+  }
+  found->second->removed = true;
+  found->second->descriptor.release();
+  watches_.erase(found);
+}
+
+void CurlDriver::Arm(curl_socket_t fd, const std::shared_ptr<Watch>& watch) {
+  using Descriptor = asio::posix::stream_descriptor;
+  if ((watch->wanted & CURL_POLL_IN) != 0 && !watch->waits_in) {
+    watch->waits_in = true;
+    watch->descriptor.async_wait(
+        Descriptor::wait_read,
+        [this, alive = alive_, fd, watch](const asio::error_code& error) {
+          watch->waits_in = false;
+          if (*alive) {
+            OnReady(fd, watch, CURL_CSELECT_IN, error);
+          }
+        });
+  }
+  if ((watch->wanted & CURL_POLL_OUT) != 0 && !watch->waits_out) {
+    watch->waits_out = true;
+    watch->descriptor.async_wait(
+        Descriptor::wait_write,
+        [this, alive = alive_, fd, watch](const asio::error_code& error) {
+          watch->waits_out = false;
+          if (*alive) {
+            OnReady(fd, watch, CURL_CSELECT_OUT, error);
+          }
+        });
+  }
+}
+
+void CurlDriver::OnReady(curl_socket_t fd,
+                         const std::shared_ptr<Watch>& watch,
+                         int flag,
+                         const asio::error_code& error) {
+  if (watch->removed || error == asio::error::operation_aborted) {
+    return;
+  }
+  if ((watch->wanted &
+       (flag == CURL_CSELECT_IN ? CURL_POLL_IN : CURL_POLL_OUT)) == 0) {
+    return;  // No longer asked for: a paused transfer, for one.
+  }
+  const auto alive = alive_;
+  Act(fd, error ? CURL_CSELECT_ERR : flag);
+  if (*alive && !watch->removed) {
+    Arm(fd, watch);
+  }
+}
+
+int CurlDriver::OnTimer(CURLM*, long milliseconds, void* user) {
+  auto* self = static_cast<CurlDriver*>(user);
+  if (milliseconds < 0) {
+    self->timer_.cancel();
+    return 0;
+  }
+  self->timer_.expires_after(std::chrono::milliseconds(milliseconds));
+  self->timer_.async_wait(
+      [self, alive = self->alive_](const asio::error_code& error) {
+        if (!error && *alive) {
+          self->Act(CURL_SOCKET_TIMEOUT, 0);
+        }
+      });
+  return 0;
+}
+
+void CurlDriver::Act(curl_socket_t fd, int flags) {
+  Enter([&] {
+    int running = 0;
+    curl_multi_socket_action(multi_.get(), fd, flags, &running);
+  });
+}
+
+void CurlDriver::ReportDone() {
+  int left = 0;
+  const auto alive = alive_;
+  while (*alive) {
+    const CURLMsg* message = curl_multi_info_read(multi_.get(), &left);
+    if (message == nullptr) {
+      return;
+    }
+    if (message->msg == CURLMSG_DONE) {
+      on_done_(message->easy_handle, message->data.result);
+    }
+  }
+}
+
+}  // namespace verbenastile
--- a/src/io/http_server.cc
+++ b/src/io/http_server.cc
@@ -2,19 +2,77 @@
 
 #include <fmt/format.h>
 
+#include <asio/post.hpp>
 #include <restinio/all.hpp>
+#include <utility>
+#include <variant>
+
+#include "io/server_connections.h"
 
 namespace verbenastile {
 namespace {
 
-struct ServerTraits : public restinio::traits_t<restinio::asio_timer_manager_t,
-                                                restinio::null_logger_t> {
+// RESTinio says why it closes a connection to its logger alone.
+class ErrorListener {
+ public:
+  explicit ErrorListener(std::shared_ptr<ServerConnections> connections)
+      : connections_(std::move(connections)) {}
+
+  // NOLINTBEGIN(readability-identifier-naming): the library's names.
+  template <typename Builder>
+  void trace(Builder&&) const noexcept {}
+  template <typename Builder>
+  void info(Builder&&) const noexcept {}
+  template <typename Builder>
+  void warn(Builder&&) const noexcept {}
+  template <typename Builder>
+  void error(Builder&& builder) const {
+    connections_->OnError(builder());
+  }
+  // NOLINTEND(readability-identifier-naming)
+
+ private:
+  std::shared_ptr<ServerConnections> connections_;
+};
+
+// Registers each new connection.
+class ConnectionListener {
+ public:
+  explicit ConnectionListener(std::shared_ptr<ServerConnections> connections)
+      : connections_(std::move(connections)) {}
+
+  // NOLINTNEXTLINE(readability-identifier-naming): the library's name.
+  void state_changed(
+      const restinio::connection_state::notice_t& notice) noexcept {
+    ServerSocket* socket = ServerSocket::starting();
+    if (socket != nullptr &&
+        restinio::holds_alternative<restinio::connection_state::accepted_t>(
+            notice.cause())) {
+      socket->Register(connections_, notice.connection_id());
+    }
+  }
+
+ private:
+  std::shared_ptr<ServerConnections> connections_;
+};
+
+struct ServerTraits
+    : public restinio::traits_t<restinio::asio_timer_manager_t,
+                                ErrorListener,
+                                restinio::default_request_handler_t,
+                                restinio::default_strand_t,
+                                ServerSocket> {
+  // NOLINTNEXTLINE(readability-identifier-naming): the library's name.
+  using connection_state_listener_t = ConnectionListener;
   // NOLINTNEXTLINE(readability-identifier-naming): the library's name.
   static constexpr bool use_connection_count_limiter = true;
 };
 
 using RestinioServer = restinio::http_server_t<ServerTraits>;
-using StreamResponse = restinio::response_builder_t<restinio::chunked_output_t>;
+using ChunkedResponse =
+    restinio::response_builder_t<restinio::chunked_output_t>;
+using SizedResponse =
+    restinio::response_builder_t<restinio::user_controlled_output_t>;
 
 restinio::http_status_line_t StatusLine(int status) {
   const auto code =
@@ -44,47 +102,192 @@
   return request;
 }
 
+bool HasNoBody(const restinio::request_t& request, int status) {
+  constexpr int kNoContent = 204;
+  constexpr int kNotModified = 304;
+  return request.header().method() == restinio::http_method_head() ||
+         status == kNoContent || status == kNotModified;
+}
+
+std::string HeadLines(const HttpHeaders& headers) {
+  std::string lines;
+  for (const HttpHeader& header : headers) {
+    lines += fmt::format("{}: {}\r\n", header.name, header.value);
+  }
+  return lines;
+}
+
+restinio::incoming_http_msg_limits_t LimitsOf(const HttpServerInit& init) {
+  return restinio::incoming_http_msg_limits_t{}
+      .max_body_size(init.max_body_bytes)
+      .max_field_name_size(init.max_header_bytes)
+      .max_field_value_size(init.max_header_bytes)
+      .max_field_count(init.max_headers)
+      .max_url_size(init.max_header_bytes);
+}
+
 }  // namespace
 
-struct HttpReply::State {
+struct HttpReply::State : public ConnectionUser {
+  State() = default;
+  State(const State&) = delete;
+  State& operator=(const State&) = delete;
+  ~State() { LeaveConnection(); }
+
+  void OnConnectionClosed() override {
+    closed = true;
+    if (on_gone) {
+      asio::post(*io, std::exchange(on_gone, nullptr));
+    }
+  }
+
+  void LeaveConnection() {
+    if (connection) {
+      connection->Leave(this);
+    }
+  }
+
+  template <typename Response>
+  void PrepareHead(Response& response, std::span<const HttpHeader> headers) {
+    AppendHeaders(response, headers);
+    if (*draining) {
+      response.connection_close();
+    }
+  }
+
   restinio::request_handle_t request;
-  std::optional<StreamResponse> stream;
+  std::shared_ptr<ServerConnection> connection;  // Null when already closed.
+  std::shared_ptr<const bool> draining;
+  asio::io_context* io = nullptr;
+  std::variant<std::monostate, SizedResponse, ChunkedResponse> stream;
+  bool without_body = false;
+  bool ended = false;  // The last part was handed over, or there will be none.
+  bool closed = false;
+  std::function<void()> on_gone;
 };
 
-HttpReply::HttpReply(std::unique_ptr<State> state) : state_(std::move(state)) {}
-HttpReply::~HttpReply() = default;
+namespace {
+
+// The answer has left whole when this runs without an error.
+auto OnLastPart(const std::shared_ptr<HttpReply::State>& state) {
+  return [state](const asio::error_code& error) {
+    if (!error) {
+      state->on_gone = nullptr;
+      state->LeaveConnection();
+    }
+  };
+}
+
+}  // namespace
+
+HttpReply::HttpReply(std::shared_ptr<State> state) : state_(std::move(state)) {}
+
+HttpReply::~HttpReply() {
+  if (!state_) {
+    return;
+  }
+  state_->on_gone = nullptr;
+  if (!state_->ended) {
+    Abort();
+  }
+}
+
 HttpReply::HttpReply(HttpReply&&) noexcept = default;
-HttpReply& HttpReply::operator=(HttpReply&&) noexcept = default;
+
+HttpReply& HttpReply::operator=(HttpReply&& other) noexcept {
+  const HttpReply old(std::move(*this));
+  state_ = std::move(other.state_);
+  return *this;
+}
 
 void HttpReply::Send(int status,
                      std::span<const HttpHeader> headers,
                      std::string body) {
-  auto response = state_->request->create_response(StatusLine(status));
-  AppendHeaders(response, headers);
-  response.set_body(std::move(body));
-  response.done();
+  state_->ended = true;
+  auto response =
+      state_->request->create_response<restinio::user_controlled_output_t>(
+          StatusLine(status));
+  state_->PrepareHead(response, headers);
+  response.set_content_length(body.size());
+  if (!HasNoBody(*state_->request, status)) {
+    response.set_body(std::move(body));
+  }
+  response.done(OnLastPart(state_));
 }
 
-void HttpReply::StartStream(int status, std::span<const HttpHeader> headers) {
-  state_->stream.emplace(
-      state_->request->create_response<restinio::chunked_output_t>(
-          StatusLine(status)));
-  AppendHeaders(*state_->stream, headers);
-  state_->stream->flush();
+void HttpReply::StartStream(int status,
+                            std::span<const HttpHeader> headers,
+                            std::optional<std::uint64_t> length) {
+  state_->without_body = HasNoBody(*state_->request, status);
+  if (!length && !state_->without_body) {
+    auto response =
+        state_->request->create_response<restinio::chunked_output_t>(
+            StatusLine(status));
+    state_->PrepareHead(response, headers);
+    state_->stream.emplace<ChunkedResponse>(std::move(response)).flush();
+    return;
+  }
+  auto response =
+      state_->request->create_response<restinio::user_controlled_output_t>(
+          StatusLine(status));
+  state_->PrepareHead(response, headers);
+  response.set_content_length(length.value_or(0));
+  state_->stream.emplace<SizedResponse>(std::move(response));
 }
 
 void HttpReply::Write(std::string part, std::function<void(bool)> on_written) {
-  state_->stream->append_chunk(std::move(part));
-  state_->stream->flush([on_written = std::move(on_written)](
-                            const auto& error) { on_written(!error); });
+  if (state_->without_body || state_->ended) {
+    asio::post(*state_->io,
+               [on_written = std::move(on_written),
+                written = state_->without_body] { on_written(written); });
+    return;
+  }
+  const auto on_left = [on_written = std::move(on_written)](const auto& error) {
+    on_written(!error);
+  };
+  if (auto* sized = std::get_if<SizedResponse>(&state_->stream)) {
+    sized->append_body(std::move(part)).flush(on_left);
+  } else if (auto* chunked = std::get_if<ChunkedResponse>(&state_->stream)) {
+    chunked->append_chunk(std::move(part)).flush(on_left);
+  }
 }
 
 void HttpReply::Finish() {
-  state_->stream->done();
+  if (std::exchange(state_->ended, true)) {
+    return;
+  }
+  if (auto* sized = std::get_if<SizedResponse>(&state_->stream)) {
+    sized->done(OnLastPart(state_));
+  } else if (auto* chunked = std::get_if<ChunkedResponse>(&state_->stream)) {
+    chunked->done(OnLastPart(state_));
+  }
+}
+
+void HttpReply::Abort() {
+  state_->ended = true;
+  state_->on_gone = nullptr;
+  if (state_->connection) {
+    state_->connection->Kill();
+  }
+}
+
+void HttpReply::OnGone(std::function<void()> on_gone) {
+  state_->on_gone = [state = std::weak_ptr<State>(state_),
+                     on_gone = std::move(on_gone)] {
+    const auto held = state.lock();
+    if (held) {
+      on_gone();
+    }
+  };
+  if (state_->closed || !state_->connection) {
+    state_->OnConnectionClosed();
+  }
 }
 
 struct HttpServer::State {
+  std::shared_ptr<ServerConnections> connections;
   std::unique_ptr<RestinioServer> server;
+  std::shared_ptr<bool> draining = std::make_shared<bool>(false);
   bool open = false;
 };
 
@@ -92,25 +295,32 @@
                        const HttpServerInit& init,
                        HttpHandler handler)
     : state_(std::make_unique<State>()) {
-  const auto on_request =
-      [handler = std::move(handler)](restinio::request_handle_t request) {
-        auto state = std::make_unique<HttpReply::State>();
-        state->request = request;
-        handler(ToRequest(request), HttpReply(std::move(state)));
-        return restinio::request_accepted();
-      };
-  const auto limits = restinio::incoming_http_msg_limits_t{}
-                          .max_body_size(init.max_body_bytes)
-                          .max_field_name_size(init.max_header_bytes)
-                          .max_field_value_size(init.max_header_bytes)
-                          .max_field_count(init.max_headers)
-                          .max_url_size(init.max_header_bytes);
+  const auto connections = std::make_shared<ServerConnections>(
+      io, init.max_connections, HeadLines(init.refusal_headers));
+  state_->connections = connections;
+  const auto on_request = [connections, draining = state_->draining,
+                           handler = std::move(handler)](
+                              const restinio::request_handle_t& request) {
+    auto state = std::make_shared<HttpReply::State>();
+    state->request = request;
+    state->draining = draining;
+    state->io = &connections->io();
+    state->connection = connections->Find(request->connection_id());
+    if (state->connection) {
+      state->connection->Join(state.get());
+    }
+    handler(ToRequest(request), HttpReply(std::move(state)));
+    return restinio::request_accepted();
+  };
   state_->server = std::make_unique<RestinioServer>(
       restinio::external_io_context(io), [&](auto& settings) {
         settings.address(init.address.ip)
             .port(init.address.port)
+            .logger(connections)
+            .connection_state_listener(
+                std::make_shared<ConnectionListener>(connections))
             .request_handler(on_request)
-            .incoming_http_msg_limits(limits)
+            .incoming_http_msg_limits(LimitsOf(init))
             .max_pipelined_requests(init.max_pipelined)
             .max_parallel_connections(init.max_connections)
             .read_next_http_message_timelimit(init.read_timeout)
@@ -143,12 +353,23 @@
       });
 }
 
+void HttpServer::BeginDrain() {
+  *state_->draining = true;
+}
+
 void HttpServer::Close() {
-  if (!state_->open) {
-    return;
+  BeginDrain();
+  if (state_->open) {
+    state_->open = false;
+    state_->server->close_async([] {}, [](std::exception_ptr) {});
   }
-  state_->open = false;
-  state_->server->close_async([] {}, [](std::exception_ptr) {});
+  state_->connections->CloseIdle();
+}
+
+HttpServerStats HttpServer::stats() const {
+  const ServerConnections& connections = *state_->connections;
+  return {connections.size(), connections.accepted(),
+          connections.bad_requests(), connections.idle_closed()};
 }
 
 }  // namespace verbenastile
--- a/src/io/http_server.h
+++ b/src/io/http_server.h
@@ -3,8 +3,10 @@
 #define IO_HTTP_SERVER_H_
 
 #include <asio/io_context.hpp>
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -22,19 +24,23 @@
   std::size_t max_header_bytes = 16'384;  // One header's name or value.
   std::size_t max_headers = 100;
   std::size_t max_pipelined = 4;
+  // Close to this many, the connection that is idle for longest is closed.
   std::size_t max_connections = 4'096;
   Duration read_timeout = std::chrono::seconds(60);    // A whole request.
   Duration write_timeout = std::chrono::seconds(60);   // One part.
   Duration handle_timeout = std::chrono::minutes(65);  // Up to the answer.
+  // Added to the answers that the server itself gives to bad requests.
+  HttpHeaders refusal_headers;
 };
 
-// The answer to one request. Exactly one of `Send` and `StartStream` is called,
-// once, from the server's loop.
+// The answer to one request. Exactly one of `Send`, `StartStream` and `Abort`
+// is called first, from the server's loop. A reply that is destroyed before the
+// answer's end aborts it.
 class HttpReply {
  public:
   struct State;
 
-  explicit HttpReply(std::unique_ptr<State> state);
+  explicit HttpReply(std::shared_ptr<State> state);
   ~HttpReply();
   HttpReply(HttpReply&&) noexcept;
   HttpReply& operator=(HttpReply&&) noexcept;
@@ -42,18 +48,38 @@
   // Answers whole.
   void Send(int status, std::span<const HttpHeader> headers, std::string body);
 
-  // Begins a chunked answer. Parts follow with `Write`, the end with `Finish`.
-  void StartStream(int status, std::span<const HttpHeader> headers);
+  // Begins an answer in parts, chunked unless the `length` of the body is
+  // given. Parts follow with `Write`, the end with `Finish`. An answer that has
+  // no body, such as one to HEAD, drops the parts but keeps the `length`.
+  void StartStream(int status,
+                   std::span<const HttpHeader> headers,
+                   std::optional<std::uint64_t> length = std::nullopt);
   // `on_written` runs when the part has left, with false when it never will.
   void Write(std::string part, std::function<void(bool)> on_written);
   void Finish();
 
+  // Closes the connection, so that the answer shows as cut, or as missing when
+  // nothing was written. Answers waiting on the same connection are lost too.
+  void Abort();
+
+  // `on_gone` runs once, from the loop, when the connection is closed before
+  // the answer has left whole; never after the reply is destroyed.
+  void OnGone(std::function<void()> on_gone);
+
  private:
-  std::unique_ptr<State> state_;
+  std::shared_ptr<State> state_;
 };
 
 using HttpHandler = std::function<void(HttpRequest, HttpReply)>;
 
+// Counts since the server was made.
+struct HttpServerStats {
+  std::size_t connections = 0;     // Open now.
+  std::uint64_t accepted = 0;      // Connections.
+  std::uint64_t bad_requests = 0;  // Refused by the server itself.
+  std::uint64_t idle_closed = 0;   // Closed to make room.
+};
+
 // Runs on the thread of its `io_context`.
 class HttpServer {
  public:
@@ -66,9 +92,17 @@
 
   // Starts to listen; `on_open` gets an empty text, or why it failed.
   void Open(std::function<void(std::string)> on_open);
-  // Stops to listen and closes idle connections.
+
+  // Answers tell from now on that the connection closes after them, so that
+  // callers go elsewhere with their next request. New connections are served.
+  void BeginDrain();
+
+  // Stops to listen and closes idle connections; the others close when their
+  // answers have left.
   void Close();
 
+  HttpServerStats stats() const;
+
  private:
   struct State;
   std::unique_ptr<State> state_;
