Calls: caller's side, way to the upstream and relay as modules of their own

Cause: the proxy kept whole answers, chose at random, admitted everything and knew no retries; a cut answer looked whole, a leaving node took new work. Change: CallerSide (rules, balancer, retries, deadline, cancel), UpstreamGate (duplicates, admission, early refusal), PeerLink, AnswerRelay (bounded bytes under way), CallHeaders; refusals say not-run only when nothing reached an upstream; drain goes on until the last byte has left. The HTTP server answers bad requests itself and closes idle connections when it runs out of room. Tests over real sockets for the HTTP server and client. Found: libcurl takes an answer that ends within its headers for whole; http_parser takes a blank within a header's name (a hidden length).

--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -106,6 +106,15 @@
   return platform;
 }
 
+CallSettings ReadCalls(YamlReader reader) {
+  CallSettings calls;
+  calls.observe = reader.Boolean("observe", calls.observe);
+  calls.limits = reader.Boolean("limits", calls.limits);
+  calls.retry_budget = reader.Boolean("retry_budget", calls.retry_budget);
+  reader.RejectUnknownKeys();
+  return calls;
+}
+
 Settings ReadSettings(YamlReader& reader) {
   Settings settings;
   YamlReader node = reader.Section("node");
@@ -116,6 +125,7 @@
   settings.listen = ReadListen(reader.Section("listen"));
   settings.upstream = ReadUpstream(reader.Section("upstream"));
   settings.platform = ReadPlatform(reader.Section("platform"));
+  settings.calls = ReadCalls(reader.Section("calls"));
   YamlReader distribution = reader.Section("distribution");
   settings.policy = static_cast<DistributionPolicy>(
       distribution.Choice("policy",
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -62,6 +62,16 @@
   Duration timeout = std::chrono::seconds(2);
 };
 
+// How calls are passed on. All but the defaults are for comparisons.
+struct CallSettings {
+  // Off: the members of a service in turn, whatever is seen of them.
+  bool observe = true;
+  // Off: no limit at the upstream's slots, and no fair shares.
+  bool limits = true;
+  // Off: failed attempts are made again as often as `kUnboundRetries` says.
+  bool retry_budget = true;
+};
+
 struct Settings {
   std::string name;
   std::string failure_domain;
@@ -69,6 +79,7 @@
   ListenSettings listen;
   UpstreamSettings upstream;
   PlatformSettings platform;
+  CallSettings calls;
   DistributionPolicy policy = DistributionPolicy::kDeltaTree;
   Duration drain_timeout = std::chrono::seconds(30);
   Duration default_deadline = std::chrono::seconds(10);
--- a/src/core/route_table.cc
+++ b/src/core/route_table.cc
@@ -81,4 +81,8 @@
   return services_.contains(name);
 }
 
+bool RouteTable::HasGroup(std::string_view name) const {
+  return group_weights_.contains(name);
+}
+
 }  // namespace verbenastile
--- a/src/core/route_table.h
+++ b/src/core/route_table.h
@@ -53,6 +53,7 @@
   std::uint32_t GroupWeight(std::string_view group) const;
 
   bool HasService(std::string_view name) const;
+  bool HasGroup(std::string_view name) const;
 
   Generation generation() const { return generation_; }
   const RuleDocument& document() const { return document_; }
--- a/src/io/curl_driver.cc
+++ b/src/io/curl_driver.cc
@@ -57,8 +57,6 @@
 }
 
 void CurlDriver::Adopt(CURL* easy) {
-  curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &OnOpenSocket);
-  curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, this);
   curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &OnCloseSocket);
   curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
 }
@@ -99,13 +97,11 @@
   }
 }
 
-curl_socket_t CurlDriver::OnOpenSocket(void* user,
-                                       curlsocktype,
-                                       curl_sockaddr* address) {
-  const curl_socket_t fd = socket(
-      address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
+curl_socket_t CurlDriver::OpenSocket(const curl_sockaddr& address) {
+  const curl_socket_t fd =
+      socket(address.family, address.socktype | SOCK_CLOEXEC, address.protocol);
   if (fd != CURL_SOCKET_BAD) {
-    static_cast<CurlDriver*>(user)->unnamed_.insert(fd);
+    unnamed_.insert(fd);
   }
   return fd;
 }
--- a/src/io/curl_driver.h
+++ b/src/io/curl_driver.h
@@ -33,8 +33,10 @@
 
   CURLM* multi() const { return multi_.get(); }
 
-  // Makes `easy` open its sockets through the driver.
+  // Makes `easy` close its sockets through the driver; it has to open them by
+  // `OpenSocket`.
   void Adopt(CURL* easy);
+  curl_socket_t OpenSocket(const curl_sockaddr& address);
 
   // Runs `task`, which enters libcurl other than by adding or removing.
   template <typename Task>
@@ -65,9 +67,6 @@
 
   static int OnSocket(CURL*, curl_socket_t fd, int what, void* user, void*);
   static int OnTimer(CURLM*, long milliseconds, void* user);
-  static curl_socket_t OnOpenSocket(void* user,
-                                    curlsocktype purpose,
-                                    curl_sockaddr* address);
   static int OnCloseSocket(void* user, curl_socket_t fd);
 
   void RemoveWatch(curl_socket_t fd);
--- a/src/io/http_client.cc
+++ b/src/io/http_client.cc
@@ -144,6 +144,16 @@
   return CURL_PREREQFUNC_OK;
 }
 
+// A new connection for a request that was handed over already could only be
+// for a second sending.
+curl_socket_t OnOpenSocket(void* user, curlsocktype, curl_sockaddr* address) {
+  auto* transfer = static_cast<Transfer*>(user);
+  if (transfer->sends > 0 && !transfer->call.may_resend) {
+    return CURL_SOCKET_BAD;
+  }
+  return transfer->driver->OpenSocket(*address);
+}
+
 HttpFailure::Kind KindOf(CURLcode code, const Transfer& transfer) {
   if (transfer.too_large) {
     return HttpFailure::Kind::kTooLarge;
@@ -151,7 +161,8 @@
   switch (code) {
     case CURLE_COULDNT_CONNECT:
     case CURLE_COULDNT_RESOLVE_HOST:
-      return HttpFailure::Kind::kConnect;
+      return transfer.sends == 0 ? HttpFailure::Kind::kConnect
+                                 : HttpFailure::Kind::kBroken;
     case CURLE_OPERATION_TIMEDOUT:
       return transfer.sends == 0 ? HttpFailure::Kind::kConnect
                                  : HttpFailure::Kind::kTimeout;
@@ -319,6 +330,8 @@
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer);
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, OnHeader);
     curl_easy_setopt(easy, CURLOPT_HEADERDATA, transfer);
+    curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, OnOpenSocket);
+    curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, transfer);
     driver_.Adopt(easy);
     SetBody(easy, call);
     curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method.c_str());
@@ -400,11 +413,12 @@
   }
 
   static HttpOutcome MakeOutcome(Transfer* transfer, CURLcode code) {
-    if (code == CURLE_OK) {
+    if (code == CURLE_OK && transfer->has_head) {
       return std::move(transfer->answer);
     }
     return HttpFailure{KindOf(code, *transfer), transfer->sends == 0,
-                       curl_easy_strerror(code)};
+                       code == CURLE_OK ? "the answer ended in its headers"
+                                        : curl_easy_strerror(code)};
   }
 
   std::map<std::uint64_t, std::unique_ptr<Transfer>> transfers_;
--- a/src/io/http_server.cc
+++ b/src/io/http_server.cc
@@ -2,7 +2,9 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <asio/post.hpp>
+#include <cctype>
 #include <restinio/all.hpp>
 #include <utility>
 #include <variant>
@@ -12,6 +14,8 @@
 namespace verbenastile {
 namespace {
 
+constexpr int kBadRequest = 400;
+
 // RESTinio says why it closes a connection to its logger alone.
 class ErrorListener {
  public:
@@ -102,6 +106,23 @@
   return request;
 }
 
+// The parser takes blanks within a name, by which a second length could be
+// hidden from it and seen by an upstream.
+bool IsToken(std::string_view name) {
+  constexpr std::string_view kSymbols = "!#$%&'*+-.^_`|~";
+  return !name.empty() &&
+         std::all_of(name.begin(), name.end(), [&](unsigned char c) {
+           return std::isalnum(c) != 0 ||
+                  kSymbols.find(static_cast<char>(c)) != std::string_view::npos;
+         });
+}
+
+bool HasFaultyHeader(const HttpRequest& request) {
+  return std::any_of(
+      request.headers.begin(), request.headers.end(),
+      [](const HttpHeader& header) { return !IsToken(header.name); });
+}
+
 bool HasNoBody(const restinio::request_t& request, int status) {
   constexpr int kNoContent = 204;
   constexpr int kNotModified = 304;
@@ -288,6 +309,7 @@
   std::shared_ptr<ServerConnections> connections;
   std::unique_ptr<RestinioServer> server;
   std::shared_ptr<bool> draining = std::make_shared<bool>(false);
+  std::shared_ptr<SocketAddress> address = std::make_shared<SocketAddress>();
   bool open = false;
 };
 
@@ -298,7 +320,9 @@
   const auto connections = std::make_shared<ServerConnections>(
       io, init.max_connections, HeadLines(init.refusal_headers));
   state_->connections = connections;
+  *state_->address = init.address;
   const auto on_request = [connections, draining = state_->draining,
+                           refusal_headers = init.refusal_headers,
                            handler = std::move(handler)](
                               const restinio::request_handle_t& request) {
     auto state = std::make_shared<HttpReply::State>();
@@ -309,7 +333,14 @@
     if (state->connection) {
       state->connection->Join(state.get());
     }
-    handler(ToRequest(request), HttpReply(std::move(state)));
+    HttpRequest message = ToRequest(request);
+    if (HasFaultyHeader(message)) {
+      connections->CountBadRequest();
+      state->draining = std::make_shared<bool>(true);
+      HttpReply(std::move(state)).Send(kBadRequest, refusal_headers, {});
+      return restinio::request_accepted();
+    }
+    handler(std::move(message), HttpReply(std::move(state)));
     return restinio::request_accepted();
   };
   state_->server = std::make_unique<RestinioServer>(
@@ -330,6 +361,10 @@
             .socket_options_setter([](auto& options) {
               options.set_option(asio::ip::tcp::no_delay(true));
             })
+            .acceptor_post_bind_hook(
+                [address = state_->address](const auto& acceptor) {
+                  address->port = acceptor.local_endpoint().port();
+                })
             .acceptor_options_setter([](auto& options) {
               options.set_option(asio::ip::tcp::acceptor::reuse_address(true));
             });
@@ -366,9 +401,13 @@
   state_->connections->CloseIdle();
 }
 
+SocketAddress HttpServer::address() const {
+  return *state_->address;
+}
+
 HttpServerStats HttpServer::stats() const {
   const ServerConnections& connections = *state_->connections;
-  return {connections.size(), connections.accepted(),
+  return {connections.size(), connections.busy(), connections.accepted(),
           connections.bad_requests(), connections.idle_closed()};
 }
 
--- a/src/io/http_server.h
+++ b/src/io/http_server.h
@@ -75,6 +75,7 @@
 // Counts since the server was made.
 struct HttpServerStats {
   std::size_t connections = 0;     // Open now.
+  std::size_t busy = 0;            // Of these, with answers that have not left.
   std::uint64_t accepted = 0;      // Connections.
   std::uint64_t bad_requests = 0;  // Refused by the server itself.
   std::uint64_t idle_closed = 0;   // Closed to make room.
@@ -101,6 +102,9 @@
   // answers have left.
   void Close();
 
+  // Where it listens once open; a port of 0 was replaced by a free one.
+  SocketAddress address() const;
+
   HttpServerStats stats() const;
 
  private:
--- a/src/io/server_connections.h
+++ b/src/io/server_connections.h
@@ -68,7 +68,10 @@
   // The answer to the bad request that was just met, once; else empty.
   std::string TakeRefusal();
 
+  void CountBadRequest() { ++bad_requests_; }
+
   std::size_t size() const { return connections_.size(); }
+  std::size_t busy() const { return connections_.size() - idle_.size(); }
   std::uint64_t accepted() const { return accepted_; }
   std::uint64_t bad_requests() const { return bad_requests_; }
   std::uint64_t idle_closed() const { return idle_closed_; }
--- a/src/node/call_proxy.h
+++ b/src/node/call_proxy.h
@@ -1,68 +1,67 @@
-// Serves callers and other nodes: decides by the rules in force, and passes
-// each request to an upstream.
+// Serves callers and other nodes: joins the caller's side of calls with the way
+// to this node's own upstream.
 #ifndef NODE_CALL_PROXY_H_
 #define NODE_CALL_PROXY_H_
 
 #include <asio/io_context.hpp>
 #include <cstdint>
+#include <functional>
 #include <memory>
-#include <random>
 
 #include "base/metrics.h"
 #include "config/settings.h"
 #include "core/config_apply.h"
 #include "core/member_directory.h"
+#include "core/state_chart.h"
 #include "io/http_client.h"
 #include "io/http_server.h"
+#include "node/caller_side.h"
+#include "node/peer_link.h"
+#include "node/upstream_gate.h"
 
 namespace verbenastile {
 
 // What the proxy works with; all must outlive it.
 struct CallProxyParts {
+  asio::io_context* io = nullptr;
   const Settings* settings = nullptr;
   const ConfigApplier* applier = nullptr;
   const MemberDirectory* directory = nullptr;
+  const StateChart* health_chart = nullptr;  // "upstream_health".
   HttpClient* http = nullptr;
   Metrics* metrics = nullptr;
+  // The upstream announced that it is leaving.
+  std::function<void()> on_upstream_leaving;
 };
 
 class CallProxy {
  public:
-  CallProxy(const CallProxyParts& parts, std::uint32_t seed);
+  CallProxy(const CallProxyParts& parts, std::uint64_t seed);
 
   // A request from a caller.
   void OnCallerRequest(HttpRequest request, HttpReply reply);
   // A request that another node chose this node's upstream for.
   void OnPeerRequest(HttpRequest request, HttpReply reply);
 
-  // Requests that have not been answered yet.
-  std::size_t active() const { return active_; }
+  // The upstream gets no new calls from now on; callers are served by others.
+  void BeginLeaving() { gate_.BeginLeaving(); }
+
+  // Calls that have not ended.
+  std::size_t active() const { return callers_.active() + gate_.active(); }
 
  private:
-  struct Call;
+  struct PeerCall;
 
-  void Route(const std::shared_ptr<Call>& call, const RouteAction& route);
-  const Member* ChooseMember(std::string_view service);
-  void Forward(const std::shared_ptr<Call>& call, HttpCall http_call);
-  void OnOutcome(const std::shared_ptr<Call>& call, HttpOutcome outcome);
-  void Refuse(const std::shared_ptr<Call>& call,
-              int status,
-              std::string_view outcome,
-              std::string_view reason);
-  void End(const std::shared_ptr<Call>& call,
-           int status,
-           HttpHeaders headers,
-           std::string body);
-  std::string UpstreamUrl(std::string_view target) const;
+  UpstreamRequest RequestOf(HttpRequest request) const;
+  void StartPeerCall(const std::shared_ptr<PeerCall>& call,
+                     UpstreamRequest request);
+  void RefusePeer(PeerCall& call, const AttemptEnd& end);
 
   CallProxyParts parts_;
-  std::mt19937_64 random_;
-  std::size_t active_ = 0;
-  CounterHandle caller_requests_;
+  UpstreamGate gate_;
+  PeerLink peers_;
+  CallerSide callers_;
   CounterHandle peer_requests_;
-  CounterHandle refused_;
-  CounterHandle failed_;
-  SummaryHandle latency_;
 };
 
 }  // namespace verbenastile
--- /dev/null
+++ b/src/node/caller_side.h
@@ -0,0 +1,97 @@
+// The caller's side of a call: decides by the rules in force, chooses an
+// upstream instance, and sees the call through to one whole answer or one true
+// refusal.
+#ifndef NODE_CALLER_SIDE_H_
+#define NODE_CALLER_SIDE_H_
+
+#include <asio/io_context.hpp>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <string_view>
+
+#include "base/metrics.h"
+#include "config/settings.h"
+#include "core/avoid_list.h"
+#include "core/balancer.h"
+#include "core/config_apply.h"
+#include "core/member_directory.h"
+#include "core/retry_policy.h"
+#include "io/http_server.h"
+#include "node/peer_link.h"
+#include "node/upstream_gate.h"
+
+namespace verbenastile {
+
+class CallerSide {
+ public:
+  struct Init {
+    asio::io_context* io = nullptr;
+    const Settings* settings = nullptr;
+    const ConfigApplier* applier = nullptr;
+    const MemberDirectory* directory = nullptr;
+    const StateChart* health_chart = nullptr;
+    UpstreamGate* gate = nullptr;
+    PeerLink* peers = nullptr;
+    Metrics* metrics = nullptr;
+    std::uint64_t seed = 0;
+  };
+
+  explicit CallerSide(const Init& init);
+  ~CallerSide();
+  CallerSide(const CallerSide&) = delete;
+  CallerSide& operator=(const CallerSide&) = delete;
+
+  void OnRequest(HttpRequest request, HttpReply reply);
+
+  // Calls that have not ended.
+  std::size_t active() const { return calls_.size(); }
+
+ private:
+  struct Call;
+  using CallPointer = std::shared_ptr<Call>;
+
+  bool DecideByRules(const CallPointer& call);
+  void Begin(const CallPointer& call, const RouteAction& route);
+  void Attempt(const CallPointer& call);
+  UpstreamHandle Choose(const Call& call, Time now);
+  UpstreamHandle ChooseInTurn(std::string_view service);
+  void StartAttempt(const CallPointer& call, const Member& member);
+  AttemptEvents EventsOf(const CallPointer& call);
+  void OnHead(const CallPointer& call, const HttpAnswer& head);
+  void OnEnd(const CallPointer& call, const AttemptEnd& end);
+  bool GoesElsewhere(const CallPointer& call, const AttemptEnd& end);
+  RetryDecision DecideRetry(const CallPointer& call, AttemptOutcome outcome);
+  void AttemptAfter(const CallPointer& call, Duration wait);
+  void Observe(Call& call, AttemptOutcome outcome);
+  void OnDeadline(const CallPointer& call);
+  void OnGone(const CallPointer& call);
+  void CancelAttempt(Call& call, AttemptOutcome outcome);
+  void Pause(Call& call);
+  void Resume(Call& call);
+  void RelayHead(const CallPointer& call, const HttpAnswer& head);
+  void Refuse(const CallPointer& call, int status, std::string_view reason);
+  void Close(const CallPointer& call);
+
+  Init init_;
+  Balancer balancer_;
+  RetryPolicy retries_;
+  AvoidList avoid_;
+  std::mt19937_64 random_;
+  std::set<CallPointer> calls_;
+  std::map<std::string, std::size_t, std::less<>> turns_;  // By service.
+  CounterHandle requests_;
+  CounterHandle refused_;
+  CounterHandle failed_;
+  CounterHandle retried_;
+  CounterHandle redirected_;
+  CounterHandle gone_;
+  SummaryHandle latency_;
+};
+
+}  // namespace verbenastile
+
+#endif  // NODE_CALLER_SIDE_H_
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <asio/post.hpp>
 #include <boost/leaf/handle_errors.hpp>
 #include <csignal>
 #include <nlohmann/json.hpp>
@@ -9,6 +10,7 @@
 
 #include "base/log.h"
 #include "core/invariant.h"
+#include "verbenastile/http_headers.h"
 
 namespace verbenastile {
 namespace {
@@ -25,6 +27,8 @@
 HttpServerInit ServerInit(const SocketAddress& address) {
   HttpServerInit init;
   init.address = address;
+  init.refusal_headers = {
+      {std::string(kOutcomeHeader), std::string(kOutcomeNotRun)}};
   return init;
 }
 
@@ -59,6 +63,8 @@
   BOOST_LEAF_ASSIGN(charts.config_apply, LoadEmbeddedChart("config_apply"));
   BOOST_LEAF_ASSIGN(charts.platform_session,
                     LoadEmbeddedChart("platform_session"));
+  BOOST_LEAF_ASSIGN(charts.upstream_health,
+                    LoadEmbeddedChart("upstream_health"));
   return charts;
 }
 
@@ -80,8 +86,10 @@
                 OnSnapshot(snapshot);
               }),
       roster_(io_, platform_, directory_, FreshSeed()),
-      proxy_({&settings_, &applier_, &directory_, &call_http_, &metrics_},
-             FreshSeed()),
+      proxy_(
+          {&io_, &settings_, &applier_, &directory_, &charts_.upstream_health,
+           &call_http_, &metrics_, [this] { OnUpstreamLeaving(); }},
+          FreshSeed()),
       admin_(io_,
              settings_.listen.admin,
              metrics_,
@@ -155,6 +163,10 @@
   }
 }
 
+void Node::OnUpstreamLeaving() {
+  asio::post(io_, [this] { Fire("leave_requested"); });
+}
+
 void Node::Fire(std::string_view event) {
   for (const std::string& action : lifecycle_.Fire(event).actions) {
     RunAction(action);
@@ -186,39 +198,60 @@
 void Node::BeginLeaving() {
   Log(LogLevel::kInfo, kPart, "Leaving.",
       {{"name", settings_.name}, {"active", proxy_.active()}});
+  proxy_.BeginLeaving();
+  callers_.BeginDrain();
+  peers_.BeginDrain();
   AnnounceAs(MemberState::kLeaving);
   const Time now = SteadyNow();
-  WaitForCalls(now + settings_.drain_timeout, now + kLeaveNoticeTime);
+  drain_expiry_ = now + settings_.drain_timeout;
+  WaitForCalls(now + kLeaveNoticeTime);
 }
 
-void Node::WaitForCalls(Time expiry, Time earliest_end) {
+void Node::WaitForCalls(Time earliest_end) {
   const Time now = SteadyNow();
-  if (now >= expiry) {
+  if (now >= drain_expiry_) {
     Log(LogLevel::kWarning, kPart, "The drain took too long.",
         {{"active", proxy_.active()}});
     Fire("drain_expired");
     return;
   }
-  if (now >= earliest_end && proxy_.active() == 0) {
+  if (now >= earliest_end && !HasCalls()) {
     Fire("calls_finished");
     return;
   }
   drain_timer_.expires_after(kDrainCheckInterval);
-  drain_timer_.async_wait(
-      [this, expiry, earliest_end](const asio::error_code& error) {
-        if (!error) {
-          WaitForCalls(expiry, earliest_end);
-        }
-      });
+  drain_timer_.async_wait([this, earliest_end](const asio::error_code& error) {
+    if (!error) {
+      WaitForCalls(earliest_end);
+    }
+  });
+}
+
+// Answers count until their last byte has left.
+bool Node::HasCalls() const {
+  return proxy_.active() > 0 || callers_.stats().busy > 0 ||
+         peers_.stats().busy > 0;
 }
 
 void Node::Stop() {
   callers_.Close();
-  drain_timer_.expires_after(kLastWriteTime);
-  drain_timer_.async_wait([this](const asio::error_code&) {
+  peers_.Close();
+  WaitForLastCalls(SteadyNow() + kLastWriteTime);
+}
+
+// A call may have arrived just before the addresses were closed.
+void Node::WaitForLastCalls(Time earliest_end) {
+  const Time now = SteadyNow();
+  const bool cut = now >= drain_expiry_;
+  if (now >= earliest_end && (cut || !HasCalls())) {
     source_.Stop();
     roster_.Stop();
     io_.stop();
+    return;
+  }
+  drain_timer_.expires_after(kDrainCheckInterval);
+  drain_timer_.async_wait([this, earliest_end](const asio::error_code&) {
+    WaitForLastCalls(earliest_end);
   });
 }
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -27,6 +27,7 @@
   StateChart lifecycle;
   StateChart config_apply;
   StateChart platform_session;
+  StateChart upstream_health;
 };
 
 // Errors: `ConfigError` when an embedded chart is at fault.
@@ -50,7 +51,10 @@
   void RunAction(std::string_view action);
   void AnnounceAs(MemberState state);
   void BeginLeaving();
-  void WaitForCalls(Time expiry, Time earliest_end);
+  void OnUpstreamLeaving();
+  void WaitForCalls(Time earliest_end);
+  void WaitForLastCalls(Time earliest_end);
+  bool HasCalls() const;
   void Stop();
   std::string StatusJson() const;
   bool ready() const { return lifecycle_.state() == "serving"; }
@@ -74,6 +78,7 @@
   HttpServer peers_;
   HttpServer callers_;
   Member self_;
+  Time drain_expiry_;
   int exit_code_ = 0;
 };
 
--- /dev/null
+++ b/src/node/peer_link.cc
@@ -0,0 +1,117 @@
+#include "node/peer_link.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+#include "node/call_headers.h"
+#include "verbenastile/http_headers.h"
+
+namespace verbenastile {
+namespace {
+
+constexpr int kBadGateway = 502;
+constexpr std::size_t kMaxReasonBytes = 256;
+// A started answer that does not go on for this long is given up.
+constexpr Duration kStallTime = std::chrono::seconds(60);
+constexpr Duration kConnectTimeout = std::chrono::seconds(1);
+
+// One attempt under way.
+struct Exchange {
+  AttemptEvents events;
+  bool refused = false;  // The node itself answered, not its upstream.
+  AttemptEnd end;
+
+  void OnHead(const HttpAnswer& head);
+  void OnData(std::string_view part);
+  void OnDone(const HttpOutcome& outcome);
+};
+
+void Exchange::OnHead(const HttpAnswer& head) {
+  if (const auto load = ReadLoad(head.headers); load && events.on_load) {
+    events.on_load(*load);
+  }
+  const auto outcome = FindHeader(head.headers, kOutcomeHeader);
+  if (outcome.empty()) {
+    HttpAnswer cleaned = head;
+    CleanPeerHeaders(cleaned.headers);
+    events.on_head(cleaned);
+    return;
+  }
+  refused = true;
+  end.outcome = outcome == kOutcomeNotRun ? AttemptOutcome::kRefused
+                                          : AttemptOutcome::kUnknown;
+  end.status = head.status;
+  end.leaving = FindHeader(head.headers, kLeavingHeader) == "1";
+}
+
+void Exchange::OnData(std::string_view part) {
+  if (!refused) {
+    events.on_data(part);
+    return;
+  }
+  const std::size_t room = kMaxReasonBytes - end.reason.size();
+  end.reason.append(part.substr(0, room));
+}
+
+void Exchange::OnDone(const HttpOutcome& outcome) {
+  if (const auto* failure = std::get_if<HttpFailure>(&outcome)) {
+    // A refusal is whole only with its last byte, but its head already told
+    // the truth.
+    if (!refused) {
+      end.outcome = failure->not_sent ? AttemptOutcome::kNotSent
+                                      : AttemptOutcome::kUnknown;
+      end.status = kBadGateway;
+      end.reason = failure->detail;
+    }
+  } else if (!refused) {
+    end.outcome = AttemptOutcome::kAnswered;
+  }
+  while (end.reason.ends_with('\n')) {
+    end.reason.pop_back();
+  }
+  events.on_end(end);
+}
+
+void AddNodeHeaders(const PeerRequest& peer, HttpHeaders& headers) {
+  const UpstreamRequest& request = peer.request;
+  SetHeader(headers, kTargetHeader, peer.node);
+  SetHeader(headers, kPriorityHeader, ToString(request.priority));
+  SetHeader(headers, kGroupHeader, request.group);
+  const Duration left = request.deadline - SteadyNow();
+  SetHeader(headers, kDeadlineHeader,
+            std::to_string(ToMilliseconds(std::max(left, Duration::zero()))));
+  if (request.attempt) {
+    SetHeader(headers, kAttemptIdHeader, ToString(*request.attempt));
+  }
+}
+
+}  // namespace
+
+HttpCallHandle PeerLink::Start(PeerRequest peer, AttemptEvents events) {
+  const auto exchange = std::make_shared<Exchange>();
+  exchange->events = std::move(events);
+  HttpCall call;
+  call.method = peer.request.method;
+  call.url = fmt::format("http://{}/", ToString(peer.address));
+  call.target = peer.request.target;
+  call.headers = std::move(peer.request.headers);
+  AddNodeHeaders(peer, call.headers);
+  call.body = std::move(peer.request.body);
+  const Duration left = peer.request.deadline - SteadyNow();
+  call.timeout = Duration::zero();
+  call.connect_timeout = std::min(kConnectTimeout, left);
+  call.stall_timeout = std::max(kStallTime, left);
+  call.on_head = [exchange](const HttpAnswer& head) { exchange->OnHead(head); };
+  call.on_data = [exchange](std::string_view part) {
+    exchange->OnData(part);
+    return true;
+  };
+  return http_->Start(std::move(call), [exchange](const HttpOutcome& outcome) {
+    exchange->OnDone(outcome);
+  });
+}
+
+}  // namespace verbenastile
--- /dev/null
+++ b/tests/http_client_test.cc
@@ -0,0 +1,250 @@
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <memory>
+
+#include "io/http_client.h"
+#include "net_support.h"
+
+namespace verbenastile {
+namespace {
+
+constexpr std::size_t kMaxIdle = 8;
+
+// An HttpClient on a loop of its own.
+class ClientLoop {
+ public:
+  ClientLoop() {
+    loop.Call([this] { client.emplace(loop.io, kMaxIdle); });
+  }
+  ~ClientLoop() {
+    loop.Call([this] { client.reset(); });
+  }
+
+  std::future<HttpOutcome> Start(HttpCall call) {
+    auto done = std::make_shared<std::promise<HttpOutcome>>();
+    loop.Call([&] {
+      handle = client->Start(std::move(call), [done](HttpOutcome outcome) {
+        done->set_value(std::move(outcome));
+      });
+    });
+    return done->get_future();
+  }
+
+  LoopThread loop;
+  std::optional<HttpClient> client;
+  HttpCallHandle handle;
+};
+
+HttpCall CallTo(const RawListener& server, const std::string& method) {
+  HttpCall call;
+  call.method = method;
+  call.url = server.url();
+  return call;
+}
+
+std::string Answer(const std::string& body) {
+  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
+}
+
+std::string BodyOf(const HttpOutcome& outcome) {
+  const auto* answer = std::get_if<HttpAnswer>(&outcome);
+  return answer == nullptr ? "failure: " + std::get<HttpFailure>(outcome).detail
+                           : answer->body;
+}
+
+}  // namespace
+
+TEST_CASE("a request on a kept connection is sent once", "[http]") {
+  RawListener server;
+  ClientLoop client;
+  HttpCall call = CallTo(server, "POST");
+  SECTION("with a body") {
+    call.body = "antenna=4";
+  }
+  SECTION("with an empty body") {}
+  SECTION("without a body") {
+    call.method = "DELETE";
+  }
+
+  auto first = client.Start(call);
+  RawConnection connection = server.Accept();
+  connection.ReadRequest();
+  connection.Write(Answer("first"));
+  REQUIRE(BodyOf(first.get()) == "first");
+
+  // The server reads the second request whole and closes without an answer.
+  auto second = client.Start(call);
+  const std::string request = connection.ReadRequest();
+  REQUIRE(request.starts_with(call.method));
+  connection.Close();
+  const HttpOutcome outcome = second.get();
+  REQUIRE(std::holds_alternative<HttpFailure>(outcome));
+  CHECK_FALSE(std::get<HttpFailure>(outcome).not_sent);
+  // The call is over, so a second sending would have connected by now.
+  CHECK_FALSE(server.TryAccept());
+}
+
+TEST_CASE("libcurl's second sending is allowed by may_resend alone", "[http]") {
+  RawListener server;
+  ClientLoop client;
+  HttpCall call = CallTo(server, "GET");
+  call.may_resend = true;
+  auto first = client.Start(call);
+  RawConnection connection = server.Accept();
+  connection.ReadRequest();
+  connection.Write(Answer("first"));
+  first.get();
+  auto second = client.Start(call);
+  connection.ReadRequest();
+  connection.Close();
+  RawConnection again = server.Accept();
+  again.ReadRequest();
+  again.Write(Answer("second"));
+  CHECK(BodyOf(second.get()) == "second");
+}
+
+TEST_CASE("calls that may not repeat share a connection", "[http]") {
+  RawListener server;
+  ClientLoop client;
+  auto first = client.Start(CallTo(server, "DELETE"));
+  RawConnection connection = server.Accept();
+  for (int i = 0; i < 3; ++i) {
+    connection.ReadRequest();
+    connection.Write(Answer("done"));
+    REQUIRE(BodyOf(first.get()) == "done");
+    if (i < 2) {
+      first = client.Start(CallTo(server, "DELETE"));
+    }
+  }
+  CHECK(client.loop.Call([&] { return client.client->connects(); }) == 1);
+}
+
+TEST_CASE("a kept connection that is closed or has gone wrong is not used",
+          "[http]") {
+  RawListener server;
+  ClientLoop client;
+  auto first = client.Start(CallTo(server, "POST"));
+  RawConnection connection = server.Accept();
+  connection.ReadRequest();
+  SECTION("an answer that nobody asked for follows the first") {
+    connection.Write(Answer("first") + Answer("of another"));
+  }
+  SECTION("the server closes after its answer") {
+    connection.Write(Answer("first"));
+    connection.Close();
+  }
+  REQUIRE(BodyOf(first.get()) == "first");
+  auto second = client.Start(CallTo(server, "POST"));
+  RawConnection fresh = server.Accept();
+  fresh.ReadRequest();
+  fresh.Write(Answer("second"));
+  CHECK(BodyOf(second.get()) == "second");
+}
+
+TEST_CASE("an answer that is cut short is a failure", "[http]") {
+  RawListener server;
+  ClientLoop client;
+  auto done = client.Start(CallTo(server, "GET"));
+  RawConnection connection = server.Accept();
+  connection.ReadRequest();
+  SECTION("short of its length") {
+    connection.Write("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf");
+  }
+  SECTION("without the last chunk") {
+    connection.Write(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n");
+  }
+  SECTION("within its headers") {
+    connection.Write("HTTP/1.1 200 OK\r\nContent-Le");
+  }
+  connection.Close();
+  const HttpOutcome outcome = done.get();
+  REQUIRE(std::holds_alternative<HttpFailure>(outcome));
+  CHECK_FALSE(std::get<HttpFailure>(outcome).not_sent);
+}
+
+TEST_CASE("nothing was sent when nobody listens", "[http]") {
+  ClientLoop client;
+  HttpCall call;
+  {
+    const RawListener closed;
+    call.url = closed.url();
+  }
+  const HttpOutcome outcome = client.Start(call).get();
+  REQUIRE(std::holds_alternative<HttpFailure>(outcome));
+  CHECK(std::get<HttpFailure>(outcome).not_sent);
+}
+
+TEST_CASE("a stream is paused and resumed", "[http]") {
+  constexpr std::size_t kSize = 32'000'000;  // Beyond what sockets buffer.
+  RawListener server;
+  ClientLoop client;
+  std::atomic<std::size_t> received = 0;
+  std::promise<int> head;
+  std::promise<void> first_part;
+  HttpCall call = CallTo(server, "GET");
+  call.on_head = [&](const HttpAnswer& answer) {
+    head.set_value(answer.status);
+  };
+  call.on_data = [&](std::string_view part) {
+    if (received == 0) {
+      client.client->Pause(client.handle);
+      first_part.set_value();
+    }
+    received += part.size();
+    return true;
+  };
+  auto done = client.Start(std::move(call));
+  RawConnection connection = server.Accept();
+  connection.ReadRequest();
+  connection.Write("HTTP/1.1 200 OK\r\nContent-Length: " +
+                   std::to_string(kSize) + "\r\n\r\n");
+  CHECK(head.get_future().get() == 200);
+  std::atomic<std::size_t> written = 0;
+  std::thread writer([&] {
+    const std::string part(100'000, 'x');
+    while (written < kSize) {
+      connection.Write(part);
+      written += part.size();
+    }
+  });
+  first_part.get_future().get();
+  const std::size_t held = received;
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  CHECK(received == held);
+  CHECK(written < kSize);
+  client.loop.Call([&] { client.client->Resume(client.handle); });
+  CHECK(std::holds_alternative<HttpAnswer>(done.get()));
+  CHECK(received == kSize);
+  writer.join();
+}
+
+TEST_CASE("a call is cancelled from its own callbacks", "[http]") {
+  RawListener server;
+  ClientLoop client;
+  std::promise<void> cancelled;
+  HttpCall call = CallTo(server, "GET");
+  const auto cancel = [&] {
+    client.client->Cancel(client.handle);
+    cancelled.set_value();
+  };
+  SECTION("with the headers") {
+    call.on_head = [&](const HttpAnswer&) { cancel(); };
+  }
+  SECTION("with a part of the body") {
+    call.on_data = [&](std::string_view) {
+      cancel();
+      return true;
+    };
+  }
+  auto done = client.Start(std::move(call));
+  RawConnection connection = server.Accept();
+  connection.ReadRequest();
+  connection.Write("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf");
+  cancelled.get_future().get();
+  CHECK(connection.AtEnd());
+  CHECK(client.loop.Call([&] { return client.client->active(); }) == 0);
+}
+
+}  // namespace verbenastile
