--- a/soak/soak.h
+++ b/soak/soak.h
@@ -68,6 +68,9 @@
 
 // The topics, each in a file of its own.
 SoakTopic ApplyTopic();
+SoakTopic ParsersTopic();
+SoakTopic CallsTopic();
+SoakTopic MembershipTopic();
 
 }  // namespace verbenastile
 
