--- a/src/node/node.h
+++ b/src/node/node.h
@@ -27,6 +27,7 @@
   StateChart lifecycle;
   StateChart config_apply;
   StateChart platform_session;
+  StateChart upstream_health;
 };
 
 // Errors: `ConfigError` when an embedded chart is at fault.
@@ -49,7 +50,10 @@
   void Fire(std::string_view event);
   void RunAction(std::string_view action);
   void BeginLeaving();
-  void WaitForCalls(Time expiry, Time earliest_end);
+  void OnUpstreamLeaving();
+  void WaitForCalls(Time earliest_end);
+  void WaitForLastCalls(Time earliest_end);
+  bool HasCalls() const;
   void Stop();
   std::string StatusJson() const;
   bool ready() const { return lifecycle_.state() == "serving"; }
@@ -72,6 +76,7 @@
   AdminServer admin_;
   HttpServer peers_;
   HttpServer callers_;
+  Time drain_expiry_;
   int exit_code_ = 0;
 };
 
--- a/standins/load.cc
+++ b/standins/load.cc
@@ -2,11 +2,13 @@
 // more URLs in turn, and reports how they were answered and how long it took.
 //
 //   standin_load --url URL [--url URL]... [--seconds N] [--connections N]
-//                [--method M] [--group G] [--rate N] [--count N] [--body B]
-//                [--print] [--json]
+//                [--method M] [--group G[:SHARE]]... [--rate N] [--count N]
+//                [--body B] [--ids FILE] [--print] [--json]
 //
-// With --rate, requests start at that rate whatever the answers do. Each
-// request carries an id of its own. Exit code 0 when every answer was 2xx.
+// With --rate, requests start at that rate whatever the answers do. Several
+// groups take turns in proportion to their shares. Each request carries an id
+// of its own; --ids writes each id with its answer, to be compared with what
+// the upstreams recorded. Exit code 0 when every answer was 2xx.
 #include <fmt/format.h>
 #include <tclap/CmdLine.h>
 
@@ -14,6 +16,8 @@
 #include <algorithm>
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
+#include <cstdlib>
+#include <fstream>
 #include <map>
 #include <nlohmann/json.hpp>
 
@@ -23,10 +27,25 @@
 namespace verbenastile {
 namespace {
 
+// A group of callers and its share of the requests.
+struct GroupShare {
+  std::string name;
+  std::size_t share = 1;
+};
+
+// What became of the requests of one group.
+struct GroupCounts {
+  std::uint64_t sent = 0;
+  std::uint64_t good = 0;
+  std::vector<std::int64_t> latencies;  // Of good answers.
+};
+
 struct LoadPlan {
   std::vector<std::string> urls;
   std::string method;
-  std::string group;
+  std::vector<GroupShare> groups;
+  std::string deadline_ms;
+  std::string ids_file;
   std::string service;
   Duration length{0};
   std::size_t connections = 1;
@@ -42,6 +61,13 @@
       : plan_(std::move(plan)), client_(io, plan_.connections), timer_(io) {}
 
   void Start() {
+    for (std::size_t i = 0; i < plan_.groups.size(); ++i) {
+      turns_.insert(turns_.end(), plan_.groups[i].share, i);
+    }
+    counts_.resize(plan_.groups.size());
+    if (!plan_.ids_file.empty()) {
+      ids_.open(plan_.ids_file);
+    }
     start_ = SteadyNow();
     if (plan_.rate > 0) {
       Pace();
@@ -54,16 +80,35 @@
 
   nlohmann::json Report() {
     std::sort(latencies_.begin(), latencies_.end());
+    std::sort(good_latencies_.begin(), good_latencies_.end());
+    nlohmann::json groups = nlohmann::json::object();
+    for (std::size_t i = 0; i < counts_.size(); ++i) {
+      GroupCounts& counts = counts_[i];
+      std::sort(counts.latencies.begin(), counts.latencies.end());
+      groups[plan_.groups[i].name] = {
+          {"sent", counts.sent},
+          {"good", counts.good},
+          {"p50_us", Quantile(counts.latencies, 0.5)},
+          {"p99_us", Quantile(counts.latencies, 0.99)}};
+    }
     const double seconds = ToMilliseconds(last_ - start_) / 1'000.0;
     return {{"sent", sent_},
             {"answers", statuses_},
             {"failures", failures_},
             {"seconds", seconds},
             {"per_second", seconds > 0 ? latencies_.size() / seconds : 0.0},
-            {"p50_us", Quantile(0.5)},
-            {"p90_us", Quantile(0.9)},
-            {"p99_us", Quantile(0.99)},
-            {"max_us", Quantile(1.0)}};
+            {"good", good_latencies_.size()},
+            {"good_per_second",
+             seconds > 0 ? good_latencies_.size() / seconds : 0.0},
+            {"not_run", not_run_},
+            {"unknown", unknown_},
+            {"p50_us", Quantile(latencies_, 0.5)},
+            {"p90_us", Quantile(latencies_, 0.9)},
+            {"p99_us", Quantile(latencies_, 0.99)},
+            {"max_us", Quantile(latencies_, 1.0)},
+            {"good_p50_us", Quantile(good_latencies_, 0.5)},
+            {"good_p99_us", Quantile(good_latencies_, 0.99)},
+            {"groups", std::move(groups)}};
   }
 
   bool all_good() const {
@@ -98,10 +143,16 @@
     call.method = plan_.method;
     call.url = plan_.urls[sent_ % plan_.urls.size()];
     ++sent_;
-    call.headers = {
-        {"x-verbena-request-id", fmt::format("load-{}-{}", getpid(), sent_)}};
-    if (!plan_.group.empty()) {
-      call.headers.push_back({"x-verbena-group", plan_.group});
+    const std::string id = fmt::format("load-{}-{}", getpid(), sent_);
+    call.headers = {{"x-verbena-request-id", id}};
+    const std::size_t group =
+        turns_.empty() ? kNoGroup : turns_[sent_ % turns_.size()];
+    if (group != kNoGroup) {
+      ++counts_[group].sent;
+      call.headers.push_back({"x-verbena-group", plan_.groups[group].name});
+    }
+    if (!plan_.deadline_ms.empty()) {
+      call.headers.push_back({"x-verbena-deadline-ms", plan_.deadline_ms});
     }
     if (!plan_.service.empty()) {
       call.headers.push_back({"x-verbena-service", plan_.service});
@@ -111,19 +162,35 @@
     }
     call.may_resend = plan_.method == "GET";
     const Time begin = SteadyNow();
-    client_.Start(std::move(call), [this, begin, again](HttpOutcome outcome) {
-      OnDone(begin, outcome);
-      if (again && !finished()) {
-        Send(true);
-      }
-    });
+    client_.Start(std::move(call),
+                  [this, id, group, begin, again](HttpOutcome outcome) {
+                    OnDone(id, group, begin, outcome);
+                    if (again && !finished()) {
+                      Send(true);
+                    }
+                  });
   }
 
-  void OnDone(Time begin, const HttpOutcome& outcome) {
+  void OnDone(const std::string& id,
+              std::size_t group,
+              Time begin,
+              const HttpOutcome& outcome) {
     last_ = SteadyNow();
-    latencies_.push_back((last_ - begin).count());
+    const std::int64_t latency = (last_ - begin).count();
+    latencies_.push_back(latency);
+    WriteId(id, outcome);
     if (const auto* answer = std::get_if<HttpAnswer>(&outcome)) {
       ++statuses_[std::to_string(answer->status)];
+      const auto told = FindHeader(answer->headers, "x-verbena-outcome");
+      not_run_ += told == "not-run" ? 1 : 0;
+      unknown_ += told == "unknown" ? 1 : 0;
+      if (answer->status < kFirstBadStatus) {
+        good_latencies_.push_back(latency);
+        if (group != kNoGroup) {
+          ++counts_[group].good;
+          counts_[group].latencies.push_back(latency);
+        }
+      }
       if (plan_.print) {
         fmt::print("{}\n", answer->body);
       }
@@ -132,14 +199,37 @@
     }
   }
 
-  std::int64_t Quantile(double q) const {
-    if (latencies_.empty()) {
+  // "ID STATUS OUTCOME"; the status is 0 without a whole answer.
+  void WriteId(const std::string& id, const HttpOutcome& outcome) {
+    if (!ids_.is_open()) {
+      return;
+    }
+    const auto* answer = std::get_if<HttpAnswer>(&outcome);
+    const auto* failure = std::get_if<HttpFailure>(&outcome);
+    std::string told = "-";
+    if (answer != nullptr) {
+      const auto header = FindHeader(answer->headers, "x-verbena-outcome");
+      told = header.empty() ? "-" : std::string(header);
+    } else if (failure->not_sent) {
+      told = "not-sent";
+    }
+    ids_ << id << ' ' << (answer == nullptr ? 0 : answer->status) << ' ' << told
+         << '\n';
+  }
+
+  // Of sorted values.
+  static std::int64_t Quantile(const std::vector<std::int64_t>& sorted,
+                               double q) {
+    if (sorted.empty()) {
       return 0;
     }
-    const auto last = static_cast<double>(latencies_.size() - 1);
-    return latencies_[static_cast<std::size_t>(q * last)];
+    const auto last = static_cast<double>(sorted.size() - 1);
+    return sorted[static_cast<std::size_t>(q * last)];
   }
 
+  static constexpr std::size_t kNoGroup = ~std::size_t{0};
+  static constexpr int kFirstBadStatus = 300;
+
   LoadPlan plan_;
   HttpClient client_;
   asio::steady_timer timer_;
@@ -147,10 +237,26 @@
   Time last_;
   std::size_t sent_ = 0;
   std::vector<std::int64_t> latencies_;
+  std::vector<std::int64_t> good_latencies_;
+  std::vector<std::size_t> turns_;  // Indices of groups.
+  std::vector<GroupCounts> counts_;
+  std::uint64_t not_run_ = 0;
+  std::uint64_t unknown_ = 0;
+  std::ofstream ids_;
   std::map<std::string, std::uint64_t> statuses_;
   std::map<std::string, std::uint64_t> failures_;
 };
 
+// Reads "NAME" or "NAME:SHARE".
+GroupShare ParseGroup(const std::string& text) {
+  const auto colon = text.find(':');
+  if (colon == std::string::npos) {
+    return {text, 1};
+  }
+  return {text.substr(0, colon),
+          std::strtoull(text.c_str() + colon + 1, nullptr, 10)};
+}
+
 int Run(int argc, char** argv) {
   TCLAP::CmdLine cmd("Stand-in for callers", ' ', "1");
   TCLAP::MultiArg<std::string> urls("", "url", "URL to call", true, "URL", cmd);
@@ -159,8 +265,12 @@
                                    false, 8, "N", cmd);
   TCLAP::ValueArg<std::string> method("", "method", "HTTP method", false, "GET",
                                       "M", cmd);
-  TCLAP::ValueArg<std::string> group("", "group", "the caller's group", false,
-                                     "", "G", cmd);
+  TCLAP::MultiArg<std::string> groups("", "group", "a group, and its share",
+                                      false, "G[:SHARE]", cmd);
+  TCLAP::ValueArg<std::string> deadline("", "deadline_ms", "deadline", false,
+                                        "", "N", cmd);
+  TCLAP::ValueArg<std::string> ids("", "ids", "file for the requests' ids",
+                                   false, "", "FILE", cmd);
   TCLAP::ValueArg<std::string> service("", "service", "the service asked for",
                                        false, "", "S", cmd);
   TCLAP::ValueArg<int> rate("", "rate", "requests per second", false, 0, "N",
@@ -175,7 +285,11 @@
   LoadPlan plan;
   plan.urls = urls.getValue();
   plan.method = method.getValue();
-  plan.group = group.getValue();
+  for (const std::string& group : groups.getValue()) {
+    plan.groups.push_back(ParseGroup(group));
+  }
+  plan.deadline_ms = deadline.getValue();
+  plan.ids_file = ids.getValue();
   plan.service = service.getValue();
   plan.length = Duration(static_cast<std::int64_t>(seconds.getValue() * 1e6));
   plan.connections = static_cast<std::size_t>(connections.getValue());
