Groups that are not declared share one share; bounded memory for groups

Cause: a caller that made up names of groups would have had a share for each, and groups that had run one call were kept for ever, since their tags stayed ahead of the virtual time. Change: RouteTable::ShareGroup folds them; at the end of a busy period nobody is owed anything; a bound on idle groups. The randomised run also checks that a leaving instance starts nothing that was sent after it left, and that a drain ends.

--- a/soak/calls_topic.cc
+++ b/soak/calls_topic.cc
@@ -29,6 +29,7 @@
       {"no_retry_budget", &CallsMutation::no_retry_budget},
       {"no_ejection_cap", &CallsMutation::no_ejection_cap},
       {"forget_when_paused", &CallsMutation::forget_when_paused},
+      {"admit_while_leaving", &CallsMutation::admit_while_leaving},
       {"one_queue_for_all", &CallsMutation::one_queue_for_all},
   };
   return mutations;
--- a/soak/calls_world.cc
+++ b/soak/calls_world.cc
@@ -24,7 +24,8 @@
 // The most that a copy comes after the deadline of its attempt.
 constexpr Duration kLongestTransit = std::chrono::milliseconds(500);
 constexpr Duration kLeaveBound = std::chrono::seconds(3);
-constexpr Duration kShortestDrain = std::chrono::seconds(4);
+constexpr Duration kShortestDrain = std::chrono::seconds(5);
+constexpr Duration kLongestDrain = std::chrono::seconds(9);
 constexpr Duration kRemembered = std::chrono::seconds(60);
 constexpr std::size_t kMaxViolations = 100;
 // Of the retry budget and the ejection cap, stated here a second time so that
@@ -552,6 +553,8 @@
   Call& call = calls_[attempt.call];
   ++seen_.runs;
   ++call.runs;
+  Require(!at.leaving || attempt.sent <= at.leaving_since,
+          "a_leaving_instance_takes_nothing_new", attempt.call);
   Require(call.repeatable || call.runs == 1, "at_most_once", attempt.call);
   Require(!call.ended || call.outcome != AttemptOutcome::kRefused,
           "not_run_is_true", attempt.call);
@@ -664,6 +667,8 @@
     Announce(event.instance, event.key % (4 * kTicksPerAnnouncement) == 0);
     CheckEjections(at);
   }
+  const Time awake = std::max(at.leaving_since, at.paused_until);
+  Require(!at.leaving || now_ - awake < kLongestDrain, "a_drain_ends");
   const bool done = at.leaving && now_ - at.leaving_since > kShortestDrain &&
                     at.own_calls.empty() && at.holding.empty() &&
                     at.waiting.empty();
@@ -729,7 +734,7 @@
                                    });
   const bool may_fall = static_cast<std::size_t>(sound) > kMinUp && at.up &&
                         at.paused_until <= now_;
-  switch (random_.Below(7)) {
+  switch (random_.Below(8)) {
     case 0:
       if (may_fall) {
         ++seen_.kills;
@@ -737,21 +742,22 @@
       }
       return;
     case 1:
+    case 2:
       if (may_fall && !at.leaving) {
         ++seen_.drains;
         Drain(index);
       }
       return;
-    case 2:
+    case 3:
       if (may_fall && !at.leaving) {
         ++seen_.pauses;
         at.paused_until = now_ + Between(kSecond, 10 * kSecond);
       }
       return;
-    case 3:
+    case 4:
       at.fails_until = now_ + Between(kSecond, 2 * kSecond);
       return;
-    case 4:
+    case 5:
       at.deaf_until = now_ + Between(kSecond, 2 * kSecond);
       return;
     default:
@@ -764,7 +770,9 @@
   Instance& at = instances_[index];
   at.leaving = true;
   at.leaving_since = now_;
-  at.admission->Drain();
+  if (!mutation_.admit_while_leaving) {
+    at.admission->Drain();
+  }
   LearnOf(at, MemberState::kLeaving, index, at.incarnation);
   Announce(index, false);
 }
--- a/soak/calls_world.h
+++ b/soak/calls_world.h
@@ -40,6 +40,7 @@
   bool no_ejection_cap = false;
   bool forget_when_paused = false;
   bool one_queue_for_all = false;
+  bool admit_while_leaving = false;
 };
 
 class CallsWorld {
--- a/src/core/admission.cc
+++ b/src/core/admission.cc
@@ -324,6 +324,7 @@
     backlog_.emplace(tag, group.serial);
   }
   group.tag = tag;
+  highest_tag_ = std::max(highest_tag_, tag);
 }
 
 // `time` may be negative: the estimate was too high. What a group owes stays
@@ -355,6 +356,7 @@
   Charge(*call.group, held - call.charged);
   LearnServiceTime(*call.group, held);
   StartQueued(now, actions);
+  EndBusyPeriod();
   return actions;
 }
 
@@ -435,8 +437,16 @@
   learn(service_time_);
 }
 
+// With nothing waiting or running nobody is owed anything.
+void Admission::EndBusyPeriod() {
+  if (busy_ == 0 && queued_ == 0) {
+    virtual_time_ = std::max(virtual_time_, highest_tag_);
+  }
+}
+
 void Admission::Rebase() {
   const Tag base = virtual_time_;
+  highest_tag_ -= base;
   virtual_time_ = 0;
   backlog_.clear();
   for (auto& [name, group] : groups_) {
@@ -451,10 +461,11 @@
   if (groups_.size() <= limits_.max_idle_groups) {
     return;
   }
+  const bool all = groups_.size() > 2 * limits_.max_idle_groups;
   std::erase_if(groups_, [&](const auto& entry) {
     const Group& group = entry.second;
     const bool idle = group.queued == 0 && group.running == 0;
-    if (!idle || group.tag > virtual_time_) {
+    if (!idle || (!all && group.tag > virtual_time_)) {
       return false;
     }
     by_serial_.erase(group.serial);
--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -41,7 +41,8 @@
   Duration max_debt = std::chrono::seconds(10);
   // The most that one call counts for in estimates of service time.
   Duration max_estimate = std::chrono::seconds(2);
-  // Groups without calls that are remembered.
+  // Groups without calls that are remembered while they owe the others;
+  // beyond twice as many, all without calls are forgotten.
   std::size_t max_idle_groups = 1'024;
   // Off: calls wait until their deadline has passed. For comparisons.
   bool refuse_early = true;
@@ -189,6 +190,7 @@
   void Charge(Group& group, Duration time);
   void ChargeRunning(Time now);
   void LearnServiceTime(Group& group, Duration time);
+  void EndBusyPeriod();
   void Rebase();
   void ForgetIdleGroups();
 
@@ -197,7 +199,8 @@
   bool draining_ = false;
   std::uint32_t busy_ = 0;
   std::size_t queued_ = 0;
-  Tag virtual_time_ = 0;
+  Tag virtual_time_ = 0;  // The tag of the last call that started.
+  Tag highest_tag_ = 0;
   std::uint64_t next_serial_ = 0;
   std::uint64_t backlogged_weight_ = 0;
   Duration service_time_{0};  // Over all groups.
--- a/src/core/route_table.cc
+++ b/src/core/route_table.cc
@@ -40,6 +40,10 @@
   return found ? &document_.rules[*found] : nullptr;
 }
 
+std::string_view RouteTable::ShareGroup(std::string_view group) const {
+  return group_weights_.contains(group) ? group : kUndeclaredGroups;
+}
+
 std::uint32_t RouteTable::GroupWeight(std::string_view group) const {
   const auto found = group_weights_.find(group);
   return found == group_weights_.end() ? 1 : found->second;
--- a/src/core/route_table.h
+++ b/src/core/route_table.h
@@ -21,6 +21,9 @@
 // evenly over all values of its type. Targets are chosen by weight.
 std::string_view ChooseTarget(const RouteAction& route, std::uint64_t point);
 
+// The share of all groups that are not declared.
+constexpr std::string_view kUndeclaredGroups = "";
+
 // Rules and their resources, made whole or not at all and never changed.
 class RouteTable {
  public:
@@ -31,6 +34,10 @@
   // The rule that decides; null when none matches. Valid while the table is.
   const Rule* Decide(const RequestView& request) const;
 
+  // The group whose share a call of `group` takes: itself when it is declared.
+  // All others share one, or a caller with many names would have many shares.
+  std::string_view ShareGroup(std::string_view group) const;
+
   // The weight of `group` in fair shares; 1 when it is not declared.
   std::uint32_t GroupWeight(std::string_view group) const;
 
--- a/tests/admission_test.cc
+++ b/tests/admission_test.cc
@@ -140,6 +140,24 @@
   }
 }
 
+SCENARIO("ever new groups come and go") {
+  AdmissionLimits limits;
+  limits.max_idle_groups = 10;
+  Admission admission(2, limits);
+  // One call runs all the time, so that the upstream is never idle.
+  admission.Offer(OfferOf(1, "stream"), kStart);
+  for (CallId id = 2; id < 1'000; ++id) {
+    const std::string group = "group-" + std::to_string(id);
+    admission.Offer(OfferOf(id, group), kStart);
+    admission.OnEnded(id, kStart + kMillisecond);
+    admission.Tick(kStart + kMillisecond);
+  }
+  THEN("the memory stays bounded") {
+    CHECK(admission.group_count() <= 2 * limits.max_idle_groups + 1);
+    CHECK(admission.busy() == 1);
+  }
+}
+
 SCENARIO("calls of one group take very different times") {
   Admission admission(1);
   Time now = kStart;
--- a/tests/route_index_test.cc
+++ b/tests/route_index_test.cc
@@ -2,6 +2,7 @@
 #include <random>
 
 #include "core/route_table.h"
+#include "support.h"
 
 namespace verbenastile {
 namespace {
@@ -83,5 +84,14 @@
   CHECK(to_new == 100);
 }
 
+SCENARIO("a caller makes up names of groups") {
+  RuleDocument document;
+  document.groups.push_back({"rowing", 3, {}, {}});
+  const RouteTable table = MustSucceed(
+      [&] { return RouteTable::Compile(MakeSnapshot(1, document)); });
+  CHECK(table.ShareGroup("rowing") == "rowing");
+  CHECK(table.ShareGroup("made-up-1") == table.ShareGroup("made-up-2"));
+}
+
 }  // namespace
 }  // namespace verbenastile
