A rolling restart with real processes, and waiting while members are unknown

Cause: a restarted node answered 503 until it had heard of the others: 66 of 12,235 reservations in a restart of ten nodes were refused (truly not run).

--- a/src/node/caller_side.cc
+++ b/src/node/caller_side.cc
@@ -32,6 +32,11 @@
 // Attempts beyond the first without a retry budget; for comparisons.
 constexpr std::uint32_t kUnboundRetries = 3;
 
+// For this time after a node's first call, calls wait for members to be heard
+// of instead of being refused.
+constexpr Duration kLearnTime = std::chrono::seconds(3);
+constexpr Duration kLearnRetryInterval = std::chrono::milliseconds(20);
+
 struct LocalAttempt {
   CallId id = 0;
 };
@@ -205,6 +210,10 @@
   balancer_.Sync(*init_.directory, now);
   call->upstream = Choose(*call, now);
   const Member* member = balancer_.Find(call->upstream);
+  if (member == nullptr && IsLearning(now)) {
+    AttemptAfter(call, kLearnRetryInterval);
+    return;
+  }
   if (member == nullptr) {
     Refuse(call, kUnavailable,
            fmt::format("no upstream serves {}", call->service));
@@ -219,6 +228,14 @@
   StartAttempt(call, *member);
 }
 
+// A node that has just started may not have heard of all members yet.
+bool CallerSide::IsLearning(Time now) {
+  if (!first_call_) {
+    first_call_ = now;
+  }
+  return now < *first_call_ + kLearnTime;
+}
+
 UpstreamHandle CallerSide::Choose(const Call& call, Time now) {
   if (!init_.settings->calls.observe) {
     return ChooseInTurn(call.service);
@@ -330,6 +347,7 @@
     if (decision.verdict == RetryVerdict::kRetry) {
       CancelAttempt(*call, AttemptOutcome::kFailed);
       call->may_have_run = true;
+      init_.metrics->Add(retried_);
       AttemptAfter(call, decision.wait);
       return;
     }
@@ -379,6 +397,7 @@
   }
   const RetryDecision decision = DecideRetry(call, end.outcome);
   if (decision.verdict == RetryVerdict::kRetry) {
+    init_.metrics->Add(retried_);
     AttemptAfter(call, decision.wait);
     return;
   }
@@ -419,7 +438,6 @@
 }
 
 void CallerSide::AttemptAfter(const CallPointer& call, Duration wait) {
-  init_.metrics->Add(retried_);
   call->timer.expires_after(wait);
   call->timer.async_wait([this, call](const asio::error_code& error) {
     if (!error && !call->closed) {
--- a/src/node/caller_side.h
+++ b/src/node/caller_side.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -57,6 +58,7 @@
   bool DecideByRules(const CallPointer& call);
   void Begin(const CallPointer& call, const RouteAction& route);
   void Attempt(const CallPointer& call);
+  bool IsLearning(Time now);
   UpstreamHandle Choose(const Call& call, Time now);
   UpstreamHandle ChooseInTurn(std::string_view service);
   void StartAttempt(const CallPointer& call, const Member& member);
@@ -82,6 +84,7 @@
   AvoidList avoid_;
   std::mt19937_64 random_;
   std::set<CallPointer> calls_;
+  std::optional<Time> first_call_;
   std::map<std::string, std::size_t, std::less<>> turns_;  // By service.
   CounterHandle requests_;
   CounterHandle refused_;
--- a/standins/load.cc
+++ b/standins/load.cc
@@ -3,18 +3,21 @@
 //
 //   standin_load --url URL [--url URL]... [--seconds N] [--connections N]
 //                [--method M] [--group G[:SHARE]]... [--rate N] [--count N]
-//                [--body B] [--ids FILE] [--print] [--json]
+//                [--body B] [--ids FILE] [--failover] [--print] [--json]
 //
 // With --rate, requests start at that rate whatever the answers do. Several
 // groups take turns in proportion to their shares. Each request carries an id
 // of its own; --ids writes each id with its answer, to be compared with what
-// the upstreams recorded. Exit code 0 when every answer was 2xx.
+// the upstreams recorded. With --failover a request that could not be sent goes
+// to the next URL. SIGTERM ends the run early, with a report. Exit code 0 when
+// every answer was 2xx.
 #include <fmt/format.h>
 #include <tclap/CmdLine.h>
 
 #include <unistd.h>
 #include <algorithm>
 #include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
 #include <cstdlib>
 #include <fstream>
@@ -46,6 +49,7 @@
   std::vector<GroupShare> groups;
   std::string deadline_ms;
   std::string ids_file;
+  bool failover = false;
   std::string service;
   Duration length{0};
   std::size_t connections = 1;
@@ -58,7 +62,10 @@
 class Load {
  public:
   Load(asio::io_context& io, LoadPlan plan)
-      : plan_(std::move(plan)), client_(io, plan_.connections), timer_(io) {}
+      : plan_(std::move(plan)),
+        client_(io, plan_.connections),
+        timer_(io),
+        signals_(io, SIGTERM, SIGINT) {}
 
   void Start() {
     for (std::size_t i = 0; i < plan_.groups.size(); ++i) {
@@ -69,6 +76,10 @@
       ids_.open(plan_.ids_file);
     }
     start_ = SteadyNow();
+    signals_.async_wait([this](const asio::error_code& error, int) {
+      stopped_ = !error;
+      EndWhenDone();
+    });
     if (plan_.rate > 0) {
       Pace();
       return;
@@ -101,6 +112,7 @@
             {"good_per_second",
              seconds > 0 ? good_latencies_.size() / seconds : 0.0},
             {"not_run", not_run_},
+            {"moved", moved_},
             {"unknown", unknown_},
             {"p50_us", Quantile(latencies_, 0.5)},
             {"p90_us", Quantile(latencies_, 0.9)},
@@ -119,8 +131,15 @@
 
  private:
   bool finished() const {
-    return plan_.count > 0 ? sent_ >= plan_.count
-                           : SteadyNow() - start_ >= plan_.length;
+    return stopped_ || (plan_.count > 0 ? sent_ >= plan_.count
+                                        : SteadyNow() - start_ >= plan_.length);
+  }
+
+  void EndWhenDone() {
+    if (finished() && client_.active() == 0) {
+      signals_.cancel();
+      timer_.cancel();
+    }
   }
 
   void Pace() {
@@ -134,6 +153,8 @@
     timer_.async_wait([this](const asio::error_code& error) {
       if (!error && !finished()) {
         Pace();
+      } else {
+        EndWhenDone();
       }
     });
   }
@@ -160,15 +181,33 @@
     if (plan_.method == "POST" || plan_.method == "PUT") {
       call.body = plan_.body;
     }
-    call.may_resend = plan_.method == "GET";
     const Time begin = SteadyNow();
-    client_.Start(std::move(call),
-                  [this, id, group, begin, again](HttpOutcome outcome) {
-                    OnDone(id, group, begin, outcome);
-                    if (again && !finished()) {
-                      Send(true);
-                    }
-                  });
+    Start(std::move(call), 0, begin, id, group, again);
+  }
+
+  void Start(HttpCall call,
+             std::size_t moves,
+             Time begin,
+             const std::string& id,
+             std::size_t group,
+             bool again) {
+    HttpCall copy = plan_.failover ? call : HttpCall();
+    client_.Start(
+        std::move(call), [this, copy = std::move(copy), moves, id, group, begin,
+                          again](const HttpOutcome& outcome) mutable {
+          const auto* failure = std::get_if<HttpFailure>(&outcome);
+          if (plan_.failover && failure != nullptr && failure->not_sent &&
+              moves + 1 < plan_.urls.size()) {
+            copy.url = plan_.urls[++next_url_ % plan_.urls.size()];
+            ++moved_;
+            Start(std::move(copy), moves + 1, begin, id, group, again);
+            return;
+          }
+          OnDone(id, group, begin, outcome);
+          if (again && !finished()) {
+            Send(true);
+          }
+        });
   }
 
   void OnDone(const std::string& id,
@@ -233,6 +272,8 @@
   LoadPlan plan_;
   HttpClient client_;
   asio::steady_timer timer_;
+  asio::signal_set signals_;
+  bool stopped_ = false;
   Time start_;
   Time last_;
   std::size_t sent_ = 0;
@@ -240,6 +281,8 @@
   std::vector<std::int64_t> good_latencies_;
   std::vector<std::size_t> turns_;  // Indices of groups.
   std::vector<GroupCounts> counts_;
+  std::size_t next_url_ = 0;
+  std::uint64_t moved_ = 0;  // Sent to another URL.
   std::uint64_t not_run_ = 0;
   std::uint64_t unknown_ = 0;
   std::ofstream ids_;
@@ -279,6 +322,7 @@
                              cmd);
   TCLAP::ValueArg<std::string> body("", "body", "body of each request", false,
                                     "load", "B", cmd);
+  TCLAP::SwitchArg failover("", "failover", "next URL when not sent", cmd);
   TCLAP::SwitchArg print("", "print", "print each answer, no report", cmd);
   TCLAP::SwitchArg as_json("", "json", "print JSON", cmd);
   cmd.parse(argc, argv);
@@ -296,6 +340,7 @@
   plan.rate = static_cast<std::size_t>(rate.getValue());
   plan.count = static_cast<std::size_t>(count.getValue());
   plan.body = body.getValue();
+  plan.failover = failover.getValue();
   plan.print = print.getValue();
   asio::io_context io(1);
   Load load(io, std::move(plan));
--- a/standins/upstream.cc
+++ b/standins/upstream.cc
@@ -302,7 +302,7 @@
     while (running_ < slots_ && !waiting_.empty()) {
       const JobPointer job = waiting_.front();
       waiting_.pop_front();
-      if (!job->gone) {
+      if (!job->gone || behaviour_.ignore_cancel) {
         StartJob(job);
       }
     }
