Membership: anti-entropy by member digests, and an experiment in virtual time

Change: sync sends digests of members and then only what the other lacks, corrects what is behind, and gossip stops early when others pass the same news on.

--- a/soak/main.cc
+++ b/soak/main.cc
@@ -1,10 +1,12 @@
 // verbenastile_soak --seed N --steps M [--topic T|all] [--mutation NAME]
+// verbenastile_soak --experiment membership --seed N
 // Exit code 0 only without violations.
 #include <fmt/format.h>
 #include <tclap/CmdLine.h>
 
 #include "base/log.h"
 #include "core/invariant.h"
+#include "membership_experiment.h"
 #include "soak.h"
 
 namespace verbenastile {
@@ -51,7 +53,12 @@
                                         false, "", "NAME", cmd);
   TCLAP::SwitchArg list("", "list-mutations", "print topics and mutations",
                         cmd);
+  TCLAP::ValueArg<std::string> experiment(
+      "", "experiment", "print figures: membership", false, "", "NAME", cmd);
   cmd.parse(argc, argv);
+  if (experiment.getValue() == "membership") {
+    return RunMembershipExperiment(seed.getValue()) ? 0 : 1;
+  }
   if (list.getValue()) {
     ListMutations();
     return 0;
--- a/soak/membership_fleet.cc
+++ b/soak/membership_fleet.cc
@@ -18,15 +18,12 @@
 
 }  // namespace
 
-std::string MembershipFleet::NameOf(std::size_t node) {
-  return fmt::format("node-{}", node);
-}
-
 MembershipFleet::MembershipFleet(const FleetInit& init)
     : init_(init), random_(init.seed), nodes_(init.nodes) {
   for (std::size_t i = 0; i < nodes_.size(); ++i) {
     nodes_[i].port = static_cast<std::uint16_t>(kFirstPort + i);
     by_port_.push_back(i);
+    names_.push_back(fmt::format("node-{}", i));
   }
 }
 
--- a/soak/membership_fleet.h
+++ b/soak/membership_fleet.h
@@ -61,7 +61,7 @@
   const Membership& at(std::size_t node) const {
     return *nodes_[node].membership;
   }
-  static std::string NameOf(std::size_t node);
+  const std::string& NameOf(std::size_t node) const { return names_[node]; }
 
   // Empty when all that run know each other as they are and nobody else as
   // live; otherwise the first difference.
@@ -112,6 +112,7 @@
   FleetInit init_;
   SoakRandom random_;
   std::vector<Node> nodes_;
+  std::vector<std::string> names_;
   std::vector<std::size_t> by_port_;  // Ports count on from `kFirstPort`.
   std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
   NetworkFaults network_;
--- a/soak/membership_topic.cc
+++ b/soak/membership_topic.cc
@@ -246,15 +246,15 @@
   }
 
   void RequireKnown(std::size_t node, MemberState state) {
-    const std::string name = MembershipFleet::NameOf(node);
+    const std::string name = fleet_.NameOf(node);
     for (std::size_t i = 0; i < fleet_.size(); ++i) {
       if (!fleet_.up(i)) {
         continue;
       }
       const MemberRecord* record = fleet_.at(i).table().Find(name);
       if (record != nullptr && record->member.state < state) {
-        fleet_.violations().push_back(fmt::format(
-            "leaving_is_known_soon: not by {}", MembershipFleet::NameOf(i)));
+        fleet_.violations().push_back(
+            fmt::format("leaving_is_known_soon: not by {}", fleet_.NameOf(i)));
       }
     }
   }
--- a/src/core/broadcast_queue.cc
+++ b/src/core/broadcast_queue.cc
@@ -32,12 +32,26 @@
     taken.push_back(entry);
   }
   for (auto& [sends, turn, name] : taken) {
-    Remove(name);
-    if (sends + 1 < limit) {
-      ++turn_;
-      order_.emplace(sends + 1, turn_, name);
-      entries_.emplace(name, std::pair(sends + 1, turn_));
-    }
+    PushAgain(name, sends + 1, limit);
+  }
+}
+
+void BroadcastQueue::HeardAgain(std::string_view name, unsigned limit) {
+  const auto known = entries_.find(name);
+  if (known != entries_.end()) {
+    const unsigned sends = known->second.first;
+    PushAgain(std::string(name), sends + 1, limit);
+  }
+}
+
+void BroadcastQueue::PushAgain(const std::string& name,
+                               unsigned sends,
+                               unsigned limit) {
+  Remove(name);
+  if (sends < limit) {
+    ++turn_;
+    order_.emplace(sends, turn_, name);
+    entries_.emplace(name, std::pair(sends, turn_));
   }
 }
 
--- a/src/core/broadcast_queue.h
+++ b/src/core/broadcast_queue.h
@@ -19,6 +19,9 @@
   void Push(std::string_view name);
   void Remove(std::string_view name);
 
+  // Others pass the news of `name` on too, which counts like passing it on.
+  void HeardAgain(std::string_view name, unsigned limit);
+
   // Offers names, the least passed on first, until `take` returns false or
   // none is left. A name taken `limit` times leaves the queue.
   void Drain(unsigned limit,
@@ -31,6 +34,8 @@
   // How often passed on, the turn, the name.
   using Entry = std::tuple<unsigned, std::uint64_t, std::string>;
 
+  void PushAgain(const std::string& name, unsigned sends, unsigned limit);
+
   std::set<Entry> order_;
   std::map<std::string, std::pair<unsigned, std::uint64_t>, std::less<>>
       entries_;
--- a/src/core/gossip.cc
+++ b/src/core/gossip.cc
@@ -71,10 +71,11 @@
   bytes_ = kFramingBytes + kPackedWordBytes;
   bytes_ += PairBytes(message.cluster, message.sequence);
   bytes_ += WordBytes(message.incarnation);
-  bytes_ += WordBytes(message.root) + WordBytes(message.wanted);
+  bytes_ += WordBytes(message.root) + WordBytes(message.bucket_set);
   bytes_ += TextBytes(message.sender) + TextBytes(message.target);
   bytes_ += AddressBytes(message.target_address);
-  bytes_ += kPointerBytes + (message.buckets.size() / 2) * kPackedWordBytes;
+  bytes_ +=
+      kPointerBytes + ((message.digests.size() + 1) / 2) * kPackedWordBytes;
   bytes_ += 2 * (kPointerBytes + kListTagBytes);
 }
 
--- a/src/core/gossip.h
+++ b/src/core/gossip.h
@@ -17,6 +17,8 @@
 constexpr std::size_t kSyncBuckets = 64;
 // The longest name of a member, service, failure domain or region, in bytes.
 constexpr std::size_t kMaxGossipNameBytes = 100;
+// The most digests of members in one datagram.
+constexpr std::size_t kMaxDigests = 200;
 // The most members in one datagram.
 constexpr std::size_t kMaxUpdates = 64;
 
@@ -28,7 +30,9 @@
   kNews = 4,         // Only carries updates.
   kSyncRoot = 5,     // Digest over all that the sender knows.
   kSyncDigests = 6,  // The digest differs: digests by bucket.
-  kSyncState = 7,    // Members of buckets that differ.
+  kSyncMembers = 7,  // Digests of the members in buckets that differ.
+  kSyncWant = 8,     // Digests of members that the sender lacks.
+  kSyncState = 9,    // Members that the receiver lacks.
 };
 constexpr GossipKind kLastGossipKind = GossipKind::kSyncState;
 
@@ -49,10 +53,11 @@
   std::uint64_t incarnation = 0;  // The sender's.
   // Who is pinged; empty: whoever listens at the address.
   std::string target;
-  SocketAddress target_address;        // kPingRequest only.
-  std::uint64_t root = 0;              // kSyncRoot only.
-  std::vector<std::uint32_t> buckets;  // kSyncDigests only: kSyncBuckets.
-  std::uint64_t wanted = 0;  // kSyncState: buckets to be sent back, one a bit.
+  SocketAddress target_address;  // kPingRequest only.
+  std::uint64_t root = 0;        // kSyncRoot only.
+  // kSyncDigests: one a bucket; kSyncMembers, kSyncWant: one a member.
+  std::vector<std::uint32_t> digests;
+  std::uint64_t bucket_set = 0;  // kSyncMembers: those meant, one a bit.
   std::vector<MemberUpdate> updates;
 };
 
--- a/src/core/member_table.cc
+++ b/src/core/member_table.cc
@@ -10,12 +10,12 @@
 namespace verbenastile {
 namespace {
 
-// Suspicion is passing and stays out of the digest.
+// Suspicion is passing, and leaving comes with an incarnation of its own: the
+// state stays out.
 std::uint32_t DigestOfMember(const Member& member) {
-  const bool leaving = member.state == MemberState::kLeaving;
   return static_cast<std::uint32_t>(
-      DigestOf(fmt::format("{} {} {} {} {} {}", member.name, member.incarnation,
-                           leaving, member.serving, member.control.ip,
+      DigestOf(fmt::format("{} {} {} {} {}", member.name, member.incarnation,
+                           member.serving, member.control.ip,
                            member.control.port))
           .low);
 }
@@ -34,9 +34,9 @@
   return known == records_.end() ? nullptr : &known->second;
 }
 
-void MemberTable::Toggle(const Member& member) {
-  if (IsLive(member.state)) {
-    buckets_[BucketOf(member.name)] ^= DigestOfMember(member);
+void MemberTable::Toggle(const MemberRecord& record) {
+  if (IsLive(record.member.state)) {
+    buckets_[BucketOf(record.member.name)] ^= record.digest;
   }
 }
 
@@ -51,11 +51,12 @@
   } else {
     CheckInvariant(member.incarnation >= known->second.member.incarnation,
                    "membership_incarnation_monotone", member.name);
-    Toggle(known->second.member);
+    Toggle(known->second);
   }
   known->second.member = member;
+  known->second.digest = DigestOfMember(member);
   known->second.changed = now;
-  Toggle(member);
+  Toggle(known->second);
   views_stale_ = true;
   return true;
 }
@@ -75,7 +76,7 @@
 
 void MemberTable::Erase(std::string_view name) {
   const auto known = records_.find(name);
-  Toggle(known->second.member);
+  Toggle(known->second);
   std::erase(by_bucket_[BucketOf(name)], &known->second);
   records_.erase(known);
   views_stale_ = true;
--- a/src/core/member_table.h
+++ b/src/core/member_table.h
@@ -21,6 +21,7 @@
 
 struct MemberRecord {
   Member member;
+  std::uint32_t digest = 0;        // Of the member while it lives.
   Time changed;                    // When the state last changed.
   std::optional<Time> last_heard;  // A datagram of its own.
 };
@@ -76,7 +77,7 @@
  private:
   using Records = std::map<std::string, MemberRecord, std::less<>>;
 
-  void Toggle(const Member& member);
+  void Toggle(const MemberRecord& record);
   void Erase(std::string_view name);
 
   std::string own_name_;
--- a/src/core/membership.cc
+++ b/src/core/membership.cc
@@ -177,6 +177,9 @@
   if (!known) {
     MeetStranger(from, message);
   }
+  if (message.kind == GossipKind::kSyncState) {
+    Correct(from, message);
+  }
   Dispatch(from, message);
 }
 
@@ -203,8 +206,13 @@
     case GossipKind::kSyncDigests:
       OnSyncBuckets(from, message);
       break;
+    case GossipKind::kSyncMembers:
+      OnSyncMembers(from, message);
+      break;
+    case GossipKind::kSyncWant:
+      OnSyncWant(from, message);
+      break;
     case GossipKind::kSyncState:
-      SendState(from, message.wanted, 0);
       break;
   }
 }
@@ -231,6 +239,8 @@
   } else if (said.incarnation == held.incarnation &&
              said.state == MemberState::kSuspect) {
     ConfirmSuspicion(said.name, update.accuser);
+  } else if (said.incarnation == held.incarnation && said.state == held.state) {
+    queue_.HeardAgain(said.name, RetransmitLimit());
   }
 }
 
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -29,7 +29,7 @@
 
 // Sent bytes: on the long run, and at once.
 constexpr std::int64_t kMembershipBytesPerSecond = 2'000;
-constexpr std::int64_t kMembershipBurstBytes = 65'536;
+constexpr std::int64_t kMembershipBurstBytes = 131'072;
 // How far answers to probes may overdraw the budget.
 constexpr std::int64_t kMembershipReserveBytes = 16'384;
 // A tick that comes later than this makes the node doubt itself.
@@ -196,9 +196,14 @@
   void SendSyncRoot(const SocketAddress& to);
   void OnSyncRoot(const SocketAddress& from, const GossipMessage& message);
   void OnSyncBuckets(const SocketAddress& from, const GossipMessage& message);
+  void OnSyncMembers(const SocketAddress& from, const GossipMessage& message);
+  // Tells the sender where its state is behind.
+  void Correct(const SocketAddress& from, const GossipMessage& message);
+  void OnSyncWant(const SocketAddress& from, const GossipMessage& message);
+  void SendMembers(const SocketAddress& to, std::uint64_t buckets);
+  // Sends `records` as far as the budget goes.
   void SendState(const SocketAddress& to,
-                 std::uint64_t buckets,
-                 std::uint64_t wanted);
+                 std::span<const MemberRecord* const> records);
   bool NoteSender(const SocketAddress& from, const GossipMessage& message);
   void MeetStranger(const SocketAddress& from, const GossipMessage& message);
   void Dispatch(const SocketAddress& from, const GossipMessage& message);
--- a/src/core/membership_sync.cc
+++ b/src/core/membership_sync.cc
@@ -17,9 +17,11 @@
 // One round of gossip in so many goes to another failure domain.
 constexpr std::uint64_t kGossipFarOneIn = 3;
 constexpr std::uint64_t kSyncFarOneIn = 4;
-constexpr unsigned kExtraRetransmits = 2;
+constexpr unsigned kExtraRetransmits = 3;
+constexpr unsigned kMinRetransmits = 2;
+// Each so many members in the queue take one retransmission from all.
+constexpr std::size_t kCrowdedQueue = 16;
 constexpr std::int64_t kMicrosecondsPerSecond = 1'000'000;
-constexpr std::uint64_t kAllBuckets = ~0ULL;
 static_assert(kSyncBuckets == 64, "a set of buckets is a 64-bit word");
 
 }  // namespace
@@ -88,9 +90,13 @@
   }
 }
 
+// When very much is new, anti-entropy carries it in fewer bytes, since it sends
+// each member only what it lacks.
 unsigned Membership::RetransmitLimit() const {
-  return static_cast<unsigned>(std::bit_width(table_.live())) +
-         kExtraRetransmits;
+  const auto full =
+      static_cast<unsigned>(std::bit_width(table_.live())) + kExtraRetransmits;
+  const auto crowd = static_cast<unsigned>(queue_.size() / kCrowdedQueue);
+  return full > crowd + kMinRetransmits ? full - crowd : kMinRetransmits;
 }
 
 void Membership::AddQueued(GossipMessage& message) {
@@ -175,7 +181,7 @@
 
 void Membership::Flood() {
   for (const MemberRecord* record : table_.views().neighbours) {
-    SendState(record->member.control, kAllBuckets, 0);
+    SendState(record->member.control, table_.views().distant);
   }
 }
 
@@ -259,7 +265,7 @@
   AddNewsOf(message.sender, message.incarnation, reply);
   if (message.root != table_.root()) {
     reply.kind = GossipKind::kSyncDigests;
-    reply.buckets.assign(table_.buckets().begin(), table_.buckets().end());
+    reply.digests.assign(table_.buckets().begin(), table_.buckets().end());
   } else if (reply.updates.empty()) {
     return;
   }
@@ -269,54 +275,132 @@
 void Membership::OnSyncBuckets(const SocketAddress& from,
                                const GossipMessage& message) {
   std::uint64_t different = 0;
-  for (std::size_t i = 0; i < message.buckets.size(); ++i) {
-    const bool differs = message.buckets[i] != table_.buckets()[i];
+  for (std::size_t i = 0; i < message.digests.size(); ++i) {
+    const bool differs = message.digests[i] != table_.buckets()[i];
     different |= static_cast<std::uint64_t>(differs) << i;
   }
   if (different == 0) {
     return;
   }
-  SendState(from, different, different);
+  SendMembers(from, different);
   if (quick_syncs_ < kMaxQuickSyncs) {
+    const Duration wait = kQuickSync * (1 << quick_syncs_);
     ++quick_syncs_;
     quick_sync_due_ = true;
-    next_sync_ = std::min(next_sync_, clock_ + random_.Around(kQuickSync));
+    next_sync_ = std::min(next_sync_, clock_ + random_.Around(wait));
   }
 }
 
-// Sends the members of `buckets` and asks for those of `wanted`, as far as the
-// budget goes.
-void Membership::SendState(const SocketAddress& to,
-                           std::uint64_t buckets,
-                           std::uint64_t wanted) {
-  if (buckets == 0) {
-    return;
+// Sends the digests of the live members in `buckets`. Each datagram holds some
+// of the buckets whole.
+void Membership::SendMembers(const SocketAddress& to, std::uint64_t buckets) {
+  GossipMessage list;
+  list.kind = GossipKind::kSyncMembers;
+  for (std::size_t bucket = 0; bucket < kSyncBuckets; ++bucket) {
+    if ((buckets >> bucket & 1) == 0) {
+      continue;
+    }
+    const auto records = table_.InBucket(bucket);
+    if (list.digests.size() + records.size() > kMaxDigests) {
+      if (!Send(to, std::exchange(list, {}), Priority::kNews)) {
+        return;
+      }
+      list.kind = GossipKind::kSyncMembers;
+    }
+    list.bucket_set |= 1ULL << bucket;
+    for (const MemberRecord* record : records) {
+      if (IsLive(record->member.state) && list.digests.size() < kMaxDigests) {
+        list.digests.push_back(record->digest);
+      }
+    }
+  }
+  Send(to, std::move(list), Priority::kNews);
+}
+
+// The sender lacks what is live here and not in its list, and holds live what
+// is dead here and in its list. What else is in its list is lacking here.
+void Membership::OnSyncMembers(const SocketAddress& from,
+                               const GossipMessage& message) {
+  std::vector<std::uint32_t> theirs = message.digests;
+  std::sort(theirs.begin(), theirs.end());
+  std::vector<const MemberRecord*> lacking;
+  for (std::size_t bucket = 0; bucket < kSyncBuckets; ++bucket) {
+    if ((message.bucket_set >> bucket & 1) == 0) {
+      continue;
+    }
+    for (const MemberRecord* record : table_.InBucket(bucket)) {
+      const auto held =
+          std::lower_bound(theirs.begin(), theirs.end(), record->digest);
+      const bool listed = held != theirs.end() && *held == record->digest;
+      if (listed != IsLive(record->member.state)) {
+        lacking.push_back(record);
+      }
+      if (listed) {
+        theirs.erase(held);
+      }
+    }
+  }
+  random_.Shuffle(lacking);
+  SendState(from, lacking);
+  if (!theirs.empty()) {
+    GossipMessage want;
+    want.kind = GossipKind::kSyncWant;
+    want.digests = std::move(theirs);
+    Send(from, std::move(want), Priority::kNews);
+  }
+}
+
+void Membership::OnSyncWant(const SocketAddress& from,
+                            const GossipMessage& message) {
+  std::vector<std::uint32_t> wanted = message.digests;
+  std::sort(wanted.begin(), wanted.end());
+  std::vector<const MemberRecord*> records;
+  for (std::size_t bucket = 0; bucket < kSyncBuckets; ++bucket) {
+    for (const MemberRecord* record : table_.InBucket(bucket)) {
+      if (std::binary_search(wanted.begin(), wanted.end(), record->digest)) {
+        records.push_back(record);
+      }
+    }
   }
+  SendState(from, records);
+}
+
+void Membership::Correct(const SocketAddress& from,
+                         const GossipMessage& message) {
+  std::vector<const MemberRecord*> newer;
+  for (const MemberUpdate& update : message.updates) {
+    const MemberRecord* record = table_.Find(update.member.name);
+    if (record == nullptr) {
+      continue;
+    }
+    const bool died =
+        IsLive(update.member.state) && !IsLive(record->member.state);
+    if (record->member.incarnation > update.member.incarnation || died) {
+      newer.push_back(record);
+    }
+  }
+  SendState(from, newer);
+}
+
+void Membership::SendState(const SocketAddress& to,
+                           std::span<const MemberRecord* const> records) {
   GossipMessage blank;
   blank.kind = GossipKind::kSyncState;
   Sign(blank);
   GossipMessage state = blank;
-  state.wanted = wanted;
-  DatagramSizer sizer(state);
-  const std::size_t first = random_.Below(kSyncBuckets);
-  for (std::size_t i = 0; i < kSyncBuckets; ++i) {
-    const std::size_t bucket = (first + i) % kSyncBuckets;
-    if ((buckets >> bucket & 1) == 0) {
-      continue;
-    }
-    for (const MemberRecord* record : table_.InBucket(bucket)) {
-      MemberUpdate update = UpdateOf(record->member, true);
-      if (!sizer.Add(update)) {
-        if (!Send(to, std::exchange(state, blank), Priority::kNews)) {
-          return;
-        }
-        sizer = DatagramSizer(blank);
-        sizer.Add(update);
+  DatagramSizer sizer(blank);
+  for (const MemberRecord* record : records) {
+    MemberUpdate update = UpdateOf(record->member, true);
+    if (!sizer.Add(update)) {
+      if (!Send(to, std::exchange(state, blank), Priority::kNews)) {
+        return;
       }
-      state.updates.push_back(std::move(update));
+      sizer = DatagramSizer(blank);
+      sizer.Add(update);
     }
+    state.updates.push_back(std::move(update));
   }
-  if (!state.updates.empty() || state.wanted != 0) {
+  if (!state.updates.empty()) {
     Send(to, std::move(state), Priority::kNews);
   }
 }
--- a/src/core/membership_timing.h
+++ b/src/core/membership_timing.h
@@ -21,10 +21,10 @@
 constexpr Duration kGossipInterval = std::chrono::milliseconds(200);
 constexpr std::size_t kGossipFanout = 3;
 
-constexpr Duration kSyncInterval = std::chrono::seconds(10);
-// The next sync after one that found a difference.
+constexpr Duration kSyncInterval = std::chrono::seconds(5);
+// The next sync after one that found a difference; doubled each time.
 constexpr Duration kQuickSync = std::chrono::seconds(1);
-constexpr unsigned kMaxQuickSyncs = 10;
+constexpr unsigned kMaxQuickSyncs = 4;
 
 }  // namespace verbenastile
 
--- a/src/wire/gossip.capnp
+++ b/src/wire/gossip.capnp
@@ -10,14 +10,14 @@
   sequence @1 :UInt32;
   incarnation @2 :UInt64;
   root @3 :UInt64;
-  wanted @4 :UInt64;
+  bucketSet @4 :UInt64;
   targetIp4 @5 :UInt32;
   targetPort @6 :UInt16;
   kind @7 :UInt8;
   sender @8 :Text;
   target @9 :Text;
   targetIp6 @10 :Data;
-  buckets @11 :List(UInt32);
+  digests @11 :List(UInt32);
   # Names of failure domains, regions and services; updates name them by
   # their position.
   labels @12 :List(Text);
--- a/src/wire/gossip.capnp.h
+++ b/src/wire/gossip.capnp.h
@@ -82,7 +82,7 @@
 
   inline  ::uint64_t getRoot() const;
 
-  inline  ::uint64_t getWanted() const;
+  inline  ::uint64_t getBucketSet() const;
 
   inline  ::uint32_t getTargetIp4() const;
 
@@ -99,8 +99,8 @@
   inline bool hasTargetIp6() const;
   inline  ::capnp::Data::Reader getTargetIp6() const;
 
-  inline bool hasBuckets() const;
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getBuckets() const;
+  inline bool hasDigests() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getDigests() const;
 
   inline bool hasLabels() const;
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getLabels() const;
@@ -148,8 +148,8 @@
   inline  ::uint64_t getRoot();
   inline void setRoot( ::uint64_t value);
 
-  inline  ::uint64_t getWanted();
-  inline void setWanted( ::uint64_t value);
+  inline  ::uint64_t getBucketSet();
+  inline void setBucketSet( ::uint64_t value);
 
   inline  ::uint32_t getTargetIp4();
   inline void setTargetIp4( ::uint32_t value);
@@ -181,13 +181,13 @@
   inline void adoptTargetIp6(::capnp::Orphan< ::capnp::Data>&& value);
   inline ::capnp::Orphan< ::capnp::Data> disownTargetIp6();
 
-  inline bool hasBuckets();
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getBuckets();
-  inline void setBuckets( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setBuckets(::kj::ArrayPtr<const  ::uint32_t> value);
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initBuckets(unsigned int size);
-  inline void adoptBuckets(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownBuckets();
+  inline bool hasDigests();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getDigests();
+  inline void setDigests( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setDigests(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initDigests(unsigned int size);
+  inline void adoptDigests(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownDigests();
 
   inline bool hasLabels();
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getLabels();
@@ -459,16 +459,16 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Gossip::Reader::getWanted() const {
+inline  ::uint64_t Gossip::Reader::getBucketSet() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Gossip::Builder::getWanted() {
+inline  ::uint64_t Gossip::Builder::getBucketSet() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void Gossip::Builder::setWanted( ::uint64_t value) {
+inline void Gossip::Builder::setBucketSet( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
@@ -617,40 +617,40 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool Gossip::Reader::hasBuckets() const {
+inline bool Gossip::Reader::hasDigests() const {
   return !_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool Gossip::Builder::hasBuckets() {
+inline bool Gossip::Builder::hasDigests() {
   return !_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader Gossip::Reader::getBuckets() const {
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader Gossip::Reader::getDigests() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Gossip::Builder::getBuckets() {
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Gossip::Builder::getDigests() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void Gossip::Builder::setBuckets( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+inline void Gossip::Builder::setDigests( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline void Gossip::Builder::setBuckets(::kj::ArrayPtr<const  ::uint32_t> value) {
+inline void Gossip::Builder::setDigests(::kj::ArrayPtr<const  ::uint32_t> value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Gossip::Builder::initBuckets(unsigned int size) {
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Gossip::Builder::initDigests(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void Gossip::Builder::adoptBuckets(
+inline void Gossip::Builder::adoptDigests(
     ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> Gossip::Builder::disownBuckets() {
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> Gossip::Builder::disownDigests() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
