--- a/src/core/config_apply.cc
+++ b/src/core/config_apply.cc
@@ -2,12 +2,30 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <boost/leaf/handle_errors.hpp>
 #include <optional>
 
 #include "core/invariant.h"
 
 namespace verbenastile {
+namespace {
+
+// Whether each route of `table` leads to a service that it holds.
+bool HasItsResources(const RouteTable& table) {
+  const auto holds_target = [&](const RouteTarget& target) {
+    return table.HasService(target.service);
+  };
+  const auto holds = [&](const Rule& rule) {
+    const auto* route = std::get_if<RouteAction>(&rule.action);
+    return route == nullptr || std::all_of(route->targets.begin(),
+                                           route->targets.end(), holds_target);
+  };
+  const auto& rules = table.document().rules;
+  return std::all_of(rules.begin(), rules.end(), holds);
+}
+
+}  // namespace
 
 ConfigApplier::ConfigApplier(const StateChart* chart) : machine_(chart) {}
 
@@ -57,6 +75,12 @@
   CheckInvariant(snapshot->generation > generation(), "generation_never_falls",
                  fmt::format("in_force={} offered={}", generation(),
                              snapshot->generation));
+  CheckInvariant(HasItsResources(table), "no_route_without_its_resource",
+                 fmt::format("generation={}", snapshot->generation));
+  CheckInvariant(table.generation() == snapshot->generation,
+                 "staged_never_visible_in_part",
+                 fmt::format("table={} snapshot={}", table.generation(),
+                             snapshot->generation));
   snapshot_ = std::move(snapshot);
   table_ = std::make_shared<const RouteTable>(std::move(table));
   refusal_ = {};
--- a/src/core/config_apply.h
+++ b/src/core/config_apply.h
@@ -26,6 +26,8 @@
 struct Refusal {
   Generation generation = 0;
   std::string reason;
+
+  bool operator==(const Refusal&) const = default;
 };
 
 struct ApplyStats {
--- /dev/null
+++ b/src/core/distribution_init.h
@@ -0,0 +1,58 @@
+// What a node's distribution is made with: limits and intervals.
+#ifndef CORE_DISTRIBUTION_INIT_H_
+#define CORE_DISTRIBUTION_INIT_H_
+
+#include <cstddef>
+#include <cstdint>
+
+#include "base/time.h"
+#include "core/byte_budget.h"
+#include "core/distribution_policy.h"
+#include "core/reader_turn.h"
+#include "core/start_gate.h"
+
+namespace verbenastile {
+
+// Deliberate faults, for runs that show that the invariants catch them.
+struct DistributionSeams {
+  bool skip_digest_check = false;
+  bool ignore_budget = false;
+  bool everyone_reads = false;
+  bool no_exchange = false;
+  bool write_each_report = false;
+};
+
+struct DistributionInit {
+  PolicyVariant policy = DeltaTree{};
+  std::uint64_t seed = 0;
+
+  // What this node may send, in all and to one peer.
+  ByteRate node_rate{262'144, 2'097'152};
+  ByteRate peer_rate{131'072, 1'048'576};
+  std::size_t max_history_generations = 16;
+  std::size_t max_history_bytes = 1'048'576;
+
+  // Each node exchanges summaries with a random peer this often.
+  Duration exchange_interval = std::chrono::seconds(4);
+  // While it holds nothing, and once after each new generation.
+  Duration fast_exchange_interval = std::chrono::milliseconds(400);
+  // How long an answer may take before another peer is asked.
+  Duration answer_timeout = std::chrono::milliseconds(1'500);
+  // How long the platform may take to give a generation's content.
+  Duration fetch_timeout = std::chrono::seconds(5);
+
+  // Reports go up after this time, so that one tells of several changes.
+  Duration report_delay = std::chrono::milliseconds(150);
+  Duration report_refresh = std::chrono::seconds(10);
+  Duration report_expiry = std::chrono::seconds(25);
+  // The least time between two writes of a failure domain's status.
+  Duration status_interval = std::chrono::seconds(1);
+
+  ReaderTurnInit reader;
+  StartGateInit start;
+  DistributionSeams seams;
+};
+
+}  // namespace verbenastile
+
+#endif  // CORE_DISTRIBUTION_INIT_H_
--- /dev/null
+++ b/src/core/peer_contacts.cc
@@ -0,0 +1,109 @@
+#include "core/peer_contacts.h"
+
+#include <algorithm>
+
+namespace verbenastile {
+namespace {
+
+constexpr std::size_t kMaxStrangers = 32;
+constexpr std::size_t kMaxFailures = 1'024;
+constexpr Duration kFirstPause = std::chrono::milliseconds(500);
+constexpr unsigned kMaxDoublings = 5;
+// One exchange in this many goes to a member that is thought dead.
+constexpr std::uint64_t kDeadOneIn = 8;
+
+}  // namespace
+
+PeerContacts::PeerContacts(const MemberDirectory* directory,
+                           std::string self_name)
+    : directory_(directory), self_name_(std::move(self_name)) {}
+
+void PeerContacts::Heard(Time now, const PeerIdentity& peer) {
+  last_heard_ = now;
+  failures_.erase(KeyOf(peer.control));
+  const Member* member = directory_->Find(peer.name);
+  if (member != nullptr && member->control == peer.control) {
+    std::erase_if(strangers_, [&](const PeerIdentity& stranger) {
+      return stranger.name == peer.name;
+    });
+    return;
+  }
+  if (std::find(strangers_.begin(), strangers_.end(), peer) !=
+          strangers_.end() ||
+      peer.name == self_name_) {
+    return;
+  }
+  strangers_.push_back(peer);
+  if (strangers_.size() > kMaxStrangers) {
+    strangers_.pop_front();
+  }
+}
+
+void PeerContacts::Failed(Time now, const SocketAddress& peer, Random& random) {
+  if (failures_.size() >= kMaxFailures) {
+    std::erase_if(failures_, [&](const auto& failure) {
+      return failure.second.not_before <= now;
+    });
+  }
+  Failure& failure = failures_[KeyOf(peer)];
+  const Duration longest =
+      kFirstPause * (1U << std::min(failure.count, kMaxDoublings));
+  ++failure.count;
+  failure.not_before = now + random.UpTo(longest);
+}
+
+bool PeerContacts::Ready(Time now, const SocketAddress& peer) const {
+  const auto failure = failures_.find(KeyOf(peer));
+  return failure == failures_.end() || failure->second.not_before <= now;
+}
+
+std::optional<SocketAddress> PeerContacts::PickAny(Time now,
+                                                   Random& random) const {
+  const bool try_dead = random.Below(kDeadOneIn) == 0;
+  std::vector<const SocketAddress*> alive;
+  std::vector<const SocketAddress*> dead;
+  for (const auto& [name, member] : directory_->members()) {
+    if (name == self_name_ || !Ready(now, member.control)) {
+      continue;
+    }
+    if (member.state == MemberState::kDead) {
+      dead.push_back(&member.control);
+    } else if (member.state != MemberState::kLeft) {
+      alive.push_back(&member.control);
+    }
+  }
+  for (const PeerIdentity& stranger : strangers_) {
+    if (Ready(now, stranger.control)) {
+      alive.push_back(&stranger.control);
+    }
+  }
+  const auto& from = !dead.empty() && (try_dead || alive.empty()) ? dead : alive;
+  if (from.empty()) {
+    return std::nullopt;
+  }
+  return *from[random.Below(from.size())];
+}
+
+std::optional<SocketAddress> PeerContacts::Find(std::string_view name) const {
+  if (const Member* member = directory_->Find(name)) {
+    return member->control;
+  }
+  for (const PeerIdentity& stranger : strangers_) {
+    if (stranger.name == name) {
+      return stranger.control;
+    }
+  }
+  return std::nullopt;
+}
+
+std::size_t PeerContacts::fleet_size() const {
+  const auto& members = directory_->members();
+  const auto known =
+      std::count_if(members.begin(), members.end(), [&](const auto& entry) {
+        return entry.first != self_name_ &&
+               entry.second.state <= MemberState::kLeaving;
+      });
+  return static_cast<std::size_t>(known) + strangers_.size() + 1;
+}
+
+}  // namespace verbenastile
--- a/src/io/platform_client.cc
+++ b/src/io/platform_client.cc
@@ -97,11 +97,18 @@
 // Cuts a watch's stream into lines and reads each as an event.
 class WatchReader {
  public:
-  explicit WatchReader(PlatformClient::EventHandler on_event)
-      : on_event_(std::move(on_event)) {}
+  // `open_bytes` counts what this watch gave while it is open.
+  WatchReader(PlatformClient::EventHandler on_event,
+              std::shared_ptr<std::uint64_t> open_bytes)
+      : on_event_(std::move(on_event)), open_bytes_(std::move(open_bytes)) {}
+  ~WatchReader() { *open_bytes_ -= bytes_; }
+  WatchReader(const WatchReader&) = delete;
+  WatchReader& operator=(const WatchReader&) = delete;
 
   // False when the stream cannot be read on.
   bool Feed(std::string_view part) {
+    bytes_ += part.size();
+    *open_bytes_ += part.size();
     buffer_ += part;
     std::size_t begin = 0;
     for (auto end = buffer_.find('\n'); end != std::string::npos;
@@ -146,6 +153,8 @@
   }
 
   PlatformClient::EventHandler on_event_;
+  std::shared_ptr<std::uint64_t> open_bytes_;
+  std::uint64_t bytes_ = 0;
   std::string buffer_;
   std::optional<PlatformError> error_;
 };
@@ -275,7 +284,8 @@
                                      std::string_view resource_version,
                                      EventHandler on_event,
                                      EndHandler on_end) {
-  const auto reader = std::make_shared<WatchReader>(std::move(on_event));
+  const auto reader = std::make_shared<WatchReader>(std::move(on_event),
+                                                    open_watch_bytes_);
   HttpCall call;
   call.url = fmt::format("{}?watch=1&resourceVersion={}&timeoutSeconds={}",
                          Url(kind, {}), resource_version,
--- a/src/io/platform_client.h
+++ b/src/io/platform_client.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
@@ -98,6 +99,12 @@
   // Requests so far; a watch counts as one.
   std::uint64_t calls() const { return calls_; }
 
+  // Bytes of ended calls and of what open watches gave so far.
+  std::uint64_t bytes_sent() const { return http_.bytes_sent(); }
+  std::uint64_t bytes_received() const {
+    return http_.bytes_received() + *open_watch_bytes_;
+  }
+
  private:
   std::string Url(std::string_view kind, std::string_view name) const;
   HttpCallHandle Write(std::string method,
@@ -108,6 +115,9 @@
   HttpClient& http_;
   PlatformSettings settings_;
   std::uint64_t calls_ = 0;
+  // Shared with watches, which may end after the client.
+  std::shared_ptr<std::uint64_t> open_watch_bytes_ =
+      std::make_shared<std::uint64_t>(0);
 };
 
 }  // namespace verbenastile
--- a/src/node/platform_source.cc
+++ b/src/node/platform_source.cc
@@ -13,39 +13,53 @@
 constexpr Duration kFirstRetry = std::chrono::milliseconds(200);
 constexpr Duration kLongestRetry = std::chrono::seconds(5);
 constexpr unsigned kMaxDoublings = 6;
+// Chunks that a fetch reads at once, and the pause before each one more.
+constexpr std::size_t kUnpacedChunks = 8;
+constexpr Duration kChunkPause = std::chrono::milliseconds(25);
 
 }  // namespace
 
 // One head on its way to a snapshot.
-struct PlatformSource::Fetch {
+struct PlatformSource::FetchState {
   std::uint64_t number = 0;
   RulesHead head;
   std::vector<RulesChunk> chunks;
+  std::size_t reads = 0;
 };
 
 PlatformSource::PlatformSource(asio::io_context& io,
                                PlatformClient& platform,
                                const StateChart* chart,
                                std::uint32_t seed,
-                               SnapshotHandler on_snapshot)
+                               PlatformSourceHooks hooks)
     : platform_(platform),
+      chart_(chart),
       machine_(chart),
       timer_(io),
+      pace_timer_(io),
       random_(seed),
-      on_snapshot_(std::move(on_snapshot)) {}
+      hooks_(std::move(hooks)) {}
 
-void PlatformSource::Start() {
+void PlatformSource::Follow() {
+  if (following_) {
+    return;
+  }
+  following_ = true;
+  machine_ = ChartMachine(chart_);
   ListHead();
 }
 
 void PlatformSource::Stop() {
-  stopped_ = true;
+  following_ = false;
+  ++fetch_number_;
   timer_.cancel();
+  pace_timer_.cancel();
   platform_.Cancel(call_);
+  platform_.Cancel(fetch_call_);
 }
 
 void PlatformSource::Fire(std::string_view event) {
-  if (stopped_) {
+  if (!following_) {
     return;
   }
   for (const std::string& action : machine_.Fire(event).actions) {
@@ -72,16 +86,22 @@
           Fire("list_failed");
           return;
         }
-        failures_ = 0;
-        const auto& list = std::get<PlatformList>(result);
-        resource_version_ = list.resource_version;
-        for (const PlatformObject& object : list.items) {
-          OnHead(object);
-        }
-        Fire("listed");
+        OnList(std::get<PlatformList>(result));
       });
 }
 
+void PlatformSource::OnList(const PlatformList& list) {
+  failures_ = 0;
+  resource_version_ = list.resource_version;
+  for (const PlatformObject& object : list.items) {
+    OnHead(object);
+  }
+  if (list.items.empty()) {
+    hooks_.on_head({});
+  }
+  Fire("listed");
+}
+
 void PlatformSource::WatchHead() {
   call_ = platform_.Watch(
       kHeadKind, kHeadName, resource_version_,
@@ -120,10 +140,8 @@
   leaf::try_handle_all(
       [&]() -> leaf::result<void> {
         BOOST_LEAF_AUTO(head, ParseHead(object.spec));
-        auto fetch = std::make_shared<Fetch>();
-        fetch->number = ++fetch_number_;
-        fetch->head = std::move(head);
-        FetchNextChunk(fetch);
+        head_ = std::move(head);
+        hooks_.on_head({head_->generation, head_->digest});
         return {};
       },
       [](const HeadError& error) {
@@ -133,10 +151,34 @@
       [] { Log(LogLevel::kError, kPart, "The head is malformed."); });
 }
 
-void PlatformSource::FetchNextChunk(const std::shared_ptr<Fetch>& fetch) {
+void PlatformSource::Fetch() {
+  if (!head_ || !following_) {
+    return;
+  }
+  FillFromHeld();
+  auto fetch = std::make_shared<FetchState>();
+  fetch->number = ++fetch_number_;
+  fetch->head = *head_;
+  platform_.Cancel(fetch_call_);
+  FetchNextChunk(fetch);
+}
+
+// A generation that came from a peer is cut as the operator's tool cuts it.
+void PlatformSource::FillFromHeld() {
+  const SnapshotPointer held = hooks_.held();
+  if (!held || held->digest == chunks_from_) {
+    return;
+  }
+  chunks_from_ = held->digest;
+  for (RulesChunk& chunk : CutIntoChunks(held->items)) {
+    std::string name = chunk.name;
+    chunks_.try_emplace(std::move(name), std::move(chunk));
+  }
+}
+
+void PlatformSource::FetchNextChunk(const std::shared_ptr<FetchState>& fetch) {
   while (fetch->chunks.size() < fetch->head.chunks.size()) {
-    const std::string& name = fetch->head.chunks[fetch->chunks.size()];
-    const auto held = chunks_.find(name);
+    const auto held = chunks_.find(fetch->head.chunks[fetch->chunks.size()]);
     if (held == chunks_.end()) {
       break;
     }
@@ -146,42 +188,61 @@
     FinishFetch(*fetch);
     return;
   }
+  if (fetch->reads++ < kUnpacedChunks) {
+    ReadChunk(fetch);
+    return;
+  }
+  pace_timer_.expires_after(kChunkPause);
+  pace_timer_.async_wait([this, fetch](const asio::error_code& error) {
+    if (!error && fetch->number == fetch_number_) {
+      ReadChunk(fetch);
+    }
+  });
+}
+
+void PlatformSource::ReadChunk(const std::shared_ptr<FetchState>& fetch) {
   const std::string name = fetch->head.chunks[fetch->chunks.size()];
-  platform_.Get(kChunkKind, name,
-                [this, fetch, name](PlatformResult<PlatformObject> result) {
-                  if (stopped_ || fetch->number != fetch_number_) {
-                    return;
-                  }
-                  const auto* object = std::get_if<PlatformObject>(&result);
-                  if (object == nullptr) {
-                    platform_.Cancel(call_);
-                    Fire("watch_failed");
-                    return;
-                  }
-                  const bool good = leaf::try_handle_all(
-                      [&]() -> leaf::result<bool> {
-                        BOOST_LEAF_AUTO(chunk, ParseChunk(name, object->spec));
-                        chunks_.insert_or_assign(name, std::move(chunk));
-                        return true;
-                      },
-                      [](const HeadError& error) {
-                        Log(LogLevel::kError, kPart, "A chunk is malformed.",
-                            {{"reason", error.reason}});
-                        return false;
-                      },
-                      [] { return false; });
-                  if (good) {
-                    FetchNextChunk(fetch);
-                  }
-                });
-}
-
-void PlatformSource::FinishFetch(const Fetch& fetch) {
+  fetch_call_ = platform_.Get(
+      kChunkKind, name,
+      [this, fetch, name](PlatformResult<PlatformObject> result) {
+        if (!following_ || fetch->number != fetch_number_) {
+          return;
+        }
+        const auto* object = std::get_if<PlatformObject>(&result);
+        if (object == nullptr) {
+          platform_.Cancel(call_);
+          Fire("watch_failed");
+          return;
+        }
+        if (KeepChunk(name, *object)) {
+          FetchNextChunk(fetch);
+        }
+      });
+}
+
+// Returns whether `object` holds the chunk that its name says.
+bool PlatformSource::KeepChunk(const std::string& name,
+                               const PlatformObject& object) {
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<bool> {
+        BOOST_LEAF_AUTO(chunk, ParseChunk(name, object.spec));
+        chunks_.insert_or_assign(name, std::move(chunk));
+        return true;
+      },
+      [](const HeadError& error) {
+        Log(LogLevel::kError, kPart, "A chunk is malformed.",
+            {{"reason", error.reason}});
+        return false;
+      },
+      [] { return false; });
+}
+
+void PlatformSource::FinishFetch(const FetchState& fetch) {
   leaf::try_handle_all(
       [&]() -> leaf::result<void> {
         BOOST_LEAF_AUTO(snapshot, AssembleSnapshot(fetch.head, fetch.chunks));
         ForgetOldChunks(fetch.head);
-        on_snapshot_(std::make_shared<const Snapshot>(std::move(snapshot)));
+        hooks_.on_snapshot(std::make_shared<const Snapshot>(std::move(snapshot)));
         return {};
       },
       [](const HeadError& error) {
--- a/src/node/platform_source.h
+++ b/src/node/platform_source.h
@@ -1,4 +1,4 @@
-// Follows the head object at the platform and turns each accepted generation
+// Follows the head object at the platform and turns an accepted generation
 // into a snapshot. Steps are taken by charts/platform_session.yaml.
 #ifndef NODE_PLATFORM_SOURCE_H_
 #define NODE_PLATFORM_SOURCE_H_
@@ -8,59 +8,83 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 
+#include "core/delta.h"
 #include "core/rules_head.h"
+#include "core/snapshot_history.h"
 #include "core/state_chart.h"
 #include "io/platform_client.h"
 
 namespace verbenastile {
 
-// Reads whole snapshots; only chunks that are not held already are fetched.
+struct PlatformSourceHooks {
+  // The head names this version; the default when there is no head.
+  std::function<void(const Version&)> on_head;
+  // What `Fetch` gave.
+  std::function<void(SnapshotPointer)> on_snapshot;
+  // The snapshot in force, whose items need not be read again; may be null.
+  std::function<SnapshotPointer()> held;
+};
+
+// Only chunks that are not held already are read.
 class PlatformSource {
  public:
-  using SnapshotHandler = std::function<void(std::shared_ptr<const Snapshot>)>;
-
-  // `chart` must outlive the source. `on_snapshot` gets each new snapshot.
+  // `chart` must outlive the source.
   PlatformSource(asio::io_context& io,
                  PlatformClient& platform,
                  const StateChart* chart,
                  std::uint32_t seed,
-                 SnapshotHandler on_snapshot);
+                 PlatformSourceHooks hooks);
   PlatformSource(const PlatformSource&) = delete;
   PlatformSource& operator=(const PlatformSource&) = delete;
 
-  void Start();
+  // Lists and watches the head from now on.
+  void Follow();
   void Stop();
 
+  // Reads the content of the last head.
+  void Fetch();
+
+  bool following() const { return following_; }
   // "listing", "watching" or "waiting".
   std::string_view session_state() const { return machine_.state(); }
 
  private:
-  struct Fetch;
+  struct FetchState;
 
   void Fire(std::string_view event);
   void RunAction(std::string_view action);
   void ListHead();
+  void OnList(const PlatformList& list);
   void WatchHead();
   void ScheduleRetry();
   void OnHead(const PlatformObject& object);
-  void FetchNextChunk(const std::shared_ptr<Fetch>& fetch);
-  void FinishFetch(const Fetch& fetch);
+  void FillFromHeld();
+  void FetchNextChunk(const std::shared_ptr<FetchState>& fetch);
+  void ReadChunk(const std::shared_ptr<FetchState>& fetch);
+  bool KeepChunk(const std::string& name, const PlatformObject& object);
+  void FinishFetch(const FetchState& fetch);
   void ForgetOldChunks(const RulesHead& head);
 
   PlatformClient& platform_;
+  const StateChart* chart_;
   ChartMachine machine_;
   asio::steady_timer timer_;
+  asio::steady_timer pace_timer_;
   std::mt19937 random_;
-  SnapshotHandler on_snapshot_;
+  PlatformSourceHooks hooks_;
   std::string resource_version_;
   HttpCallHandle call_;
+  HttpCallHandle fetch_call_;
   unsigned failures_ = 0;
-  bool stopped_ = false;
+  bool following_ = false;
   std::uint64_t fetch_number_ = 0;  // Only the newest fetch goes on.
+  std::optional<RulesHead> head_;
   std::map<std::string, RulesChunk, std::less<>> chunks_;
+  Digest chunks_from_;  // The held snapshot that `chunks_` were filled from.
 };
 
 }  // namespace verbenastile
