--- a/src/core/distribution.cc
+++ b/src/core/distribution.cc
@@ -141,6 +141,11 @@
     d.reports_.OnReport(now, peer.name, std::move(m.view));
     d.ScheduleReport(now, d.init_.report_delay);
   }
+  void operator()(const ContactsMessage& m) {
+    for (const PeerIdentity& known : m.peers) {
+      d.contacts_.Learned(known);
+    }
+  }
 };
 
 void Distribution::OnMessage(Time now,
@@ -170,6 +175,10 @@
   if (m.answer_wanted && m.held != own) {
     Send(now, peer.control, SummaryMessage{own, false});
   }
+  if (m.answer_wanted && m.held.generation == 0) {
+    Send(now, peer.control,
+         ContactsMessage{contacts_.Some(kMaxSentContacts, random_)});
+  }
   if (m.held.generation == own.generation && m.held != own) {
     ++stats_.forked;
   }
--- a/src/core/distribution_message.cc
+++ b/src/core/distribution_message.cc
@@ -55,10 +55,19 @@
     }
     return bytes;
   }
+  std::size_t operator()(const ContactsMessage& message) const {
+    std::size_t bytes = 0;
+    for (const PeerIdentity& peer : message.peers) {
+      bytes += 2 * kItemBytes + TextBytes(peer.name) +
+               TextBytes(peer.failure_domain) + TextBytes(peer.control.ip);
+    }
+    return bytes;
+  }
 };
 
-constexpr std::string_view kKinds[] = {
-    "summary", "ask", "delta", "digests", "items_ask", "items", "report"};
+constexpr std::string_view kKinds[] = {"summary",   "ask",   "delta",
+                                       "digests",   "items_ask", "items",
+                                       "report",    "contacts"};
 
 }  // namespace
 
--- a/src/core/distribution_message.h
+++ b/src/core/distribution_message.h
@@ -64,13 +64,21 @@
   DomainView view;
 };
 
+// Some peers that the sender knows, for a node that holds nothing.
+struct ContactsMessage {
+  std::vector<PeerIdentity> peers;
+};
+
+constexpr std::size_t kMaxSentContacts = 8;
+
 using DistributionMessage = std::variant<SummaryMessage,
                                          AskMessage,
                                          Delta,
                                          DigestsMessage,
                                          ItemsAskMessage,
                                          ItemsMessage,
-                                         ReportMessage>;
+                                         ReportMessage,
+                                         ContactsMessage>;
 
 // At least the bytes that `message` takes on the wire, close to it for
 // messages with items.
--- a/src/core/peer_contacts.cc
+++ b/src/core/peer_contacts.cc
@@ -21,16 +21,16 @@
 void PeerContacts::Heard(Time now, const PeerIdentity& peer) {
   last_heard_ = now;
   failures_.erase(KeyOf(peer.control));
+  Learned(peer);
+}
+
+void PeerContacts::Learned(const PeerIdentity& peer) {
   const Member* member = directory_->Find(peer.name);
-  if (member != nullptr && member->control == peer.control) {
-    std::erase_if(strangers_, [&](const PeerIdentity& stranger) {
-      return stranger.name == peer.name;
-    });
-    return;
-  }
-  if (std::find(strangers_.begin(), strangers_.end(), peer) !=
-          strangers_.end() ||
-      peer.name == self_name_) {
+  const bool is_member = member != nullptr && member->control == peer.control;
+  std::erase_if(strangers_, [&](const PeerIdentity& stranger) {
+    return stranger.name == peer.name;
+  });
+  if (is_member || peer.name == self_name_) {
     return;
   }
   strangers_.push_back(peer);
@@ -39,6 +39,25 @@
   }
 }
 
+std::vector<PeerIdentity> PeerContacts::Some(std::size_t count,
+                                             Random& random) const {
+  std::vector<PeerIdentity> peers;
+  std::uint64_t seen = 0;
+  for (const auto& [name, member] : directory_->members()) {
+    if (member.state > MemberState::kSuspect) {
+      continue;
+    }
+    PeerIdentity peer{name, member.failure_domain, member.control};
+    ++seen;
+    if (peers.size() < count) {
+      peers.push_back(std::move(peer));
+    } else if (const auto slot = random.Below(seen); slot < count) {
+      peers[slot] = std::move(peer);
+    }
+  }
+  return peers;
+}
+
 void PeerContacts::Failed(Time now, const SocketAddress& peer, Random& random) {
   if (failures_.size() >= kMaxFailures) {
     std::erase_if(failures_, [&](const auto& failure) {
--- a/src/core/peer_contacts.h
+++ b/src/core/peer_contacts.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "base/random.h"
 #include "core/distribution_message.h"
@@ -33,6 +34,12 @@
   // them; now and then one that is thought dead, which may have come back.
   std::optional<SocketAddress> PickAny(Time now, Random& random) const;
 
+  // `peer` was named by another; nothing was heard of it.
+  void Learned(const PeerIdentity& peer);
+
+  // Up to `count` members that are not thought dead, chosen at random.
+  std::vector<PeerIdentity> Some(std::size_t count, Random& random) const;
+
   // The control address of the peer called `name`.
   std::optional<SocketAddress> Find(std::string_view name) const;
 
--- a/src/node/admin_server.h
+++ b/src/node/admin_server.h
@@ -16,6 +16,8 @@
   std::function<std::string()> status_json;
   std::function<bool()> ready;
   std::function<void()> drain;
+  // Why the node is not ready, in a line.
+  std::function<std::string()> not_ready_reason;
 };
 
 class AdminServer {
--- a/src/node/distribution_service.cc
+++ b/src/node/distribution_service.cc
@@ -5,7 +5,6 @@
 #include <boost/leaf/handle_errors.hpp>
 
 #include "base/log.h"
-#include "wire/control_codec.h"
 
 namespace verbenastile {
 namespace {
@@ -197,6 +196,7 @@
   timer_.async_wait([this](const asio::error_code& error) {
     if (!error && !stopped_) {
       distribution_.OnTime(SteadyNow());
+      UpdateMetrics();
       RunActions();
     }
   });
@@ -211,8 +211,8 @@
 void DistributionService::UpdateMetrics() {
   const ControlTransportStats transport = transport_.stats();
   const DistributionStats& stats = distribution_.stats();
-  SetCounter("control_tcp_bytes_sent_total", transport.bytes_sent);
-  SetCounter("control_tcp_bytes_received_total", transport.bytes_received);
+  SetCounter("control_tcp_total{direction=\"sent\",unit=\"bytes\"}", transport.bytes_sent);
+  SetCounter("control_tcp_total{direction=\"received\",unit=\"bytes\"}", transport.bytes_received);
   SetCounter("control_bytes_sent_total",
              transport.bytes_sent + init_.platform->bytes_sent());
   SetCounter("control_bytes_received_total",
--- a/src/node/distribution_service.h
+++ b/src/node/distribution_service.h
@@ -16,6 +16,7 @@
 #include "io/platform_client.h"
 #include "node/fleet_status_writer.h"
 #include "node/platform_source.h"
+#include "wire/control_codec.h"
 
 namespace verbenastile {
 
@@ -51,9 +52,6 @@
   // Why nothing is in force yet; empty once something is.
   std::string waiting_for() const { return distribution_.waiting_for(); }
 
-  // Brings the metrics up to date.
-  void UpdateMetrics();
-
  private:
   struct ActionRunner;
 
@@ -62,6 +60,7 @@
   void Refuse(ConnectionHandle connection, std::string_view kind);
   void RunActions();
   void ScheduleNext();
+  void UpdateMetrics();
   void SetCounter(std::string_view name, std::uint64_t value);
 
   DistributionServiceInit init_;
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -6,6 +6,7 @@
 #include <csignal>
 #include <nlohmann/json.hpp>
 #include <random>
+#include <string>
 
 #include "base/log.h"
 #include "core/invariant.h"
@@ -72,21 +73,17 @@
       control_http_(io_, kMaxIdlePlatformConnections),
       call_http_(io_, kMaxIdleCallConnections),
       platform_(control_http_, settings_.platform),
-      source_(io_,
-              platform_,
-              &charts_.platform_session,
-              FreshSeed(),
-              [this](const std::shared_ptr<const Snapshot>& snapshot) {
-                OnSnapshot(snapshot);
-              }),
       roster_(io_, platform_, directory_, FreshSeed()),
+      self_(MakeSelf(settings_)),
+      distribution_(io_, DistributionInit()),
       proxy_({&settings_, &applier_, &directory_, &call_http_, &metrics_},
              FreshSeed()),
       admin_(io_,
              settings_.listen.admin,
              metrics_,
              {[this] { return StatusJson(); }, [this] { return ready(); },
-              [this] { Fire("leave_requested"); }}),
+              [this] { Fire("leave_requested"); },
+              [this] { return distribution_.waiting_for(); }}),
       peers_(io_,
              ServerInit(settings_.listen.peers),
              [this](HttpRequest request, HttpReply reply) {
@@ -96,8 +93,21 @@
                ServerInit(settings_.listen.callers),
                [this](HttpRequest request, HttpReply reply) {
                  proxy_.OnCallerRequest(std::move(request), std::move(reply));
-               }),
-      self_(MakeSelf(settings_)) {}
+               }) {}
+
+DistributionServiceInit Node::DistributionInit() {
+  DistributionServiceInit init;
+  init.settings = &settings_;
+  init.directory = &directory_;
+  init.applier = &applier_;
+  init.platform = &platform_;
+  init.session_chart = &charts_.platform_session;
+  init.metrics = &metrics_;
+  init.self = self_;
+  init.seed = FreshSeed();
+  init.on_offered = [this](const OfferedAction& action) { OnOffered(action); };
+  return init;
+}
 
 int Node::Run() {
   Open();
@@ -114,7 +124,8 @@
   });
   admin_.Open([this](const std::string& error) { OnOpened("admin", error); });
   peers_.Open([this](const std::string& error) { OnOpened("peers", error); });
-  source_.Start();
+  roster_.Start(self_);
+  OnOpened("control", distribution_.Start());
 }
 
 void Node::OnOpened(std::string_view what, const std::string& error) {
@@ -127,20 +138,19 @@
   io_.stop();
 }
 
-void Node::OnSnapshot(const std::shared_ptr<const Snapshot>& snapshot) {
-  const ApplyOutcome outcome = applier_.Offer(snapshot);
+void Node::OnOffered(const OfferedAction& action) {
   metrics_.Set(metrics_.Gauge("generation"),
                static_cast<double>(applier_.generation()));
-  switch (outcome) {
+  switch (action.outcome) {
     case ApplyOutcome::kInForce:
       Log(LogLevel::kInfo, "config", "A generation is in force.",
           {{"generation", applier_.generation()},
-           {"digest", ToString(snapshot->digest)}});
+           {"digest", ToString(action.offered.digest)}});
       Fire("config_in_force");
       break;
     case ApplyOutcome::kRefused:
       Log(LogLevel::kError, "config", "A generation was refused.",
-          {{"generation", snapshot->generation},
+          {{"generation", action.offered.generation},
            {"reason", applier_.refusal().reason}});
       break;
     case ApplyOutcome::kOlder:
@@ -148,7 +158,7 @@
       Log(LogLevel::kError, "config",
           "The platform holds another history than the one in force.",
           {{"in_force", applier_.generation()},
-           {"offered", snapshot->generation}});
+           {"offered", action.offered.generation}});
       break;
     case ApplyOutcome::kUnchanged:
       break;
@@ -216,7 +226,7 @@
   callers_.Close();
   drain_timer_.expires_after(kLastWriteTime);
   drain_timer_.async_wait([this](const asio::error_code&) {
-    source_.Stop();
+    distribution_.Stop();
     roster_.Stop();
     io_.stop();
   });
@@ -238,7 +248,9 @@
       {"generation", applier_.generation()},
       {"digest", applier_.snapshot() ? ToString(applier_.snapshot()->digest)
                                      : std::string()},
-      {"platform", source_.session_state()},
+      {"platform", distribution_.session_state()},
+      {"platform_other_history", distribution_.distribution().other_history()},
+      {"waiting_for", distribution_.waiting_for()},
       {"active_calls", proxy_.active()},
       {"violations", ViolationCount()},
       {"refused_generation", refusal.generation},
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -17,7 +17,7 @@
 #include "io/platform_client.h"
 #include "node/admin_server.h"
 #include "node/call_proxy.h"
-#include "node/platform_source.h"
+#include "node/distribution_service.h"
 #include "node/roster_keeper.h"
 
 namespace verbenastile {
@@ -45,7 +45,8 @@
  private:
   void Open();
   void OnOpened(std::string_view what, const std::string& error);
-  void OnSnapshot(const std::shared_ptr<const Snapshot>& snapshot);
+  DistributionServiceInit DistributionInit();
+  void OnOffered(const OfferedAction& action);
   void Fire(std::string_view event);
   void RunAction(std::string_view action);
   void AnnounceAs(MemberState state);
@@ -67,13 +68,13 @@
   HttpClient control_http_;  // To the platform.
   HttpClient call_http_;     // To upstreams and other nodes.
   PlatformClient platform_;
-  PlatformSource source_;
   RosterKeeper roster_;
+  Member self_;
+  DistributionService distribution_;
   CallProxy proxy_;
   AdminServer admin_;
   HttpServer peers_;
   HttpServer callers_;
-  Member self_;
   int exit_code_ = 0;
 };
 
--- a/src/node/roster_keeper.cc
+++ b/src/node/roster_keeper.cc
@@ -30,8 +30,14 @@
                            std::uint32_t seed)
     : platform_(platform), directory_(directory), timer_(io), random_(seed) {}
 
+void RosterKeeper::Start(Member self) {
+  self_ = std::move(self);
+  Poll();
+}
+
 void RosterKeeper::Announce(Member self) {
   self_ = std::move(self);
+  announced_ = true;
   directory_.Put(self_);
   Poll();
 }
@@ -81,7 +87,9 @@
       }
     }
   }
-  WriteSelf(own);
+  if (announced_) {
+    WriteSelf(own);
+  }
 }
 
 void RosterKeeper::WriteSelf(const PlatformObject* known) {
--- a/src/node/roster_keeper.h
+++ b/src/node/roster_keeper.h
@@ -25,6 +25,8 @@
   RosterKeeper(const RosterKeeper&) = delete;
   RosterKeeper& operator=(const RosterKeeper&) = delete;
 
+  // Reads the rosters; `self` is not announced yet.
+  void Start(Member self);
   // Says `self` from now on.
   void Announce(Member self);
   void Stop();
@@ -42,6 +44,7 @@
   Member self_;
   bool stopped_ = false;
   bool polling_ = false;
+  bool announced_ = false;
 };
 
 }  // namespace verbenastile
--- a/src/wire/control.capnp
+++ b/src/wire/control.capnp
@@ -88,6 +88,10 @@
   otherHistory @8 :UInt32;
 }
 
+struct Contacts {
+  peers @0 :List(Hello);
+}
+
 struct Frame {
   union {
     hello @0 :Hello;
@@ -98,5 +102,6 @@
     itemsAsk @5 :ItemsAsk;
     items @6 :Items;
     report @7 :Report;
+    contacts @8 :Contacts;
   }
 }
--- a/src/wire/control.capnp.h
+++ b/src/wire/control.capnp.h
@@ -30,6 +30,7 @@
 CAPNP_DECLARE_SCHEMA(d6fec3e5dbc11e58);
 CAPNP_DECLARE_SCHEMA(e7d8ec2253261a5d);
 CAPNP_DECLARE_SCHEMA(acb4b1a43f7a8077);
+CAPNP_DECLARE_SCHEMA(b78cac1f3f34b65b);
 CAPNP_DECLARE_SCHEMA(90904658660e791a);
 
 }  // namespace schemas
@@ -248,6 +249,21 @@
   };
 };
 
+struct Contacts {
+  Contacts() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b78cac1f3f34b65b, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Frame {
   Frame() = delete;
 
@@ -263,6 +279,7 @@
     ITEMS_ASK,
     ITEMS,
     REPORT,
+    CONTACTS,
   };
 
   struct _capnpPrivate {
@@ -1593,6 +1610,87 @@
 };
 #endif  // !CAPNP_LITE
 
+class Contacts::Reader {
+public:
+  typedef Contacts Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasPeers() const;
+  inline  ::capnp::List< ::verbenastile::wire::Hello,  ::capnp::Kind::STRUCT>::Reader getPeers() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Contacts::Builder {
+public:
+  typedef Contacts Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasPeers();
+  inline  ::capnp::List< ::verbenastile::wire::Hello,  ::capnp::Kind::STRUCT>::Builder getPeers();
+  inline void setPeers( ::capnp::List< ::verbenastile::wire::Hello,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::verbenastile::wire::Hello,  ::capnp::Kind::STRUCT>::Builder initPeers(unsigned int size);
+  inline void adoptPeers(::capnp::Orphan< ::capnp::List< ::verbenastile::wire::Hello,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::verbenastile::wire::Hello,  ::capnp::Kind::STRUCT>> disownPeers();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Contacts::Pipeline {
+public:
+  typedef Contacts Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Frame::Reader {
 public:
   typedef Frame Reads;
@@ -1643,6 +1741,10 @@
   inline bool hasReport() const;
   inline  ::verbenastile::wire::Report::Reader getReport() const;
 
+  inline bool isContacts() const;
+  inline bool hasContacts() const;
+  inline  ::verbenastile::wire::Contacts::Reader getContacts() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1736,6 +1838,14 @@
   inline void adoptReport(::capnp::Orphan< ::verbenastile::wire::Report>&& value);
   inline ::capnp::Orphan< ::verbenastile::wire::Report> disownReport();
 
+  inline bool isContacts();
+  inline bool hasContacts();
+  inline  ::verbenastile::wire::Contacts::Builder getContacts();
+  inline void setContacts( ::verbenastile::wire::Contacts::Reader value);
+  inline  ::verbenastile::wire::Contacts::Builder initContacts();
+  inline void adoptContacts(::capnp::Orphan< ::verbenastile::wire::Contacts>&& value);
+  inline ::capnp::Orphan< ::verbenastile::wire::Contacts> disownContacts();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2822,6 +2932,40 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Contacts::Reader::hasPeers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Contacts::Builder::hasPeers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::verbenastile::wire::Hello,  ::capnp::Kind::STRUCT>::Reader Contacts::Reader::getPeers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::verbenastile::wire::Hello,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::verbenastile::wire::Hello,  ::capnp::Kind::STRUCT>::Builder Contacts::Builder::getPeers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::verbenastile::wire::Hello,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Contacts::Builder::setPeers( ::capnp::List< ::verbenastile::wire::Hello,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::verbenastile::wire::Hello,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::verbenastile::wire::Hello,  ::capnp::Kind::STRUCT>::Builder Contacts::Builder::initPeers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::verbenastile::wire::Hello,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Contacts::Builder::adoptPeers(
+    ::capnp::Orphan< ::capnp::List< ::verbenastile::wire::Hello,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::verbenastile::wire::Hello,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::verbenastile::wire::Hello,  ::capnp::Kind::STRUCT>> Contacts::Builder::disownPeers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::verbenastile::wire::Hello,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::verbenastile::wire::Frame::Which Frame::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3263,6 +3407,60 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Frame::Reader::isContacts() const {
+  return which() == Frame::CONTACTS;
+}
+inline bool Frame::Builder::isContacts() {
+  return which() == Frame::CONTACTS;
+}
+inline bool Frame::Reader::hasContacts() const {
+  if (which() != Frame::CONTACTS) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Frame::Builder::hasContacts() {
+  if (which() != Frame::CONTACTS) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::verbenastile::wire::Contacts::Reader Frame::Reader::getContacts() const {
+  KJ_IREQUIRE((which() == Frame::CONTACTS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Contacts>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::verbenastile::wire::Contacts::Builder Frame::Builder::getContacts() {
+  KJ_IREQUIRE((which() == Frame::CONTACTS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Contacts>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Frame::Builder::setContacts( ::verbenastile::wire::Contacts::Reader value) {
+  _builder.setDataField<Frame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::CONTACTS);
+  ::capnp::_::PointerHelpers< ::verbenastile::wire::Contacts>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::verbenastile::wire::Contacts::Builder Frame::Builder::initContacts() {
+  _builder.setDataField<Frame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::CONTACTS);
+  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Contacts>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Frame::Builder::adoptContacts(
+    ::capnp::Orphan< ::verbenastile::wire::Contacts>&& value) {
+  _builder.setDataField<Frame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::CONTACTS);
+  ::capnp::_::PointerHelpers< ::verbenastile::wire::Contacts>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::verbenastile::wire::Contacts> Frame::Builder::disownContacts() {
+  KJ_IREQUIRE((which() == Frame::CONTACTS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Contacts>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/wire/control_codec.cc
+++ b/src/wire/control_codec.cc
@@ -224,6 +224,22 @@
   return {std::move(view)};
 }
 
+void Write(wire::Contacts::Builder out, const ContactsMessage& message) {
+  auto peers = out.initPeers(static_cast<unsigned>(message.peers.size()));
+  for (unsigned index = 0; index < message.peers.size(); ++index) {
+    Write(peers[index], message.peers[index]);
+  }
+}
+
+ContactsMessage Read(wire::Contacts::Reader in) {
+  CheckCount(in.getPeers(), kMaxSentContacts);
+  ContactsMessage message;
+  for (const auto peer : in.getPeers()) {
+    message.peers.push_back(Read(peer));
+  }
+  return message;
+}
+
 struct MessageWriter {
   wire::Frame::Builder frame;
 
@@ -234,6 +250,7 @@
   void operator()(const ItemsAskMessage& m) { Write(frame.initItemsAsk(), m); }
   void operator()(const ItemsMessage& m) { Write(frame.initItems(), m); }
   void operator()(const ReportMessage& m) { Write(frame.initReport(), m); }
+  void operator()(const ContactsMessage& m) { Write(frame.initContacts(), m); }
 };
 
 leaf::result<ControlFrame> ReadFrame(wire::Frame::Reader frame) {
@@ -254,6 +271,8 @@
       return ControlFrame(DistributionMessage(Read(frame.getItems())));
     case wire::Frame::REPORT:
       return ControlFrame(DistributionMessage(Read(frame.getReport())));
+    case wire::Frame::CONTACTS:
+      return ControlFrame(DistributionMessage(Read(frame.getContacts())));
   }
   return leaf::new_error(
       WireError{WireError::Kind::kUnknown, "an unknown kind of message"});
