--- a/src/core/distribution.cc
+++ b/src/core/distribution.cc
@@ -176,8 +176,7 @@
     Send(now, peer.control, SummaryMessage{own, false});
   }
   if (m.answer_wanted && m.held.generation == 0) {
-    Send(now, peer.control,
-         ContactsMessage{contacts_.Some(kMaxSentContacts, random_)});
+    SendContacts(now, peer.control);
   }
   if (m.held.generation == own.generation && m.held != own) {
     ++stats_.forked;
@@ -188,6 +187,13 @@
   TryStart(now);
 }
 
+void Distribution::SendContacts(Time now, const SocketAddress& to) {
+  ContactsMessage contacts{contacts_.Some(kMaxSentContacts, random_)};
+  if (!contacts.peers.empty()) {
+    Send(now, to, std::move(contacts));
+  }
+}
+
 void Distribution::OnAsk(Time now,
                          const PeerIdentity& peer,
                          const AskMessage& m) {
@@ -496,6 +502,9 @@
   if (empty() && version != refused_) {
     gate_.OnPlatform(now, version);
   }
+  if (empty() && contacts_.fleet_size() == 1) {
+    fetch_not_before_ = now + random_.UpTo(init_.reader.alone_spread);
+  }
   MaybeFetch(now);
 }
 
@@ -504,7 +513,7 @@
 void Distribution::MaybeFetch(Time now) {
   if (!turn_.following() || !platform_version_ ||
       platform_version_->generation <= applier_->generation() ||
-      platform_version_ == refused_ ||
+      platform_version_ == refused_ || now < fetch_not_before_ ||
       (fetch_since_ && now - *fetch_since_ < init_.fetch_timeout)) {
     return;
   }
--- a/src/core/distribution.h
+++ b/src/core/distribution.h
@@ -135,6 +135,8 @@
   void OnItemsAsk(Time now, const PeerIdentity& peer, const ItemsAskMessage& m);
   void OnItems(Time now, const PeerIdentity& peer, const ItemsMessage& m);
 
+  void SendContacts(Time now, const SocketAddress& to);
+
   bool IsNews(const Version& version);
   void Pull(Time now, const SocketAddress& from, const Version& wanted);
   void Ask(Time now, ContentPull pull);
@@ -178,6 +180,7 @@
   std::optional<Version> refused_;
   std::optional<Version> platform_version_;
   std::optional<Time> fetch_since_;
+  Time fetch_not_before_;
   bool other_history_ = false;
 
   Time started_;
--- a/src/core/reader_turn.h
+++ b/src/core/reader_turn.h
@@ -11,12 +11,13 @@
 
 struct ReaderTurnInit {
   // Membership is given this long to fill before anything is decided.
-  Duration settle = std::chrono::milliseconds(300);
+  Duration settle = std::chrono::milliseconds(500);
   // A chosen reader waits up to this for each node of the fleet that it knows,
   // so that the fleet's calls are spread when all start at once.
   Duration spread_per_node = std::chrono::milliseconds(25);
-  // A node that knows no other waits up to this.
-  Duration alone_spread = std::chrono::milliseconds(1'200);
+  // A node that knows no other waits up to this, and up to this again before
+  // it reads content.
+  Duration alone_spread = std::chrono::milliseconds(1'500);
   // A node that holds nothing asks the platform itself after this time.
   Duration empty_limit = std::chrono::seconds(5);
   // A node that hears no peer for this long asks the platform itself.
--- a/src/core/snapshot_history.cc
+++ b/src/core/snapshot_history.cc
@@ -14,7 +14,7 @@
   }
   std::size_t bytes = older.items.size() * sizeof(ItemPointer);
   for (const ItemPointer& item : older.items) {
-    bytes += shared.contains(item.get()) ? 0 : item->body.size();
+    bytes += shared.contains(item.get()) ? 0 : sizeof(ConfigItem) + item->body.size();
   }
   return bytes;
 }
