--- a/src/core/distribution.cc
+++ b/src/core/distribution.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cstdint>
 
 #include "core/invariant.h"
 
@@ -13,6 +14,8 @@
 constexpr Duration kCheckInterval = std::chrono::milliseconds(200);
 // Random peers that are told of a new generation besides the tree.
 constexpr int kRumours = 2;
+// A peer heard within this time counts as one that can be heard.
+constexpr Duration kLatelyHeard = std::chrono::seconds(10);
 constexpr std::size_t kMaxPeerBudgets = 256;
 // A status that did not change is written again after this time.
 constexpr Duration kStatusRefresh = std::chrono::seconds(60);
@@ -33,7 +36,8 @@
       contacts_(directory, self.name),
       turn_(init.reader),
       gate_(init.start),
-      history_(init.max_history_generations, init.max_history_bytes),
+      history_(init.max_history_generations,
+               init.seams.keep_all_history ? SIZE_MAX : init.max_history_bytes),
       reports_(init.report_expiry),
       node_budget_(init.node_rate) {}
 
@@ -203,8 +207,7 @@
     return;
   }
   const bool whole = !UsesDeltas(init_.policy) ||
-                     m.form == AskMessage::Form::kWhole ||
-                     m.held == Version{};
+                     m.form == AskMessage::Form::kWhole || m.held == Version{};
   const SnapshotPointer base = whole ? nullptr : history_.Find(m.held);
   if (m.form == AskMessage::Form::kDelta && base) {
     Send(now, peer.control, MakeDelta(*base, *newest));
@@ -250,8 +253,8 @@
   }
   SnapshotPointer base;
   if (!delta.whole()) {
-    base = delta.from == held() ? applier_->snapshot()
-                                : history_.Find(delta.from);
+    base =
+        delta.from == held() ? applier_->snapshot() : history_.Find(delta.from);
     if (!base) {
       ++stats_.unknown_base;
       Pull(now, peer.control, delta.to);
@@ -366,8 +369,8 @@
   pull_.reset();
   if (failed) {
     ++stats_.pulls_failed;
-    next_exchange_ = std::min(
-        next_exchange_, now + random_.UpTo(init_.fast_exchange_interval));
+    next_exchange_ = std::min(next_exchange_,
+                              now + random_.UpTo(init_.fast_exchange_interval));
   }
 }
 
@@ -391,8 +394,8 @@
   const auto next = last == AskMessage::Form::kDelta
                         ? AskMessage::Form::kDigests
                         : AskMessage::Form::kWhole;
-  Ask(now, {peer.control, version, next, now + init_.answer_timeout,
-            std::nullopt});
+  Ask(now,
+      {peer.control, version, next, now + init_.answer_timeout, std::nullopt});
 }
 
 // Into force.
@@ -452,10 +455,9 @@
     return;
   }
   history_.Add(applier_->snapshot());
-  CheckInvariant(history_.size() == 1 ||
-                     history_.old_bytes() <= init_.max_history_bytes,
-                 "history_bounded",
-                 fmt::format("bytes={}", history_.old_bytes()));
+  CheckInvariant(
+      history_.size() == 1 || history_.old_bytes() <= init_.max_history_bytes,
+      "history_bounded", fmt::format("bytes={}", history_.old_bytes()));
   staged_.reset();
   Spread(now, previous);
   ScheduleReport(now, init_.report_delay);
@@ -476,8 +478,8 @@
       Send(now, *peer, SummaryMessage{held(), false});
     }
   }
-  next_exchange_ = std::min(
-      next_exchange_, now + random_.Around(init_.fast_exchange_interval));
+  next_exchange_ = std::min(next_exchange_,
+                            now + random_.Around(init_.fast_exchange_interval));
 }
 
 // The platform.
@@ -511,7 +513,7 @@
 // Reads the platform's newest content, unless a peer has it for a node that
 // would have to read all of it.
 void Distribution::MaybeFetch(Time now) {
-  if (!turn_.following() || !platform_version_ ||
+  if (!turn_.reading() || !platform_version_ ||
       platform_version_->generation <= applier_->generation() ||
       platform_version_ == refused_ || now < fetch_not_before_ ||
       (fetch_since_ && now - *fetch_since_ < init_.fetch_timeout)) {
@@ -550,9 +552,14 @@
 }
 
 void Distribution::UpdateTurn(Time now) {
-  const ReaderView view{
-      !relays() || init_.seams.everyone_reads || place_.reader, empty(),
-      contacts_.fleet_size(), contacts_.last_heard()};
+  ReaderView view;
+  view.chosen = !relays() || init_.seams.everyone_reads || place_.reader;
+  view.empty = empty();
+  view.fleet_size = contacts_.fleet_size();
+  view.last_heard = contacts_.last_heard();
+  view.waits_with_others = view.last_heard &&
+                           now - *view.last_heard < kLatelyHeard &&
+                           !gate_.any_peer();
   const bool before = turn_.following();
   const bool after = turn_.Update(now, view, random_);
   if (before != after) {
@@ -614,8 +621,7 @@
 
 void Distribution::WriteStatus(Time now) {
   if (!relays() || !place_.writer || !turn_.following() || empty() ||
-      writing_view_ ||
-      (now < next_status_ && !init_.seams.write_each_report)) {
+      writing_view_ || (now < next_status_ && !init_.seams.write_each_report)) {
     return;
   }
   DomainView view = reports_.Sum(now, place_, OwnView());
--- a/src/core/distribution_init.h
+++ b/src/core/distribution_init.h
@@ -20,6 +20,7 @@
   bool everyone_reads = false;
   bool no_exchange = false;
   bool write_each_report = false;
+  bool keep_all_history = false;
 };
 
 struct DistributionInit {
--- a/src/core/distribution_message.cc
+++ b/src/core/distribution_message.cc
@@ -65,9 +65,9 @@
   }
 };
 
-constexpr std::string_view kKinds[] = {"summary",   "ask",   "delta",
-                                       "digests",   "items_ask", "items",
-                                       "report",    "contacts"};
+constexpr std::string_view kKinds[] = {"summary", "ask",       "delta",
+                                       "digests", "items_ask", "items",
+                                       "report",  "contacts"};
 
 }  // namespace
 
--- a/src/core/domain_reports.cc
+++ b/src/core/domain_reports.cc
@@ -40,8 +40,8 @@
     const auto report = reports_.find(reporter.name);
     const bool heard =
         report != reports_.end() && now - report->second.heard < expiry_;
-    const DomainView view = heard ? report->second.view
-                                  : Unheard(reporter.name);
+    const DomainView view =
+        heard ? report->second.view : Unheard(reporter.name);
     AddTo(sum, view);
     if (heard) {
       below.push_back({reporter.name, view.newest});
--- a/src/core/domain_reports.h
+++ b/src/core/domain_reports.h
@@ -18,8 +18,9 @@
 
   void OnReport(Time now, const std::string& from, DomainView view);
 
-  // The node's own part, which names it as its own laggard, and the last reports of those that `place` names; one
-  // that is not heard counts as a laggard without a generation.
+  // The node's own part, which names it as its own laggard, and the last
+  // reports of those that `place` names; one that is not heard counts as a
+  // laggard without a generation.
   DomainView Sum(Time now, const TreePlace& place, const DomainView& own) const;
 
  private:
--- a/src/core/fan_out.cc
+++ b/src/core/fan_out.cc
@@ -24,9 +24,8 @@
       ranked.push_back({ScoreOf(member), &member});
     }
   }
-  std::sort(ranked.begin(), ranked.end(), [](const Ranked& a, const Ranked& b) {
-    return a.score > b.score;
-  });
+  std::sort(ranked.begin(), ranked.end(),
+            [](const Ranked& a, const Ranked& b) { return a.score > b.score; });
   return ranked;
 }
 
@@ -47,8 +46,8 @@
   place.reader = rank < kReadersPerDomain;
   place.writer = rank == 0;
   if (!place.writer) {
-    place.parent = PeerAt(
-        ranked, place.reader ? 0 : (rank - kReadersPerDomain) / kFanOut);
+    place.parent =
+        PeerAt(ranked, place.reader ? 0 : (rank - kReadersPerDomain) / kFanOut);
   }
   const std::size_t first = kReadersPerDomain + rank * kFanOut;
   for (std::size_t child = first;
--- a/src/core/fan_out.h
+++ b/src/core/fan_out.h
@@ -20,9 +20,9 @@
 // Where one node stands in its failure domain's tree.
 struct TreePlace {
   bool reader = false;
-  bool writer = false;             // Writes the domain's status.
-  TreePeer parent;                 // Empty name for the writer.
-  std::vector<TreePeer> children;  // Generations go to them.
+  bool writer = false;              // Writes the domain's status.
+  TreePeer parent;                  // Empty name for the writer.
+  std::vector<TreePeer> children;   // Generations go to them.
   std::vector<TreePeer> reporters;  // Reports come from them.
   std::size_t domain_size = 0;
 };
--- a/src/core/fleet_view.cc
+++ b/src/core/fleet_view.cc
@@ -106,9 +106,8 @@
           count.at("nodes").get<std::uint32_t>();
     }
     for (const json& laggard : status.at("laggards")) {
-      view.laggards.push_back(
-          {laggard.at("name").get<std::string>(),
-           laggard.at("generation").get<Generation>()});
+      view.laggards.push_back({laggard.at("name").get<std::string>(),
+                               laggard.at("generation").get<Generation>()});
     }
     status.at("refusedGeneration").get_to(view.refusal.generation);
     status.at("refusal").get_to(view.refusal.reason);
--- a/src/core/peer_contacts.cc
+++ b/src/core/peer_contacts.cc
@@ -96,7 +96,8 @@
       alive.push_back(&stranger.control);
     }
   }
-  const auto& from = !dead.empty() && (try_dead || alive.empty()) ? dead : alive;
+  const auto& from =
+      !dead.empty() && (try_dead || alive.empty()) ? dead : alive;
   if (from.empty()) {
     return std::nullopt;
   }
--- a/src/core/reader_turn.cc
+++ b/src/core/reader_turn.cc
@@ -14,8 +14,8 @@
   if (view.chosen) {
     return Cause::kChosen;
   }
-  const bool too_long_empty =
-      view.empty && now - started_ >= init_.empty_limit;
+  const bool too_long_empty = view.empty && !view.waits_with_others &&
+                              now - started_ >= init_.empty_limit;
   const bool too_silent =
       now - view.last_heard.value_or(started_) >= init_.silence_limit;
   return too_long_empty || too_silent ? Cause::kLastResort : Cause::kNone;
--- a/src/core/reader_turn.h
+++ b/src/core/reader_turn.h
@@ -17,8 +17,9 @@
   Duration spread_per_node = std::chrono::milliseconds(25);
   // A node that knows no other waits up to this, and up to this again before
   // it reads content.
-  Duration alone_spread = std::chrono::milliseconds(1'500);
-  // A node that holds nothing asks the platform itself after this time.
+  Duration alone_spread = std::chrono::seconds(2);
+  // A node that holds nothing asks the platform itself after this time, unless
+  // its peers wait for a first generation too.
   Duration empty_limit = std::chrono::seconds(5);
   // A node that hears no peer for this long asks the platform itself.
   Duration silence_limit = std::chrono::seconds(60);
@@ -30,6 +31,8 @@
 struct ReaderView {
   bool chosen = false;  // One of the readers of its failure domain.
   bool empty = false;   // No generation is in force.
+  // Peers were heard lately, and none has a generation either.
+  bool waits_with_others = false;
   std::size_t fleet_size = 1;
   std::optional<Time> last_heard;
 };
@@ -44,6 +47,9 @@
   bool Update(Time now, const ReaderView& view, Random& random);
 
   bool following() const { return following_; }
+  // Whether new content is to be read from the platform too, not only from
+  // peers: not by a node that only lingers.
+  bool reading() const { return following_ && !lingering_; }
 
  private:
   enum class Cause { kNone, kChosen, kAlone, kLastResort };
--- a/src/core/snapshot_history.cc
+++ b/src/core/snapshot_history.cc
@@ -14,7 +14,9 @@
   }
   std::size_t bytes = older.items.size() * sizeof(ItemPointer);
   for (const ItemPointer& item : older.items) {
-    bytes += shared.contains(item.get()) ? 0 : sizeof(ConfigItem) + item->body.size();
+    bytes += shared.contains(item.get())
+                 ? 0
+                 : sizeof(ConfigItem) + item->body.size();
   }
   return bytes;
 }
@@ -28,16 +30,16 @@
     old_bytes_ += previous.own_bytes;
   }
   entries_.push_back({std::move(snapshot), 0});
-  while (entries_.size() > 1 && (entries_.size() > max_generations_ ||
-                                 old_bytes_ > max_old_bytes_)) {
+  while (entries_.size() > 1 &&
+         (entries_.size() > max_generations_ || old_bytes_ > max_old_bytes_)) {
     old_bytes_ -= entries_.front().own_bytes;
     entries_.pop_front();
   }
 }
 
 SnapshotPointer SnapshotHistory::Find(const Version& version) const {
-  const auto found = std::find_if(
-      entries_.rbegin(), entries_.rend(), [&](const Entry& entry) {
+  const auto found =
+      std::find_if(entries_.rbegin(), entries_.rend(), [&](const Entry& entry) {
         return VersionOf(*entry.snapshot) == version;
       });
   return found == entries_.rend() ? nullptr : found->snapshot;
--- a/src/core/start_gate.cc
+++ b/src/core/start_gate.cc
@@ -30,10 +30,9 @@
 }
 
 std::size_t StartGate::VoicesFor(const Version& version) const {
-  const auto peers =
-      std::count_if(peers_.begin(), peers_.end(), [&](const auto& entry) {
-        return entry.second.version == version;
-      });
+  const auto peers = std::count_if(
+      peers_.begin(), peers_.end(),
+      [&](const auto& entry) { return entry.second.version == version; });
   const bool platform = platform_ && platform_->version == version;
   return static_cast<std::size_t>(peers) + (platform ? 1 : 0);
 }
--- a/src/core/start_gate.h
+++ b/src/core/start_gate.h
@@ -42,6 +42,9 @@
   // The peers that state `version`.
   std::vector<std::string> Holders(const Version& version) const;
 
+  // Whether a peer states to hold a generation.
+  bool any_peer() const { return !peers_.empty(); }
+
   // One line for operators who wonder why it does not serve.
   std::string Explain() const;
 
--- a/src/io/control_transport.cc
+++ b/src/io/control_transport.cc
@@ -124,9 +124,9 @@
       return;
     }
     const auto known = by_peer_.find({to.ip, to.port});
-    Enqueue(known == by_peer_.end() ? Connect(to)
-                                    : connections_.at(known->second),
-            std::move(frame));
+    Enqueue(
+        known == by_peer_.end() ? Connect(to) : connections_.at(known->second),
+        std::move(frame));
   }
 
   void Bind(ConnectionHandle handle, const SocketAddress& peer) {
@@ -161,11 +161,11 @@
  private:
   void Accept() {
     auto connection = std::make_shared<Connection>(io_);
-    acceptor_.async_accept(connection->socket,
-                           [self = shared_from_this(),
-                            connection](const asio::error_code& error) {
-                             self->OnAccepted(connection, error);
-                           });
+    acceptor_.async_accept(
+        connection->socket,
+        [self = shared_from_this(), connection](const asio::error_code& error) {
+          self->OnAccepted(connection, error);
+        });
   }
 
   void OnAccepted(const ConnectionPointer& connection,
@@ -207,11 +207,11 @@
     if (connections_.size() < init_.max_connections) {
       return;
     }
-    const auto oldest = std::min_element(
-        connections_.begin(), connections_.end(),
-        [](const auto& a, const auto& b) {
-          return a.second->used < b.second->used;
-        });
+    const auto oldest =
+        std::min_element(connections_.begin(), connections_.end(),
+                         [](const auto& a, const auto& b) {
+                           return a.second->used < b.second->used;
+                         });
     End(ConnectionPointer(oldest->second), false);
   }
 
@@ -222,17 +222,17 @@
     by_peer_[{to.ip, to.port}] = connection->handle;
     ++stats_.connects;
     connection->timer.expires_after(init_.connect_timeout);
-    connection->timer.async_wait([self = shared_from_this(),
-                                  connection](const asio::error_code& error) {
-      if (!error && !connection->ready) {
-        self->End(connection, true);
-      }
-    });
+    connection->timer.async_wait(
+        [self = shared_from_this(), connection](const asio::error_code& error) {
+          if (!error && !connection->ready) {
+            self->End(connection, true);
+          }
+        });
     asio::error_code unreadable;
     const auto ip = asio::ip::make_address(to.ip, unreadable);
     connection->socket.async_connect(
-        tcp::endpoint(ip, to.port), [self = shared_from_this(),
-                   connection](const asio::error_code& error) {
+        tcp::endpoint(ip, to.port),
+        [self = shared_from_this(), connection](const asio::error_code& error) {
           if (error) {
             self->End(connection, true);
           } else {
@@ -280,12 +280,12 @@
       return;
     }
     connection->writing = true;
-    asio::async_write(
-        connection->socket, asio::buffer(connection->queue.front()),
-        [self = shared_from_this(), connection](const asio::error_code& error,
-                                                std::size_t written) {
-          self->OnWritten(connection, error, written);
-        });
+    asio::async_write(connection->socket,
+                      asio::buffer(connection->queue.front()),
+                      [self = shared_from_this(), connection](
+                          const asio::error_code& error, std::size_t written) {
+                        self->OnWritten(connection, error, written);
+                      });
   }
 
   void OnWritten(const ConnectionPointer& connection,
@@ -307,12 +307,11 @@
   }
 
   void ReadHeader(const ConnectionPointer& connection) {
-    asio::async_read(
-        connection->socket, asio::buffer(connection->length),
-        [self = shared_from_this(), connection](const asio::error_code& error,
-                                                std::size_t read) {
-          self->OnHeader(connection, error, read);
-        });
+    asio::async_read(connection->socket, asio::buffer(connection->length),
+                     [self = shared_from_this(), connection](
+                         const asio::error_code& error, std::size_t read) {
+                       self->OnHeader(connection, error, read);
+                     });
   }
 
   void OnHeader(const ConnectionPointer& connection,
@@ -341,12 +340,12 @@
     const std::size_t have = connection->frame.size();
     const std::size_t part = std::min(kReadBytes, length - have);
     connection->frame.resize(have + part);
-    asio::async_read(
-        connection->socket, asio::buffer(connection->frame.data() + have, part),
-        [self = shared_from_this(), connection, length](
-            const asio::error_code& error, std::size_t read) {
-          self->OnBody(connection, length, error, read);
-        });
+    asio::async_read(connection->socket,
+                     asio::buffer(connection->frame.data() + have, part),
+                     [self = shared_from_this(), connection, length](
+                         const asio::error_code& error, std::size_t read) {
+                       self->OnBody(connection, length, error, read);
+                     });
   }
 
   void OnBody(const ConnectionPointer& connection,
--- a/src/io/platform_client.cc
+++ b/src/io/platform_client.cc
@@ -284,8 +284,8 @@
                                      std::string_view resource_version,
                                      EventHandler on_event,
                                      EndHandler on_end) {
-  const auto reader = std::make_shared<WatchReader>(std::move(on_event),
-                                                    open_watch_bytes_);
+  const auto reader =
+      std::make_shared<WatchReader>(std::move(on_event), open_watch_bytes_);
   HttpCall call;
   call.url = fmt::format("{}?watch=1&resourceVersion={}&timeoutSeconds={}",
                          Url(kind, {}), resource_version,
--- a/src/node/admin_server.cc
+++ b/src/node/admin_server.cc
@@ -52,8 +52,9 @@
     SendText(reply, 200, "ok\n");
   } else if (path == "/readyz") {
     const bool ready = hooks_.ready();
-    SendText(reply, ready ? 200 : 503,
-             ready ? "ready\n" : "not ready\n" + hooks_.not_ready_reason() + "\n");
+    SendText(
+        reply, ready ? 200 : 503,
+        ready ? "ready\n" : "not ready\n" + hooks_.not_ready_reason() + "\n");
   } else if (path == "/status") {
     const HttpHeader type{"Content-Type", "application/json"};
     reply.Send(200, {&type, 1}, hooks_.status_json());
--- a/src/node/distribution_service.cc
+++ b/src/node/distribution_service.cc
@@ -100,9 +100,7 @@
         OnDecoded(connection, std::move(decoded));
         return {};
       },
-      [&](const WireError& error) {
-        Refuse(connection, ToString(error.kind));
-      },
+      [&](const WireError& error) { Refuse(connection, ToString(error.kind)); },
       [&] { Refuse(connection, "unknown"); });
 }
 
@@ -211,8 +209,10 @@
 void DistributionService::UpdateMetrics() {
   const ControlTransportStats transport = transport_.stats();
   const DistributionStats& stats = distribution_.stats();
-  SetCounter("control_tcp_total{direction=\"sent\",unit=\"bytes\"}", transport.bytes_sent);
-  SetCounter("control_tcp_total{direction=\"received\",unit=\"bytes\"}", transport.bytes_received);
+  SetCounter("control_tcp_total{direction=\"sent\",unit=\"bytes\"}",
+             transport.bytes_sent);
+  SetCounter("control_tcp_total{direction=\"received\",unit=\"bytes\"}",
+             transport.bytes_received);
   SetCounter("control_bytes_sent_total",
              transport.bytes_sent + init_.platform->bytes_sent());
   SetCounter("control_bytes_received_total",
@@ -222,8 +222,7 @@
   SetCounter("control_accepts_total", transport.accepts);
   SetCounter("control_frames_refused_total{kind=\"oversize\"}",
              transport.oversize);
-  SetCounter("control_frames_refused_total{kind=\"cut\"}",
-             transport.truncated);
+  SetCounter("control_frames_refused_total{kind=\"cut\"}", transport.truncated);
   SetCounter("config_deltas_total", stats.deltas_applied);
   SetCounter("config_wholes_total", stats.wholes_applied);
   SetCounter("config_assembled_total", stats.assembled);
--- a/src/node/distribution_service.h
+++ b/src/node/distribution_service.h
@@ -55,7 +55,8 @@
  private:
   struct ActionRunner;
 
-  void OnFrame(ConnectionHandle connection, std::span<const std::uint8_t> frame);
+  void OnFrame(ConnectionHandle connection,
+               std::span<const std::uint8_t> frame);
   void OnDecoded(ConnectionHandle connection, ControlFrame frame);
   void Refuse(ConnectionHandle connection, std::string_view kind);
   void RunActions();
--- a/src/node/fleet_status_writer.cc
+++ b/src/node/fleet_status_writer.cc
@@ -28,16 +28,17 @@
 }
 
 void FleetStatusWriter::Create(const DomainView& view, DoneHandler on_done) {
-  platform_.Create(kFleetStatusKind, view.failure_domain,
-                   {{"failureDomain", view.failure_domain}},
-                   [this, view, on_done](PlatformResult<PlatformObject> result) {
-                     if (auto* object = std::get_if<PlatformObject>(&result)) {
-                       known_ = std::move(*object);
-                       WriteOver(view, on_done);
-                       return;
-                     }
-                     on_done(false);
-                   });
+  platform_.Create(
+      kFleetStatusKind, view.failure_domain,
+      {{"failureDomain", view.failure_domain}},
+      [this, view, on_done](PlatformResult<PlatformObject> result) {
+        if (auto* object = std::get_if<PlatformObject>(&result)) {
+          known_ = std::move(*object);
+          WriteOver(view, on_done);
+          return;
+        }
+        on_done(false);
+      });
 }
 
 void FleetStatusWriter::WriteOver(const DomainView& view, DoneHandler on_done) {
--- a/src/node/platform_source.cc
+++ b/src/node/platform_source.cc
@@ -202,22 +202,22 @@
 
 void PlatformSource::ReadChunk(const std::shared_ptr<FetchState>& fetch) {
   const std::string name = fetch->head.chunks[fetch->chunks.size()];
-  fetch_call_ = platform_.Get(
-      kChunkKind, name,
-      [this, fetch, name](PlatformResult<PlatformObject> result) {
-        if (!following_ || fetch->number != fetch_number_) {
-          return;
-        }
-        const auto* object = std::get_if<PlatformObject>(&result);
-        if (object == nullptr) {
-          platform_.Cancel(call_);
-          Fire("watch_failed");
-          return;
-        }
-        if (KeepChunk(name, *object)) {
-          FetchNextChunk(fetch);
-        }
-      });
+  fetch_call_ =
+      platform_.Get(kChunkKind, name,
+                    [this, fetch, name](PlatformResult<PlatformObject> result) {
+                      if (!following_ || fetch->number != fetch_number_) {
+                        return;
+                      }
+                      const auto* object = std::get_if<PlatformObject>(&result);
+                      if (object == nullptr) {
+                        platform_.Cancel(call_);
+                        Fire("watch_failed");
+                        return;
+                      }
+                      if (KeepChunk(name, *object)) {
+                        FetchNextChunk(fetch);
+                      }
+                    });
 }
 
 // Returns whether `object` holds the chunk that its name says.
@@ -242,7 +242,8 @@
       [&]() -> leaf::result<void> {
         BOOST_LEAF_AUTO(snapshot, AssembleSnapshot(fetch.head, fetch.chunks));
         ForgetOldChunks(fetch.head);
-        hooks_.on_snapshot(std::make_shared<const Snapshot>(std::move(snapshot)));
+        hooks_.on_snapshot(
+            std::make_shared<const Snapshot>(std::move(snapshot)));
         return {};
       },
       [](const HeadError& error) {
--- a/src/wire/control_codec.cc
+++ b/src/wire/control_codec.cc
@@ -114,9 +114,9 @@
     splices[index].setBaseBegin(splice.base_begin);
     splices[index].setBaseCount(splice.base_count);
     if (!splice.items.empty()) {
-      Write(splices[index].initItems(
-                static_cast<unsigned>(splice.items.size())),
-            splice.items);
+      Write(
+          splices[index].initItems(static_cast<unsigned>(splice.items.size())),
+          splice.items);
     }
   }
 }
@@ -126,8 +126,8 @@
   Delta delta{Read(in.getFrom()), Read(in.getTo()), {}};
   delta.splices.reserve(in.getSplices().size());
   for (const auto splice : in.getSplices()) {
-    delta.splices.push_back(
-        {splice.getBaseBegin(), splice.getBaseCount(), Read(splice.getItems())});
+    delta.splices.push_back({splice.getBaseBegin(), splice.getBaseCount(),
+                             Read(splice.getItems())});
   }
   return delta;
 }
@@ -214,8 +214,8 @@
     view.counts[count.getGeneration()] = count.getNodes();
   }
   for (const auto laggard : in.getLaggards()) {
-    view.laggards.push_back({ReadText(laggard.getName(), kMaxNameBytes),
-                             laggard.getGeneration()});
+    view.laggards.push_back(
+        {ReadText(laggard.getName(), kMaxNameBytes), laggard.getGeneration()});
   }
   view.refusal = {in.getRefusedGeneration(),
                   ReadText(in.getRefusal(), kMaxReasonBytes)};
@@ -334,8 +334,7 @@
   } catch (const kj::Exception& error) {
     return leaf::new_error(FromKj(error));
   } catch (const OutOfRange& error) {
-    return leaf::new_error(
-        WireError{WireError::Kind::kOutOfRange, error.what});
+    return leaf::new_error(WireError{WireError::Kind::kOutOfRange, error.what});
   }
 }
 
