--- a/soak/distribution_topic.cc
+++ b/soak/distribution_topic.cc
@@ -53,6 +53,7 @@
   bool following = false;
   bool watching = false;
   std::uint64_t follow_number = 0;
+  Version told;  // The head that it heard last.
   Generation highest = 0;
   Time woken_for;
 };
@@ -600,6 +601,7 @@
   }
 
   void TellHead(std::size_t index, const Version& version) {
+    nodes_[index].told = version;
     nodes_[index].distribution->OnPlatformHead(events_.now(), version);
     RunActions(index);
   }
@@ -622,7 +624,7 @@
 
   void Fetch(std::size_t index) {
     CountCalls(kCallsPerFetch);
-    const SnapshotPointer content = store_.state().head;
+    const SnapshotPointer content = store_.Content(nodes_[index].told);
     if (!store_.up || !content) {
       return;
     }
--- a/soak/fake_store.h
+++ b/soak/fake_store.h
@@ -53,7 +53,7 @@
     ++made_[operation];
     state_.head = std::make_shared<const Snapshot>(
         MakeSnapshot(generation() + 1, document));
-    accepted_.insert(version());
+    accepted_.emplace(version(), state_.head);
     return loses_answers ? FakeWrite::kUnanswered : FakeWrite::kMade;
   }
 
@@ -72,6 +72,11 @@
   bool Accepted(const Version& version) const {
     return accepted_.contains(version);
   }
+  // Null when it was never accepted.
+  SnapshotPointer Content(const Version& version) const {
+    const auto accepted = accepted_.find(version);
+    return accepted == accepted_.end() ? nullptr : accepted->second;
+  }
   // How often the operation took effect.
   int TimesMade(const std::string& operation) const {
     const auto made = made_.find(operation);
@@ -82,7 +87,7 @@
  private:
   State state_;
   std::optional<State> backup_;
-  std::set<Version> accepted_;
+  std::map<Version, SnapshotPointer> accepted_;
   std::map<std::string, int> made_;
 };
 
--- a/src/core/distribution.cc
+++ b/src/core/distribution.cc
@@ -16,6 +16,8 @@
 constexpr int kRumours = 2;
 // A peer heard within this time counts as one that can be heard.
 constexpr Duration kLatelyHeard = std::chrono::seconds(10);
+// The same content is not read again before this time.
+constexpr Duration kRefetchPause = std::chrono::seconds(1);
 constexpr std::size_t kMaxPeerBudgets = 256;
 // A status that did not change is written again after this time.
 constexpr Duration kStatusRefresh = std::chrono::seconds(60);
@@ -485,8 +487,11 @@
 // The platform.
 
 void Distribution::OnPlatformHead(Time now, const Version& version) {
+  // A head that is told again stands for a fetch that may have failed.
+  if (platform_version_ == version) {
+    fetch_since_.reset();
+  }
   platform_version_ = version;
-  fetch_since_.reset();
   const Version own = held();
   const bool other = version.generation < own.generation ||
                      (version.generation == own.generation && version != own);
@@ -510,8 +515,8 @@
   MaybeFetch(now);
 }
 
-// Reads the platform's newest content, unless a peer has it for a node that
-// would have to read all of it.
+// Reads the platform's newest content, one generation at a time, unless a peer
+// has it for a node that would have to read all of it.
 void Distribution::MaybeFetch(Time now) {
   if (!turn_.reading() || !platform_version_ ||
       platform_version_->generation <= applier_->generation() ||
@@ -519,21 +524,31 @@
       (fetch_since_ && now - *fetch_since_ < init_.fetch_timeout)) {
     return;
   }
-  const bool staged = staged_ && VersionOf(*staged_) == *platform_version_;
+  if (fetching_ == *platform_version_ && now - last_fetch_ < kRefetchPause) {
+    return;
+  }
+  const bool staged =
+      staged_ && (staged_->generation > platform_version_->generation ||
+                  VersionOf(*staged_) == *platform_version_);
   const bool at_peers = !gate_.Holders(*platform_version_).empty();
   const bool peers_first = now - started_ < init_.fetch_timeout;
   if (empty() && (staged || (at_peers && peers_first))) {
     return;
   }
   fetch_since_ = now;
+  last_fetch_ = now;
+  fetching_ = *platform_version_;
   actions_.push_back(FetchAction{});
 }
 
 void Distribution::OnPlatformSnapshot(Time now, SnapshotPointer snapshot) {
-  fetch_since_.reset();
+  if (VersionOf(*snapshot) == fetching_) {
+    fetch_since_.reset();
+  }
   if (IsNews(VersionOf(*snapshot))) {
     OnContent(now, std::move(snapshot));
   }
+  MaybeFetch(now);
 }
 
 // Turns and exchanges.
--- a/src/core/distribution.h
+++ b/src/core/distribution.h
@@ -179,7 +179,9 @@
   SnapshotPointer staged_;  // Content that a starting node holds back.
   std::optional<Version> refused_;
   std::optional<Version> platform_version_;
-  std::optional<Time> fetch_since_;
+  std::optional<Time> fetch_since_;  // While a fetch is under way.
+  Version fetching_;                 // By the last fetch.
+  Time last_fetch_;
   Time fetch_not_before_;
   bool other_history_ = false;
 
--- a/src/core/reader_turn.cc
+++ b/src/core/reader_turn.cc
@@ -24,8 +24,9 @@
 Duration ReaderTurn::WaitFor(Cause cause,
                              const ReaderView& view,
                              Random& random) const {
+  const auto nodes = static_cast<Duration::rep>(view.fleet_size);
   const Duration spread =
-      init_.spread_per_node * static_cast<Duration::rep>(view.fleet_size);
+      std::max(init_.spread_per_node * nodes, init_.least_spread);
   switch (cause) {
     case Cause::kAlone:
       return random.UpTo(init_.alone_spread);
--- a/src/core/reader_turn.h
+++ b/src/core/reader_turn.h
@@ -15,6 +15,7 @@
   // A chosen reader waits up to this for each node of the fleet that it knows,
   // so that the fleet's calls are spread when all start at once.
   Duration spread_per_node = std::chrono::milliseconds(25);
+  Duration least_spread = std::chrono::seconds(1);
   // A node that knows no other waits up to this, and up to this again before
   // it reads content.
   Duration alone_spread = std::chrono::seconds(2);
