--- a/soak/distribution_topic.cc
+++ b/soak/distribution_topic.cc
@@ -312,8 +312,8 @@
   DistributionInit InitOf() {
     DistributionInit init;
     init.seed = random_.Below(1'000'000'000);
-    init.node_rate = {2'048, 8'192};
-    init.peer_rate = {1'024, 4'096};
+    init.node_rate = {1'024, 4'096};
+    init.peer_rate = {512, 2'048};
     init.max_history_generations = 4;
     init.max_history_bytes = 8'192;
     init.seams.skip_digest_check = options_.mutation == "skip_digest_check";
