--- a/soak/soak.h
+++ b/soak/soak.h
@@ -69,6 +69,9 @@
 // The topics, each in a file of its own.
 SoakTopic ApplyTopic();
 SoakTopic DistributionTopic();
+SoakTopic ParsersTopic();
+SoakTopic CallsTopic();
+SoakTopic MembershipTopic();
 
 }  // namespace verbenastile
 
--- a/src/core/distribution.cc
+++ b/src/core/distribution.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <limits>
 
 #include "core/invariant.h"
 
@@ -21,6 +22,7 @@
 constexpr std::size_t kMaxPeerBudgets = 256;
 // A status that did not change is written again after this time.
 constexpr Duration kStatusRefresh = std::chrono::seconds(60);
+constexpr std::int64_t kAnyDebt = std::numeric_limits<std::int64_t>::min() / 2;
 constexpr double kMicrosecondsPerSecond = 1e6;
 constexpr std::size_t kDigestBytes = 16;
 
@@ -40,8 +42,7 @@
       gate_(init.start),
       history_(init.max_history_generations,
                init.seams.keep_all_history ? SIZE_MAX : init.max_history_bytes),
-      reports_(init.report_expiry),
-      node_budget_(init.node_rate) {}
+      reports_(init.report_expiry) {}
 
 Version Distribution::held() const {
   return empty() ? Version{} : VersionOf(*applier_->snapshot());
@@ -49,6 +50,8 @@
 
 void Distribution::Start(Time now) {
   started_ = now;
+  node_budget_.emplace(init_.node_rate.bytes_per_second,
+                       init_.node_rate.burst_bytes, now);
   turn_.Start(now);
   next_check_ = now;
   next_exchange_ = now + random_.UpTo(init_.fast_exchange_interval);
@@ -104,14 +107,18 @@
     peer_budgets_.clear();
   }
   ByteBudget& peer =
-      peer_budgets_.try_emplace({to.ip, to.port}, init_.peer_rate)
+      peer_budgets_
+          .try_emplace({to.ip, to.port}, init_.peer_rate.bytes_per_second,
+                       init_.peer_rate.burst_bytes, now)
           .first->second;
-  const bool allowed = peer.Open(now) && node_budget_.Take(now, bytes);
+  const bool allowed = peer.Left(now) > 0 && node_budget_->Left(now) > 0;
   if (!allowed && !init_.seams.ignore_budget) {
     ++stats_.over_budget;
     return;
   }
-  peer.Take(now, bytes);
+  const auto cost = static_cast<std::int64_t>(bytes);
+  peer.Spend(now, cost, kAnyDebt);
+  node_budget_->Spend(now, cost, kAnyDebt);
   CheckBudget(now, bytes);
   actions_.push_back(SendAction{to, std::move(message)});
 }
@@ -123,7 +130,8 @@
   const double seconds =
       static_cast<double>((now - started_).count()) / kMicrosecondsPerSecond;
   const double bound =
-      static_cast<double>(init_.node_rate.burst_bytes + largest_message_) +
+      static_cast<double>(init_.node_rate.burst_bytes) +
+      static_cast<double>(largest_message_) +
       seconds * static_cast<double>(init_.node_rate.bytes_per_second);
   CheckInvariant(static_cast<double>(stats_.sent_bytes) <= bound + 1,
                  "byte_budget_kept",
--- a/src/core/distribution.h
+++ b/src/core/distribution.h
@@ -168,7 +168,7 @@
   StartGate gate_;
   SnapshotHistory history_;
   DomainReports reports_;
-  ByteBudget node_budget_;
+  std::optional<ByteBudget> node_budget_;  // From the start on.
   std::map<std::pair<std::string, std::uint16_t>, ByteBudget> peer_budgets_;
   std::vector<DistributionAction> actions_;
   DistributionStats stats_;
--- a/src/core/distribution_init.h
+++ b/src/core/distribution_init.h
@@ -6,13 +6,20 @@
 #include <cstdint>
 
 #include "base/time.h"
-#include "core/byte_budget.h"
 #include "core/distribution_policy.h"
 #include "core/reader_turn.h"
 #include "core/start_gate.h"
 
 namespace verbenastile {
 
+// A bound on bytes sent. A message larger than what is left puts the budget
+// into debt, so that in any time T at most burst + rate * T + one message is
+// sent.
+struct ByteRate {
+  std::int64_t bytes_per_second = 0;
+  std::int64_t burst_bytes = 0;
+};
+
 // Deliberate faults, for runs that show that the invariants catch them.
 struct DistributionSeams {
   bool skip_digest_check = false;
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <asio/post.hpp>
 #include <boost/leaf/handle_errors.hpp>
 #include <csignal>
 #include <nlohmann/json.hpp>
@@ -10,6 +11,7 @@
 
 #include "base/log.h"
 #include "core/invariant.h"
+#include "verbenastile/http_headers.h"
 
 namespace verbenastile {
 namespace {
@@ -26,6 +28,8 @@
 HttpServerInit ServerInit(const SocketAddress& address) {
   HttpServerInit init;
   init.address = address;
+  init.refusal_headers = {
+      {std::string(kOutcomeHeader), std::string(kOutcomeNotRun)}};
   return init;
 }
 
@@ -49,6 +53,7 @@
   self.control = settings.listen.control;
   self.slots = settings.upstream.slots;
   self.connections = settings.upstream.connections;
+  self.serving = false;
   return self;
 }
 
@@ -60,6 +65,8 @@
   BOOST_LEAF_ASSIGN(charts.config_apply, LoadEmbeddedChart("config_apply"));
   BOOST_LEAF_ASSIGN(charts.platform_session,
                     LoadEmbeddedChart("platform_session"));
+  BOOST_LEAF_ASSIGN(charts.upstream_health,
+                    LoadEmbeddedChart("upstream_health"));
   return charts;
 }
 
@@ -73,11 +80,15 @@
       control_http_(io_, kMaxIdlePlatformConnections),
       call_http_(io_, kMaxIdleCallConnections),
       platform_(control_http_, settings_.platform),
-      roster_(io_, platform_, directory_, FreshSeed()),
-      self_(MakeSelf(settings_)),
+      membership_(io_,
+                  {&settings_, &platform_, &directory_, &metrics_},
+                  MakeSelf(settings_),
+                  FreshSeed()),
       distribution_(io_, DistributionInit()),
-      proxy_({&settings_, &applier_, &directory_, &call_http_, &metrics_},
-             FreshSeed()),
+      proxy_(
+          {&io_, &settings_, &applier_, &directory_, &charts_.upstream_health,
+           &call_http_, &metrics_, [this] { OnUpstreamLeaving(); }},
+          FreshSeed()),
       admin_(io_,
              settings_.listen.admin,
              metrics_,
@@ -103,7 +114,7 @@
   init.platform = &platform_;
   init.session_chart = &charts_.platform_session;
   init.metrics = &metrics_;
-  init.self = self_;
+  init.self = MakeSelf(settings_);
   init.seed = FreshSeed();
   init.on_offered = [this](const OfferedAction& action) { OnOffered(action); };
   return init;
@@ -124,7 +135,7 @@
   });
   admin_.Open([this](const std::string& error) { OnOpened("admin", error); });
   peers_.Open([this](const std::string& error) { OnOpened("peers", error); });
-  roster_.Start(self_);
+  OnOpened("control", membership_.Open());
   OnOpened("control", distribution_.Start());
 }
 
@@ -165,6 +176,10 @@
   }
 }
 
+void Node::OnUpstreamLeaving() {
+  asio::post(io_, [this] { Fire("leave_requested"); });
+}
+
 void Node::Fire(std::string_view event) {
   for (const std::string& action : lifecycle_.Fire(event).actions) {
     RunAction(action);
@@ -176,59 +191,74 @@
     callers_.Open(
         [this](const std::string& error) { OnOpened("callers", error); });
   } else if (action == "announce_serving") {
-    AnnounceAs(MemberState::kAlive);
+    membership_.Announce(MemberState::kAlive, true);
     Log(LogLevel::kInfo, kPart, "Serving.", {{"name", settings_.name}});
   } else if (action == "announce_leaving") {
     BeginLeaving();
   } else if (action == "announce_left") {
-    AnnounceAs(MemberState::kLeft);
+    membership_.Announce(MemberState::kLeft, false);
   } else if (action == "stop") {
     Stop();
   }
 }
 
-void Node::AnnounceAs(MemberState state) {
-  self_.state = state;
-  ++self_.incarnation;
-  roster_.Announce(self_);
-}
-
 void Node::BeginLeaving() {
   Log(LogLevel::kInfo, kPart, "Leaving.",
       {{"name", settings_.name}, {"active", proxy_.active()}});
-  AnnounceAs(MemberState::kLeaving);
+  proxy_.BeginLeaving();
+  callers_.BeginDrain();
+  peers_.BeginDrain();
+  membership_.Announce(MemberState::kLeaving, true);
   const Time now = SteadyNow();
-  WaitForCalls(now + settings_.drain_timeout, now + kLeaveNoticeTime);
+  drain_expiry_ = now + settings_.drain_timeout;
+  WaitForCalls(now + kLeaveNoticeTime);
 }
 
-void Node::WaitForCalls(Time expiry, Time earliest_end) {
+void Node::WaitForCalls(Time earliest_end) {
   const Time now = SteadyNow();
-  if (now >= expiry) {
+  if (now >= drain_expiry_) {
     Log(LogLevel::kWarning, kPart, "The drain took too long.",
         {{"active", proxy_.active()}});
     Fire("drain_expired");
     return;
   }
-  if (now >= earliest_end && proxy_.active() == 0) {
+  if (now >= earliest_end && !HasCalls()) {
     Fire("calls_finished");
     return;
   }
   drain_timer_.expires_after(kDrainCheckInterval);
-  drain_timer_.async_wait(
-      [this, expiry, earliest_end](const asio::error_code& error) {
-        if (!error) {
-          WaitForCalls(expiry, earliest_end);
-        }
-      });
+  drain_timer_.async_wait([this, earliest_end](const asio::error_code& error) {
+    if (!error) {
+      WaitForCalls(earliest_end);
+    }
+  });
+}
+
+// Answers count until their last byte has left.
+bool Node::HasCalls() const {
+  return proxy_.active() > 0 || callers_.stats().busy > 0 ||
+         peers_.stats().busy > 0;
 }
 
 void Node::Stop() {
   callers_.Close();
-  drain_timer_.expires_after(kLastWriteTime);
-  drain_timer_.async_wait([this](const asio::error_code&) {
+  peers_.Close();
+  WaitForLastCalls(SteadyNow() + kLastWriteTime);
+}
+
+// A call may have arrived just before the addresses were closed.
+void Node::WaitForLastCalls(Time earliest_end) {
+  const Time now = SteadyNow();
+  const bool cut = now >= drain_expiry_;
+  if (now >= earliest_end && (cut || !HasCalls())) {
     distribution_.Stop();
-    roster_.Stop();
+    membership_.Close();
     io_.stop();
+    return;
+  }
+  drain_timer_.expires_after(kDrainCheckInterval);
+  drain_timer_.async_wait([this, earliest_end](const asio::error_code&) {
+    WaitForLastCalls(earliest_end);
   });
 }
 
