--- a/soak/main.cc
+++ b/soak/main.cc
@@ -13,7 +13,8 @@
 namespace verbenastile {
 
 std::vector<SoakTopic> SoakTopics() {
-  return {ApplyTopic(), CallsTopic(), MembershipTopic(), ParsersTopic()};
+  return {ApplyTopic(), CallsTopic(), DistributionTopic(), MembershipTopic(),
+          ParsersTopic()};
 }
 
 namespace {
