--- a/soak/main.cc
+++ b/soak/main.cc
@@ -10,7 +10,7 @@
 namespace verbenastile {
 
 std::vector<SoakTopic> SoakTopics() {
-  return {ApplyTopic()};
+  return {ApplyTopic(), OperatorsTopic()};
 }
 
 namespace {
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -68,6 +68,7 @@
 
 // The topics, each in a file of its own.
 SoakTopic ApplyTopic();
+SoakTopic OperatorsTopic();
 
 }  // namespace verbenastile
 
--- a/src/cli/command_line_inl.h
+++ b/src/cli/command_line_inl.h
@@ -4,8 +4,10 @@
 
 #include <fmt/format.h>
 
-#include "cli/rules_store.h"
+#include "cli/admin_call.h"
 #include "core/operations.h"
+#include "core/rules_head.h"
+#include "io/platform_client.h"
 
 namespace verbenastile {
 
@@ -21,20 +23,15 @@
         PrintError(error.reason + "; nothing was changed");
         return kExitInvalid;
       },
-      [](const ChangeError& error) {
-        const bool unknown = error.kind == ChangeError::Kind::kUnknown;
-        PrintError(
-            fmt::format("{}: {} (operation {})",
-                        unknown ? "it is not known whether the change was made"
-                                : "the change was not made",
-                        error.reason, error.operation_id));
-        return kExitFailed;
-      },
       [](const PlatformError& error) {
         PrintError(fmt::format("the platform: {} ({})", ToString(error.kind),
                                error.detail));
         return kExitFailed;
       },
+      [](const AdminError& error) {
+        PrintError(error.reason);
+        return kExitFailed;
+      },
       [](const HeadError& error) {
         PrintError(error.reason);
         return kExitFailed;
--- a/src/cli/rules_command.cc
+++ b/src/cli/rules_command.cc
@@ -1,172 +1,16 @@
-// verbenastile rules ACTION and verbenastile audit.
+// verbenastile rules ACTION: the dispatch, and the actions that only read.
 #include <fmt/format.h>
-#include <unistd.h>
 
-#include <array>
-#include <cstdlib>
 #include <nlohmann/json.hpp>
 #include <thread>
 
-#include "cli/command_line.h"
-#include "cli/rules_store.h"
+#include "cli/rules_actions.h"
 
 namespace verbenastile {
 namespace {
 
 constexpr Duration kWatchInterval = std::chrono::milliseconds(500);
 
-std::string EnvironmentOr(const char* name, const char* fallback) {
-  const char* value = std::getenv(name);
-  return value == nullptr ? fallback : value;
-}
-
-std::string HostName() {
-  std::array<char, 256> name{};
-  return gethostname(name.data(), name.size() - 1) == 0 ? name.data()
-                                                        : "unknown";
-}
-
-// Options of each action that changes the rules.
-class AuthorArgs {
- public:
-  explicit AuthorArgs(TCLAP::CmdLine& cmd)
-      : who_("",
-             "who",
-             "name for the audit trail",
-             false,
-             EnvironmentOr("USER", "unknown"),
-             "NAME",
-             cmd),
-        reason_("",
-                "reason",
-                "reason for the audit trail",
-                false,
-                "",
-                "TEXT",
-                cmd) {}
-
-  ChangeAuthor author() {
-    return {who_.getValue(), HostName(), reason_.getValue()};
-  }
-
- private:
-  TCLAP::ValueArg<std::string> who_;
-  TCLAP::ValueArg<std::string> reason_;
-};
-
-// --before and --after.
-class PlaceArgs {
- public:
-  explicit PlaceArgs(TCLAP::CmdLine& cmd)
-      : before_("",
-                "before",
-                "place it before this rule",
-                false,
-                "",
-                "ID",
-                cmd),
-        after_("", "after", "place it after this rule", false, "", "ID", cmd) {}
-
-  RulePlace place() { return {before_.getValue(), after_.getValue()}; }
-
- private:
-  TCLAP::ValueArg<std::string> before_;
-  TCLAP::ValueArg<std::string> after_;
-};
-
-int PrintReceipt(const ChangeReceipt& receipt) {
-  if (receipt.difference.empty()) {
-    fmt::print("nothing to change at generation {}\n", receipt.generation);
-    return kExitOk;
-  }
-  fmt::print("generation {}: {}\n", receipt.generation,
-             fmt::join(receipt.difference, " "));
-  return kExitOk;
-}
-
-leaf::result<int> Change(const PlatformSettings& settings,
-                         const Operation& operation,
-                         const ChangeAuthor& author) {
-  BlockingPlatform platform(settings);
-  RulesStore store(platform);
-  BOOST_LEAF_AUTO(receipt, store.Change(operation, author));
-  return PrintReceipt(receipt);
-}
-
-int RunApply(CommandArgs args) {
-  TCLAP::CmdLine cmd("Replaces all rules by those of a file.", ' ',
-                     VERBENASTILE_VERSION);
-  TCLAP::UnlabeledValueArg<std::string> file("file", "rules file", true, "",
-                                             "FILE", cmd);
-  PlatformArgs platform(cmd);
-  AuthorArgs author(cmd);
-  int exit_code = kExitOk;
-  if (!ParseCommandLine(cmd, args, exit_code)) {
-    return exit_code;
-  }
-  return RunReported([&]() -> leaf::result<int> {
-    BOOST_LEAF_AUTO(checked, LoadRules(file.getValue()));
-    for (const ConfigFault& warning : checked.warnings) {
-      fmt::print(stderr, "{} (warning)\n", ToString(warning));
-    }
-    return Change(platform.settings(),
-                  ReplaceDocument{std::move(checked.document)},
-                  author.author());
-  });
-}
-
-int RunAdd(CommandArgs args) {
-  TCLAP::CmdLine cmd("Adds one rule from a file that holds it alone.", ' ',
-                     VERBENASTILE_VERSION);
-  TCLAP::UnlabeledValueArg<std::string> file("file", "file with one rule", true,
-                                             "", "FILE", cmd);
-  PlatformArgs platform(cmd);
-  AuthorArgs author(cmd);
-  PlaceArgs place(cmd);
-  int exit_code = kExitOk;
-  if (!ParseCommandLine(cmd, args, exit_code)) {
-    return exit_code;
-  }
-  return RunReported([&]() -> leaf::result<int> {
-    BOOST_LEAF_AUTO(rule, LoadRule(file.getValue()));
-    return Change(platform.settings(), AddRule{std::move(rule), place.place()},
-                  author.author());
-  });
-}
-
-int RunMove(CommandArgs args) {
-  TCLAP::CmdLine cmd("Moves a rule.", ' ', VERBENASTILE_VERSION);
-  TCLAP::UnlabeledValueArg<std::string> id("id", "the rule's id", true, "",
-                                           "ID", cmd);
-  PlatformArgs platform(cmd);
-  AuthorArgs author(cmd);
-  PlaceArgs place(cmd);
-  int exit_code = kExitOk;
-  if (!ParseCommandLine(cmd, args, exit_code)) {
-    return exit_code;
-  }
-  return RunReported([&] {
-    return Change(platform.settings(), MoveRule{id.getValue(), place.place()},
-                  author.author());
-  });
-}
-
-int RunRetire(CommandArgs args) {
-  TCLAP::CmdLine cmd("Retires a rule.", ' ', VERBENASTILE_VERSION);
-  TCLAP::UnlabeledValueArg<std::string> id("id", "the rule's id", true, "",
-                                           "ID", cmd);
-  PlatformArgs platform(cmd);
-  AuthorArgs author(cmd);
-  int exit_code = kExitOk;
-  if (!ParseCommandLine(cmd, args, exit_code)) {
-    return exit_code;
-  }
-  return RunReported([&] {
-    return Change(platform.settings(), RetireRule{id.getValue()},
-                  author.author());
-  });
-}
-
 leaf::result<AcceptedRules> ReadAccepted(const PlatformSettings& settings) {
   BlockingPlatform platform(settings);
   return RulesStore(platform).Read();
@@ -203,37 +47,6 @@
   });
 }
 
-void PrintEntry(const AuditEntry& entry, bool json) {
-  if (json) {
-    fmt::print("{}\n", ToJson(entry).dump());
-    return;
-  }
-  fmt::print("{:>6} {} {}@{} {} [{}] {}\n", entry.generation_after, entry.when,
-             entry.who, entry.from, entry.operation,
-             fmt::join(entry.difference, " "), entry.reason);
-}
-
-int PrintTrail(CommandArgs args, const char* help) {
-  TCLAP::CmdLine cmd(help, ' ', VERBENASTILE_VERSION);
-  PlatformArgs platform(cmd);
-  OutputArg output(cmd);
-  int exit_code = kExitOk;
-  if (!ParseCommandLine(cmd, args, exit_code)) {
-    return exit_code;
-  }
-  return RunReported([&]() -> leaf::result<int> {
-    BOOST_LEAF_AUTO(accepted, ReadAccepted(platform.settings()));
-    for (const AuditEntry& entry : accepted.head.audit) {
-      PrintEntry(entry, output.json());
-    }
-    return kExitOk;
-  });
-}
-
-int RunHistory(CommandArgs args) {
-  return PrintTrail(std::move(args), "Lists the accepted generations.");
-}
-
 int RunWatch(CommandArgs args) {
   TCLAP::CmdLine cmd("Follows the accepted generations.", ' ',
                      VERBENASTILE_VERSION);
@@ -267,13 +80,22 @@
 };
 
 constexpr RulesAction kActions[] = {
-    {"apply", RunApply},   {"add", RunAdd},   {"move", RunMove},
-    {"retire", RunRetire}, {"list", RunList}, {"history", RunHistory},
+    {"apply", RunRulesApply},
+    {"add", RunRulesAdd},
+    {"move", RunRulesMove},
+    {"update", RunRulesUpdate},
+    {"retire", RunRulesRetire},
+    {"rollback", RunRulesRollback},
+    {"outcome", RunRulesOutcome},
+    {"explain", RunRulesExplain},
+    {"list", RunList},
+    {"history", RunAuditCommand},
     {"watch", RunWatch},
 };
 
 constexpr const char* kActionNames =
-    "apply, add, move, retire, list, history, watch";
+    "apply, add, move, update, retire, rollback, outcome, explain, list, "
+    "history, watch";
 
 }  // namespace
 
@@ -295,8 +117,4 @@
   return kExitInvalid;
 }
 
-int RunAuditCommand(CommandArgs args) {
-  return PrintTrail(std::move(args), "Shows who changed what.");
-}
-
 }  // namespace verbenastile
--- a/src/cli/rules_store.cc
+++ b/src/cli/rules_store.cc
@@ -1,60 +1,65 @@
 #include "cli/rules_store.h"
 
-#include <fmt/chrono.h>
 #include <fmt/format.h>
 
 #include <algorithm>
 #include <boost/leaf/handle_errors.hpp>
+#include <ctime>
 #include <random>
 #include <thread>
 
 namespace verbenastile {
 namespace {
 
-constexpr int kMaxAttempts = 40;
-constexpr Duration kLongestPause = std::chrono::milliseconds(100);
+std::string Describe(const PlatformError& error) {
+  return fmt::format("the platform: {} ({})", ToString(error.kind),
+                     error.detail);
+}
 
-std::optional<Generation> FindOperation(const RulesHead& head,
-                                        const std::string& id) {
-  const auto found = std::find_if(
-      head.operations.begin(), head.operations.end(),
-      [&](const OperationRecord& record) { return record.id == id; });
-  if (found == head.operations.end()) {
-    return std::nullopt;
-  }
-  return found->generation;
+// Whether a later try may go better.
+bool IsTransient(PlatformError::Kind kind) {
+  return kind == PlatformError::Kind::kUnavailable ||
+         kind == PlatformError::Kind::kUnknownOutcome ||
+         kind == PlatformError::Kind::kNotFound;
 }
 
-template <typename T>
-void KeepNewest(std::vector<T>& values, std::size_t limit) {
-  if (values.size() > limit) {
-    values.erase(values.begin(),
-                 values.end() - static_cast<std::ptrdiff_t>(limit));
+ChangeEvent FromReadError(const PlatformError& error) {
+  if (IsTransient(error.kind)) {
+    return PlatformUnavailable{Describe(error)};
   }
+  return PlatformRefused{Describe(error)};
 }
 
-RulesHead NextHead(const RulesHead& head,
-                   const Snapshot& snapshot,
-                   std::span<const RulesChunk> chunks,
-                   AuditEntry entry) {
-  RulesHead next = head;
-  next.generation = snapshot.generation;
-  next.digest = snapshot.digest;
-  next.chunks.clear();
-  for (const RulesChunk& chunk : chunks) {
-    next.chunks.push_back(chunk.name);
+ChangeEvent FromHeadWriteError(const PlatformError& error) {
+  switch (error.kind) {
+    case PlatformError::Kind::kConflict:
+    case PlatformError::Kind::kNotFound:
+      return HeadConflict{};
+    case PlatformError::Kind::kUnknownOutcome:
+      return HeadOutcomeUnknown{Describe(error)};
+    case PlatformError::Kind::kUnavailable:
+      return PlatformUnavailable{Describe(error)};
+    default:
+      return PlatformRefused{Describe(error)};
   }
-  next.operations.push_back({entry.operation_id, snapshot.generation});
-  KeepNewest(next.operations, kMaxRememberedOperations);
-  next.audit.push_back(std::move(entry));
-  KeepNewest(next.audit, kMaxHeadAuditEntries);
-  return next;
 }
 
-void PauseBeforeRetry() {
-  std::random_device seed;
-  std::uniform_int_distribution<std::int64_t> pause(0, kLongestPause.count());
-  std::this_thread::sleep_for(Duration(pause(seed)));
+// Runs `step`, which returns an event, and turns errors of reading into one.
+template <typename Step>
+ChangeEvent Guarded(Step step) {
+  return leaf::try_handle_all(
+      step,
+      [](const PlatformError& error) -> ChangeEvent {
+        return FromReadError(error);
+      },
+      [](const HeadError& error) -> ChangeEvent {
+        return PlatformRefused{error.reason};
+      },
+      [](const ConfigError& error) -> ChangeEvent {
+        return PlatformRefused{"the rules in force cannot be read: " +
+                               ToString(error)};
+      },
+      []() -> ChangeEvent { return PlatformRefused{"unknown error"}; });
 }
 
 }  // namespace
@@ -65,135 +70,210 @@
                      random());
 }
 
-std::string UtcNow() {
-  return fmt::format("{:%Y-%m-%dT%H:%M:%SZ}", fmt::gmtime(std::time(nullptr)));
+UnixSeconds WallSeconds() {
+  return std::time(nullptr);
 }
 
 RulesStore::RulesStore(BlockingPlatform& platform) : platform_(platform) {}
 
+leaf::result<AcceptedHead> RulesStore::ReadHeadOnly() {
+  AcceptedHead accepted;
+  return leaf::try_handle_some(
+      [&]() -> leaf::result<AcceptedHead> {
+        BOOST_LEAF_AUTO(object, platform_.Get(kHeadKind, kHeadName));
+        accepted.resource_version = object.resource_version;
+        BOOST_LEAF_ASSIGN(accepted.head, ParseHead(object.spec));
+        return accepted;
+      },
+      [&](const PlatformError& error) -> leaf::result<AcceptedHead> {
+        if (error.kind == PlatformError::Kind::kNotFound) {
+          return AcceptedHead{};
+        }
+        return leaf::new_error(error);
+      });
+}
+
 leaf::result<AcceptedRules> RulesStore::Read() {
-  AcceptedRules accepted;
-  BOOST_LEAF_AUTO(list, platform_.List(kHeadKind));
-  if (list.items.empty()) {
-    return accepted;
+  BOOST_LEAF_AUTO(accepted, ReadHeadOnly());
+  AcceptedRules rules{accepted.resource_version, std::move(accepted.head), {}};
+  if (!rules.resource_version.empty()) {
+    BOOST_LEAF_ASSIGN(rules.document, ReadDocument(rules.head));
   }
-  accepted.object = std::move(list.items.front());
-  BOOST_LEAF_ASSIGN(accepted.head, ParseHead(accepted.object->spec));
+  return rules;
+}
+
+leaf::result<RuleDocument> RulesStore::ReadDocument(const RulesHead& head) {
   std::vector<RulesChunk> chunks;
-  for (const std::string& name : accepted.head.chunks) {
-    BOOST_LEAF_AUTO(object, platform_.Get(kChunkKind, name));
-    BOOST_LEAF_AUTO(chunk, ParseChunk(name, object.spec));
+  for (const std::string& name : head.chunks) {
+    BOOST_LEAF_AUTO(chunk, ReadChunk(name));
     chunks.push_back(std::move(chunk));
   }
-  BOOST_LEAF_AUTO(snapshot, AssembleSnapshot(accepted.head, chunks));
-  BOOST_LEAF_ASSIGN(accepted.document, ToDocument(snapshot));
-  return accepted;
+  std::erase_if(chunks_, [&](const auto& held) {
+    return std::find(head.chunks.begin(), head.chunks.end(), held.first) ==
+           head.chunks.end();
+  });
+  BOOST_LEAF_AUTO(snapshot, AssembleSnapshot(head, chunks));
+  return ToDocument(snapshot);
 }
 
-leaf::result<AcceptedRules> RulesStore::ReadOrNotMade(
-    const std::string& operation_id) {
+leaf::result<RulesChunk> RulesStore::ReadChunk(const std::string& name) {
+  const auto held = chunks_.find(name);
+  if (held != chunks_.end()) {
+    return held->second;
+  }
+  BOOST_LEAF_AUTO(object, platform_.Get(kChunkKind, name));
+  BOOST_LEAF_AUTO(chunk, ParseChunk(name, object.spec));
+  chunks_[name] = chunk;
+  return chunk;
+}
+
+leaf::result<void> RulesStore::VisitTrail(
+    const RulesHead& head,
+    const std::function<bool(const AuditEntry&)>& visit) {
+  const auto visit_all = [&](const std::vector<AuditEntry>& entries) {
+    return std::all_of(entries.rbegin(), entries.rend(), visit);
+  };
+  bool wanted = visit_all(head.audit);
+  std::string name = head.audit_page;
+  while (wanted && !name.empty()) {
+    BOOST_LEAF_AUTO(object, platform_.Get(kAuditKind, name));
+    BOOST_LEAF_AUTO(page, ParseAuditPage(name, object.spec));
+    wanted = visit_all(page.entries);
+    name = page.previous;
+  }
+  return {};
+}
+
+leaf::result<RuleDocument> RulesStore::ReadGeneration(const RulesHead& head,
+                                                      Generation generation) {
+  RulesHead old = head;
+  bool found = head.generation == generation;
+  bool broken = false;
+  BOOST_LEAF_CHECK(VisitTrail(head, [&](const AuditEntry& entry) {
+    if (entry.generation_after == generation) {
+      old.digest = entry.digest;
+      found = true;
+    }
+    if (entry.generation_after <= generation) {
+      return false;
+    }
+    auto before = UndoSplice(entry.splice, old.chunks);
+    broken = !before;
+    old.chunks = std::move(before).value_or(std::vector<std::string>());
+    return !broken;
+  }));
+  if (!found || broken) {
+    return leaf::new_error(OperationError{
+        fmt::format("the trail does not lead to generation {}", generation)});
+  }
+  old.generation = generation;
+  return ReadDocument(old);
+}
+
+leaf::result<HeadRead> RulesStore::ReadForChange(const ReadHead& wanted) {
+  BOOST_LEAF_AUTO(rules, Read());
+  HeadRead read;
+  read.resource_version = std::move(rules.resource_version);
+  read.document = std::move(rules.document);
+  read.now = WallSeconds();
+  BOOST_LEAF_CHECK(VisitTrail(rules.head, [&](const AuditEntry& entry) {
+    const bool needed = NeedsEntry(wanted, entry, read.now);
+    if (needed) {
+      read.trail.push_back(entry);
+    }
+    return needed;
+  }));
+  std::reverse(read.trail.begin(), read.trail.end());
+  read.head = std::move(rules.head);
+  return read;
+}
+
+leaf::result<void> RulesStore::CreateOnce(std::string_view kind,
+                                          const std::string& name,
+                                          nlohmann::json spec) {
   return leaf::try_handle_some(
-      [&] { return Read(); },
-      [&](const PlatformError& error) -> leaf::result<AcceptedRules> {
-        return leaf::new_error(
-            ChangeError{ChangeError::Kind::kNotMade, operation_id,
-                        fmt::format("the platform: {} ({})",
-                                    ToString(error.kind), error.detail)});
+      [&]() -> leaf::result<void> {
+        BOOST_LEAF_CHECK(platform_.Create(kind, name, std::move(spec)));
+        return {};
       },
-      [&](const HeadError& error) -> leaf::result<AcceptedRules> {
-        return leaf::new_error(ChangeError{ChangeError::Kind::kNotMade,
-                                           operation_id, error.reason});
+      [](const PlatformError& error) -> leaf::result<void> {
+        // The name is made from the content: what exists is the same.
+        if (error.kind == PlatformError::Kind::kConflict) {
+          return {};
+        }
+        return leaf::new_error(error);
       });
 }
 
-leaf::result<void> RulesStore::WriteChunks(std::span<const RulesChunk> chunks) {
-  for (const RulesChunk& chunk : chunks) {
-    BOOST_LEAF_CHECK(leaf::try_handle_some(
-        [&]() -> leaf::result<void> {
-          BOOST_LEAF_CHECK(
-              platform_.Create(kChunkKind, chunk.name, ToJson(chunk)));
-          return {};
-        },
-        [](const PlatformError& error) -> leaf::result<void> {
-          // The name is made from the content: what exists is the same.
-          if (error.kind == PlatformError::Kind::kConflict) {
-            return {};
-          }
-          return leaf::new_error(error);
-        }));
+leaf::result<void> RulesStore::WriteAll(const WriteParts& parts) {
+  for (const RulesChunk& chunk : parts.chunks) {
+    BOOST_LEAF_CHECK(CreateOnce(kChunkKind, chunk.name, ToJson(chunk)));
+  }
+  if (parts.page) {
+    BOOST_LEAF_CHECK(
+        CreateOnce(kAuditKind, parts.page->name, ToJson(*parts.page)));
   }
   return {};
 }
 
-leaf::result<PlatformObject> RulesStore::WriteHead(
-    const AcceptedRules& accepted,
-    const RulesHead& head) {
-  if (!accepted.object) {
-    return platform_.Create(kHeadKind, kHeadName, ToJson(head));
+ChangeEvent RulesStore::Perform(const ReadHead& action) {
+  return Guarded([&]() -> leaf::result<ChangeEvent> {
+    BOOST_LEAF_AUTO(read, ReadForChange(action));
+    return read;
+  });
+}
+
+ChangeEvent RulesStore::Perform(const WriteParts& action) {
+  return Guarded([&]() -> leaf::result<ChangeEvent> {
+    BOOST_LEAF_CHECK(WriteAll(action));
+    return PartsWritten{};
+  });
+}
+
+ChangeEvent RulesStore::Perform(const WriteHead& action) {
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<ChangeEvent> {
+        if (action.resource_version.empty()) {
+          BOOST_LEAF_CHECK(
+              platform_.Create(kHeadKind, kHeadName, ToJson(action.head)));
+          return HeadWritten{};
+        }
+        PlatformObject object;
+        object.name = kHeadName;
+        object.resource_version = action.resource_version;
+        object.spec = ToJson(action.head);
+        BOOST_LEAF_CHECK(platform_.Update(kHeadKind, object));
+        return HeadWritten{};
+      },
+      [](const PlatformError& error) -> ChangeEvent {
+        return FromHeadWriteError(error);
+      },
+      []() -> ChangeEvent { return HeadOutcomeUnknown{"unknown error"}; });
+}
+
+ChangeEvent RulesStore::Perform(const WaitBeforeRetry& action) {
+  std::this_thread::sleep_for(action.duration);
+  return WaitOver{};
+}
+
+struct RulesStore::Driver {
+  RulesStore& store;
+
+  template <typename Action>
+  ChangeEvent operator()(const Action& action) {
+    return store.Perform(action);
   }
-  PlatformObject object = *accepted.object;
-  object.spec = ToJson(head);
-  return platform_.Update(kHeadKind, object);
-}
-
-leaf::result<ChangeReceipt> RulesStore::Change(const Operation& operation,
-                                               const ChangeAuthor& author) {
-  const std::string id = MakeOperationId();
-  bool maybe_made = false;
-  std::string last_reason;
-  for (int attempt = 0; attempt < kMaxAttempts; ++attempt) {
-    BOOST_LEAF_AUTO(accepted, ReadOrNotMade(id));
-    if (const auto made = FindOperation(accepted.head, id)) {
-      return ChangeReceipt{*made, id, {"(answer was lost)"}};
-    }
-    BOOST_LEAF_AUTO(changed, ApplyOperation(accepted.document, operation));
-    auto difference = Difference(accepted.document, changed);
-    if (difference.empty() && accepted.object) {
-      return ChangeReceipt{accepted.head.generation, id, {}};
-    }
-    const Snapshot snapshot =
-        MakeSnapshot(accepted.head.generation + 1, changed);
-    const auto chunks = CutIntoChunks(snapshot.items);
-    AuditEntry entry{accepted.head.generation,
-                     snapshot.generation,
-                     id,
-                     Describe(operation),
-                     author.who,
-                     author.from,
-                     UtcNow(),
-                     author.reason,
-                     difference};
-    const RulesHead head =
-        NextHead(accepted.head, snapshot, chunks, std::move(entry));
-    bool written = false;
-    bool try_again = false;
-    leaf::try_handle_all(
-        [&]() -> leaf::result<void> {
-          BOOST_LEAF_CHECK(WriteChunks(chunks));
-          BOOST_LEAF_CHECK(WriteHead(accepted, head));
-          written = true;
-          return {};
-        },
-        [&](const PlatformError& error) {
-          last_reason = fmt::format("the platform: {} ({})",
-                                    ToString(error.kind), error.detail);
-          maybe_made =
-              maybe_made || error.kind == PlatformError::Kind::kUnknownOutcome;
-          try_again = error.kind == PlatformError::Kind::kConflict ||
-                      error.kind == PlatformError::Kind::kUnknownOutcome;
-        },
-        [&] { last_reason = "unknown error"; });
-    if (written) {
-      return ChangeReceipt{snapshot.generation, id, std::move(difference)};
-    }
-    if (!try_again) {
-      break;
-    }
-    PauseBeforeRetry();
+  ChangeEvent operator()(const ReportChange&) { return WaitOver{}; }
+};
+
+ReportChange RulesStore::Change(ChangeRequest request) {
+  RuleChange change(std::move(request), std::random_device{}());
+  ChangeAction action = change.Start(SteadyNow());
+  while (!std::holds_alternative<ReportChange>(action)) {
+    ChangeEvent event = std::visit(Driver{*this}, action);
+    action = change.OnEvent(std::move(event), SteadyNow());
   }
-  return leaf::new_error(ChangeError{
-      maybe_made ? ChangeError::Kind::kUnknown : ChangeError::Kind::kNotMade,
-      id, last_reason});
+  return std::get<ReportChange>(std::move(action));
 }
 
 }  // namespace verbenastile
--- a/src/cli/rules_store.h
+++ b/src/cli/rules_store.h
@@ -1,77 +1,78 @@
-// Changes of the accepted rules: read, apply an operation, write under a
-// conditional update, and try again on a lost race.
+// The accepted rules at the platform: reads them and their trail, and drives
+// the state machine of a change with the platform's answers.
 #ifndef CLI_RULES_STORE_H_
 #define CLI_RULES_STORE_H_
 
 #include <boost/leaf/result.hpp>
+#include <functional>
+#include <map>
 #include <optional>
 #include <string>
 
 #include "cli/blocking_platform.h"
-#include "core/operations.h"
-#include "core/rules_head.h"
+#include "core/rule_change.h"
 
 namespace verbenastile {
 
-// Who makes a change, and why; written to the audit trail.
-struct ChangeAuthor {
-  std::string who;
-  std::string from;
-  std::string reason;
-};
-
-// A change that is not known to be made.
-struct ChangeError {
-  enum class Kind {
-    kNotMade,  // Nothing was changed.
-    kUnknown,  // It may have been made.
-  };
-
-  Kind kind = Kind::kNotMade;
-  std::string operation_id;
-  std::string reason;
+// The head object; without a version before the first change.
+struct AcceptedHead {
+  std::string resource_version;
+  RulesHead head;
 };
 
 // The accepted rules, and the head that says so.
 struct AcceptedRules {
-  std::optional<PlatformObject> object;  // Missing before the first change.
+  std::string resource_version;  // Empty before the first change.
   RulesHead head;
   RuleDocument document;
 };
 
-// A change that was made.
-struct ChangeReceipt {
-  Generation generation = 0;
-  std::string operation_id;
-  std::vector<std::string> difference;  // Empty: nothing had to be changed.
-};
-
+// Errors of all reads: `PlatformError`, `HeadError`, `ConfigError`.
 class RulesStore {
  public:
   explicit RulesStore(BlockingPlatform& platform);
 
-  // Errors: `PlatformError`, `HeadError`, `ConfigError`.
+  leaf::result<AcceptedHead> ReadHeadOnly();
   leaf::result<AcceptedRules> Read();
 
-  // Makes one change. Errors: `ChangeError`; `OperationError` and
-  // `ConfigError` when the operation cannot be applied, so nothing changed.
-  leaf::result<ChangeReceipt> Change(const Operation& operation,
-                                     const ChangeAuthor& author);
+  // Calls `visit` for each entry from the newest to the oldest until it
+  // returns false.
+  leaf::result<void> VisitTrail(
+      const RulesHead& head,
+      const std::function<bool(const AuditEntry&)>& visit);
+
+  // The rules as they were at `generation`. Errors: besides, `OperationError`
+  // when the trail does not lead back to it.
+  leaf::result<RuleDocument> ReadGeneration(const RulesHead& head,
+                                            Generation generation);
+
+  // Makes one change, or says what became of it.
+  ReportChange Change(ChangeRequest request);
 
  private:
-  leaf::result<AcceptedRules> ReadOrNotMade(const std::string& operation_id);
-  leaf::result<void> WriteChunks(std::span<const RulesChunk> chunks);
-  leaf::result<PlatformObject> WriteHead(const AcceptedRules& accepted,
-                                         const RulesHead& head);
+  struct Driver;
+
+  leaf::result<RuleDocument> ReadDocument(const RulesHead& head);
+  leaf::result<RulesChunk> ReadChunk(const std::string& name);
+  leaf::result<HeadRead> ReadForChange(const ReadHead& wanted);
+  leaf::result<void> CreateOnce(std::string_view kind,
+                                const std::string& name,
+                                nlohmann::json spec);
+  leaf::result<void> WriteAll(const WriteParts& parts);
+  ChangeEvent Perform(const ReadHead& action);
+  ChangeEvent Perform(const WriteParts& action);
+  ChangeEvent Perform(const WriteHead& action);
+  ChangeEvent Perform(const WaitBeforeRetry& action);
 
   BlockingPlatform& platform_;
+  std::map<std::string, RulesChunk, std::less<>> chunks_;  // By content.
 };
 
 // 32 random hexadecimal digits.
 std::string MakeOperationId();
 
-// The wall clock as ISO 8601 in UTC.
-std::string UtcNow();
+// The wall clock.
+UnixSeconds WallSeconds();
 
 }  // namespace verbenastile
 
--- a/src/core/operations.cc
+++ b/src/core/operations.cc
@@ -68,6 +68,16 @@
     return std::move(document);
   }
 
+  leaf::result<RuleDocument> operator()(const UpdateRule& update) {
+    const auto position = FindRule(document.rules, update.rule.id);
+    if (position == document.rules.end()) {
+      return leaf::new_error(
+          OperationError{fmt::format("there is no rule {}", update.rule.id)});
+    }
+    *position = update.rule;
+    return std::move(document);
+  }
+
   leaf::result<RuleDocument> operator()(const ReplaceDocument& replace) {
     return replace.document;
   }
@@ -83,9 +93,51 @@
   std::string operator()(const RetireRule& retire) const {
     return "retire " + retire.id;
   }
-  std::string operator()(const ReplaceDocument&) const { return "apply"; }
+  std::string operator()(const UpdateRule& update) const {
+    return "update " + update.rule.id;
+  }
+  std::string operator()(const ReplaceDocument& replace) const {
+    return replace.name;
+  }
 };
 
+struct RuleNamer {
+  std::string_view operator()(const AddRule& add) const { return add.rule.id; }
+  std::string_view operator()(const MoveRule& move) const { return move.id; }
+  std::string_view operator()(const RetireRule& retire) const {
+    return retire.id;
+  }
+  std::string_view operator()(const UpdateRule& update) const {
+    return update.rule.id;
+  }
+  std::string_view operator()(const ReplaceDocument&) const { return {}; }
+};
+
+// The owner and the canonical text of each rule and group.
+std::set<std::pair<std::string, std::string>> OwnedTexts(
+    const RuleDocument& document) {
+  std::set<std::pair<std::string, std::string>> texts;
+  for (const Group& group : document.groups) {
+    texts.emplace(group.name, ToCanonicalText(group));
+  }
+  for (const Rule& rule : document.rules) {
+    texts.emplace(EffectiveOwner(rule), ToCanonicalText(rule));
+  }
+  return texts;
+}
+
+// Adds the owner of each rule that `difference` says moved.
+void AddOwnersOfMoved(const RuleDocument& document,
+                      const std::vector<std::string>& difference,
+                      std::set<std::string>& owners) {
+  for (const Rule& rule : document.rules) {
+    if (std::find(difference.begin(), difference.end(), ">" + rule.id) !=
+        difference.end()) {
+      owners.emplace(EffectiveOwner(rule));
+    }
+  }
+}
+
 using Parts = std::vector<std::pair<std::string, std::string>>;
 
 Parts NamedParts(const RuleDocument& document) {
@@ -160,6 +212,10 @@
   return changed;
 }
 
+std::string_view RuleOf(const Operation& operation) {
+  return std::visit(RuleNamer{}, operation);
+}
+
 std::string Describe(const Operation& operation) {
   return std::visit(Describer{}, operation);
 }
@@ -194,4 +250,35 @@
   return difference;
 }
 
+std::vector<std::string> Difference(const Operation& operation,
+                                    const RuleDocument& before,
+                                    const RuleDocument& after) {
+  auto difference = Difference(before, after);
+  if (std::holds_alternative<MoveRule>(operation) && !difference.empty()) {
+    return {fmt::format(">{}", RuleOf(operation))};
+  }
+  return difference;
+}
+
+std::vector<std::string> TouchedGroups(
+    const RuleDocument& before,
+    const RuleDocument& after,
+    const std::vector<std::string>& difference) {
+  const auto old_texts = OwnedTexts(before);
+  const auto new_texts = OwnedTexts(after);
+  std::set<std::string> owners;
+  for (const auto& [owner, text] : old_texts) {
+    if (!new_texts.contains({owner, text})) {
+      owners.insert(owner);
+    }
+  }
+  for (const auto& [owner, text] : new_texts) {
+    if (!old_texts.contains({owner, text})) {
+      owners.insert(owner);
+    }
+  }
+  AddOwnersOfMoved(after, difference, owners);
+  return {owners.begin(), owners.end()};
+}
+
 }  // namespace verbenastile
--- a/src/core/operations.h
+++ b/src/core/operations.h
@@ -5,6 +5,7 @@
 
 #include <boost/leaf/result.hpp>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -33,12 +34,20 @@
   std::string id;
 };
 
-// Replaces the whole document.
+// Replaces the rule of the same id; it keeps its place.
+struct UpdateRule {
+  Rule rule;
+};
+
+// Replaces the whole document. `name` says where it came from, such as "apply"
+// or "rollback to 7".
 struct ReplaceDocument {
   RuleDocument document;
+  std::string name = "apply";
 };
 
-using Operation = std::variant<AddRule, MoveRule, RetireRule, ReplaceDocument>;
+using Operation =
+    std::variant<AddRule, MoveRule, RetireRule, UpdateRule, ReplaceDocument>;
 
 // An operation that cannot be applied to the document as it is.
 struct OperationError {
@@ -51,6 +60,9 @@
 leaf::result<RuleDocument> ApplyOperation(const RuleDocument& document,
                                           const Operation& operation);
 
+// The rule that `operation` is about; empty for `ReplaceDocument`.
+std::string_view RuleOf(const Operation& operation);
+
 // A short name such as "add pay".
 std::string Describe(const Operation& operation);
 
@@ -60,6 +72,18 @@
 std::vector<std::string> Difference(const RuleDocument& before,
                                     const RuleDocument& after);
 
+// As `Difference`; a move names the rule that was moved, never its neighbour.
+std::vector<std::string> Difference(const Operation& operation,
+                                    const RuleDocument& before,
+                                    const RuleDocument& after);
+
+// The owners of the rules and the groups that differ, sorted. `difference` is
+// what `Difference` gave for the two.
+std::vector<std::string> TouchedGroups(
+    const RuleDocument& before,
+    const RuleDocument& after,
+    const std::vector<std::string>& difference);
+
 }  // namespace verbenastile
 
 #endif  // CORE_OPERATIONS_H_
--- a/src/core/rules_head.cc
+++ b/src/core/rules_head.cc
@@ -3,20 +3,24 @@
 #include <fmt/format.h>
 
 #include <nlohmann/json.hpp>
+#include <optional>
 
 namespace verbenastile {
 
 using nlohmann::json;
 
 // NOLINTNEXTLINE(readability-identifier-naming): a name that the library asks.
-void to_json(json& out, const OperationRecord& record) {
-  out = {{"id", record.id}, {"generation", record.generation}};
+void to_json(json& out, const ChunkSplice& splice) {
+  out = {{"position", splice.position},
+         {"added", splice.added},
+         {"removed", splice.removed}};
 }
 
 // NOLINTNEXTLINE(readability-identifier-naming): a name that the library asks.
-void from_json(const json& in, OperationRecord& record) {
-  in.at("id").get_to(record.id);
-  in.at("generation").get_to(record.generation);
+void from_json(const json& in, ChunkSplice& splice) {
+  in.at("position").get_to(splice.position);
+  in.at("added").get_to(splice.added);
+  in.at("removed").get_to(splice.removed);
 }
 
 // NOLINTNEXTLINE(readability-identifier-naming): a name that the library asks.
@@ -29,7 +33,11 @@
          {"from", entry.from},
          {"when", entry.when},
          {"reason", entry.reason},
-         {"difference", entry.difference}};
+         {"difference", entry.difference},
+         {"differenceOmitted", entry.difference_omitted},
+         {"groups", entry.groups},
+         {"digest", ToString(entry.digest)},
+         {"splice", entry.splice}};
 }
 
 // NOLINTNEXTLINE(readability-identifier-naming): a name that the library asks.
@@ -43,6 +51,10 @@
   in.at("when").get_to(entry.when);
   in.at("reason").get_to(entry.reason);
   in.at("difference").get_to(entry.difference);
+  in.at("differenceOmitted").get_to(entry.difference_omitted);
+  in.at("groups").get_to(entry.groups);
+  entry.digest = ParseDigest(in.at("digest").get<std::string>()).value();
+  in.at("splice").get_to(entry.splice);
 }
 
 namespace {
@@ -81,15 +93,19 @@
     return parse();
   } catch (const json::exception& error) {
     return leaf::new_error(HeadError{error.what()});
+  } catch (const std::bad_optional_access&) {
+    return leaf::new_error(HeadError{"a digest is malformed"});
   }
 }
 
 }  // namespace
 
 json ToJson(const RulesHead& head) {
-  return {{"generation", head.generation}, {"digest", ToString(head.digest)},
-          {"chunks", head.chunks},         {"operations", head.operations},
-          {"audit", head.audit},           {"auditPages", head.audit_pages}};
+  return {{"generation", head.generation},
+          {"digest", ToString(head.digest)},
+          {"chunks", head.chunks},
+          {"audit", head.audit},
+          {"auditPage", head.audit_page}};
 }
 
 leaf::result<RulesHead> ParseHead(const json& spec) {
@@ -102,9 +118,8 @@
     }
     head.digest = *digest;
     spec.at("chunks").get_to(head.chunks);
-    spec.at("operations").get_to(head.operations);
     spec.at("audit").get_to(head.audit);
-    spec.at("auditPages").get_to(head.audit_pages);
+    spec.at("auditPage").get_to(head.audit_page);
     return head;
   });
 }
--- a/src/core/rules_head.h
+++ b/src/core/rules_head.h
@@ -20,20 +20,23 @@
 constexpr const char* kAuditKind = "auditpages";
 constexpr const char* kRosterKind = "rosters";
 
-// Operations that the head remembers, to tell a lost answer from a lost write.
-constexpr std::size_t kMaxRememberedOperations = 512;
-// Audit entries in the head before the oldest are spilled to a page.
+// Audit entries in the head before the older half is spilled to a page.
 constexpr std::size_t kMaxHeadAuditEntries = 64;
+// Bytes of the head and of any other object; the platform bounds a value at a
+// megabyte.
+constexpr std::size_t kMaxObjectBytes = 900'000;
 
 // An object at the platform that cannot be what it should be.
 struct HeadError {
   std::string reason;
 };
 
-// An accepted operation: its id, and the generation that it made.
-struct OperationRecord {
-  std::string id;
-  Generation generation = 0;
+// How a list of chunk names became the next one: from `position` on, the names
+// in `removed` gave way to `added` others.
+struct ChunkSplice {
+  std::size_t position = 0;
+  std::size_t added = 0;
+  std::vector<std::string> removed;
 };
 
 // Who changed what, when and why.
@@ -46,16 +49,21 @@
   std::string from;  // The host that the operator's tool ran on.
   std::string when;  // UTC, ISO 8601, by the operator's clock.
   std::string reason;
-  std::vector<std::string> difference;  // "+", "-" or ">" and a rule's id.
+  // "+", "-", "~" or ">" and a rule's id.
+  std::vector<std::string> difference;
+  // Names of the difference beyond the bound of an entry.
+  std::size_t difference_omitted = 0;
+  std::vector<std::string> groups;  // Owners of the rules that changed.
+  Digest digest;                    // Of the snapshot after the change.
+  ChunkSplice splice;               // Leads back to the chunks before it.
 };
 
 struct RulesHead {
   Generation generation = 0;
   Digest digest;                    // Of the snapshot.
   std::vector<std::string> chunks;  // Names of chunk objects, in order.
-  std::vector<OperationRecord> operations;
-  std::vector<AuditEntry> audit;         // Newest last.
-  std::vector<std::string> audit_pages;  // Names of pages, oldest first.
+  std::vector<AuditEntry> audit;    // Newest last.
+  std::string audit_page;  // The newest page of older entries; empty: none.
 };
 
 nlohmann::json ToJson(const RulesHead& head);
--- /dev/null
+++ b/src/core/utc_time.h
@@ -0,0 +1,23 @@
+// Wall-clock times as text. Decisions get them from outside.
+#ifndef CORE_UTC_TIME_H_
+#define CORE_UTC_TIME_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace verbenastile {
+
+// Seconds since 1970-01-01T00:00:00Z, without leap seconds.
+using UnixSeconds = std::int64_t;
+
+// Such as "2026-12-03T20:55:00Z".
+std::string FormatUtc(UnixSeconds time);
+
+// Reads what `FormatUtc` wrote, or a date alone; nothing otherwise.
+std::optional<UnixSeconds> ParseUtc(std::string_view text);
+
+}  // namespace verbenastile
+
+#endif  // CORE_UTC_TIME_H_
