--- a/src/node/node.h
+++ b/src/node/node.h
@@ -17,8 +17,8 @@
 #include "io/platform_client.h"
 #include "node/admin_server.h"
 #include "node/call_proxy.h"
+#include "node/membership_service.h"
 #include "node/platform_source.h"
-#include "node/roster_keeper.h"
 
 namespace verbenastile {
 
@@ -27,6 +27,7 @@
   StateChart lifecycle;
   StateChart config_apply;
   StateChart platform_session;
+  StateChart upstream_health;
 };
 
 // Errors: `ConfigError` when an embedded chart is at fault.
@@ -48,9 +49,11 @@
   void OnSnapshot(const std::shared_ptr<const Snapshot>& snapshot);
   void Fire(std::string_view event);
   void RunAction(std::string_view action);
-  void AnnounceAs(MemberState state);
   void BeginLeaving();
-  void WaitForCalls(Time expiry, Time earliest_end);
+  void OnUpstreamLeaving();
+  void WaitForCalls(Time earliest_end);
+  void WaitForLastCalls(Time earliest_end);
+  bool HasCalls() const;
   void Stop();
   std::string StatusJson() const;
   bool ready() const { return lifecycle_.state() == "serving"; }
@@ -68,12 +71,12 @@
   HttpClient call_http_;     // To upstreams and other nodes.
   PlatformClient platform_;
   PlatformSource source_;
-  RosterKeeper roster_;
+  MembershipService membership_;
   CallProxy proxy_;
   AdminServer admin_;
   HttpServer peers_;
   HttpServer callers_;
-  Member self_;
+  Time drain_expiry_;
   int exit_code_ = 0;
 };
 
