--- a/soak/main.cc
+++ b/soak/main.cc
@@ -14,7 +14,9 @@
 
 std::vector<SoakTopic> SoakTopics() {
   return {ApplyTopic(), CallsTopic(), DistributionTopic(), MembershipTopic(),
-          ParsersTopic()};
+          OperatorsTopic()};
+  ParsersTopic()
+};
 }
 
 namespace {
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -72,6 +72,7 @@
 SoakTopic ParsersTopic();
 SoakTopic CallsTopic();
 SoakTopic MembershipTopic();
+SoakTopic OperatorsTopic();
 
 }  // namespace verbenastile
 
