--- a/soak/main.cc
+++ b/soak/main.cc
@@ -14,9 +14,7 @@
 
 std::vector<SoakTopic> SoakTopics() {
   return {ApplyTopic(), CallsTopic(), DistributionTopic(), MembershipTopic(),
-          OperatorsTopic()};
-  ParsersTopic()
-};
+          OperatorsTopic(), ParsersTopic()};
 }
 
 namespace {
