--- a/soak/soak.h
+++ b/soak/soak.h
@@ -68,9 +68,11 @@
 
 // The topics, each in a file of its own.
 SoakTopic ApplyTopic();
+SoakTopic DistributionTopic();
 SoakTopic ParsersTopic();
 SoakTopic CallsTopic();
 SoakTopic MembershipTopic();
+SoakTopic OperatorsTopic();
 
 }  // namespace verbenastile
 
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -7,6 +7,7 @@
 #include <csignal>
 #include <nlohmann/json.hpp>
 #include <random>
+#include <string>
 
 #include "base/log.h"
 #include "core/invariant.h"
@@ -79,17 +80,11 @@
       control_http_(io_, kMaxIdlePlatformConnections),
       call_http_(io_, kMaxIdleCallConnections),
       platform_(control_http_, settings_.platform),
-      source_(io_,
-              platform_,
-              &charts_.platform_session,
-              FreshSeed(),
-              [this](const std::shared_ptr<const Snapshot>& snapshot) {
-                OnSnapshot(snapshot);
-              }),
       membership_(io_,
                   {&settings_, &platform_, &directory_, &metrics_},
                   MakeSelf(settings_),
                   FreshSeed()),
+      distribution_(io_, DistributionInit()),
       proxy_(
           {&io_, &settings_, &applier_, &directory_, &charts_.upstream_health,
            &call_http_, &metrics_, [this] { OnUpstreamLeaving(); }},
@@ -98,7 +93,8 @@
              settings_.listen.admin,
              metrics_,
              {[this] { return StatusJson(); }, [this] { return ready(); },
-              [this] { Fire("leave_requested"); }}),
+              [this] { Fire("leave_requested"); },
+              [this] { return distribution_.waiting_for(); }}),
       peers_(io_,
              ServerInit(settings_.listen.peers),
              [this](HttpRequest request, HttpReply reply) {
@@ -110,6 +106,20 @@
                  proxy_.OnCallerRequest(std::move(request), std::move(reply));
                }) {}
 
+DistributionServiceInit Node::DistributionInit() {
+  DistributionServiceInit init;
+  init.settings = &settings_;
+  init.directory = &directory_;
+  init.applier = &applier_;
+  init.platform = &platform_;
+  init.session_chart = &charts_.platform_session;
+  init.metrics = &metrics_;
+  init.self = MakeSelf(settings_);
+  init.seed = FreshSeed();
+  init.on_offered = [this](const OfferedAction& action) { OnOffered(action); };
+  return init;
+}
+
 int Node::Run() {
   Open();
   io_.run();
@@ -126,7 +136,7 @@
   admin_.Open([this](const std::string& error) { OnOpened("admin", error); });
   peers_.Open([this](const std::string& error) { OnOpened("peers", error); });
   OnOpened("control", membership_.Open());
-  source_.Start();
+  OnOpened("control", distribution_.Start());
 }
 
 void Node::OnOpened(std::string_view what, const std::string& error) {
@@ -139,20 +149,19 @@
   io_.stop();
 }
 
-void Node::OnSnapshot(const std::shared_ptr<const Snapshot>& snapshot) {
-  const ApplyOutcome outcome = applier_.Offer(snapshot);
+void Node::OnOffered(const OfferedAction& action) {
   metrics_.Set(metrics_.Gauge("generation"),
                static_cast<double>(applier_.generation()));
-  switch (outcome) {
+  switch (action.outcome) {
     case ApplyOutcome::kInForce:
       Log(LogLevel::kInfo, "config", "A generation is in force.",
           {{"generation", applier_.generation()},
-           {"digest", ToString(snapshot->digest)}});
+           {"digest", ToString(action.offered.digest)}});
       Fire("config_in_force");
       break;
     case ApplyOutcome::kRefused:
       Log(LogLevel::kError, "config", "A generation was refused.",
-          {{"generation", snapshot->generation},
+          {{"generation", action.offered.generation},
            {"reason", applier_.refusal().reason}});
       break;
     case ApplyOutcome::kOlder:
@@ -160,7 +169,7 @@
       Log(LogLevel::kError, "config",
           "The platform holds another history than the one in force.",
           {{"in_force", applier_.generation()},
-           {"offered", snapshot->generation}});
+           {"offered", action.offered.generation}});
       break;
     case ApplyOutcome::kUnchanged:
       break;
@@ -242,7 +251,7 @@
   const Time now = SteadyNow();
   const bool cut = now >= drain_expiry_;
   if (now >= earliest_end && (cut || !HasCalls())) {
-    source_.Stop();
+    distribution_.Stop();
     membership_.Close();
     io_.stop();
     return;
@@ -269,7 +278,9 @@
       {"generation", applier_.generation()},
       {"digest", applier_.snapshot() ? ToString(applier_.snapshot()->digest)
                                      : std::string()},
-      {"platform", source_.session_state()},
+      {"platform", distribution_.session_state()},
+      {"platform_other_history", distribution_.distribution().other_history()},
+      {"waiting_for", distribution_.waiting_for()},
       {"active_calls", proxy_.active()},
       {"violations", ViolationCount()},
       {"refused_generation", refusal.generation},
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -17,8 +17,8 @@
 #include "io/platform_client.h"
 #include "node/admin_server.h"
 #include "node/call_proxy.h"
+#include "node/distribution_service.h"
 #include "node/membership_service.h"
-#include "node/platform_source.h"
 
 namespace verbenastile {
 
@@ -46,7 +46,8 @@
  private:
   void Open();
   void OnOpened(std::string_view what, const std::string& error);
-  void OnSnapshot(const std::shared_ptr<const Snapshot>& snapshot);
+  DistributionServiceInit DistributionInit();
+  void OnOffered(const OfferedAction& action);
   void Fire(std::string_view event);
   void RunAction(std::string_view action);
   void BeginLeaving();
@@ -70,8 +71,8 @@
   HttpClient control_http_;  // To the platform.
   HttpClient call_http_;     // To upstreams and other nodes.
   PlatformClient platform_;
-  PlatformSource source_;
   MembershipService membership_;
+  DistributionService distribution_;
   CallProxy proxy_;
   AdminServer admin_;
   HttpServer peers_;
