--- a/src/core/membership.cc
+++ b/src/core/membership.cc
@@ -281,7 +281,7 @@
   next.incarnation = said.incarnation;
   next.state = said.state;
   // Who lies on the other side of a healed partition is held dead there, and
-  // who was just heard is not dead: both get the time to refute.
+  // who was just heard is not dead: both are told, and can refute.
   const bool doubtful = via == Via::kSync || HeardRecently(known);
   if (said.state == MemberState::kDead && doubtful &&
       IsLive(known.member.state)) {
@@ -289,7 +289,7 @@
       next.state = MemberState::kSuspect;
       SetMember(next, update.accuser);
     } else {
-      Accuse(said.name, update.accuser);
+      ProbeDoubted(known);
     }
     return;
   }
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -29,7 +29,7 @@
 
 // Sent bytes: on the long run, and at once.
 constexpr std::int64_t kMembershipBytesPerSecond = 2'000;
-constexpr std::int64_t kMembershipBurstBytes = 131'072;
+constexpr std::int64_t kMembershipBurstBytes = 262'144;
 // How far answers to probes may overdraw the budget.
 constexpr std::int64_t kMembershipReserveBytes = 16'384;
 // A tick that comes later than this makes the node doubt itself.
@@ -121,7 +121,8 @@
   bool isolated() const;
 
  private:
-  enum class ProbeKind { kNear, kFar, kGone };
+  // kDoubt: others hold a member dead that is not dead here.
+  enum class ProbeKind { kNear, kFar, kGone, kDoubt };
   enum class Via { kGossip, kSync };
   enum class Priority { kAnswer, kNews };
 
@@ -175,6 +176,7 @@
   void ProbeFar();
   void ProbeGone();
   void StartProbe(const MemberRecord& record, ProbeKind kind);
+  void ProbeDoubted(const MemberRecord& record);
   void ExpireProbes();
   void AskHelpers(std::uint32_t sequence, Probe& probe);
   void OnProbeFailed(const Probe& probe);
--- a/src/core/membership_probe.cc
+++ b/src/core/membership_probe.cc
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::size_t kMaxRelays = 64;
+constexpr std::size_t kMaxProbes = 64;
 
 }  // namespace
 
@@ -103,7 +104,14 @@
   ping.kind = GossipKind::kPing;
   ping.sequence = ++sequence_;
   ping.target = member.name;
-  AddNewsOf(member.name, member.incarnation, ping);
+  if (kind == ProbeKind::kDoubt) {
+    MemberUpdate doubt;
+    doubt.member = member;
+    doubt.member.state = MemberState::kDead;
+    ping.updates.push_back(std::move(doubt));
+  } else {
+    AddNewsOf(member.name, member.incarnation, ping);
+  }
   if (kind != ProbeKind::kGone) {
     AddQueued(ping);
   }
@@ -119,6 +127,15 @@
   }
 }
 
+// The member hears what is said of it and refutes; if it does not answer, it
+// is accused here too. What is left out comes again with the next sync.
+void Membership::ProbeDoubted(const MemberRecord& record) {
+  if (probes_.size() < kMaxProbes &&
+      !suspicions_.contains(record.member.name)) {
+    StartProbe(record, ProbeKind::kDoubt);
+  }
+}
+
 void Membership::ExpireProbes() {
   std::vector<Probe> failed;
   for (auto& [sequence, probe] : probes_) {
@@ -144,7 +161,7 @@
     return;
   }
   std::vector<const MemberRecord*> helpers = table_.views().neighbours;
-  if (probe.kind == ProbeKind::kFar) {
+  if (target->member.failure_domain != self_.failure_domain) {
     for (const MemberRecord* record : table_.views().distant) {
       if (record->member.failure_domain == target->member.failure_domain) {
         helpers.push_back(record);
--- a/src/core/roster_mending.cc
+++ b/src/core/roster_mending.cc
@@ -33,6 +33,7 @@
   }
   std::sort(ranked.begin(), ranked.end());
   std::vector<const Member*> order;
+  order.reserve(ranked.size());
   for (const auto& [digest, member] : ranked) {
     order.push_back(member);
   }
