--- a/soak/main.cc
+++ b/soak/main.cc
@@ -7,12 +7,16 @@
 #include "base/log.h"
 #include "core/invariant.h"
 #include "membership_experiment.h"
+#include "overload_experiment.h"
 #include "soak.h"
 
 namespace verbenastile {
 
 std::vector<SoakTopic> SoakTopics() {
-  return {ApplyTopic(), MembershipTopic()};
+  return {ApplyTopic(), CallsTopic(), DistributionTopic(), MembershipTopic(),
+          OperatorsTopic()};
+  ParsersTopic()
+};
 }
 
 namespace {
@@ -54,11 +58,16 @@
   TCLAP::SwitchArg list("", "list-mutations", "print topics and mutations",
                         cmd);
   TCLAP::ValueArg<std::string> experiment(
-      "", "experiment", "print figures: membership", false, "", "NAME", cmd);
+      "", "experiment", "print figures: membership or overload", false, "",
+      "NAME", cmd);
   cmd.parse(argc, argv);
   if (experiment.getValue() == "membership") {
     return RunMembershipExperiment(seed.getValue()) ? 0 : 1;
   }
+  if (experiment.getValue() == "overload") {
+    PrintOverloadExperiment(seed.getValue());
+    return 0;
+  }
   if (list.getValue()) {
     ListMutations();
     return 0;
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -107,6 +107,15 @@
   return platform;
 }
 
+CallSettings ReadCalls(YamlReader reader) {
+  CallSettings calls;
+  calls.observe = reader.Boolean("observe", calls.observe);
+  calls.limits = reader.Boolean("limits", calls.limits);
+  calls.retry_budget = reader.Boolean("retry_budget", calls.retry_budget);
+  reader.RejectUnknownKeys();
+  return calls;
+}
+
 std::vector<SocketAddress> ReadSeeds(YamlReader reader) {
   std::vector<SocketAddress> seeds;
   for (const std::string& text : reader.Strings("seeds")) {
@@ -136,6 +145,7 @@
   settings.listen = ReadListen(reader.Section("listen"));
   settings.upstream = ReadUpstream(reader.Section("upstream"));
   settings.platform = ReadPlatform(reader.Section("platform"));
+  settings.calls = ReadCalls(reader.Section("calls"));
   settings.membership_seeds = ReadSeeds(reader.Section("membership"));
   YamlReader distribution = reader.Section("distribution");
   settings.policy = static_cast<DistributionPolicy>(
--- a/src/core/route_table.h
+++ b/src/core/route_table.h
@@ -7,38 +7,23 @@
 #include <functional>
 #include <map>
 #include <set>
-#include <span>
 #include <string>
 #include <string_view>
 
 #include "config/rules.h"
+#include "core/request_view.h"
+#include "core/route_index.h"
 #include "core/snapshot.h"
 
 namespace verbenastile {
 
-// One header of a request; `name` is in lower case.
-struct HeaderView {
-  std::string_view name;
-  std::string_view value;
-};
-
-// What rules look at; the views must outlive the decision only.
-struct RequestView {
-  std::string_view group;
-  std::string_view service;  // The logical service the caller asks for.
-  std::string_view host;     // Lower case, without a port.
-  std::string_view path;     // Without the query.
-  std::string_view method;
-  std::span<const HeaderView> headers;
-};
-
-// Whether `match` holds for `request`.
-bool Matches(const RuleMatch& match, const RequestView& request);
-
 // The service among `route`'s targets for `point`, a number that is spread
 // evenly over all values of its type. Targets are chosen by weight.
 std::string_view ChooseTarget(const RouteAction& route, std::uint64_t point);
 
+// The share of all groups that are not declared.
+constexpr std::string_view kUndeclaredGroups = "";
+
 // Rules and their resources, made whole or not at all and never changed.
 class RouteTable {
  public:
@@ -49,10 +34,15 @@
   // The rule that decides; null when none matches. Valid while the table is.
   const Rule* Decide(const RequestView& request) const;
 
+  // The group whose share a call of `group` takes: itself when it is declared.
+  // All others share one, or a caller with many names would have many shares.
+  std::string_view ShareGroup(std::string_view group) const;
+
   // The weight of `group` in fair shares; 1 when it is not declared.
   std::uint32_t GroupWeight(std::string_view group) const;
 
   bool HasService(std::string_view name) const;
+  bool HasGroup(std::string_view name) const;
 
   Generation generation() const { return generation_; }
   const RuleDocument& document() const { return document_; }
@@ -60,6 +50,7 @@
  private:
   Generation generation_ = 0;
   RuleDocument document_;
+  RouteIndex index_;
   std::map<std::string, std::uint32_t, std::less<>> group_weights_;
   std::set<std::string, std::less<>> services_;
 };
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -2,13 +2,16 @@
 
 #include <fmt/format.h>
 
+#include <asio/post.hpp>
 #include <boost/leaf/handle_errors.hpp>
 #include <csignal>
 #include <nlohmann/json.hpp>
 #include <random>
+#include <string>
 
 #include "base/log.h"
 #include "core/invariant.h"
+#include "verbenastile/http_headers.h"
 
 namespace verbenastile {
 namespace {
@@ -25,6 +28,8 @@
 HttpServerInit ServerInit(const SocketAddress& address) {
   HttpServerInit init;
   init.address = address;
+  init.refusal_headers = {
+      {std::string(kOutcomeHeader), std::string(kOutcomeNotRun)}};
   return init;
 }
 
@@ -60,6 +65,8 @@
   BOOST_LEAF_ASSIGN(charts.config_apply, LoadEmbeddedChart("config_apply"));
   BOOST_LEAF_ASSIGN(charts.platform_session,
                     LoadEmbeddedChart("platform_session"));
+  BOOST_LEAF_ASSIGN(charts.upstream_health,
+                    LoadEmbeddedChart("upstream_health"));
   return charts;
 }
 
@@ -73,24 +80,21 @@
       control_http_(io_, kMaxIdlePlatformConnections),
       call_http_(io_, kMaxIdleCallConnections),
       platform_(control_http_, settings_.platform),
-      source_(io_,
-              platform_,
-              &charts_.platform_session,
-              FreshSeed(),
-              [this](const std::shared_ptr<const Snapshot>& snapshot) {
-                OnSnapshot(snapshot);
-              }),
       membership_(io_,
                   {&settings_, &platform_, &directory_, &metrics_},
                   MakeSelf(settings_),
                   FreshSeed()),
-      proxy_({&settings_, &applier_, &directory_, &call_http_, &metrics_},
-             FreshSeed()),
+      distribution_(io_, DistributionInit()),
+      proxy_(
+          {&io_, &settings_, &applier_, &directory_, &charts_.upstream_health,
+           &call_http_, &metrics_, [this] { OnUpstreamLeaving(); }},
+          FreshSeed()),
       admin_(io_,
              settings_.listen.admin,
              metrics_,
              {[this] { return StatusJson(); }, [this] { return ready(); },
-              [this] { Fire("leave_requested"); }}),
+              [this] { Fire("leave_requested"); },
+              [this] { return distribution_.waiting_for(); }}),
       peers_(io_,
              ServerInit(settings_.listen.peers),
              [this](HttpRequest request, HttpReply reply) {
@@ -102,6 +106,20 @@
                  proxy_.OnCallerRequest(std::move(request), std::move(reply));
                }) {}
 
+DistributionServiceInit Node::DistributionInit() {
+  DistributionServiceInit init;
+  init.settings = &settings_;
+  init.directory = &directory_;
+  init.applier = &applier_;
+  init.platform = &platform_;
+  init.session_chart = &charts_.platform_session;
+  init.metrics = &metrics_;
+  init.self = MakeSelf(settings_);
+  init.seed = FreshSeed();
+  init.on_offered = [this](const OfferedAction& action) { OnOffered(action); };
+  return init;
+}
+
 int Node::Run() {
   Open();
   io_.run();
@@ -118,7 +136,7 @@
   admin_.Open([this](const std::string& error) { OnOpened("admin", error); });
   peers_.Open([this](const std::string& error) { OnOpened("peers", error); });
   OnOpened("control", membership_.Open());
-  source_.Start();
+  OnOpened("control", distribution_.Start());
 }
 
 void Node::OnOpened(std::string_view what, const std::string& error) {
@@ -131,20 +149,19 @@
   io_.stop();
 }
 
-void Node::OnSnapshot(const std::shared_ptr<const Snapshot>& snapshot) {
-  const ApplyOutcome outcome = applier_.Offer(snapshot);
+void Node::OnOffered(const OfferedAction& action) {
   metrics_.Set(metrics_.Gauge("generation"),
                static_cast<double>(applier_.generation()));
-  switch (outcome) {
+  switch (action.outcome) {
     case ApplyOutcome::kInForce:
       Log(LogLevel::kInfo, "config", "A generation is in force.",
           {{"generation", applier_.generation()},
-           {"digest", ToString(snapshot->digest)}});
+           {"digest", ToString(action.offered.digest)}});
       Fire("config_in_force");
       break;
     case ApplyOutcome::kRefused:
       Log(LogLevel::kError, "config", "A generation was refused.",
-          {{"generation", snapshot->generation},
+          {{"generation", action.offered.generation},
            {"reason", applier_.refusal().reason}});
       break;
     case ApplyOutcome::kOlder:
@@ -152,13 +169,17 @@
       Log(LogLevel::kError, "config",
           "The platform holds another history than the one in force.",
           {{"in_force", applier_.generation()},
-           {"offered", snapshot->generation}});
+           {"offered", action.offered.generation}});
       break;
     case ApplyOutcome::kUnchanged:
       break;
   }
 }
 
+void Node::OnUpstreamLeaving() {
+  asio::post(io_, [this] { Fire("leave_requested"); });
+}
+
 void Node::Fire(std::string_view event) {
   for (const std::string& action : lifecycle_.Fire(event).actions) {
     RunAction(action);
@@ -184,39 +205,60 @@
 void Node::BeginLeaving() {
   Log(LogLevel::kInfo, kPart, "Leaving.",
       {{"name", settings_.name}, {"active", proxy_.active()}});
+  proxy_.BeginLeaving();
+  callers_.BeginDrain();
+  peers_.BeginDrain();
   membership_.Announce(MemberState::kLeaving, true);
   const Time now = SteadyNow();
-  WaitForCalls(now + settings_.drain_timeout, now + kLeaveNoticeTime);
+  drain_expiry_ = now + settings_.drain_timeout;
+  WaitForCalls(now + kLeaveNoticeTime);
 }
 
-void Node::WaitForCalls(Time expiry, Time earliest_end) {
+void Node::WaitForCalls(Time earliest_end) {
   const Time now = SteadyNow();
-  if (now >= expiry) {
+  if (now >= drain_expiry_) {
     Log(LogLevel::kWarning, kPart, "The drain took too long.",
         {{"active", proxy_.active()}});
     Fire("drain_expired");
     return;
   }
-  if (now >= earliest_end && proxy_.active() == 0) {
+  if (now >= earliest_end && !HasCalls()) {
     Fire("calls_finished");
     return;
   }
   drain_timer_.expires_after(kDrainCheckInterval);
-  drain_timer_.async_wait(
-      [this, expiry, earliest_end](const asio::error_code& error) {
-        if (!error) {
-          WaitForCalls(expiry, earliest_end);
-        }
-      });
+  drain_timer_.async_wait([this, earliest_end](const asio::error_code& error) {
+    if (!error) {
+      WaitForCalls(earliest_end);
+    }
+  });
+}
+
+// Answers count until their last byte has left.
+bool Node::HasCalls() const {
+  return proxy_.active() > 0 || callers_.stats().busy > 0 ||
+         peers_.stats().busy > 0;
 }
 
 void Node::Stop() {
   callers_.Close();
-  drain_timer_.expires_after(kLastWriteTime);
-  drain_timer_.async_wait([this](const asio::error_code&) {
-    source_.Stop();
+  peers_.Close();
+  WaitForLastCalls(SteadyNow() + kLastWriteTime);
+}
+
+// A call may have arrived just before the addresses were closed.
+void Node::WaitForLastCalls(Time earliest_end) {
+  const Time now = SteadyNow();
+  const bool cut = now >= drain_expiry_;
+  if (now >= earliest_end && (cut || !HasCalls())) {
+    distribution_.Stop();
     membership_.Close();
     io_.stop();
+    return;
+  }
+  drain_timer_.expires_after(kDrainCheckInterval);
+  drain_timer_.async_wait([this, earliest_end](const asio::error_code&) {
+    WaitForLastCalls(earliest_end);
   });
 }
 
@@ -236,7 +278,9 @@
       {"generation", applier_.generation()},
       {"digest", applier_.snapshot() ? ToString(applier_.snapshot()->digest)
                                      : std::string()},
-      {"platform", source_.session_state()},
+      {"platform", distribution_.session_state()},
+      {"platform_other_history", distribution_.distribution().other_history()},
+      {"waiting_for", distribution_.waiting_for()},
       {"active_calls", proxy_.active()},
       {"violations", ViolationCount()},
       {"refused_generation", refusal.generation},
