--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <asio/post.hpp>
 #include <boost/leaf/handle_errors.hpp>
 #include <csignal>
@@ -18,8 +19,10 @@
 constexpr std::string_view kPart = "node";
 constexpr std::size_t kMaxIdlePlatformConnections = 4;
 constexpr std::size_t kMaxIdleCallConnections = 512;
-// How long a leaving node still serves what others send it unaware.
-constexpr Duration kLeaveNoticeTime = std::chrono::seconds(2);
+// How long a leaving node still serves callers, by other upstreams. Longer than
+// clients of this project keep idle connections, so that none is closed under a
+// request; at most half of the drain's time.
+constexpr Duration kLeaveNoticeTime = std::chrono::seconds(5);
 constexpr Duration kDrainCheckInterval = std::chrono::milliseconds(20);
 // How long the last announcement may take on its way out.
 constexpr Duration kLastWriteTime = std::chrono::milliseconds(300);
@@ -202,7 +205,7 @@
   membership_.Announce(MemberState::kLeaving, true);
   const Time now = SteadyNow();
   drain_expiry_ = now + settings_.drain_timeout;
-  WaitForCalls(now + kLeaveNoticeTime);
+  WaitForCalls(now + std::min(kLeaveNoticeTime, settings_.drain_timeout / 2));
 }
 
 void Node::WaitForCalls(Time earliest_end) {
--- a/standins/load.cc
+++ b/standins/load.cc
@@ -43,6 +43,8 @@
   std::vector<std::int64_t> latencies;  // Of good answers.
 };
 
+constexpr std::size_t kMaxIdleConnections = 4'096;
+
 struct LoadPlan {
   std::vector<std::string> urls;
   std::string method;
@@ -63,7 +65,7 @@
  public:
   Load(asio::io_context& io, LoadPlan plan)
       : plan_(std::move(plan)),
-        client_(io, plan_.connections),
+        client_(io, kMaxIdleConnections),
         timer_(io),
         signals_(io, SIGTERM, SIGINT) {}
 
@@ -207,6 +209,7 @@
           if (again && !finished()) {
             Send(true);
           }
+          EndWhenDone();
         });
   }
 
