Tests of the call path over real sockets, and a crash that they found

Cause: an attempt cancelled from within its own head event freed the event that was running (a repeatable call whose answer was a 5xx). Change: the gate runs a copy of the event. Tests: forged headers, chunked request to a dying upstream, cut answer, gone caller through one and two nodes, queueing for a slot, true not-run, leaving, duplicate attempt, retries, slow reader.

--- a/src/node/upstream_gate.cc
+++ b/src/node/upstream_gate.cc
@@ -169,7 +169,8 @@
     if (found == calls_.end()) {
       return false;
     }
-    found->second.events.on_data(part);
+    const auto on_data = found->second.events.on_data;
+    on_data(part);
     return true;
   };
   call.http = init_.http->Start(
@@ -196,7 +197,9 @@
   if (length) {
     cleaned.headers.push_back({"Content-Length", std::to_string(*length)});
   }
-  found->second.events.on_head(cleaned);
+  // The call may be cancelled, and forgotten, from within.
+  const auto on_head = found->second.events.on_head;
+  on_head(cleaned);
 }
 
 void UpstreamGate::OnOutcome(CallId id, const HttpOutcome& outcome) {
