--- a/src/io/http_server.cc
+++ b/src/io/http_server.cc
@@ -149,7 +149,7 @@
 
 }  // namespace
 
-struct HttpReply::State : public ConnectionUser {
+struct HttpReply::State final : public ConnectionUser {
   State() = default;
   State(const State&) = delete;
   State& operator=(const State&) = delete;
