Calls: events under way end when the proxy does

Cause: tests crashed now and then at their end: a caller's connection that closed while a node was destroyed reached the destroyed proxy. Change: events are guarded by the call's end and the proxy's life.

--- a/src/node/call_proxy.cc
+++ b/src/node/call_proxy.cc
@@ -42,7 +42,11 @@
   PeerCall* raw = call.get();
   call->relay.emplace(std::move(reply),
                       RelayFlow{[this, raw] { gate_.Pause(raw->id); },
-                                [this, raw] { gate_.Resume(raw->id); }});
+                                [this, alive = alive_, raw] {
+                                  if (*alive) {
+                                    gate_.Resume(raw->id);
+                                  }
+                                }});
   if (FindHeader(request.headers, kTargetHeader) != parts_.settings->name) {
     RefusePeer(*call, {AttemptOutcome::kRefused, kMisdirected,
                        "meant for another node", true});
@@ -89,7 +93,11 @@
     }
   };
   call->id = gate_.Start(std::move(request), std::move(events));
-  call->relay->OnGone([this, id = call->id] { gate_.Cancel(id); });
+  call->relay->OnGone([this, alive = alive_, id = call->id] {
+    if (*alive) {
+      gate_.Cancel(id);
+    }
+  });
 }
 
 void CallProxy::RefusePeer(PeerCall& call, const AttemptEnd& end) {
--- a/src/node/call_proxy.h
+++ b/src/node/call_proxy.h
@@ -37,6 +37,9 @@
 class CallProxy {
  public:
   CallProxy(const CallProxyParts& parts, std::uint64_t seed);
+  ~CallProxy() { *alive_ = false; }
+  CallProxy(const CallProxy&) = delete;
+  CallProxy& operator=(const CallProxy&) = delete;
 
   // A request from a caller.
   void OnCallerRequest(HttpRequest request, HttpReply reply);
@@ -62,6 +65,8 @@
   PeerLink peers_;
   CallerSide callers_;
   CounterHandle peer_requests_;
+  // Events that outlive the proxy see false here.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 }  // namespace verbenastile
--- a/src/node/caller_side.cc
+++ b/src/node/caller_side.cc
@@ -103,7 +103,13 @@
       gone_(init.metrics->Counter("callers_gone_total")),
       latency_(init.metrics->Summary("call_microseconds")) {}
 
-CallerSide::~CallerSide() = default;
+// Events of calls that are still under way must not come back here.
+CallerSide::~CallerSide() {
+  for (const CallPointer& call : calls_) {
+    call->closed = true;
+    call->timer.cancel();
+  }
+}
 
 void CallerSide::OnRequest(HttpRequest request, HttpReply reply) {
   init_.metrics->Add(requests_);
@@ -111,7 +117,8 @@
   call->begin = SteadyNow();
   const std::weak_ptr<Call> weak = call;
   const auto with_call = [this, weak](void (CallerSide::*task)(Call&)) {
-    if (const auto held = weak.lock()) {
+    const auto held = weak.lock();
+    if (held && !held->closed) {
       (this->*task)(*held);
     }
   };
@@ -130,7 +137,8 @@
     return;
   }
   call->relay->OnGone([this, weak] {
-    if (const auto held = weak.lock()) {
+    const auto held = weak.lock();
+    if (held && !held->closed) {
       OnGone(held);
     }
   });
@@ -221,7 +229,7 @@
   }
   call->timer.expires_after(call->deadline - now + kDeadlineGrace);
   call->timer.async_wait([this, call](const asio::error_code& error) {
-    if (!error) {
+    if (!error && !call->closed) {
       OnDeadline(call);
     }
   });
@@ -453,9 +461,6 @@
 }
 
 void CallerSide::OnDeadline(const CallPointer& call) {
-  if (call->closed) {
-    return;
-  }
   CancelAttempt(*call, AttemptOutcome::kUnknown);
   if (call->relay->started()) {
     init_.metrics->Add(failed_);
@@ -467,9 +472,6 @@
 }
 
 void CallerSide::OnGone(const CallPointer& call) {
-  if (call->closed) {
-    return;
-  }
   init_.metrics->Add(gone_);
   CancelAttempt(*call, AttemptOutcome::kCancelled);
   Close(call);
--- a/src/node/upstream_gate.h
+++ b/src/node/upstream_gate.h
@@ -47,6 +47,7 @@
   };
 
   explicit UpstreamGate(Init init);
+  ~UpstreamGate() { *alive_ = false; }
   UpstreamGate(const UpstreamGate&) = delete;
   UpstreamGate& operator=(const UpstreamGate&) = delete;
 
