Node: raises its limit of open files

Cause: RESTinio stops to accept for good when accept fails for want of files. Change: the limit is raised at start, and a low one is logged.

--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -12,6 +12,7 @@
 
 #include "base/log.h"
 #include "core/invariant.h"
+#include "io/file_limit.h"
 #include "verbenastile/http_headers.h"
 
 namespace verbenastile {
@@ -20,6 +21,8 @@
 constexpr std::string_view kPart = "node";
 constexpr std::size_t kMaxIdlePlatformConnections = 4;
 constexpr std::size_t kMaxIdleCallConnections = 512;
+// Connections of callers, peers and operators, and to upstreams.
+constexpr std::size_t kNeededFiles = 14'000;
 // How long a leaving node still serves callers, by other upstreams. Longer than
 // clients of this project keep idle connections, so that none is closed under a
 // request; at most half of the drain's time.
@@ -131,6 +134,11 @@
 }
 
 void Node::Open() {
+  const std::size_t files = RaiseFileLimit();
+  if (files < kNeededFiles) {
+    Log(LogLevel::kWarning, kPart, "The limit of open files is low.",
+        {{"limit", files}, {"needed", kNeededFiles}});
+  }
   signals_.async_wait([this](const asio::error_code& error, int) {
     if (!error) {
       Fire("leave_requested");
