--- /dev/null
+++ b/tests/avoid_list_test.cc
@@ -0,0 +1,35 @@
+#include <catch2/catch.hpp>
+
+#include "core/avoid_list.h"
+
+namespace verbenastile {
+
+TEST_CASE("an instance that refused since it leaves is avoided", "[calls]") {
+  AvoidList list;
+  const Time begin = Time() + std::chrono::hours(1);
+  list.Add("node-1", 7, begin);
+  CHECK(list.Contains("node-1", 7, begin));
+  CHECK_FALSE(list.Contains("node-2", 7, begin));
+  CHECK(list.Names(begin).size() == 1);
+
+  SECTION("also by an older announcement") {
+    CHECK(list.Contains("node-1", 6, begin));
+  }
+  SECTION("until it returns as a later incarnation") {
+    CHECK_FALSE(list.Contains("node-1", 8, begin));
+  }
+  SECTION("for a bounded time") {
+    const Time end = begin + AvoidList::kAvoidTime;
+    CHECK(list.Contains("node-1", 7, end - Duration(1)));
+    CHECK_FALSE(list.Contains("node-1", 7, end));
+    CHECK(list.Names(end).empty());
+    CHECK(list.empty());
+  }
+  SECTION("and again when it refuses again") {
+    const Time later = begin + AvoidList::kAvoidTime / 2;
+    list.Add("node-1", 7, later);
+    CHECK(list.Contains("node-1", 7, begin + AvoidList::kAvoidTime));
+  }
+}
+
+}  // namespace verbenastile
