--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <asio/post.hpp>
 #include <boost/leaf/handle_errors.hpp>
 #include <csignal>
@@ -11,6 +12,7 @@
 
 #include "base/log.h"
 #include "core/invariant.h"
+#include "io/file_limit.h"
 #include "verbenastile/http_headers.h"
 
 namespace verbenastile {
@@ -19,8 +21,12 @@
 constexpr std::string_view kPart = "node";
 constexpr std::size_t kMaxIdlePlatformConnections = 4;
 constexpr std::size_t kMaxIdleCallConnections = 512;
-// How long a leaving node still serves what others send it unaware.
-constexpr Duration kLeaveNoticeTime = std::chrono::seconds(2);
+// Connections of callers, peers and operators, and to upstreams.
+constexpr std::size_t kNeededFiles = 14'000;
+// How long a leaving node still serves callers, by other upstreams. Longer than
+// clients of this project keep idle connections, so that none is closed under a
+// request; at most half of the drain's time.
+constexpr Duration kLeaveNoticeTime = std::chrono::seconds(5);
 constexpr Duration kDrainCheckInterval = std::chrono::milliseconds(20);
 // How long the last announcement may take on its way out.
 constexpr Duration kLastWriteTime = std::chrono::milliseconds(300);
@@ -128,6 +134,11 @@
 }
 
 void Node::Open() {
+  const std::size_t files = RaiseFileLimit();
+  if (files < kNeededFiles) {
+    Log(LogLevel::kWarning, kPart, "The limit of open files is low.",
+        {{"limit", files}, {"needed", kNeededFiles}});
+  }
   signals_.async_wait([this](const asio::error_code& error, int) {
     if (!error) {
       Fire("leave_requested");
@@ -211,7 +222,7 @@
   membership_.Announce(MemberState::kLeaving, true);
   const Time now = SteadyNow();
   drain_expiry_ = now + settings_.drain_timeout;
-  WaitForCalls(now + kLeaveNoticeTime);
+  WaitForCalls(now + std::min(kLeaveNoticeTime, settings_.drain_timeout / 2));
 }
 
 void Node::WaitForCalls(Time earliest_end) {
