--- a/soak/distribution_topic.cc
+++ b/soak/distribution_topic.cc
@@ -469,11 +469,6 @@
     digest_.Add(static_cast<std::uint64_t>(action.outcome));
     digest_.Add(
         static_cast<std::uint64_t>(events_.now().time_since_epoch().count()));
-    if (options_.mutation == "accept_older" &&
-        action.outcome == ApplyOutcome::kOlder) {
-      *node.applier = ConfigApplier(&chart_);
-      return;
-    }
     Require(node.applier->generation() >= node.highest,
             "generation_never_falls");
     node.highest = std::max(node.highest, node.applier->generation());
@@ -505,7 +500,7 @@
     if (faulty_ && random_.OneIn(50)) {
       return;
     }
-    if (faulty_ && random_.OneIn(100)) {
+    if (faulty_ && random_.OneIn(20)) {
       Damage(message);
     }
     const auto shared =
@@ -519,6 +514,7 @@
                               sender.control};
       After(target, late + milliseconds(1) + UpTo(milliseconds(4)),
             [this, target, peer, shared] {
+              MaybeGoBack(target, *shared);
               nodes_[target].distribution->OnMessage(events_.now(), peer,
                                                      *shared);
               RunActions(target);
@@ -526,6 +522,16 @@
     }
   }
 
+  // The mutation "accept_older": a delta to an older generation is let in.
+  void MaybeGoBack(std::size_t index, const DistributionMessage& message) {
+    const auto* delta = std::get_if<Delta>(&message);
+    ConfigApplier& applier = *nodes_[index].applier;
+    if (options_.mutation == "accept_older" && delta != nullptr &&
+        delta->to.generation < applier.generation()) {
+      applier = ConfigApplier(&chart_);
+    }
+  }
+
   // What a wire check would not notice: other items than the digest says.
   void Damage(DistributionMessage& message) {
     if (auto* delta = std::get_if<Delta>(&message)) {
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -12,6 +12,8 @@
 
 int RunNodeCommand(CommandArgs args);
 int RunRulesCommand(CommandArgs args);
+// The action `rules watch`.
+int RunRulesWatch(CommandArgs args);
 int RunStatusCommand(CommandArgs args);
 int RunAuditCommand(CommandArgs args);
 int RunCheckCommand(CommandArgs args);
--- a/src/cli/rules_command.cc
+++ b/src/cli/rules_command.cc
@@ -5,7 +5,6 @@
 #include <array>
 #include <cstdlib>
 #include <nlohmann/json.hpp>
-#include <thread>
 
 #include "cli/command_line.h"
 #include "cli/rules_store.h"
@@ -13,8 +12,6 @@
 namespace verbenastile {
 namespace {
 
-constexpr Duration kWatchInterval = std::chrono::milliseconds(500);
-
 std::string EnvironmentOr(const char* name, const char* fallback) {
   const char* value = std::getenv(name);
   return value == nullptr ? fallback : value;
@@ -234,42 +231,15 @@
   return PrintTrail(std::move(args), "Lists the accepted generations.");
 }
 
-int RunWatch(CommandArgs args) {
-  TCLAP::CmdLine cmd("Follows the accepted generations.", ' ',
-                     VERBENASTILE_VERSION);
-  PlatformArgs platform(cmd);
-  OutputArg output(cmd);
-  TCLAP::ValueArg<int> seconds("", "seconds", "how long", false, 60, "N", cmd);
-  int exit_code = kExitOk;
-  if (!ParseCommandLine(cmd, args, exit_code)) {
-    return exit_code;
-  }
-  return RunReported([&]() -> leaf::result<int> {
-    Generation seen = 0;
-    const Time end = SteadyNow() + std::chrono::seconds(seconds.getValue());
-    while (SteadyNow() < end) {
-      BOOST_LEAF_AUTO(accepted, ReadAccepted(platform.settings()));
-      for (const AuditEntry& entry : accepted.head.audit) {
-        if (entry.generation_after > seen) {
-          PrintEntry(entry, output.json());
-        }
-      }
-      seen = accepted.head.generation;
-      std::this_thread::sleep_for(kWatchInterval);
-    }
-    return kExitOk;
-  });
-}
-
 struct RulesAction {
   std::string_view name;
   int (*run)(CommandArgs args);
 };
 
 constexpr RulesAction kActions[] = {
-    {"apply", RunApply},   {"add", RunAdd},   {"move", RunMove},
-    {"retire", RunRetire}, {"list", RunList}, {"history", RunHistory},
-    {"watch", RunWatch},
+    {"apply", RunApply},      {"add", RunAdd},   {"move", RunMove},
+    {"retire", RunRetire},    {"list", RunList}, {"history", RunHistory},
+    {"watch", RunRulesWatch},
 };
 
 constexpr const char* kActionNames =
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -161,6 +161,8 @@
   settings.log_level = static_cast<LogLevel>(
       reader.Choice("log_level", {"debug", "info", "warning", "error"},
                     static_cast<std::size_t>(settings.log_level)));
+  settings.end_on_violation =
+      reader.Boolean("end_on_violation", settings.end_on_violation);
   settings.admin_token_file = reader.String("admin_token_file", "");
   reader.RejectUnknownKeys();
   return settings;
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -87,6 +87,8 @@
   Duration drain_timeout = std::chrono::seconds(30);
   Duration default_deadline = std::chrono::seconds(10);
   LogLevel log_level = LogLevel::kInfo;
+  // Whether a violated invariant ends the process; for test runs.
+  bool end_on_violation = false;
   std::string admin_token_file;  // Empty: changing admin calls are refused
                                  // from other addresses than loopback.
 };
--- a/src/core/reader_turn.cc
+++ b/src/core/reader_turn.cc
@@ -4,6 +4,14 @@
 
 namespace verbenastile {
 
+void ReaderTurn::NoteMissing(Time now, const ReaderView& view) {
+  if (!view.empty || view.waits_with_others) {
+    missing_since_.reset();
+  } else if (!missing_since_) {
+    missing_since_ = now;
+  }
+}
+
 ReaderTurn::Cause ReaderTurn::CauseOf(Time now, const ReaderView& view) const {
   if (now - started_ < init_.settle) {
     return Cause::kNone;
@@ -14,8 +22,8 @@
   if (view.chosen) {
     return Cause::kChosen;
   }
-  const bool too_long_empty = view.empty && !view.waits_with_others &&
-                              now - started_ >= init_.empty_limit;
+  const bool too_long_empty =
+      missing_since_ && now - *missing_since_ >= init_.empty_limit;
   const bool too_silent =
       now - view.last_heard.value_or(started_) >= init_.silence_limit;
   return too_long_empty || too_silent ? Cause::kLastResort : Cause::kNone;
@@ -40,6 +48,7 @@
 }
 
 bool ReaderTurn::Update(Time now, const ReaderView& view, Random& random) {
+  NoteMissing(now, view);
   const Cause cause = CauseOf(now, view);
   if (following_) {
     if (cause != Cause::kNone) {
--- a/src/core/reader_turn.h
+++ b/src/core/reader_turn.h
@@ -55,11 +55,13 @@
  private:
   enum class Cause { kNone, kChosen, kAlone, kLastResort };
 
+  void NoteMissing(Time now, const ReaderView& view);
   Cause CauseOf(Time now, const ReaderView& view) const;
   Duration WaitFor(Cause cause, const ReaderView& view, Random& random) const;
 
   ReaderTurnInit init_;
   Time started_;
+  std::optional<Time> missing_since_;  // What others have, or may have.
   bool following_ = false;
   Cause waiting_for_ = Cause::kNone;
   Time due_;       // When it follows, while it waits.
--- a/src/node/distribution_service.cc
+++ b/src/node/distribution_service.cc
@@ -5,6 +5,7 @@
 #include <boost/leaf/handle_errors.hpp>
 
 #include "base/log.h"
+#include "core/invariant.h"
 
 namespace verbenastile {
 namespace {
@@ -233,6 +234,7 @@
   SetCounter("config_unknown_base_total", stats.unknown_base);
   SetCounter("config_pulls_failed_total", stats.pulls_failed);
   SetCounter("control_over_budget_total", stats.over_budget);
+  SetCounter("invariant_violations_total", ViolationCount());
   init_.metrics->Set(init_.metrics->Gauge("control_connections"),
                      static_cast<double>(transport.connections));
   init_.metrics->Set(init_.metrics->Gauge("platform_other_history"),
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -5,6 +5,7 @@
 #include <asio/post.hpp>
 #include <boost/leaf/handle_errors.hpp>
 #include <csignal>
+#include <cstdlib>
 #include <nlohmann/json.hpp>
 #include <random>
 #include <string>
@@ -121,6 +122,10 @@
 }
 
 int Node::Run() {
+  if (settings_.end_on_violation) {
+    SetViolationHandler(
+        [](std::string_view, std::string_view) { std::abort(); });
+  }
   Open();
   io_.run();
   Log(LogLevel::kInfo, kPart, "Stopped.", {{"name", settings_.name}});
--- a/src/node/platform_source.cc
+++ b/src/node/platform_source.cc
@@ -194,7 +194,9 @@
   }
   pace_timer_.expires_after(kChunkPause);
   pace_timer_.async_wait([this, fetch](const asio::error_code& error) {
-    if (!error && fetch->number == fetch_number_) {
+    const SnapshotPointer held = hooks_.held();
+    const bool done = held && held->digest == fetch->head.digest;
+    if (!error && !done && fetch->number == fetch_number_) {
       ReadChunk(fetch);
     }
   });
