--- a/soak/distribution_topic.cc
+++ b/soak/distribution_topic.cc
@@ -451,7 +451,11 @@
   };
 
   void RunActions(std::size_t index) {
-    Distribution& distribution = *nodes_[index].distribution;
+    FakeNode& node = nodes_[index];
+    const Generation in_force = node.applier->generation();
+    Require(in_force >= node.highest, "generation_never_falls");
+    node.highest = std::max(node.highest, in_force);
+    Distribution& distribution = *node.distribution;
     auto actions = distribution.TakeActions();
     while (!actions.empty()) {
       for (DistributionAction& action : actions) {
@@ -469,9 +473,6 @@
     digest_.Add(static_cast<std::uint64_t>(action.outcome));
     digest_.Add(
         static_cast<std::uint64_t>(events_.now().time_since_epoch().count()));
-    Require(node.applier->generation() >= node.highest,
-            "generation_never_falls");
-    node.highest = std::max(node.highest, node.applier->generation());
     if (const SnapshotPointer in_force = node.applier->snapshot()) {
       Require(store_.Accepted(VersionOf(*in_force)), "content_was_accepted");
     }
@@ -526,9 +527,13 @@
   void MaybeGoBack(std::size_t index, const DistributionMessage& message) {
     const auto* delta = std::get_if<Delta>(&message);
     ConfigApplier& applier = *nodes_[index].applier;
-    if (options_.mutation == "accept_older" && delta != nullptr &&
-        delta->to.generation < applier.generation()) {
+    if (options_.mutation != "accept_older" || delta == nullptr ||
+        delta->to.generation >= applier.generation()) {
+      return;
+    }
+    if (SnapshotPointer older = store_.Content(delta->to)) {
       applier = ConfigApplier(&chart_);
+      applier.Offer(std::move(older));
     }
   }
 
--- a/tests/control_wire_test.cc
+++ b/tests/control_wire_test.cc
@@ -3,6 +3,7 @@
 #include <capnp/message.h>
 #include <capnp/serialize-packed.h>
 #include <fmt/format.h>
+#include <unistd.h>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/write.hpp>
@@ -197,7 +198,9 @@
   }
 
   asio::io_context io;
-  SocketAddress address[2] = {{"127.0.30.201", 7811}, {"127.0.30.202", 7812}};
+  // Runs at the same time on one machine get ports of their own.
+  std::uint16_t port = static_cast<std::uint16_t>(10'000 + getpid() % 20'000);
+  SocketAddress address[2] = {{"127.0.30.201", port}, {"127.0.30.202", port}};
   std::unique_ptr<ControlTransport> end[2];
   std::vector<std::string> heard[2];
   ConnectionHandle from[2];
