Readers wait for membership: waits are drawn again while the fleet heard grows

Cause: at 100 nodes that start at once 43 nodes followed the platform, most of them because membership had not filled yet, and the store saw 340 calls in a second. Change: a node that knows no other waits longer, a wait drawn for a small fleet is drawn again when the fleet has grown by a quarter, and a node that holds nothing waits once more before it reads content.

--- a/soak/distribution_topic.cc
+++ b/soak/distribution_topic.cc
@@ -325,7 +325,11 @@
     if (options_.mutation == "trust_the_store") {
       init.start.platform_alone = Duration::zero();
       init.reader.settle = Duration::zero();
+      init.reader.alone_settle = Duration::zero();
       init.reader.alone_spread = Duration::zero();
+      init.reader.alone_fetch_spread = Duration::zero();
+      init.reader.least_spread = Duration::zero();
+      init.reader.spread_per_node = Duration::zero();
     }
     return init;
   }
--- a/src/core/delta.h
+++ b/src/core/delta.h
@@ -18,6 +18,7 @@
   Generation generation = 0;
   Digest digest;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): the check misreads the default.
   auto operator<=>(const Version&) const = default;
 };
 
--- a/src/core/distribution.cc
+++ b/src/core/distribution.cc
@@ -517,8 +517,9 @@
   if (empty() && version != refused_) {
     gate_.OnPlatform(now, version);
   }
-  if (empty() && contacts_.fleet_size() == 1) {
-    fetch_not_before_ = now + random_.UpTo(init_.reader.alone_spread);
+  if (empty() && !fetch_not_before_) {
+    fetch_not_before_ =
+        now + turn_.FirstFetchWait(contacts_.fleet_size(), random_);
   }
   MaybeFetch(now);
 }
@@ -528,7 +529,7 @@
 void Distribution::MaybeFetch(Time now) {
   if (!turn_.reading() || !platform_version_ ||
       platform_version_->generation <= applier_->generation() ||
-      platform_version_ == refused_ || now < fetch_not_before_ ||
+      platform_version_ == refused_ || (empty() && now < fetch_not_before_) ||
       (fetch_since_ && now - *fetch_since_ < init_.fetch_timeout)) {
     return;
   }
--- a/src/core/distribution.h
+++ b/src/core/distribution.h
@@ -182,7 +182,7 @@
   std::optional<Time> fetch_since_;  // While a fetch is under way.
   Version fetching_;                 // By the last fetch.
   Time last_fetch_;
-  Time fetch_not_before_;
+  std::optional<Time> fetch_not_before_;  // While nothing is in force.
   bool other_history_ = false;
 
   Time started_;
--- a/src/core/reader_turn.cc
+++ b/src/core/reader_turn.cc
@@ -29,15 +29,24 @@
   return too_long_empty || too_silent ? Cause::kLastResort : Cause::kNone;
 }
 
+Duration ReaderTurn::SpreadOver(std::size_t fleet_size) const {
+  const auto nodes = static_cast<Duration::rep>(fleet_size);
+  return std::max(init_.spread_per_node * nodes, init_.least_spread);
+}
+
+Duration ReaderTurn::FirstFetchWait(std::size_t fleet_size,
+                                    Random& random) const {
+  return random.UpTo(fleet_size <= 1 ? init_.alone_fetch_spread
+                                     : SpreadOver(fleet_size));
+}
+
 Duration ReaderTurn::WaitFor(Cause cause,
                              const ReaderView& view,
                              Random& random) const {
-  const auto nodes = static_cast<Duration::rep>(view.fleet_size);
-  const Duration spread =
-      std::max(init_.spread_per_node * nodes, init_.least_spread);
+  const Duration spread = SpreadOver(view.fleet_size);
   switch (cause) {
     case Cause::kAlone:
-      return random.UpTo(init_.alone_spread);
+      return init_.alone_settle + random.UpTo(init_.alone_spread);
     case Cause::kLastResort:
       return random.UpTo(2 * spread);
     case Cause::kChosen:
@@ -62,10 +71,14 @@
   }
   if (cause == Cause::kNone) {
     waiting_for_ = Cause::kNone;
+    waiting_size_ = 0;
     return false;
   }
-  if (waiting_for_ != cause) {
+  // While membership fills, a wait drawn for a small fleet is drawn again.
+  const bool grown = 4 * view.fleet_size > 5 * waiting_size_;
+  if (waiting_for_ != cause || grown) {
     waiting_for_ = cause;
+    waiting_size_ = view.fleet_size;
     due_ = now + WaitFor(cause, view, random);
   }
   if (now >= due_) {
--- a/src/core/reader_turn.h
+++ b/src/core/reader_turn.h
@@ -15,10 +15,12 @@
   // A chosen reader waits up to this for each node of the fleet that it knows,
   // so that the fleet's calls are spread when all start at once.
   Duration spread_per_node = std::chrono::milliseconds(25);
-  Duration least_spread = std::chrono::seconds(1);
-  // A node that knows no other waits up to this, and up to this again before
-  // it reads content.
+  Duration least_spread = std::chrono::milliseconds(1'500);
+  // A node that knows no other waits this long, and up to the spread more,
+  // before it asks the platform, and up to the last before it reads content.
+  Duration alone_settle = std::chrono::milliseconds(1'500);
   Duration alone_spread = std::chrono::seconds(2);
+  Duration alone_fetch_spread = std::chrono::seconds(3);
   // A node that holds nothing asks the platform itself after this time, unless
   // its peers wait for a first generation too.
   Duration empty_limit = std::chrono::seconds(5);
@@ -47,6 +49,10 @@
   // Whether the platform is to be followed now. Cheap; called often.
   bool Update(Time now, const ReaderView& view, Random& random);
 
+  // How long a node that holds nothing waits, after it heard which generation
+  // the platform holds, for a peer that has read it.
+  Duration FirstFetchWait(std::size_t fleet_size, Random& random) const;
+
   bool following() const { return following_; }
   // Whether new content is to be read from the platform too, not only from
   // peers: not by a node that only lingers.
@@ -57,6 +63,7 @@
 
   void NoteMissing(Time now, const ReaderView& view);
   Cause CauseOf(Time now, const ReaderView& view) const;
+  Duration SpreadOver(std::size_t fleet_size) const;
   Duration WaitFor(Cause cause, const ReaderView& view, Random& random) const;
 
   ReaderTurnInit init_;
@@ -64,7 +71,8 @@
   std::optional<Time> missing_since_;  // What others have, or may have.
   bool following_ = false;
   Cause waiting_for_ = Cause::kNone;
-  Time due_;       // When it follows, while it waits.
+  std::size_t waiting_size_ = 0;  // The fleet's when the wait was drawn.
+  Time due_;                      // When it follows, while it waits.
   Time needless_;  // Since when there is no cause, while it follows.
   bool lingering_ = false;
 };
--- a/src/io/control_transport.h
+++ b/src/io/control_transport.h
@@ -22,6 +22,7 @@
 struct ConnectionHandle {
   std::uint64_t id = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): the check misreads the default.
   auto operator<=>(const ConnectionHandle&) const = default;
 };
 
@@ -29,9 +30,9 @@
   SocketAddress address;  // Listens here.
   FrameBytes hello;       // The first frame to each peer.
   std::size_t max_connections = 64;
-  std::size_t max_frame_bytes = 8 * 1'048'576;
+  std::size_t max_frame_bytes = 8'388'608;
   // A connection with more than this waiting to be sent is closed.
-  std::size_t max_queued_bytes = 16 * 1'048'576;
+  std::size_t max_queued_bytes = 16'777'216;
   Duration idle_timeout = std::chrono::seconds(30);
   Duration connect_timeout = std::chrono::seconds(1);
 };
--- a/src/node/distribution_service.cc
+++ b/src/node/distribution_service.cc
@@ -72,7 +72,7 @@
 
 std::string DistributionService::Start() {
   if (Relays(MakePolicy(init_.settings->policy))) {
-    const std::string error = transport_.Open();
+    std::string error = transport_.Open();
     if (!error.empty()) {
       return error;
     }
--- a/src/wire/control_codec.h
+++ b/src/wire/control_codec.h
@@ -35,7 +35,7 @@
 // The first frame on a connection is the sender's identity.
 using ControlFrame = std::variant<PeerIdentity, DistributionMessage>;
 
-constexpr std::size_t kMaxFrameBytes = 8 * 1'048'576;
+constexpr std::size_t kMaxFrameBytes = 8'388'608;
 
 std::vector<std::uint8_t> EncodeFrame(const ControlFrame& frame);
 
