--- a/soak/distribution_topic.cc
+++ b/soak/distribution_topic.cc
@@ -328,6 +328,7 @@
       init.reader.alone_settle = Duration::zero();
       init.reader.alone_spread = Duration::zero();
       init.reader.alone_fetch_spread = Duration::zero();
+      init.reader.outage_fetch_spread = Duration::zero();
       init.reader.least_spread = Duration::zero();
       init.reader.spread_per_node = Duration::zero();
     }
--- a/src/core/distribution.cc
+++ b/src/core/distribution.cc
@@ -519,7 +519,7 @@
   }
   if (empty() && !fetch_not_before_) {
     fetch_not_before_ =
-        now + turn_.FirstFetchWait(contacts_.fleet_size(), random_);
+        now + turn_.FirstFetchWait(now, contacts_.fleet_size(), random_);
   }
   MaybeFetch(now);
 }
--- a/src/core/reader_turn.cc
+++ b/src/core/reader_turn.cc
@@ -34,10 +34,12 @@
   return std::max(init_.spread_per_node * nodes, init_.least_spread);
 }
 
-Duration ReaderTurn::FirstFetchWait(std::size_t fleet_size,
+Duration ReaderTurn::FirstFetchWait(Time now,
+                                    std::size_t fleet_size,
                                     Random& random) const {
-  return random.UpTo(fleet_size <= 1 ? init_.alone_fetch_spread
-                                     : SpreadOver(fleet_size));
+  const Duration waited = std::min(now - started_, init_.outage_fetch_spread);
+  const Duration alone = std::max(init_.alone_fetch_spread, waited);
+  return random.UpTo(fleet_size <= 1 ? alone : SpreadOver(fleet_size));
 }
 
 Duration ReaderTurn::WaitFor(Cause cause,
--- a/src/core/reader_turn.h
+++ b/src/core/reader_turn.h
@@ -21,6 +21,9 @@
   Duration alone_settle = std::chrono::milliseconds(1'500);
   Duration alone_spread = std::chrono::seconds(2);
   Duration alone_fetch_spread = std::chrono::seconds(3);
+  // After an outage all may come at once: the spread grows with the time since
+  // the start, up to this.
+  Duration outage_fetch_spread = std::chrono::seconds(10);
   // A node that holds nothing asks the platform itself after this time, unless
   // its peers wait for a first generation too.
   Duration empty_limit = std::chrono::seconds(5);
@@ -51,7 +54,9 @@
 
   // How long a node that holds nothing waits, after it heard which generation
   // the platform holds, for a peer that has read it.
-  Duration FirstFetchWait(std::size_t fleet_size, Random& random) const;
+  Duration FirstFetchWait(Time now,
+                          std::size_t fleet_size,
+                          Random& random) const;
 
   bool following() const { return following_; }
   // Whether new content is to be read from the platform too, not only from
