--- a/src/cli/rules_command.cc
+++ b/src/cli/rules_command.cc
@@ -2,15 +2,12 @@
 #include <fmt/format.h>
 
 #include <nlohmann/json.hpp>
-#include <thread>
 
 #include "cli/rules_actions.h"
 
 namespace verbenastile {
 namespace {
 
-constexpr Duration kWatchInterval = std::chrono::milliseconds(500);
-
 leaf::result<AcceptedRules> ReadAccepted(const PlatformSettings& settings) {
   BlockingPlatform platform(settings);
   return RulesStore(platform).Read();
@@ -47,33 +44,6 @@
   });
 }
 
-int RunWatch(CommandArgs args) {
-  TCLAP::CmdLine cmd("Follows the accepted generations.", ' ',
-                     VERBENASTILE_VERSION);
-  PlatformArgs platform(cmd);
-  OutputArg output(cmd);
-  TCLAP::ValueArg<int> seconds("", "seconds", "how long", false, 60, "N", cmd);
-  int exit_code = kExitOk;
-  if (!ParseCommandLine(cmd, args, exit_code)) {
-    return exit_code;
-  }
-  return RunReported([&]() -> leaf::result<int> {
-    Generation seen = 0;
-    const Time end = SteadyNow() + std::chrono::seconds(seconds.getValue());
-    while (SteadyNow() < end) {
-      BOOST_LEAF_AUTO(accepted, ReadAccepted(platform.settings()));
-      for (const AuditEntry& entry : accepted.head.audit) {
-        if (entry.generation_after > seen) {
-          PrintEntry(entry, output.json());
-        }
-      }
-      seen = accepted.head.generation;
-      std::this_thread::sleep_for(kWatchInterval);
-    }
-    return kExitOk;
-  });
-}
-
 struct RulesAction {
   std::string_view name;
   int (*run)(CommandArgs args);
@@ -90,7 +60,7 @@
     {"explain", RunRulesExplain},
     {"list", RunList},
     {"history", RunAuditCommand},
-    {"watch", RunWatch},
+    {"watch", RunRulesWatch},
 };
 
 constexpr const char* kActionNames =
