Operators: status by domain, service and group; tokens for admin calls; bad input

Cause: changing admin calls were open, status named members only, and a small file with aliases could stand for a huge document.

--- a/src/cli/node_command.cc
+++ b/src/cli/node_command.cc
@@ -1,69 +1,17 @@
-// verbenastile node, check, status and drain.
+// verbenastile node, check and drain.
 #include <fmt/format.h>
 
-#include <asio/io_context.hpp>
-#include <nlohmann/json.hpp>
-
 #include "base/log.h"
+#include "cli/admin_call.h"
 #include "cli/command_line.h"
 #include "config/rules.h"
+#include "config/token_file.h"
 #include "config/yaml_reader.h"
-#include "io/http_client.h"
 #include "node/node.h"
 
 namespace verbenastile {
 namespace {
 
-constexpr std::size_t kMaxIdleConnections = 1;
-constexpr Duration kAdminTimeout = std::chrono::seconds(5);
-
-// One request to a node's admin address.
-HttpOutcome CallAdmin(const std::string& method, const std::string& url) {
-  asio::io_context io(1);
-  HttpClient client(io, kMaxIdleConnections);
-  HttpCall call;
-  call.method = method;
-  call.url = url;
-  call.timeout = kAdminTimeout;
-  HttpOutcome outcome;
-  client.Start(std::move(call), [&](HttpOutcome done) {
-    outcome = std::move(done);
-    io.stop();
-  });
-  io.run();
-  return outcome;
-}
-
-// The answer, or nothing after the failure was printed.
-std::optional<HttpAnswer> AnswerOf(HttpOutcome outcome,
-                                   const std::string& admin) {
-  if (const auto* failure = std::get_if<HttpFailure>(&outcome)) {
-    PrintError(fmt::format("no answer from {}: {}", admin, failure->detail));
-    return std::nullopt;
-  }
-  auto& answer = std::get<HttpAnswer>(outcome);
-  if (answer.status >= 300) {
-    PrintError(
-        fmt::format("{} answered {}: {}", admin, answer.status, answer.body));
-    return std::nullopt;
-  }
-  return std::move(answer);
-}
-
-void PrintStatus(const nlohmann::json& status) {
-  fmt::print("node            {}\n", status.value("name", ""));
-  fmt::print("failure domain  {}\n", status.value("failure_domain", ""));
-  fmt::print("state           {}\n", status.value("state", ""));
-  fmt::print("generation      {}\n", status.value("generation", 0));
-  fmt::print("platform        {}\n", status.value("platform", ""));
-  fmt::print("members\n");
-  for (const auto& member : status["members"]) {
-    fmt::print("  {:24} {:16} {:16} {}\n", member.value("name", ""),
-               member.value("failure_domain", ""), member.value("service", ""),
-               member.value("state", ""));
-  }
-}
-
 bool LooksLikeSettings(const YAML::Node& root) {
   return root["node"].IsDefined() || root["listen"].IsDefined();
 }
@@ -98,8 +46,12 @@
   return RunReported([&]() -> leaf::result<int> {
     BOOST_LEAF_AUTO(settings, LoadSettings(file.getValue()));
     BOOST_LEAF_AUTO(charts, LoadNodeCharts());
+    std::string token;
+    if (!settings.admin_token_file.empty()) {
+      BOOST_LEAF_ASSIGN(token, ReadTokenFile(settings.admin_token_file));
+    }
     SetLogLevel(settings.log_level);
-    Node node(settings, std::move(charts));
+    Node node(settings, std::move(charts), std::move(token));
     return node.Run();
   });
 }
@@ -116,52 +68,28 @@
   return RunReported([&] { return Check(file.getValue()); });
 }
 
-int RunStatusCommand(CommandArgs args) {
-  TCLAP::CmdLine cmd("Shows what a node knows of the fleet.", ' ',
-                     VERBENASTILE_VERSION);
-  TCLAP::ValueArg<std::string> admin("", "admin", "admin address of any node",
-                                     true, "", "IP:PORT", cmd);
-  OutputArg output(cmd);
-  int exit_code = kExitOk;
-  if (!ParseCommandLine(cmd, args, exit_code)) {
-    return exit_code;
-  }
-  const auto answer = AnswerOf(
-      CallAdmin("GET", fmt::format("http://{}/status", admin.getValue())),
-      admin.getValue());
-  if (!answer) {
-    return kExitFailed;
-  }
-  if (output.json()) {
-    fmt::print("{}\n", answer->body);
-    return kExitOk;
-  }
-  const auto status = nlohmann::json::parse(answer->body, nullptr, false);
-  if (status.is_discarded()) {
-    PrintError("the answer is malformed");
-    return kExitFailed;
-  }
-  PrintStatus(status);
-  return kExitOk;
-}
-
 int RunDrainCommand(CommandArgs args) {
   TCLAP::CmdLine cmd("Makes a node leave gracefully.", ' ',
                      VERBENASTILE_VERSION);
   TCLAP::ValueArg<std::string> admin("", "admin", "the node's admin address",
                                      true, "", "IP:PORT", cmd);
+  TCLAP::ValueArg<std::string> token_file("", "token-file",
+                                          "file that holds the admin token",
+                                          false, "", "FILE", cmd);
   int exit_code = kExitOk;
   if (!ParseCommandLine(cmd, args, exit_code)) {
     return exit_code;
   }
-  const auto answer = AnswerOf(
-      CallAdmin("POST", fmt::format("http://{}/drain", admin.getValue())),
-      admin.getValue());
-  if (!answer) {
-    return kExitFailed;
-  }
-  fmt::print("{}", answer->body);
-  return kExitOk;
+  return RunReported([&]() -> leaf::result<int> {
+    std::string token;
+    if (!token_file.getValue().empty()) {
+      BOOST_LEAF_ASSIGN(token, ReadTokenFile(token_file.getValue()));
+    }
+    BOOST_LEAF_AUTO(body, CallAdmin({admin.getValue(), "POST", "/drain",
+                                     std::move(token)}));
+    fmt::print("{}", body);
+    return kExitOk;
+  });
 }
 
 }  // namespace verbenastile
--- a/src/config/rules.cc
+++ b/src/config/rules.cc
@@ -242,7 +242,9 @@
 
  private:
   void AddFault(SourceMark mark, std::string reason) {
-    faults_.push_back({file_, mark, std::move(reason)});
+    if (faults_.size() < kMaxFaults) {
+      faults_.push_back({file_, mark, std::move(reason)});
+    }
   }
 
   void CheckSizes() {
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -162,12 +162,32 @@
       reader.Choice("log_level", {"debug", "info", "warning", "error"},
                     static_cast<std::size_t>(settings.log_level)));
   settings.admin_token_file = reader.String("admin_token_file", "");
+  if (!settings.listen.admin.ip.empty() &&
+      !IsLoopback(settings.listen.admin.ip) &&
+      settings.admin_token_file.empty()) {
+    reader.AddFault("admin_token_file",
+                    "admin_token_file: the key is missing; it is needed when "
+                    "listen.admin is no loopback address");
+  }
   reader.RejectUnknownKeys();
   return settings;
 }
 
 }  // namespace
 
+bool IsLoopback(std::string_view ip) {
+  asio::error_code error;
+  const auto address = asio::ip::make_address(std::string(ip), error);
+  if (error) {
+    return false;
+  }
+  if (address.is_v6() && address.to_v6().is_v4_mapped()) {
+    return asio::ip::make_address_v4(asio::ip::v4_mapped, address.to_v6())
+        .is_loopback();
+  }
+  return address.is_loopback();
+}
+
 std::string ToString(const SocketAddress& address) {
   const bool is_v6 = address.ip.find(':') != std::string::npos;
   return is_v6 ? fmt::format("[{}]:{}", address.ip, address.port)
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -31,6 +31,9 @@
 // Reads `IP:PORT`; nothing when it is no IP number with a port above 0.
 std::optional<SocketAddress> ParseSocketAddress(std::string_view text);
 
+// Whether `ip` is an address that only this instance reaches.
+bool IsLoopback(std::string_view ip);
+
 // How accepted generations reach this node.
 enum class DistributionPolicy {
   kDeltaTree,   // A few readers in each failure domain, deltas to the others.
--- /dev/null
+++ b/src/config/token_file.cc
@@ -0,0 +1,42 @@
+#include "config/token_file.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cctype>
+
+#include "config/yaml_reader.h"
+
+namespace verbenastile {
+namespace {
+
+constexpr std::string_view kBlanks = " \t\r\n";
+
+std::string Trim(const std::string& text) {
+  const auto begin = text.find_first_not_of(kBlanks);
+  if (begin == std::string::npos) {
+    return {};
+  }
+  return text.substr(begin, text.find_last_not_of(kBlanks) - begin + 1);
+}
+
+}  // namespace
+
+leaf::result<std::string> ReadTokenFile(const std::string& path) {
+  BOOST_LEAF_AUTO(text, ReadConfigFile(path));
+  std::string token = Trim(text);
+  const bool one_word =
+      std::all_of(token.begin(), token.end(),
+                  [](unsigned char c) { return std::isgraph(c) != 0; });
+  if (!one_word || token.size() < kMinTokenBytes ||
+      token.size() > kMaxTokenBytes) {
+    return leaf::new_error(
+        ConfigError{{{path,
+                      {},
+                      fmt::format("a token is one word of {} to {} bytes",
+                                  kMinTokenBytes, kMaxTokenBytes)}}});
+  }
+  return token;
+}
+
+}  // namespace verbenastile
--- a/src/config/yaml_reader.cc
+++ b/src/config/yaml_reader.cc
@@ -10,6 +10,8 @@
 #include <fstream>
 #include <sstream>
 
+#include <yaml-cpp/eventhandler.h>
+
 namespace verbenastile {
 namespace {
 
@@ -66,6 +68,48 @@
   return std::nullopt;
 }
 
+// Looks for the first alias. An alias repeats what its anchor holds, so that a
+// small file may stand for a huge document.
+class AliasFinder : public YAML::EventHandler {
+ public:
+  void OnDocumentStart(const YAML::Mark&) override {}
+  void OnDocumentEnd() override {}
+  void OnNull(const YAML::Mark&, YAML::anchor_t) override {}
+  void OnAlias(const YAML::Mark& mark, YAML::anchor_t) override {
+    if (!found_) {
+      found_ = ToSourceMark(mark);
+    }
+  }
+  void OnScalar(const YAML::Mark&,
+                const std::string&,
+                YAML::anchor_t,
+                const std::string&) override {}
+  void OnSequenceStart(const YAML::Mark&,
+                       const std::string&,
+                       YAML::anchor_t,
+                       YAML::EmitterStyle::value) override {}
+  void OnSequenceEnd() override {}
+  void OnMapStart(const YAML::Mark&,
+                  const std::string&,
+                  YAML::anchor_t,
+                  YAML::EmitterStyle::value) override {}
+  void OnMapEnd() override {}
+
+  const std::optional<SourceMark>& found() const { return found_; }
+
+ private:
+  std::optional<SourceMark> found_;
+};
+
+// Throws what the library throws.
+std::optional<SourceMark> FindAlias(const std::string& text) {
+  std::istringstream stream(text);
+  YAML::Parser parser(stream);
+  AliasFinder finder;
+  parser.HandleNextDocument(finder);
+  return finder.found();
+}
+
 std::optional<std::int64_t> ParseInteger(std::string_view text) {
   std::int64_t value = 0;
   const auto [end, error] =
@@ -107,6 +151,12 @@
   }
   YAML::Node root;
   try {
+    if (text.find('*') != std::string::npos) {
+      if (const auto mark = FindAlias(text)) {
+        return leaf::new_error(
+            OneFault(file, *mark, "aliases are not taken; write it out"));
+      }
+    }
     root = YAML::Load(text);
   } catch (const YAML::Exception& error) {
     return leaf::new_error(OneFault(file, ToSourceMark(error.mark), error.msg));
@@ -371,6 +421,12 @@
 }
 
 void YamlReader::AddFaultAt(const YAML::Mark& mark, std::string reason) {
+  if (faults_->size() == kMaxFaults) {
+    faults_->push_back({file_, ToSourceMark(mark), "and more faults"});
+  }
+  if (faults_->size() > kMaxFaults) {
+    return;
+  }
   faults_->push_back({file_, ToSourceMark(mark), std::move(reason)});
 }
 
--- a/src/config/yaml_reader.h
+++ b/src/config/yaml_reader.h
@@ -22,6 +22,8 @@
 
 // The largest file that is read, in bytes.
 constexpr std::size_t kMaxConfigFileBytes = 1'000'000;
+// Faults of one file that are reported; a last one says that there are more.
+constexpr std::size_t kMaxFaults = 200;
 
 // The whole text of the file at `path`. Errors: `ConfigError` when it is
 // missing, not a regular file, unreadable or larger than
@@ -29,7 +31,8 @@
 leaf::result<std::string> ReadConfigFile(const std::string& path);
 
 // The root mapping of `text`. Errors: `ConfigError` when `text` is no UTF-8
-// text, is not well-formed YAML, is empty or has no mapping at its root.
+// text, is not well-formed YAML, has aliases, is empty or has no mapping at its
+// root.
 // `file` is named in faults.
 leaf::result<YAML::Node> LoadYamlMapping(const std::string& text,
                                          const std::string& file);
--- a/src/node/admin_server.cc
+++ b/src/node/admin_server.cc
@@ -21,9 +21,10 @@
 
 AdminServer::AdminServer(asio::io_context& io,
                          const SocketAddress& address,
-                         const Metrics& metrics,
+                         Metrics& metrics,
                          AdminHooks hooks)
     : metrics_(metrics),
+      denied_(metrics.Counter("admin_denied_total")),
       hooks_(std::move(hooks)),
       server_(io, Init(address), [this](HttpRequest request, HttpReply reply) {
         OnRequest(request, std::move(reply));
@@ -37,6 +38,23 @@
   server_.Close();
 }
 
+bool AdminServer::Allow(const HttpRequest& request, HttpReply& reply) {
+  const AccessQuery query{IsLoopback(request.remote_ip),
+                          FindHeader(request.headers, "Authorization")};
+  switch (CheckAdminAccess(query, hooks_.token)) {
+    case AccessVerdict::kAllowed:
+      return true;
+    case AccessVerdict::kTokenMissing:
+      SendText(reply, 401, "a token is needed\n");
+      break;
+    case AccessVerdict::kTokenWrong:
+      SendText(reply, 403, "the token is wrong\n");
+      break;
+  }
+  metrics_.Add(denied_);
+  return false;
+}
+
 void AdminServer::OnRequest(const HttpRequest& request, HttpReply reply) {
   const auto path = request.path();
   if (path == "/drain") {
@@ -44,8 +62,10 @@
       SendText(reply, 405, "POST is needed\n");
       return;
     }
-    SendText(reply, 202, "draining\n");
-    hooks_.drain();
+    if (Allow(request, reply)) {
+      SendText(reply, 202, "draining\n");
+      hooks_.drain();
+    }
   } else if (path == "/metrics") {
     SendText(reply, 200, metrics_.RenderPrometheus());
   } else if (path == "/healthz") {
--- a/src/node/admin_server.h
+++ b/src/node/admin_server.h
@@ -7,12 +7,14 @@
 #include <string>
 
 #include "base/metrics.h"
+#include "core/admin_access.h"
 #include "io/http_server.h"
 
 namespace verbenastile {
 
 // What the server asks of the node.
 struct AdminHooks {
+  std::string token;  // For changing calls; empty: from loopback only.
   std::function<std::string()> status_json;
   std::function<bool()> ready;
   std::function<void()> drain;
@@ -22,7 +24,7 @@
  public:
   AdminServer(asio::io_context& io,
               const SocketAddress& address,
-              const Metrics& metrics,
+              Metrics& metrics,
               AdminHooks hooks);
 
   void Open(std::function<void(std::string)> on_open);
@@ -31,7 +33,11 @@
  private:
   void OnRequest(const HttpRequest& request, HttpReply reply);
 
-  const Metrics& metrics_;
+  // Answers a changing call that is not allowed; false then.
+  bool Allow(const HttpRequest& request, HttpReply& reply);
+
+  Metrics& metrics_;
+  CounterHandle denied_;
   AdminHooks hooks_;
   HttpServer server_;
 };
--- a/src/node/call_proxy.h
+++ b/src/node/call_proxy.h
@@ -48,6 +48,12 @@
 
   // Calls that have not ended.
   std::size_t active() const { return callers_.active() + gate_.active(); }
+  // Callers' requests that were refused.
+  std::uint64_t refused() const { return callers_.refused(); }
+  // Whether this node keeps that member out of its choices.
+  bool IsEjected(std::string_view member) const {
+    return callers_.IsEjected(member);
+  }
 
  private:
   struct PeerCall;
--- a/src/node/caller_side.h
+++ b/src/node/caller_side.h
@@ -49,6 +49,11 @@
 
   // Calls that have not ended.
   std::size_t active() const { return calls_.size(); }
+  std::uint64_t refused() const { return init_.metrics->value(refused_); }
+  bool IsEjected(std::string_view member) const {
+    return balancer_.HealthOf(balancer_.HandleOf(member)) ==
+           UpstreamHealth::kEjected;
+  }
 
  private:
   struct Call;
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -56,6 +56,18 @@
   return self;
 }
 
+std::vector<GroupStatus> GroupsOf(const RuleDocument& document) {
+  std::vector<GroupStatus> groups;
+  for (const Group& group : document.groups) {
+    GroupStatus status{group.name, group.weight, 0, group.quota.rules};
+    for (const Rule& rule : document.rules) {
+      status.rules += EffectiveOwner(rule) == group.name ? 1 : 0;
+    }
+    groups.push_back(std::move(status));
+  }
+  return groups;
+}
+
 }  // namespace
 
 leaf::result<NodeCharts> LoadNodeCharts() {
@@ -69,7 +81,7 @@
   return charts;
 }
 
-Node::Node(const Settings& settings, NodeCharts charts)
+Node::Node(const Settings& settings, NodeCharts charts, std::string admin_token)
     : settings_(settings),
       charts_(std::move(charts)),
       signals_(io_, SIGTERM, SIGINT),
@@ -94,11 +106,12 @@
           {&io_, &settings_, &applier_, &directory_, &charts_.upstream_health,
            &call_http_, &metrics_, [this] { OnUpstreamLeaving(); }},
           FreshSeed()),
-      admin_(io_,
-             settings_.listen.admin,
-             metrics_,
-             {[this] { return StatusJson(); }, [this] { return ready(); },
-              [this] { Fire("leave_requested"); }}),
+      admin_(
+          io_,
+          settings_.listen.admin,
+          metrics_,
+          {std::move(admin_token), [this] { return ToJson(Status()).dump(); },
+           [this] { return ready(); }, [this] { Fire("leave_requested"); }}),
       peers_(io_,
              ServerInit(settings_.listen.peers),
              [this](HttpRequest request, HttpReply reply) {
@@ -253,29 +266,33 @@
   });
 }
 
-std::string Node::StatusJson() const {
-  nlohmann::json members = nlohmann::json::array();
+NodeStatus Node::Status() const {
+  NodeStatus status;
+  status.name = settings_.name;
+  status.failure_domain = settings_.failure_domain;
+  status.region = settings_.region;
+  status.service = settings_.upstream.service;
+  status.state = lifecycle_.state();
+  status.generation = applier_.generation();
+  status.newest_known = applier_.refusal().generation;
+  if (applier_.snapshot()) {
+    status.digest = ToString(applier_.snapshot()->digest);
+  }
+  status.refused_generation = applier_.refusal().generation;
+  status.refusal = applier_.refusal().reason;
+  status.platform = source_.session_state();
+  status.active_calls = proxy_.active();
+  status.refused_calls = proxy_.refused();
+  status.violations = ViolationCount();
   for (const auto& [name, member] : directory_.members()) {
-    members.push_back({{"name", name},
-                       {"failure_domain", member.failure_domain},
-                       {"service", member.service},
-                       {"state", ToString(member.state)}});
+    status.members.push_back({name, member.failure_domain, member.region,
+                              member.service, member.state, std::nullopt,
+                              proxy_.IsEjected(name)});
+  }
+  if (applier_.table()) {
+    status.groups = GroupsOf(applier_.table()->document());
   }
-  const Refusal& refusal = applier_.refusal();
-  nlohmann::json status = {
-      {"name", settings_.name},
-      {"failure_domain", settings_.failure_domain},
-      {"state", lifecycle_.state()},
-      {"generation", applier_.generation()},
-      {"digest", applier_.snapshot() ? ToString(applier_.snapshot()->digest)
-                                     : std::string()},
-      {"platform", source_.session_state()},
-      {"active_calls", proxy_.active()},
-      {"violations", ViolationCount()},
-      {"refused_generation", refusal.generation},
-      {"refusal", refusal.reason},
-      {"members", std::move(members)}};
-  return status.dump();
+  return status;
 }
 
 }  // namespace verbenastile
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -19,6 +19,7 @@
 #include "node/call_proxy.h"
 #include "node/membership_service.h"
 #include "node/platform_source.h"
+#include "node/status_page.h"
 
 namespace verbenastile {
 
@@ -35,7 +36,8 @@
 
 class Node {
  public:
-  Node(const Settings& settings, NodeCharts charts);
+  // `admin_token` as `AdminHooks` has it.
+  Node(const Settings& settings, NodeCharts charts, std::string admin_token);
   Node(const Node&) = delete;
   Node& operator=(const Node&) = delete;
 
@@ -55,7 +57,7 @@
   void WaitForLastCalls(Time earliest_end);
   bool HasCalls() const;
   void Stop();
-  std::string StatusJson() const;
+  NodeStatus Status() const;
   bool ready() const { return lifecycle_.state() == "serving"; }
 
   Settings settings_;
