Operators: the tool keeps apart what the platform said

Cause: scripts/race.sh showed 388 of 500 changes refused with "unknown error": an error raised again inside a nested handler lost its kind on the way out. Change: BlockingPlatform::Find and CreateIfMissing decide before errors begin.

--- a/src/cli/blocking_platform.cc
+++ b/src/cli/blocking_platform.cc
@@ -10,7 +10,7 @@
 
 // Starts a call and runs `io` until its result is there.
 template <typename T>
-leaf::result<T> RunUntilDone(
+PlatformResult<T> Await(
     asio::io_context& io,
     const std::function<void(std::function<void(PlatformResult<T>)>)>& start) {
   std::optional<PlatformResult<T>> done;
@@ -19,10 +19,24 @@
   while (!done) {
     io.run_one();
   }
-  if (auto* error = std::get_if<PlatformError>(&*done)) {
+  return std::move(*done);
+}
+
+template <typename T>
+leaf::result<T> RunUntilDone(
+    asio::io_context& io,
+    const std::function<void(std::function<void(PlatformResult<T>)>)>& start) {
+  PlatformResult<T> result = Await<T>(io, start);
+  if (auto* error = std::get_if<PlatformError>(&result)) {
     return leaf::new_error(std::move(*error));
   }
-  return std::move(std::get<T>(*done));
+  return std::move(std::get<T>(result));
+}
+
+bool IsKind(const PlatformResult<PlatformObject>& result,
+            PlatformError::Kind kind) {
+  const auto* error = std::get_if<PlatformError>(&result);
+  return error != nullptr && error->kind == kind;
 }
 
 }  // namespace
@@ -36,6 +50,33 @@
       io_, [&](auto on_done) { client_.Get(kind, name, std::move(on_done)); });
 }
 
+leaf::result<std::optional<PlatformObject>> BlockingPlatform::Find(
+    std::string_view kind,
+    std::string_view name) {
+  auto result = Await<PlatformObject>(
+      io_, [&](auto on_done) { client_.Get(kind, name, std::move(on_done)); });
+  if (IsKind(result, PlatformError::Kind::kNotFound)) {
+    return std::optional<PlatformObject>();
+  }
+  if (auto* error = std::get_if<PlatformError>(&result)) {
+    return leaf::new_error(std::move(*error));
+  }
+  return std::optional(std::move(std::get<PlatformObject>(result)));
+}
+
+leaf::result<void> BlockingPlatform::CreateIfMissing(std::string_view kind,
+                                                     std::string_view name,
+                                                     nlohmann::json spec) {
+  auto result = Await<PlatformObject>(io_, [&](auto on_done) {
+    client_.Create(kind, name, spec, std::move(on_done));
+  });
+  auto* error = std::get_if<PlatformError>(&result);
+  if (error != nullptr && error->kind != PlatformError::Kind::kConflict) {
+    return leaf::new_error(std::move(*error));
+  }
+  return {};
+}
+
 leaf::result<PlatformObject> BlockingPlatform::Create(std::string_view kind,
                                                       std::string_view name,
                                                       nlohmann::json spec) {
--- a/src/cli/blocking_platform.h
+++ b/src/cli/blocking_platform.h
@@ -4,6 +4,7 @@
 
 #include <asio/io_context.hpp>
 #include <boost/leaf/result.hpp>
+#include <optional>
 #include <string_view>
 
 #include "io/platform_client.h"
@@ -19,6 +20,13 @@
 
   leaf::result<PlatformObject> Get(std::string_view kind,
                                    std::string_view name);
+  // Nothing when there is no object of that name.
+  leaf::result<std::optional<PlatformObject>> Find(std::string_view kind,
+                                                   std::string_view name);
+  // As `Create`; an object of that name that is there already is no error.
+  leaf::result<void> CreateIfMissing(std::string_view kind,
+                                     std::string_view name,
+                                     nlohmann::json spec);
   leaf::result<PlatformObject> Create(std::string_view kind,
                                       std::string_view name,
                                       nlohmann::json spec);
--- a/src/cli/rules_store.cc
+++ b/src/cli/rules_store.cc
@@ -78,19 +78,12 @@
 
 leaf::result<AcceptedHead> RulesStore::ReadHeadOnly() {
   AcceptedHead accepted;
-  return leaf::try_handle_some(
-      [&]() -> leaf::result<AcceptedHead> {
-        BOOST_LEAF_AUTO(object, platform_.Get(kHeadKind, kHeadName));
-        accepted.resource_version = object.resource_version;
-        BOOST_LEAF_ASSIGN(accepted.head, ParseHead(object.spec));
-        return accepted;
-      },
-      [&](const PlatformError& error) -> leaf::result<AcceptedHead> {
-        if (error.kind == PlatformError::Kind::kNotFound) {
-          return AcceptedHead{};
-        }
-        return leaf::new_error(error);
-      });
+  BOOST_LEAF_AUTO(object, platform_.Find(kHeadKind, kHeadName));
+  if (object) {
+    accepted.resource_version = object->resource_version;
+    BOOST_LEAF_ASSIGN(accepted.head, ParseHead(object->spec));
+  }
+  return accepted;
 }
 
 leaf::result<AcceptedRules> RulesStore::Read() {
@@ -188,30 +181,15 @@
   return read;
 }
 
-leaf::result<void> RulesStore::CreateOnce(std::string_view kind,
-                                          const std::string& name,
-                                          nlohmann::json spec) {
-  return leaf::try_handle_some(
-      [&]() -> leaf::result<void> {
-        BOOST_LEAF_CHECK(platform_.Create(kind, name, std::move(spec)));
-        return {};
-      },
-      [](const PlatformError& error) -> leaf::result<void> {
-        // The name is made from the content: what exists is the same.
-        if (error.kind == PlatformError::Kind::kConflict) {
-          return {};
-        }
-        return leaf::new_error(error);
-      });
-}
-
+// Names are made from the content: what exists already is the same.
 leaf::result<void> RulesStore::WriteAll(const WriteParts& parts) {
   for (const RulesChunk& chunk : parts.chunks) {
-    BOOST_LEAF_CHECK(CreateOnce(kChunkKind, chunk.name, ToJson(chunk)));
+    BOOST_LEAF_CHECK(
+        platform_.CreateIfMissing(kChunkKind, chunk.name, ToJson(chunk)));
   }
   if (parts.page) {
-    BOOST_LEAF_CHECK(
-        CreateOnce(kAuditKind, parts.page->name, ToJson(*parts.page)));
+    BOOST_LEAF_CHECK(platform_.CreateIfMissing(kAuditKind, parts.page->name,
+                                               ToJson(*parts.page)));
   }
   return {};
 }
--- a/src/cli/rules_store.h
+++ b/src/cli/rules_store.h
@@ -55,9 +55,6 @@
   leaf::result<RuleDocument> ReadDocument(const RulesHead& head);
   leaf::result<RulesChunk> ReadChunk(const std::string& name);
   leaf::result<HeadRead> ReadForChange(const ReadHead& wanted);
-  leaf::result<void> CreateOnce(std::string_view kind,
-                                const std::string& name,
-                                nlohmann::json spec);
   leaf::result<void> WriteAll(const WriteParts& parts);
   ChangeEvent Perform(const ReadHead& action);
   ChangeEvent Perform(const WriteParts& action);
