--- a/src/cli/rules_store.cc
+++ b/src/cli/rules_store.cc
@@ -11,6 +11,8 @@
 namespace verbenastile {
 namespace {
 
+constexpr std::size_t kMaxKeptPages = 64;
+
 std::string Describe(const PlatformError& error) {
   return fmt::format("the platform: {} ({})", ToString(error.kind),
                      error.detail);
@@ -120,6 +122,19 @@
   return chunk;
 }
 
+leaf::result<AuditPage> RulesStore::ReadPage(const std::string& name) {
+  const auto held = pages_.find(name);
+  if (held != pages_.end()) {
+    return held->second;
+  }
+  BOOST_LEAF_AUTO(object, platform_.Get(kAuditKind, name));
+  BOOST_LEAF_AUTO(page, ParseAuditPage(name, object.spec));
+  if (pages_.size() < kMaxKeptPages) {
+    pages_[name] = page;
+  }
+  return page;
+}
+
 leaf::result<void> RulesStore::VisitTrail(
     const RulesHead& head,
     const std::function<bool(const AuditEntry&)>& visit) {
@@ -129,8 +144,7 @@
   bool wanted = visit_all(head.audit);
   std::string name = head.audit_page;
   while (wanted && !name.empty()) {
-    BOOST_LEAF_AUTO(object, platform_.Get(kAuditKind, name));
-    BOOST_LEAF_AUTO(page, ParseAuditPage(name, object.spec));
+    BOOST_LEAF_AUTO(page, ReadPage(name));
     wanted = visit_all(page.entries);
     name = page.previous;
   }
--- a/src/cli/rules_store.h
+++ b/src/cli/rules_store.h
@@ -54,6 +54,7 @@
 
   leaf::result<RuleDocument> ReadDocument(const RulesHead& head);
   leaf::result<RulesChunk> ReadChunk(const std::string& name);
+  leaf::result<AuditPage> ReadPage(const std::string& name);
   leaf::result<HeadRead> ReadForChange(const ReadHead& wanted);
   leaf::result<void> WriteAll(const WriteParts& parts);
   ChangeEvent Perform(const ReadHead& action);
@@ -62,7 +63,9 @@
   ChangeEvent Perform(const WaitBeforeRetry& action);
 
   BlockingPlatform& platform_;
-  std::map<std::string, RulesChunk, std::less<>> chunks_;  // By content.
+  // By names that are made from the content.
+  std::map<std::string, RulesChunk, std::less<>> chunks_;
+  std::map<std::string, AuditPage, std::less<>> pages_;
 };
 
 // 32 random hexadecimal digits.
--- a/src/core/rule_change.cc
+++ b/src/core/rule_change.cc
@@ -13,9 +13,14 @@
 
 using Outcome = ReportChange::Outcome;
 
-constexpr Duration kFirstWait = std::chrono::milliseconds(10);
-constexpr Duration kLongestWait = std::chrono::milliseconds(160);
-constexpr unsigned kMaxDoublings = 4;
+// Bounds of the wait after a lost race, which shrinks, so that who has lost
+// often goes first.
+constexpr Duration kLongestRaceWait = std::chrono::milliseconds(320);
+constexpr Duration kShortestRaceWait = std::chrono::milliseconds(20);
+constexpr unsigned kRacesToHalve = 3;
+// Bounds of the wait when the platform fails, which grows.
+constexpr Duration kFirstFailureWait = std::chrono::milliseconds(20);
+constexpr unsigned kMaxDoublings = 5;
 
 bool Names(const AuditEntry& entry,
            std::string_view kinds,
@@ -316,22 +321,21 @@
 
 ChangeAction RuleChange::OnConflict(Time now) {
   last_reason_ = "other operators changed the rules each time";
-  return RetryOrGiveUp(now);
+  return RetryOrGiveUp(WaitAfterRace(), now);
 }
 
 ChangeAction RuleChange::OnUnknown(const std::string& reason, Time now) {
   unsettled_base_ = plan_->head.generation - 1;
   last_reason_ = reason;
-  return RetryOrGiveUp(now);
+  return RetryOrGiveUp(WaitAfterFailure(), now);
 }
 
 ChangeAction RuleChange::OnUnavailable(const std::string& reason, Time now) {
   last_reason_ = reason;
-  return RetryOrGiveUp(now);
+  return RetryOrGiveUp(WaitAfterFailure(), now);
 }
 
-ChangeAction RuleChange::RetryOrGiveUp(Time now) {
-  const Duration wait = NextWait();
+ChangeAction RuleChange::RetryOrGiveUp(Duration wait, Time now) {
   if (now + wait < request_.deadline) {
     return WaitBeforeRetry{wait};
   }
@@ -348,11 +352,18 @@
   return report;
 }
 
-// Full jitter below a bound that doubles a few times and then stays.
-Duration RuleChange::NextWait() {
-  const Duration bound = std::min(
-      kLongestWait, kFirstWait * (1 << std::min(waits_, kMaxDoublings)));
-  ++waits_;
+Duration RuleChange::WaitAfterRace() {
+  const unsigned halvings = std::min(races_++ / kRacesToHalve, kMaxDoublings);
+  return Jitter(
+      std::max(kShortestRaceWait, kLongestRaceWait / (1 << halvings)));
+}
+
+Duration RuleChange::WaitAfterFailure() {
+  return Jitter(kFirstFailureWait *
+                (1 << std::min(failures_++, kMaxDoublings)));
+}
+
+Duration RuleChange::Jitter(Duration bound) {
   boost::random::uniform_int_distribution<std::int64_t> wait(1, bound.count());
   return Duration(wait(random_));
 }
--- a/src/core/rule_change.h
+++ b/src/core/rule_change.h
@@ -157,13 +157,15 @@
   ChangeAction OnConflict(Time now);
   ChangeAction OnUnknown(const std::string& reason, Time now);
   ChangeAction OnUnavailable(const std::string& reason, Time now);
-  ChangeAction RetryOrGiveUp(Time now);
+  ChangeAction RetryOrGiveUp(Duration wait, Time now);
   std::optional<ReportChange> FindConflict(const HeadRead& read) const;
   std::optional<ReportChange> FindMovedBase(const HeadRead& read) const;
   void SettleUnknown(const HeadRead& read);
   ReportChange Refuse(ReportChange::Outcome outcome, std::string reason) const;
   ReadHead MakeRead() const;
-  Duration NextWait();
+  Duration WaitAfterRace();
+  Duration WaitAfterFailure();
+  Duration Jitter(Duration bound);
 
   ChangeRequest request_;
   std::mt19937_64 random_;
@@ -173,7 +175,8 @@
   std::optional<Plan> plan_;
   std::string last_reason_;
   unsigned attempts_ = 0;
-  unsigned waits_ = 0;
+  unsigned races_ = 0;
+  unsigned failures_ = 0;
 };
 
 // What a later look says about an operation that was reported as not known.
--- a/tools/race.py
+++ b/tools/race.py
@@ -210,11 +210,6 @@
         for report in self.reports:
             outcome = report["outcome"]
             outcomes[outcome] = outcomes.get(outcome, 0) + 1
-        reasons = {}
-        for report in self.reports:
-            if report["outcome"] not in ("made", "unchanged"):
-                reason = report["reason"].strip()
-                reasons[reason] = reasons.get(reason, 0) + 1
         waits = sorted(r["seconds"] for r in calm if r["outcome"] == "made")
         return {
             "operators": self.options.operators,
@@ -224,7 +219,6 @@
             "outages": self.options.outages,
             "seconds": round(self.seconds, 1),
             "outcomes": outcomes,
-            "reasons": reasons,
             "p50_s": round(waits[len(waits) // 2], 3),
             "p99_s": round(waits[int(len(waits) * 0.99)], 3),
             "longest_s": round(waits[-1], 3),
