--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -41,7 +41,8 @@
   Duration max_debt = std::chrono::seconds(10);
   // The most that one call counts for in estimates of service time.
   Duration max_estimate = std::chrono::seconds(2);
-  // Groups without calls that are remembered.
+  // Groups without calls that are remembered while they owe the others;
+  // beyond twice as many, all without calls are forgotten.
   std::size_t max_idle_groups = 1'024;
   // Off: calls wait until their deadline has passed. For comparisons.
   bool refuse_early = true;
@@ -151,11 +152,13 @@
     std::size_t queued = 0;
     std::uint32_t running = 0;
     Duration service_time{0};  // Moving average; 0: not known.
+    Duration deviation{0};     // Mean absolute, of the service time.
   };
 
   struct Call {
     Group* group = nullptr;
     Priority priority = Priority::kNormal;
+    Time arrived;
     Time deadline;
     bool running = false;
     Time started;
@@ -166,6 +169,8 @@
 
   Group& GroupOf(const AdmissionOffer& offer);
   Duration Estimate(const Group& group) const;
+  Duration NeededTime(const Group& group, Duration whole) const;
+  AdmissionRefusal WhyNotStart(const Call& call, Time now) const;
   Duration ExpectedWait(const Group& group, Priority priority) const;
   AdmissionRefusal WhyNotQueue(const AdmissionOffer& offer,
                                const Group& group,
@@ -175,7 +180,7 @@
                        std::size_t priority,
                        AdmissionActions& actions);
   Group* LongestQueue(const Group& than);
-  void Enqueue(const AdmissionOffer& offer, Group& group);
+  void Enqueue(const AdmissionOffer& offer, Group& group, Time now);
   void Start(CallId id, Call& call, Time now);
   void StartQueued(Time now, AdmissionActions& actions);
   CallId PopNext(Group& group);
@@ -185,6 +190,7 @@
   void Charge(Group& group, Duration time);
   void ChargeRunning(Time now);
   void LearnServiceTime(Group& group, Duration time);
+  void EndBusyPeriod();
   void Rebase();
   void ForgetIdleGroups();
 
@@ -193,7 +199,8 @@
   bool draining_ = false;
   std::uint32_t busy_ = 0;
   std::size_t queued_ = 0;
-  Tag virtual_time_ = 0;
+  Tag virtual_time_ = 0;  // The tag of the last call that started.
+  Tag highest_tag_ = 0;
   std::uint64_t next_serial_ = 0;
   std::uint64_t backlogged_weight_ = 0;
   Duration service_time_{0};  // Over all groups.
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -7,6 +7,7 @@
 #include <csignal>
 #include <nlohmann/json.hpp>
 #include <random>
+#include <string>
 
 #include "base/log.h"
 #include "core/invariant.h"
@@ -91,17 +92,11 @@
       control_http_(io_, kMaxIdlePlatformConnections),
       call_http_(io_, kMaxIdleCallConnections),
       platform_(control_http_, settings_.platform),
-      source_(io_,
-              platform_,
-              &charts_.platform_session,
-              FreshSeed(),
-              [this](const std::shared_ptr<const Snapshot>& snapshot) {
-                OnSnapshot(snapshot);
-              }),
       membership_(io_,
                   {&settings_, &platform_, &directory_, &metrics_},
                   MakeSelf(settings_),
                   FreshSeed()),
+      distribution_(io_, DistributionInit()),
       proxy_(
           {&io_, &settings_, &applier_, &directory_, &charts_.upstream_health,
            &call_http_, &metrics_, [this] { OnUpstreamLeaving(); }},
@@ -111,7 +106,8 @@
           settings_.listen.admin,
           metrics_,
           {std::move(admin_token), [this] { return ToJson(Status()).dump(); },
-           [this] { return ready(); }, [this] { Fire("leave_requested"); }}),
+           [this] { return ready(); }, [this] { Fire("leave_requested"); },
+           [this] { return distribution_.waiting_for(); }}),
       peers_(io_,
              ServerInit(settings_.listen.peers),
              [this](HttpRequest request, HttpReply reply) {
@@ -123,6 +119,20 @@
                  proxy_.OnCallerRequest(std::move(request), std::move(reply));
                }) {}
 
+DistributionServiceInit Node::DistributionInit() {
+  DistributionServiceInit init;
+  init.settings = &settings_;
+  init.directory = &directory_;
+  init.applier = &applier_;
+  init.platform = &platform_;
+  init.session_chart = &charts_.platform_session;
+  init.metrics = &metrics_;
+  init.self = MakeSelf(settings_);
+  init.seed = FreshSeed();
+  init.on_offered = [this](const OfferedAction& action) { OnOffered(action); };
+  return init;
+}
+
 int Node::Run() {
   Open();
   io_.run();
@@ -139,7 +149,7 @@
   admin_.Open([this](const std::string& error) { OnOpened("admin", error); });
   peers_.Open([this](const std::string& error) { OnOpened("peers", error); });
   OnOpened("control", membership_.Open());
-  source_.Start();
+  OnOpened("control", distribution_.Start());
 }
 
 void Node::OnOpened(std::string_view what, const std::string& error) {
@@ -152,20 +162,19 @@
   io_.stop();
 }
 
-void Node::OnSnapshot(const std::shared_ptr<const Snapshot>& snapshot) {
-  const ApplyOutcome outcome = applier_.Offer(snapshot);
+void Node::OnOffered(const OfferedAction& action) {
   metrics_.Set(metrics_.Gauge("generation"),
                static_cast<double>(applier_.generation()));
-  switch (outcome) {
+  switch (action.outcome) {
     case ApplyOutcome::kInForce:
       Log(LogLevel::kInfo, "config", "A generation is in force.",
           {{"generation", applier_.generation()},
-           {"digest", ToString(snapshot->digest)}});
+           {"digest", ToString(action.offered.digest)}});
       Fire("config_in_force");
       break;
     case ApplyOutcome::kRefused:
       Log(LogLevel::kError, "config", "A generation was refused.",
-          {{"generation", snapshot->generation},
+          {{"generation", action.offered.generation},
            {"reason", applier_.refusal().reason}});
       break;
     case ApplyOutcome::kOlder:
@@ -173,7 +182,7 @@
       Log(LogLevel::kError, "config",
           "The platform holds another history than the one in force.",
           {{"in_force", applier_.generation()},
-           {"offered", snapshot->generation}});
+           {"offered", action.offered.generation}});
       break;
     case ApplyOutcome::kUnchanged:
       break;
@@ -255,7 +264,7 @@
   const Time now = SteadyNow();
   const bool cut = now >= drain_expiry_;
   if (now >= earliest_end && (cut || !HasCalls())) {
-    source_.Stop();
+    distribution_.Stop();
     membership_.Close();
     io_.stop();
     return;
@@ -280,13 +289,17 @@
   }
   status.refused_generation = applier_.refusal().generation;
   status.refusal = applier_.refusal().reason;
-  status.platform = source_.session_state();
+  status.platform = distribution_.session_state();
+  status.other_history = distribution_.distribution().other_history();
+  status.waiting_for = distribution_.waiting_for();
   status.active_calls = proxy_.active();
   status.refused_calls = proxy_.refused();
   status.violations = ViolationCount();
+  status.reported = distribution_.fleet();
   for (const auto& [name, member] : directory_.members()) {
     status.members.push_back({name, member.failure_domain, member.region,
-                              member.service, member.state, std::nullopt,
+                              member.service, member.state,
+                              GenerationOf(status.reported, member),
                               proxy_.IsEjected(name)});
   }
   if (applier_.table()) {
--- a/src/node/status_page.cc
+++ b/src/node/status_page.cc
@@ -138,6 +138,22 @@
 
 }  // namespace
 
+std::optional<Generation> GenerationOf(const FleetView& reported,
+                                       const Member& member) {
+  const auto found = reported.domains.find(member.failure_domain);
+  if (found == reported.domains.end()) {
+    return std::nullopt;
+  }
+  const DomainView& view = found->second;
+  for (const Laggard& laggard : view.laggards) {
+    if (laggard.name == member.name) {
+      return laggard.generation;
+    }
+  }
+  const bool all_told = view.AtLeast(view.newest) == view.nodes;
+  return all_told ? std::optional(view.newest) : std::nullopt;
+}
+
 std::vector<FleetPart> ByFailureDomain(const NodeStatus& status) {
   return PartsBy(status, &MemberStatus::failure_domain);
 }
@@ -152,7 +168,9 @@
       [&](const MemberStatus& member) {
         return member.name != status.name && TakesWork(member.state);
       });
-  return status.platform == "waiting" && !has_peer;
+  const bool has_platform =
+      status.platform == "watching" || status.platform == "listing";
+  return !has_platform && !has_peer;
 }
 
 Generation Lag(const NodeStatus& status) {
@@ -160,6 +178,9 @@
   for (const MemberStatus& member : status.members) {
     newest = std::max(newest, member.generation.value_or(0));
   }
+  for (const auto& [name, view] : status.reported.domains) {
+    newest = std::max(newest, view.newest);
+  }
   return newest - status.generation;
 }
 
@@ -172,7 +193,12 @@
   std::transform(status.groups.begin(), status.groups.end(),
                  std::back_inserter(groups),
                  [](const GroupStatus& group) { return ToJson(group); });
+  json reported = json::array();
+  for (const auto& [name, view] : status.reported.domains) {
+    reported.push_back(ToJson(view));
+  }
   return {{"name", status.name},
+          {"reported", std::move(reported)},
           {"failure_domain", status.failure_domain},
           {"region", status.region},
           {"service", status.service},
@@ -181,6 +207,8 @@
           {"lag", Lag(status)},
           {"digest", status.digest},
           {"platform", status.platform},
+          {"platform_other_history", status.other_history},
+          {"waiting_for", status.waiting_for},
           {"cut_off", IsCutOff(status)},
           {"active_calls", status.active_calls},
           {"refused_calls", status.refused_calls},
@@ -213,6 +241,13 @@
         "CUT OFF         neither the platform nor any member answers; what "
         "follows is old\n";
   }
+  if (!TextOf(status, "waiting_for").empty()) {
+    text += fmt::format("waiting         {}\n", TextOf(status, "waiting_for"));
+  }
+  if (TextOf(status, "platform_other_history") == "true") {
+    text +=
+        "OTHER HISTORY   the platform names an older or another generation\n";
+  }
   if (!TextOf(status, "refusal").empty()) {
     text += fmt::format("refused         generation {}: {}\n",
                         TextOf(status, "refused_generation"),
--- a/src/node/status_page.h
+++ b/src/node/status_page.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "core/fleet_view.h"
 #include "core/member_directory.h"
 #include "core/snapshot.h"
 
@@ -48,13 +49,21 @@
   Generation refused_generation = 0;  // 0: none.
   std::string refusal;
   std::string platform;  // State of the session with the platform.
+  // The platform names another history than the one in force.
+  bool other_history = false;
+  std::string waiting_for;  // Why nothing is in force yet; empty otherwise.
   std::size_t active_calls = 0;
   std::uint64_t refused_calls = 0;
   std::uint64_t violations = 0;
   std::vector<MemberStatus> members;
   std::vector<GroupStatus> groups;
+  FleetView reported;  // What was reported up the tree to this node.
 };
 
+// The generation of `member` as the reports tell it; empty when they do not.
+std::optional<Generation> GenerationOf(const FleetView& reported,
+                                       const Member& member);
+
 // Members that share a failure domain or a service.
 struct FleetPart {
   std::string name;
