--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -1,7 +1,8 @@
 # Sourced by scripts that start a fleet on loopback addresses. The caller sets
 # `work`, a fresh folder; `stop_fleet` ends what was started, by pid.
 bin=${bin:-build}
-platform=127.0.10.1:7000
+platform=${platform:-127.0.10.1:7000}
+net=${net:-127.0.11}  # Node N has the address net.N.
 pids=()
 
 start() {  # start NAME COMMAND...: its log is work/NAME.log
@@ -33,19 +34,19 @@
   cat <<YAML
 node: {name: node-$1, failure_domain: $3, region: windhoek}
 listen:
-  callers: 127.0.11.$1:8080
-  peers: 127.0.11.$1:8081
-  control: 127.0.11.$1:8082
-  admin: 127.0.11.$1:8083
-upstream: {service: $2, address: "127.0.11.$1:9000", slots: 10}
+  callers: $net.$1:8080
+  peers: $net.$1:8081
+  control: $net.$1:8082
+  admin: $net.$1:8083
+upstream: {service: $2, address: "$net.$1:9000", slots: ${slots:-10}}
 platform: {url: "http://$platform"}
 drain_timeout: 10s
 YAML
 }
 
 start_upstream() {  # start_upstream NUMBER
-  start "upstream-$1" "$bin/standin_upstream" --listen "127.0.11.$1:9000" \
-    --name "upstream-$1" --slots 10
+  start "upstream-$1" "$bin/standin_upstream" --listen "$net.$1:9000" \
+    --name "upstream-$1" --slots "${slots:-10}"
 }
 
 start_node() {  # start_node NUMBER SERVICE DOMAIN
@@ -63,7 +64,7 @@
 }
 
 generation_of() {  # generation_of NUMBER
-  "$bin/verbenastile" status --admin "127.0.11.$1:8083" --output json |
+  "$bin/verbenastile" status --admin "$net.$1:8083" --output json |
     python3 -c 'import json,sys; print(json.load(sys.stdin)["generation"])'
 }
 
