--- a/soak/operators_topic.cc
+++ b/soak/operators_topic.cc
@@ -484,14 +484,14 @@
   void EndEpoch() {
     Require(platform_.head.generation > 0, "something_was_accepted", "");
     CheckTrail(kEpochSteps);
-    for (const auto& [name, page] : platform_.pages) {
+    for (const auto& entry : platform_.pages) {
       const bool same = leaf::try_handle_all(
           [&]() -> leaf::result<bool> {
-            BOOST_LEAF_CHECK(ParseAuditPage(name, ToJson(page)));
+            BOOST_LEAF_CHECK(ParseAuditPage(entry.first, ToJson(entry.second)));
             return true;
           },
           [] { return false; });
-      Require(same, "page_reads_back", name);
+      Require(same, "page_reads_back", entry.first);
     }
   }
 
--- a/src/core/utc_time.cc
+++ b/src/core/utc_time.cc
@@ -69,7 +69,8 @@
   if (!good) {
     return std::nullopt;
   }
-  return *date + hour * 3'600 + minute * 60 + second;
+  return *date + std::int64_t{hour} * 3'600 + std::int64_t{minute} * 60 +
+         second;
 }
 
 }  // namespace verbenastile
