--- a/soak/distribution_topic.cc
+++ b/soak/distribution_topic.cc
@@ -325,7 +325,12 @@
     if (options_.mutation == "trust_the_store") {
       init.start.platform_alone = Duration::zero();
       init.reader.settle = Duration::zero();
+      init.reader.alone_settle = Duration::zero();
       init.reader.alone_spread = Duration::zero();
+      init.reader.alone_fetch_spread = Duration::zero();
+      init.reader.outage_fetch_spread = Duration::zero();
+      init.reader.least_spread = Duration::zero();
+      init.reader.spread_per_node = Duration::zero();
     }
     return init;
   }
@@ -451,7 +456,11 @@
   };
 
   void RunActions(std::size_t index) {
-    Distribution& distribution = *nodes_[index].distribution;
+    FakeNode& node = nodes_[index];
+    const Generation in_force = node.applier->generation();
+    Require(in_force >= node.highest, "generation_never_falls");
+    node.highest = std::max(node.highest, in_force);
+    Distribution& distribution = *node.distribution;
     auto actions = distribution.TakeActions();
     while (!actions.empty()) {
       for (DistributionAction& action : actions) {
@@ -469,14 +478,6 @@
     digest_.Add(static_cast<std::uint64_t>(action.outcome));
     digest_.Add(
         static_cast<std::uint64_t>(events_.now().time_since_epoch().count()));
-    if (options_.mutation == "accept_older" &&
-        action.outcome == ApplyOutcome::kOlder) {
-      *node.applier = ConfigApplier(&chart_);
-      return;
-    }
-    Require(node.applier->generation() >= node.highest,
-            "generation_never_falls");
-    node.highest = std::max(node.highest, node.applier->generation());
     if (const SnapshotPointer in_force = node.applier->snapshot()) {
       Require(store_.Accepted(VersionOf(*in_force)), "content_was_accepted");
     }
@@ -505,7 +506,7 @@
     if (faulty_ && random_.OneIn(50)) {
       return;
     }
-    if (faulty_ && random_.OneIn(100)) {
+    if (faulty_ && random_.OneIn(20)) {
       Damage(message);
     }
     const auto shared =
@@ -519,6 +520,7 @@
                               sender.control};
       After(target, late + milliseconds(1) + UpTo(milliseconds(4)),
             [this, target, peer, shared] {
+              MaybeGoBack(target, *shared);
               nodes_[target].distribution->OnMessage(events_.now(), peer,
                                                      *shared);
               RunActions(target);
@@ -526,6 +528,20 @@
     }
   }
 
+  // The mutation "accept_older": a delta to an older generation is let in.
+  void MaybeGoBack(std::size_t index, const DistributionMessage& message) {
+    const auto* delta = std::get_if<Delta>(&message);
+    ConfigApplier& applier = *nodes_[index].applier;
+    if (options_.mutation != "accept_older" || delta == nullptr ||
+        delta->to.generation >= applier.generation()) {
+      return;
+    }
+    if (SnapshotPointer older = store_.Content(delta->to)) {
+      applier = ConfigApplier(&chart_);
+      applier.Offer(std::move(older));
+    }
+  }
+
   // What a wire check would not notice: other items than the digest says.
   void Damage(DistributionMessage& message) {
     if (auto* delta = std::get_if<Delta>(&message)) {
--- a/src/core/reader_turn.cc
+++ b/src/core/reader_turn.cc
@@ -4,6 +4,14 @@
 
 namespace verbenastile {
 
+void ReaderTurn::NoteMissing(Time now, const ReaderView& view) {
+  if (!view.empty || view.waits_with_others) {
+    missing_since_.reset();
+  } else if (!missing_since_) {
+    missing_since_ = now;
+  }
+}
+
 ReaderTurn::Cause ReaderTurn::CauseOf(Time now, const ReaderView& view) const {
   if (now - started_ < init_.settle) {
     return Cause::kNone;
@@ -14,22 +22,33 @@
   if (view.chosen) {
     return Cause::kChosen;
   }
-  const bool too_long_empty = view.empty && !view.waits_with_others &&
-                              now - started_ >= init_.empty_limit;
+  const bool too_long_empty =
+      missing_since_ && now - *missing_since_ >= init_.empty_limit;
   const bool too_silent =
       now - view.last_heard.value_or(started_) >= init_.silence_limit;
   return too_long_empty || too_silent ? Cause::kLastResort : Cause::kNone;
 }
 
+Duration ReaderTurn::SpreadOver(std::size_t fleet_size) const {
+  const auto nodes = static_cast<Duration::rep>(fleet_size);
+  return std::max(init_.spread_per_node * nodes, init_.least_spread);
+}
+
+Duration ReaderTurn::FirstFetchWait(Time now,
+                                    std::size_t fleet_size,
+                                    Random& random) const {
+  const Duration waited = std::min(now - started_, init_.outage_fetch_spread);
+  const Duration alone = std::max(init_.alone_fetch_spread, waited);
+  return random.UpTo(fleet_size <= 1 ? alone : SpreadOver(fleet_size));
+}
+
 Duration ReaderTurn::WaitFor(Cause cause,
                              const ReaderView& view,
                              Random& random) const {
-  const auto nodes = static_cast<Duration::rep>(view.fleet_size);
-  const Duration spread =
-      std::max(init_.spread_per_node * nodes, init_.least_spread);
+  const Duration spread = SpreadOver(view.fleet_size);
   switch (cause) {
     case Cause::kAlone:
-      return random.UpTo(init_.alone_spread);
+      return init_.alone_settle + random.UpTo(init_.alone_spread);
     case Cause::kLastResort:
       return random.UpTo(2 * spread);
     case Cause::kChosen:
@@ -40,6 +59,7 @@
 }
 
 bool ReaderTurn::Update(Time now, const ReaderView& view, Random& random) {
+  NoteMissing(now, view);
   const Cause cause = CauseOf(now, view);
   if (following_) {
     if (cause != Cause::kNone) {
@@ -53,10 +73,14 @@
   }
   if (cause == Cause::kNone) {
     waiting_for_ = Cause::kNone;
+    waiting_size_ = 0;
     return false;
   }
-  if (waiting_for_ != cause) {
+  // While membership fills, a wait drawn for a small fleet is drawn again.
+  const bool grown = 4 * view.fleet_size > 5 * waiting_size_;
+  if (waiting_for_ != cause || grown) {
     waiting_for_ = cause;
+    waiting_size_ = view.fleet_size;
     due_ = now + WaitFor(cause, view, random);
   }
   if (now >= due_) {
