--- a/soak/operators_topic.cc
+++ b/soak/operators_topic.cc
@@ -484,7 +484,9 @@
   void EndEpoch() {
     Require(platform_.head.generation > 0, "something_was_accepted", "");
     CheckTrail(kEpochSteps);
-    for (const auto& [name, page] : platform_.pages) {
+    for (const auto& stored : platform_.pages) {
+      const auto& name = stored.first;
+      const auto& page = stored.second;
       const bool same = leaf::try_handle_all(
           [&]() -> leaf::result<bool> {
             BOOST_LEAF_CHECK(ParseAuditPage(name, ToJson(page)));
--- a/src/core/utc_time.cc
+++ b/src/core/utc_time.cc
@@ -69,7 +69,7 @@
   if (!good) {
     return std::nullopt;
   }
-  return *date + hour * 3'600 + minute * 60 + second;
+  return *date + UnixSeconds{hour} * 3'600 + UnixSeconds{minute} * 60 + second;
 }
 
 }  // namespace verbenastile
--- a/src/node/status_page.cc
+++ b/src/node/status_page.cc
@@ -41,6 +41,7 @@
     AddMember(part, member);
   }
   std::vector<FleetPart> list;
+  list.reserve(parts.size());
   for (auto& [name, part] : parts) {
     list.push_back(std::move(part));
   }
@@ -92,9 +93,9 @@
 }
 
 const json& ListOf(const json& object, const char* key) {
-  static const json kNone = json::array();
+  static const json none = json::array();
   const auto found = object.find(key);
-  return found != object.end() && found->is_array() ? *found : kNone;
+  return found != object.end() && found->is_array() ? *found : none;
 }
 
 std::string RenderParts(const char* title, const json& parts) {
--- a/tests/bad_input_test.cc
+++ b/tests/bad_input_test.cc
@@ -20,7 +20,7 @@
  public:
   explicit ScratchFile(const std::string& text)
       : path_(std::filesystem::temp_directory_path() /
-              ("verbenastile_" + std::to_string(++count_) + "_" +
+              ("verbenastile_" + std::to_string(++g_count) + "_" +
                std::to_string(std::hash<std::string>()(text)))) {
     std::ofstream(path_, std::ios::binary) << text;
   }
@@ -31,7 +31,7 @@
   std::string path() const { return path_.string(); }
 
  private:
-  static inline int count_ = 0;
+  static inline int g_count = 0;
   std::filesystem::path path_;
 };
 
