--- a/src/core/utc_time.cc
+++ b/src/core/utc_time.cc
@@ -69,8 +69,7 @@
   if (!good) {
     return std::nullopt;
   }
-  return *date + std::int64_t{hour} * 3'600 + std::int64_t{minute} * 60 +
-         second;
+  return *date + UnixSeconds{hour} * 3'600 + UnixSeconds{minute} * 60 + second;
 }
 
 }  // namespace verbenastile
