--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -31,6 +31,9 @@
 // Reads `IP:PORT`; nothing when it is no IP number with a port above 0.
 std::optional<SocketAddress> ParseSocketAddress(std::string_view text);
 
+// Whether `ip` is an address that only this instance reaches.
+bool IsLoopback(std::string_view ip);
+
 // How accepted generations reach this node.
 enum class DistributionPolicy {
   kDeltaTree,   // A few readers in each failure domain, deltas to the others.
@@ -87,6 +90,8 @@
   Duration drain_timeout = std::chrono::seconds(30);
   Duration default_deadline = std::chrono::seconds(10);
   LogLevel log_level = LogLevel::kInfo;
+  // Whether a violated invariant ends the process; for test runs.
+  bool end_on_violation = false;
   std::string admin_token_file;  // Empty: changing admin calls are refused
                                  // from other addresses than loopback.
 };
