--- a/soak/parsers_topic.cc
+++ b/soak/parsers_topic.cc
@@ -49,8 +49,8 @@
 
 constexpr std::string_view kHeadText =
     R"({"generation":7,"digest":"00112233445566778899aabbccddeeff",)"
-    R"("chunks":["a","b"],"operations":[{"id":"x","generation":7}],)"
-    R"("audit":[],"auditPages":[]})";
+    R"("chunks":["a","b"],)"
+    R"("audit":[],"auditPage":""})";
 
 constexpr std::size_t kMaxText = 4'096;
 constexpr std::size_t kMaxEdits = 6;
--- a/src/cli/rules_watch.cc
+++ b/src/cli/rules_watch.cc
@@ -7,7 +7,7 @@
 #include <thread>
 
 #include "cli/blocking_platform.h"
-#include "cli/command_line.h"
+#include "cli/rules_actions.h"
 #include "core/fleet_view.h"
 #include "core/rules_head.h"
 
