--- a/soak/main.cc
+++ b/soak/main.cc
@@ -13,8 +13,8 @@
 namespace verbenastile {
 
 std::vector<SoakTopic> SoakTopics() {
-  return {ApplyTopic(), CallsTopic(), DistributionTopic(), MembershipTopic(),
-          OperatorsTopic(), ParsersTopic()};
+  return {ApplyTopic(),      CallsTopic(),     DistributionTopic(),
+          MembershipTopic(), OperatorsTopic(), ParsersTopic()};
 }
 
 namespace {
