--- a/soak/main.cc
+++ b/soak/main.cc
@@ -4,6 +4,7 @@
 #include <fmt/format.h>
 #include <tclap/CmdLine.h>
 
+#include "balance_experiment.h"
 #include "base/log.h"
 #include "core/invariant.h"
 #include "membership_experiment.h"
@@ -56,12 +57,16 @@
   TCLAP::SwitchArg list("", "list-mutations", "print topics and mutations",
                         cmd);
   TCLAP::ValueArg<std::string> experiment(
-      "", "experiment", "print figures: membership or overload", false, "",
-      "NAME", cmd);
+      "", "experiment", "print figures: membership, overload or balance", false,
+      "", "NAME", cmd);
   cmd.parse(argc, argv);
   if (experiment.getValue() == "membership") {
     return RunMembershipExperiment(seed.getValue()) ? 0 : 1;
   }
+  if (experiment.getValue() == "balance") {
+    PrintBalanceExperiment(seed.getValue());
+    return 0;
+  }
   if (experiment.getValue() == "overload") {
     PrintOverloadExperiment(seed.getValue());
     return 0;
--- a/src/node/call_proxy.h
+++ b/src/node/call_proxy.h
@@ -37,6 +37,9 @@
 class CallProxy {
  public:
   CallProxy(const CallProxyParts& parts, std::uint64_t seed);
+  ~CallProxy() { *alive_ = false; }
+  CallProxy(const CallProxy&) = delete;
+  CallProxy& operator=(const CallProxy&) = delete;
 
   // A request from a caller.
   void OnCallerRequest(HttpRequest request, HttpReply reply);
@@ -48,6 +51,12 @@
 
   // Calls that have not ended.
   std::size_t active() const { return callers_.active() + gate_.active(); }
+  // Callers' requests that were refused.
+  std::uint64_t refused() const { return callers_.refused(); }
+  // Whether this node keeps that member out of its choices.
+  bool IsEjected(std::string_view member) const {
+    return callers_.IsEjected(member);
+  }
 
  private:
   struct PeerCall;
@@ -62,6 +71,8 @@
   PeerLink peers_;
   CallerSide callers_;
   CounterHandle peer_requests_;
+  // Events that outlive the proxy see false here.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 }  // namespace verbenastile
