--- a/src/cli/rules_actions.h
+++ b/src/cli/rules_actions.h
@@ -18,6 +18,7 @@
 int RunRulesRollback(CommandArgs args);
 int RunRulesOutcome(CommandArgs args);
 int RunRulesExplain(CommandArgs args);
+int RunRulesWatch(CommandArgs args);
 
 // Prints `entry` as a line of text or of JSON.
 void PrintEntry(const AuditEntry& entry, bool json);
