Test of a paused stream: counts before it tells

Cause: the test failed in 2 of 40 runs side by side: it told the other thread of the first part before it had counted it.

Change: it counts first.

Conclusion: the verdict does not depend on which thread is faster.

--- a/tests/http_client_test.cc
+++ b/tests/http_client_test.cc
@@ -188,11 +188,12 @@
     head.set_value(answer.status);
   };
   call.on_data = [&](std::string_view part) {
-    if (received == 0) {
+    const bool first = received == 0;
+    received += part.size();
+    if (first) {
       client.client->Pause(client.handle);
       first_part.set_value();
     }
-    received += part.size();
     return true;
   };
   auto done = client.Start(std::move(call));
