Capacity: lines over what the mechanism grows with

Cause: a line over ln x gave -2,237 bytes for a change at 690 nodes, and one over x gave negative idle store calls: the wrong models.

Change: each row names its model; the cost of a change is a node's own part and the readers' part shared by all (1/x), idle store calls are constant.

Conclusion: no row is carried to the target size by a shape that its mechanism does not have.

--- a/tools/fit_capacity.py
+++ b/tools/fit_capacity.py
@@ -18,56 +18,66 @@
 BEGIN = "<!-- fitted by tools/fit_capacity.py -->"
 END = "<!-- end of fitted -->"
 
+# What the mechanism says that a value grows with.
+MODELS = {
+    "x": lambda x: x,
+    "ln x": math.log,
+    # A fixed cost that all nodes share, such as that of the readers.
+    "1/x": lambda x: 1 / x,
+    # Does not depend on x; the mean is taken.
+    "constant": lambda x: 0.0,
+}
+
 # name: (title, unit of x, unit of y, x at the target size, y allowed or None,
-#        whether x is fitted by its logarithm)
+#        what of x the line runs over: a key of MODELS)
 NODES = 690
 CALLS_PER_NODE = 94_000 / NODES
 SLOPES = {
     "idle_bytes_per_second": (
         "control bytes a node and second, idle", "nodes", "B/s", NODES, 4_000,
-        True),
+        "ln x"),
     "idle_core_percent": (
         "control processor time of a node, idle", "nodes", "% of a core",
-        NODES, 3.3, False),
+        NODES, 3.3, "x"),
     "resident_mb": (
         "resident memory of a node, 1,000 rules", "nodes", "MB", NODES, 64,
-        False),
+        "x"),
     "idle_store_calls": (
         "store calls a second, idle, all nodes", "nodes", "calls/s", NODES,
-        200, False),
+        200, "constant"),
     "change_bytes": (
         "control bytes a node for a one-rule change", "nodes", "B", NODES,
-        4_000, True),
+        4_000, "1/x"),
     "change_store_calls": (
         "store calls for a change, tool and nodes", "nodes", "calls", NODES,
-        None, False),
+        None, "x"),
     "change_seconds_max": (
-        "convergence, slowest node and change", "nodes", "s", NODES, 18, True),
+        "convergence, slowest node and change", "nodes", "s", NODES, 18, "ln x"),
     "storm_seconds_max": (
         "half of the fleet restarted at once, slowest node", "nodes", "s",
-        NODES, 18, True),
+        NODES, 18, "ln x"),
     "storm_store_calls_peak": (
         "store calls a second at the peak of that", "nodes", "calls/s", NODES,
-        200, False),
+        200, "x"),
     "membership_bytes_per_second": (
         "gossip bytes sent a node and second, virtual time", "nodes", "B/s",
-        NODES, 4_000, True),
+        NODES, 4_000, "ln x"),
     "proxy_core_percent_caller_side": (
         "proxy path, node that the caller asks", "calls/s", "% of a core",
-        CALLS_PER_NODE, None, False),
+        CALLS_PER_NODE, None, "x"),
     "proxy_core_percent_receiver_side": (
         "proxy path, node beside the upstream", "calls/s", "% of a core",
-        CALLS_PER_NODE, None, False),
+        CALLS_PER_NODE, None, "x"),
     "rules_resident_mb": (
-        "resident memory of a node", "rules", "MB", 1_000, 64, False),
+        "resident memory of a node", "rules", "MB", 1_000, 64, "x"),
     "rules_start_seconds": (
         "start of a node until its generation is in force", "rules", "s",
-        1_000, 18, False),
+        1_000, 18, "x"),
     "rules_change_tool_seconds": (
-        "operator's tool, one change", "rules", "s", 1_000, 18, False),
+        "operator's tool, one change", "rules", "s", 1_000, 18, "x"),
     "rules_change_store_calls": (
         "store calls of one change, one node", "rules", "calls", 1_000, None,
-        False),
+        "x"),
 }
 
 
@@ -112,9 +122,9 @@
     return points
 
 
-def fit(points, logarithmic):
-    """Least squares y = a + b*x (or ln x); a, b and the largest residual."""
-    xs = [math.log(x) if logarithmic else x for x, _ in points]
+def fit(points, model):
+    """Least squares y = a + b*model(x); a, b and the largest residual."""
+    xs = [MODELS[model](x) for x, _ in points]
     ys = [y for _, y in points]
     mean_x = sum(xs) / len(xs)
     mean_y = sum(ys) / len(ys)
@@ -127,14 +137,15 @@
 
 
 def row(name, points):
-    title, x_unit, y_unit, target, allowed, logarithmic = SLOPES[name]
-    a, b, residual = fit(points, logarithmic)
-    x = math.log(target) if logarithmic else target
-    value = a + b * x
+    title, x_unit, y_unit, target, allowed, model = SLOPES[name]
+    a, b, residual = fit(points, model)
+    value = a + b * MODELS[model](target)
     shown = "; ".join(f"{x:g}: {y:g}" for x, y in sorted(points))
-    function = "ln x" if logarithmic else "x"
+    line = f"{a:.4g}"
+    if model != "constant":
+        line += f" + {b:.4g} · {model}"
     limit = "" if allowed is None else f"{allowed:g}"
-    return (f"| {title} | {shown} | {a:.4g} + {b:.4g} {function} | "
+    return (f"| {title} | {shown} | {line} | "
             f"{residual:.3g} | {target:.4g} {x_unit} | "
             f"**{value:.4g}** {y_unit} | {limit} |")
 
