One class of random numbers in place of three

Cause: membership, distribution and the randomised runs each had a class of portable random numbers of their own, alike but for names and one interval.

--- a/soak/soak.h
+++ b/soak/soak.h
@@ -2,13 +2,12 @@
 #ifndef SOAK_SOAK_H_
 #define SOAK_SOAK_H_
 
-#include <boost/random/uniform_int_distribution.hpp>
 #include <cstdint>
-#include <random>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "base/random.h"
 #include "core/digest.h"
 
 namespace verbenastile {
@@ -37,21 +36,7 @@
 std::vector<SoakTopic> SoakTopics();
 
 // Random numbers that are the same on any machine for the same seed.
-class SoakRandom {
- public:
-  explicit SoakRandom(std::uint64_t seed) : engine_(seed) {}
-
-  // Evenly from 0 to `count` - 1; `count` is above 0.
-  std::uint64_t Below(std::uint64_t count) {
-    return boost::random::uniform_int_distribution<std::uint64_t>(
-        0, count - 1)(engine_);
-  }
-  // True once in `count` on average.
-  bool OneIn(std::uint64_t count) { return Below(count) == 0; }
-
- private:
-  std::mt19937_64 engine_;
-};
+using SoakRandom = Random;
 
 // A digest of a run, folded over what is added to it.
 class RunDigest {
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -17,12 +17,12 @@
 #include <variant>
 #include <vector>
 
+#include "base/random.h"
 #include "base/time.h"
 #include "core/broadcast_queue.h"
 #include "core/byte_budget.h"
 #include "core/gossip.h"
 #include "core/member_table.h"
-#include "core/seeded_random.h"
 #include "core/suspicion.h"
 
 namespace verbenastile {
@@ -226,7 +226,7 @@
   Member self_;
   std::uint32_t cluster_;
   MembershipFault fault_;
-  SeededRandom random_;
+  Random random_;
   MemberTable table_;
   BroadcastQueue queue_;
   std::map<std::string, Suspicion, std::less<>> suspicions_;
--- a/tests/gossip_wire_test.cc
+++ b/tests/gossip_wire_test.cc
@@ -6,7 +6,7 @@
 #include <catch2/catch.hpp>
 #include <optional>
 
-#include "core/seeded_random.h"
+#include "base/random.h"
 #include "wire/gossip_codec.h"
 
 namespace verbenastile {
@@ -44,12 +44,12 @@
       []() -> GossipMessage { throw std::runtime_error("untyped"); });
 }
 
-std::string RandomName(SeededRandom& random) {
+std::string RandomName(Random& random) {
   return std::string(1 + random.Below(kMaxGossipNameBytes),
                      static_cast<char>('a' + random.Below(26)));
 }
 
-MemberUpdate RandomUpdate(SeededRandom& random) {
+MemberUpdate RandomUpdate(Random& random) {
   MemberUpdate update;
   update.whole = random.Below(2) == 0;
   update.accuser = static_cast<std::uint32_t>(random.Below(1ULL << 32));
@@ -72,7 +72,7 @@
 }
 
 // A message as full as the sizer lets it be.
-GossipMessage RandomMessage(SeededRandom& random) {
+GossipMessage RandomMessage(Random& random) {
   GossipMessage message;
   message.cluster = kCluster;
   message.kind = static_cast<GossipKind>(
@@ -109,7 +109,7 @@
 }
 
 SCENARIO("gossip travels as datagrams") {
-  SeededRandom random(7);
+  Random random(7);
 
   GIVEN("messages of every kind, as full as they may be") {
     for (int round = 0; round < 2'000; ++round) {
@@ -149,7 +149,7 @@
 }
 
 SCENARIO("peers send rubbish") {
-  SeededRandom random(11);
+  Random random(11);
   const GossipMessage good = RandomMessage(random);
   const Bytes datagram = Encode(good);
   REQUIRE_FALSE(RefusalOf(datagram).has_value());
