--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -1,8 +1,13 @@
 #include "base/log.h"
 
+#include <fcntl.h>
+#include <unistd.h>
+
 #include <algorithm>
 #include <atomic>
+#include <chrono>
 #include <cstdio>
+#include <iterator>
 
 namespace verbenastile {
 namespace {
@@ -23,6 +28,77 @@
   return "unknown";
 }
 
+// Lines on their way to standard output. Belongs to one thread.
+class BufferedLog {
+ public:
+  explicit BufferedLog(const LogLimits& limits) : limits_(limits) {
+    const int flags = fcntl(STDOUT_FILENO, F_GETFL);
+    if (flags >= 0) {
+      fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+    }
+  }
+
+  void Add(LogLevel level, std::string_view line) {
+    constexpr std::uint32_t kUrgentFactor = 4;
+    const std::uint32_t limit =
+        limits_.max_lines_per_second *
+        (level < LogLevel::kWarning ? 1 : kUrgentFactor);
+    StartSecond();
+    if (lines_ >= limit ||
+        buffer_.size() + line.size() > limits_.max_buffer_bytes) {
+      ++dropped_;
+      return;
+    }
+    ++lines_;
+    buffer_ += line;
+    if (buffer_.size() > kFlushBytes) {
+      Flush();
+    }
+  }
+
+  void Flush() {
+    std::size_t written = 0;
+    while (written < buffer_.size()) {
+      const ssize_t count = write(STDOUT_FILENO, buffer_.data() + written,
+                                  buffer_.size() - written);
+      if (count <= 0) {
+        break;  // Standard output is full; the rest waits for the next flush.
+      }
+      written += static_cast<std::size_t>(count);
+    }
+    buffer_.erase(0, written);
+  }
+
+  std::uint64_t dropped() const { return dropped_; }
+
+ private:
+  static constexpr std::size_t kFlushBytes = 16'384;
+
+  void StartSecond() {
+    const auto now = std::chrono::steady_clock::now();
+    if (now - second_ < std::chrono::seconds(1)) {
+      return;
+    }
+    second_ = now;
+    lines_ = 0;
+    if (dropped_ > told_) {
+      fmt::format_to(std::back_inserter(buffer_),
+                     "log: Lines were dropped. level=warning count={}\n",
+                     dropped_ - told_);
+      told_ = dropped_;
+    }
+  }
+
+  LogLimits limits_;
+  std::string buffer_;
+  std::chrono::steady_clock::time_point second_;
+  std::uint32_t lines_ = 0;
+  std::uint64_t dropped_ = 0;
+  std::uint64_t told_ = 0;
+};
+
+std::optional<BufferedLog> g_buffered;
+
 bool IsPlain(char c) {
   const auto byte = static_cast<unsigned char>(c);
   return byte > 0x20 && byte < 0x7f && c != '"' && c != '\\';
@@ -47,6 +123,20 @@
   g_level = level;
 }
 
+void StartBufferedLog(const LogLimits& limits) {
+  g_buffered.emplace(limits);
+}
+
+void FlushLog() {
+  if (g_buffered) {
+    g_buffered->Flush();
+  }
+}
+
+std::uint64_t DroppedLogLines() {
+  return g_buffered ? g_buffered->dropped() : 0;
+}
+
 std::optional<LogLevel> ParseLogLevel(std::string_view name) {
   for (const LogLevel level : {LogLevel::kDebug, LogLevel::kInfo,
                                LogLevel::kWarning, LogLevel::kError}) {
@@ -64,17 +154,24 @@
   if (level < g_level) {
     return;
   }
-  std::string line =
-      fmt::format("{}: {} level={}", part, sentence, LevelName(level));
+  const auto unix_ms = std::chrono::duration_cast<std::chrono::milliseconds>(
+                           std::chrono::system_clock::now().time_since_epoch())
+                           .count();
+  std::string line = fmt::format("{}: {} level={} unix_ms={}", part, sentence,
+                                 LevelName(level), unix_ms);
   for (const LogField& field : fields) {
     const bool plain =
         !field.value.empty() &&
         std::all_of(field.value.begin(), field.value.end(), IsPlain);
-    line += fmt::format(" {}={}", field.key,
-                        plain ? field.value : Quoted(field.value));
+    line.append(" ").append(field.key).append("=");
+    line.append(plain ? field.value : Quoted(field.value));
   }
   line += '\n';
-  fmt::print(stderr, "{}", line);
+  if (g_buffered) {
+    g_buffered->Add(level, line);
+  } else {
+    fmt::print(stderr, "{}", line);
+  }
 }
 
 }  // namespace verbenastile
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -1,10 +1,11 @@
-// Logs to standard error: a fixed prefix per part, a short sentence, then
-// key=value fields.
+// Logs: a fixed prefix per part, a short sentence, then key=value fields. To
+// standard error, or buffered to standard output.
 #ifndef BASE_LOG_H_
 #define BASE_LOG_H_
 
 #include <fmt/format.h>
 
+#include <cstdint>
 #include <initializer_list>
 #include <optional>
 #include <string>
@@ -27,6 +28,24 @@
 // Lines below `level` are dropped from now on.
 void SetLogLevel(LogLevel level);
 
+// What a buffered log may take up.
+struct LogLimits {
+  std::size_t max_buffer_bytes = 1'048'576;
+  // Lines of the levels below warning, in a second; each other line counts
+  // against four times as many.
+  std::uint32_t max_lines_per_second = 600;
+};
+
+// From now on lines go to standard output, by `FlushLog`, and never block:
+// lines beyond the limits are dropped and counted.
+void StartBufferedLog(const LogLimits& limits = {});
+
+// Writes what is buffered, as far as standard output takes it.
+void FlushLog();
+
+// Lines dropped so far.
+std::uint64_t DroppedLogLines();
+
 // The level called "debug", "info", "warning" or "error"; otherwise nothing.
 std::optional<LogLevel> ParseLogLevel(std::string_view name);
 
--- a/src/base/time.h
+++ b/src/base/time.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 
 namespace verbenastile {
 
@@ -22,10 +23,15 @@
 // Microseconds since an arbitrary start; comparable within one process only.
 using Time = DecisionClock::time_point;
 
-// The process's steady clock as a `Time`. For adapters, not for decisions.
+// The machine's clock since its start as a `Time`. It counts the time that a
+// suspended machine slept, which the steady clock does not: what was due
+// meanwhile is overdue. For adapters, not for decisions.
 inline Time SteadyNow() {
-  const auto since_start = std::chrono::steady_clock::now().time_since_epoch();
-  return Time(std::chrono::duration_cast<Duration>(since_start));
+  timespec since_start = {};
+  clock_gettime(CLOCK_BOOTTIME, &since_start);
+  const auto elapsed = std::chrono::seconds(since_start.tv_sec) +
+                       std::chrono::nanoseconds(since_start.tv_nsec);
+  return Time(std::chrono::duration_cast<Duration>(elapsed));
 }
 
 // Whole milliseconds in `duration`, rounded down.
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -11,6 +11,7 @@
 using CommandArgs = std::vector<std::string>;
 
 int RunNodeCommand(CommandArgs args);
+int RunSidecarCommand(CommandArgs args);
 int RunRulesCommand(CommandArgs args);
 int RunStatusCommand(CommandArgs args);
 int RunAuditCommand(CommandArgs args);
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -17,6 +17,7 @@
 
 constexpr Command kCommands[] = {
     {"node", "run a node beside an upstream instance", RunNodeCommand},
+    {"sidecar", "run a sidecar on the users' platform", RunSidecarCommand},
     {"rules", "change, list and follow the rules", RunRulesCommand},
     {"status", "show what a node knows of the fleet", RunStatusCommand},
     {"audit", "show who changed what", RunAuditCommand},
--- /dev/null
+++ b/src/cli/sidecar_command.cc
@@ -0,0 +1,41 @@
+// verbenastile sidecar.
+#include <fmt/format.h>
+
+#include "base/log.h"
+#include "cli/command_line.h"
+#include "mesh/sidecar.h"
+
+namespace verbenastile {
+namespace {
+
+leaf::result<int> RunSidecar(const std::string& path) {
+  BOOST_LEAF_AUTO(settings, LoadSidecarSettings(path));
+  const auto bounds = platform::ParseBounds(settings.bounds);
+  if (const auto* error = std::get_if<platform::FormatError>(&bounds)) {
+    return leaf::new_error(
+        ConfigError{{{path, {}, fmt::format("platform.bounds: {}",
+                                            error->reason)}}});
+  }
+  BOOST_LEAF_AUTO(charts, LoadSidecarCharts());
+  SetLogLevel(settings.log_level);
+  StartBufferedLog();
+  Sidecar sidecar(settings, std::get<platform::Bounds>(bounds),
+                  std::move(charts), path);
+  return sidecar.Run();
+}
+
+}  // namespace
+
+int RunSidecarCommand(CommandArgs args) {
+  TCLAP::CmdLine cmd("Runs a sidecar on the users' platform.", ' ',
+                     VERBENASTILE_VERSION);
+  TCLAP::ValueArg<std::string> file("", "settings", "settings file", true, "",
+                                    "FILE", cmd);
+  int exit_code = kExitOk;
+  if (!ParseCommandLine(cmd, args, exit_code)) {
+    return exit_code;
+  }
+  return RunReported([&] { return RunSidecar(file.getValue()); });
+}
+
+}  // namespace verbenastile
--- a/src/config/rules.cc
+++ b/src/config/rules.cc
@@ -121,6 +121,8 @@
   }
   route.deadline = reader.DurationValue("deadline", milliseconds(1), hours(1),
                                         route.deadline);
+  route.objective = reader.DurationValue("objective", milliseconds(1), hours(1),
+                                         route.objective);
   route.repeatable = reader.Boolean("repeatable", route.repeatable);
   route.retries = static_cast<std::uint32_t>(
       reader.Integer("retries", 0, kMaxRetries, route.retries));
@@ -214,6 +216,9 @@
     if (route.deadline != Duration::zero()) {
       then["deadline"] = FormatDuration(route.deadline);
     }
+    if (route.objective != Duration::zero()) {
+      then["objective"] = FormatDuration(route.objective);
+    }
     then["repeatable"] = route.repeatable;
     then["retries"] = route.retries;
     then["priority"] = kPriorityNames[static_cast<int>(route.priority)];
--- a/src/config/rules.h
+++ b/src/config/rules.h
@@ -76,7 +76,8 @@
 // Sends the request to one of `targets`, in proportion to their weights.
 struct RouteAction {
   std::vector<RouteTarget> targets;
-  Duration deadline{0};  // 0: the node's default.
+  Duration deadline{0};   // 0: the node's default.
+  Duration objective{0};  // An answer after this is late; 0: the deadline.
   bool repeatable = false;
   std::uint32_t retries = 0;
   Priority priority = Priority::kNormal;
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -5,6 +5,7 @@
 #include <asio/ip/address.hpp>
 #include <charconv>
 
+#include "config/settings_fields.h"
 #include "config/yaml_reader.h"
 
 namespace verbenastile {
@@ -16,36 +17,8 @@
 
 constexpr std::int64_t kMaxSlots = 10'000;
 constexpr std::int64_t kMaxConnections = 100'000;
-constexpr std::size_t kMaxNameBytes = 100;
 constexpr std::size_t kMaxSeedAddresses = 64;
 
-bool IsName(std::string_view text) {
-  constexpr std::string_view kAllowed =
-      "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789.-_";
-  return !text.empty() && text.size() <= kMaxNameBytes &&
-         text.find_first_not_of(kAllowed) == std::string_view::npos;
-}
-
-std::string ReadName(YamlReader& reader, std::string_view key) {
-  std::string name = reader.RequiredString(key);
-  if (!name.empty() && !IsName(name)) {
-    reader.AddFault(key, fmt::format("{}: only letters, digits, '.', '-' and "
-                                     "'_', at most {} of them",
-                                     key, kMaxNameBytes));
-  }
-  return name;
-}
-
-SocketAddress ReadAddress(YamlReader& reader, std::string_view key) {
-  const std::string text = reader.RequiredString(key);
-  const auto address = ParseSocketAddress(text);
-  if (!address && !text.empty()) {
-    reader.AddFault(
-        key, fmt::format("{}: IP:PORT is expected, not \"{}\"", key, text));
-  }
-  return address.value_or(SocketAddress{});
-}
-
 void RejectSharedAddresses(YamlReader& reader, const ListenSettings& listen) {
   const std::pair<const char*, SocketAddress> addresses[] = {
       {"callers", listen.callers},
--- /dev/null
+++ b/src/config/sidecar_settings.cc
@@ -0,0 +1,65 @@
+#include "config/sidecar_settings.h"
+
+#include "config/settings_fields.h"
+#include "config/yaml_reader.h"
+
+namespace verbenastile {
+namespace {
+
+SidecarListenSettings ReadListen(YamlReader reader) {
+  SidecarListenSettings listen;
+  listen.callers = ReadAddress(reader, "callers");
+  listen.links = ReadAddress(reader, "links");
+  listen.control = ReadAddress(reader, "control");
+  listen.ready = ReadAddress(reader, "ready");
+  listen.metrics = ReadAddress(reader, "metrics");
+  reader.RejectUnknownKeys();
+  return listen;
+}
+
+SidecarSettings ReadSettings(YamlReader& reader) {
+  SidecarSettings settings;
+  YamlReader node = reader.Section("node");
+  settings.name = ReadName(node, "name");
+  settings.failure_domain = ReadName(node, "failure_domain");
+  settings.region = ReadName(node, "region");
+  node.RejectUnknownKeys();
+  settings.listen = ReadListen(reader.Section("listen"));
+  YamlReader upstream = reader.Section("upstream");
+  settings.service = ReadName(upstream, "service");
+  settings.upstream = ReadAddress(upstream, "address");
+  upstream.RejectUnknownKeys();
+  YamlReader platform = reader.Section("platform");
+  settings.platform = ReadAddress(platform, "address");
+  platform.EachPair("bounds",
+                    [&](const std::string& name, const std::string& value) {
+                      settings.bounds[name] = value;
+                    });
+  platform.RejectUnknownKeys();
+  settings.log_level = static_cast<LogLevel>(
+      reader.Choice("log_level", {"debug", "info", "warning", "error"},
+                    static_cast<std::size_t>(settings.log_level)));
+  reader.RejectUnknownKeys();
+  return settings;
+}
+
+}  // namespace
+
+leaf::result<SidecarSettings> LoadSidecarSettings(const std::string& path) {
+  BOOST_LEAF_AUTO(text, ReadConfigFile(path));
+  return ParseSidecarSettings(text, path);
+}
+
+leaf::result<SidecarSettings> ParseSidecarSettings(const std::string& text,
+                                                   const std::string& file) {
+  BOOST_LEAF_AUTO(root, LoadYamlMapping(text, file));
+  ConfigError error;
+  YamlReader reader(root, file, &error.faults);
+  SidecarSettings settings = ReadSettings(reader);
+  if (!error.faults.empty()) {
+    return leaf::new_error(std::move(error));
+  }
+  return settings;
+}
+
+}  // namespace verbenastile
--- /dev/null
+++ b/src/config/sidecar_settings.h
@@ -0,0 +1,44 @@
+// The settings of a sidecar: one aggregate with defaults, filled from a YAML
+// file.
+#ifndef CONFIG_SIDECAR_SETTINGS_H_
+#define CONFIG_SIDECAR_SETTINGS_H_
+
+#include <boost/leaf/result.hpp>
+#include <map>
+#include <string>
+
+#include "config/settings.h"
+
+namespace verbenastile {
+
+struct SidecarListenSettings {
+  SocketAddress callers;  // HTTP, from callers on this machine.
+  SocketAddress links;    // From other sidecars.
+  SocketAddress control;  // HTTP, from the instance in the slot.
+  SocketAddress ready;    // HTTP, from the platform.
+  SocketAddress metrics;  // HTTP, from operators.
+};
+
+struct SidecarSettings {
+  std::string name;
+  std::string failure_domain;
+  std::string region;
+  SidecarListenSettings listen;
+  std::string service;     // Of the instance in the slot.
+  SocketAddress upstream;  // Where that instance listens.
+  SocketAddress platform;  // The platform's store.
+  // The platform's bounds by their names.
+  std::map<std::string, std::string> bounds;
+  LogLevel log_level = LogLevel::kInfo;
+};
+
+// Reads the file at `path`. Errors: `ConfigError` with all faults.
+leaf::result<SidecarSettings> LoadSidecarSettings(const std::string& path);
+
+// Reads `text`; `file` is named in faults. Errors: as above.
+leaf::result<SidecarSettings> ParseSidecarSettings(const std::string& text,
+                                                   const std::string& file);
+
+}  // namespace verbenastile
+
+#endif  // CONFIG_SIDECAR_SETTINGS_H_
--- a/src/core/admission.cc
+++ b/src/core/admission.cc
@@ -42,6 +42,8 @@
       return "draining";
     case AdmissionRefusal::kDuplicateId:
       return "duplicate_id";
+    case AdmissionRefusal::kWouldBeLate:
+      return "would_be_late";
   }
   return "unknown";
 }
@@ -52,11 +54,12 @@
 AdmissionResult Admission::Offer(const AdmissionOffer& offer, Time now) {
   AdmissionResult result;
   Group& group = GroupOf(offer);
-  result.refusal = WhyNotQueue(offer, group, now);
+  ServiceTime* kind = KindOf(offer.kind);
+  result.refusal = WhyNotQueue(offer, group, kind, now);
   if (result.refusal == AdmissionRefusal::kNone && busy_ < slots_ &&
       queued_ == 0) {
     Call& call = calls_[offer.id];
-    call = {&group, offer.priority, now, offer.deadline, false, now, {}};
+    call = {&group, kind, offer.priority, now, offer.deadline, false, now, {}};
     SetTag(group, std::max(group.tag, virtual_time_));
     Start(offer.id, call, now);
     ++stats_.admitted;
@@ -71,9 +74,10 @@
   }
   if (result.refusal != AdmissionRefusal::kNone) {
     ++stats_.refused;
+    result.come_back = ExpectedWait(group, offer.priority);
     return result;
   }
-  Enqueue(offer, group, now);
+  Enqueue(offer, group, kind, now);
   result.verdict = AdmissionVerdict::kQueued;
   return result;
 }
@@ -102,6 +106,7 @@
 
 AdmissionRefusal Admission::WhyNotQueue(const AdmissionOffer& offer,
                                         const Group& group,
+                                        const ServiceTime* kind,
                                         Time now) const {
   if (calls_.contains(offer.id)) {
     return AdmissionRefusal::kDuplicateId;
@@ -115,26 +120,66 @@
   const bool at_once = busy_ < slots_ && queued_ == 0;
   if (!at_once && limits_.refuse_early &&
       now + ExpectedWait(group, offer.priority) +
-              NeededTime(group, offer.deadline - now) >
+              NeededTime(group, kind, offer.deadline - now) >
           offer.deadline) {
     return AdmissionRefusal::kWouldMissDeadline;
   }
+  if (!at_once && limits_.refuse_early &&
+      WouldBeLate(offer, group, kind, now)) {
+    return AdmissionRefusal::kWouldBeLate;
+  }
   return AdmissionRefusal::kNone;
 }
 
-Duration Admission::Estimate(const Group& group) const {
-  if (group.service_time > Duration::zero()) {
-    return group.service_time;
+bool Admission::WouldBeLate(const AdmissionOffer& offer,
+                            const Group& group,
+                            const ServiceTime* kind,
+                            Time now) const {
+  constexpr std::int64_t kPermille = 1'000;
+  if (!offer.due) {
+    return false;
+  }
+  const Duration room =
+      (*offer.due - now) * limits_.queue_permille / kPermille;
+  return ExpectedWait(group, offer.priority) + Estimate(group, kind) > room;
+}
+
+Admission::ServiceTime* Admission::KindOf(std::string_view kind) {
+  if (kind.empty()) {
+    return nullptr;
+  }
+  const auto found = kinds_.find(kind);
+  if (found != kinds_.end()) {
+    return &found->second;
   }
-  return service_time_ > Duration::zero() ? service_time_ : kFirstEstimate;
+  if (kinds_.size() >= limits_.max_kinds) {
+    return nullptr;
+  }
+  return &kinds_[std::string(kind)];
+}
+
+Duration Admission::Estimate(const Group& group,
+                             const ServiceTime* kind) const {
+  if (kind != nullptr && kind->mean > Duration::zero()) {
+    return kind->mean;
+  }
+  if (group.service_time.mean > Duration::zero()) {
+    return group.service_time.mean;
+  }
+  return service_time_.mean > Duration::zero() ? service_time_.mean
+                                               : kFirstEstimate;
 }
 
 // The time that a call should have left when it starts: the mean and two
 // deviations, as in TCP's retransmission timer (Jacobson 1988). Calls that
 // come with less than that are only asked not to lose much of it by waiting.
-Duration Admission::NeededTime(const Group& group, Duration whole) const {
-  const Duration mean = Estimate(group);
-  const Duration most = mean + 2 * group.deviation;
+Duration Admission::NeededTime(const Group& group,
+                               const ServiceTime* kind,
+                               Duration whole) const {
+  const Duration mean = Estimate(group, kind);
+  const Duration deviation =
+      kind != nullptr ? kind->deviation : group.service_time.deviation;
+  const Duration most = mean + 2 * deviation;
   return std::min(most, std::max(mean, whole * 3 / 4));
 }
 
@@ -142,7 +187,7 @@
   if (call.deadline <= now) {
     return AdmissionRefusal::kDeadlinePassed;
   }
-  const Duration needed = NeededTime(*call.group, call.deadline - call.arrived);
+  const Duration needed = NeededTime(*call.group, call.kind, call.deadline - call.arrived);
   if (limits_.refuse_early && call.deadline < now + needed) {
     return AdmissionRefusal::kWouldMissDeadline;
   }
@@ -160,7 +205,7 @@
   const std::int64_t share_of_weight = static_cast<std::int64_t>(
       std::max<std::uint64_t>(weights / group.weight, 1));
   const std::int64_t slots = std::max<std::int64_t>(slots_, 1);
-  return Estimate(group) * before * share_of_weight / slots;
+  return Estimate(group, nullptr) * before * share_of_weight / slots;
 }
 
 // Room in the queues, if need be by refusing a call that counts for less.
@@ -219,9 +264,12 @@
   return found ? longest : nullptr;
 }
 
-void Admission::Enqueue(const AdmissionOffer& offer, Group& group, Time now) {
-  calls_[offer.id] = {&group, offer.priority, now, offer.deadline, false, {},
-                      {}};
+void Admission::Enqueue(const AdmissionOffer& offer,
+                        Group& group,
+                        ServiceTime* kind,
+                        Time now) {
+  calls_[offer.id] = {&group, kind, offer.priority, now,
+                      offer.deadline, false, {}, {}};
   group.queues[IndexOf(offer.priority)].push_back(offer.id);
   if (group.queued == 0) {
     group.tag = std::max(group.tag, virtual_time_);
@@ -238,7 +286,7 @@
   Group& group = *call.group;
   call.running = true;
   call.started = now;
-  call.charged = Estimate(group);
+  call.charged = Estimate(group, call.kind);
   running_.insert(id);
   ++group.running;
   ++busy_;
@@ -354,7 +402,7 @@
   ++stats_.ended;
   const Duration held = now - call.started;
   Charge(*call.group, held - call.charged);
-  LearnServiceTime(*call.group, held);
+  LearnServiceTime(call, held);
   StartQueued(now, actions);
   EndBusyPeriod();
   return actions;
@@ -414,27 +462,28 @@
   return found == groups_.end() ? 0 : found->second.queued;
 }
 
-void Admission::LearnServiceTime(Group& group, Duration time) {
-  const auto learn = [&](Duration& average) {
-    Duration sample = std::min(time, limits_.max_estimate);
-    if (average == Duration::zero()) {
-      average = std::max(sample, Duration(1));
-      return;
-    }
-    sample = std::min(sample, std::max(average * kMaxSampleOfAverage,
-                                       Duration(kFirstEstimate)));
-    average += (sample - average) / kAverageOver;
-    average = std::max(average, Duration(1));
-  };
-  if (group.service_time > Duration::zero()) {
-    const Duration off =
-        std::min(time, limits_.max_estimate) - group.service_time;
-    const Duration size = std::min(off < Duration::zero() ? -off : off,
-                                   group.service_time * kMaxSampleOfAverage);
-    group.deviation += (size - group.deviation) / kAverageOver;
-  }
-  learn(group.service_time);
-  learn(service_time_);
+void Admission::LearnServiceTime(const Call& call, Duration time) {
+  Learn(call.group->service_time, time);
+  Learn(service_time_, time);
+  if (call.kind != nullptr) {
+    Learn(*call.kind, time);
+  }
+}
+
+void Admission::Learn(ServiceTime& known, Duration time) const {
+  Duration sample = std::min(time, limits_.max_estimate);
+  if (known.mean == Duration::zero()) {
+    known.mean = std::max(sample, Duration(1));
+    return;
+  }
+  const Duration off = sample - known.mean;
+  const Duration size = std::min(off < Duration::zero() ? -off : off,
+                                 known.mean * kMaxSampleOfAverage);
+  known.deviation += (size - known.deviation) / kAverageOver;
+  sample = std::min(sample, std::max(known.mean * kMaxSampleOfAverage,
+                                     Duration(kFirstEstimate)));
+  known.mean += (sample - known.mean) / kAverageOver;
+  known.mean = std::max(known.mean, Duration(1));
 }
 
 // With nothing waiting or running nobody is owed anything.
--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -44,6 +44,11 @@
   // Groups without calls that are remembered while they owe the others;
   // beyond twice as many, all without calls are forgotten.
   std::size_t max_idle_groups = 1'024;
+  // Kinds of calls whose service times are remembered.
+  std::size_t max_kinds = 4'096;
+  // A call is queued when it is expected to end within this part of its
+  // objective; the rest covers what the mean service time does not.
+  std::uint32_t queue_permille = 850;
   // Off: calls wait until their deadline has passed. For comparisons.
   bool refuse_early = true;
   // Off: one queue for all groups, first come, first served. For comparisons.
@@ -56,6 +61,11 @@
   std::uint32_t weight = 1;
   Priority priority = Priority::kNormal;
   Time deadline;
+  // An answer after this is late: a call that would have to wait and be late
+  // is refused when it is offered. Once queued, only its deadline counts.
+  std::optional<Time> due = std::nullopt;
+  // Calls of one kind take similar time; empty: those of the group.
+  std::string_view kind = {};
 };
 
 // Why a call was refused. No part of a refused call has run.
@@ -68,6 +78,7 @@
   kDisplaced,  // Gave its place to a call of higher priority or smaller group.
   kDraining,
   kDuplicateId,
+  kWouldBeLate,
 };
 
 // The name of `refusal` in lower case.
@@ -93,6 +104,8 @@
   AdmissionVerdict verdict = AdmissionVerdict::kRefused;
   AdmissionRefusal refusal = AdmissionRefusal::kNone;
   AdmissionActions actions;  // For other calls.
+  // When refused: the time until a free slot is likely.
+  Duration come_back{0};
 };
 
 enum class CancelVerdict : std::uint8_t {
@@ -139,6 +152,12 @@
  private:
   static constexpr std::size_t kPriorities = std::size(kPriorityNames);
 
+  // A moving average of service times, and of their distance from it.
+  struct ServiceTime {
+    Duration mean{0};  // 0: not known.
+    Duration deviation{0};
+  };
+
   // Slot time over weight, in microseconds times `kTagScale`.
   using Tag = std::int64_t;
 
@@ -151,12 +170,12 @@
     std::array<std::uint32_t, kPriorities> passed_over = {};
     std::size_t queued = 0;
     std::uint32_t running = 0;
-    Duration service_time{0};  // Moving average; 0: not known.
-    Duration deviation{0};     // Mean absolute, of the service time.
+    ServiceTime service_time;
   };
 
   struct Call {
     Group* group = nullptr;
+    ServiceTime* kind = nullptr;  // Null: that of the group.
     Priority priority = Priority::kNormal;
     Time arrived;
     Time deadline;
@@ -168,19 +187,30 @@
   using Backlog = std::set<std::pair<Tag, std::uint64_t>>;
 
   Group& GroupOf(const AdmissionOffer& offer);
-  Duration Estimate(const Group& group) const;
-  Duration NeededTime(const Group& group, Duration whole) const;
+  ServiceTime* KindOf(std::string_view kind);
+  Duration Estimate(const Group& group, const ServiceTime* kind) const;
+  Duration NeededTime(const Group& group,
+                      const ServiceTime* kind,
+                      Duration whole) const;
+  bool WouldBeLate(const AdmissionOffer& offer,
+                   const Group& group,
+                   const ServiceTime* kind,
+                   Time now) const;
   AdmissionRefusal WhyNotStart(const Call& call, Time now) const;
   Duration ExpectedWait(const Group& group, Priority priority) const;
   AdmissionRefusal WhyNotQueue(const AdmissionOffer& offer,
                                const Group& group,
+                               const ServiceTime* kind,
                                Time now) const;
   bool MakeRoom(Group& group, Priority priority, AdmissionActions& actions);
   bool DisplaceInGroup(Group& group,
                        std::size_t priority,
                        AdmissionActions& actions);
   Group* LongestQueue(const Group& than);
-  void Enqueue(const AdmissionOffer& offer, Group& group, Time now);
+  void Enqueue(const AdmissionOffer& offer,
+               Group& group,
+               ServiceTime* kind,
+               Time now);
   void Start(CallId id, Call& call, Time now);
   void StartQueued(Time now, AdmissionActions& actions);
   CallId PopNext(Group& group);
@@ -189,7 +219,8 @@
   void SetTag(Group& group, Tag tag);
   void Charge(Group& group, Duration time);
   void ChargeRunning(Time now);
-  void LearnServiceTime(Group& group, Duration time);
+  void LearnServiceTime(const Call& call, Duration time);
+  void Learn(ServiceTime& known, Duration time) const;
   void EndBusyPeriod();
   void Rebase();
   void ForgetIdleGroups();
@@ -203,7 +234,8 @@
   Tag highest_tag_ = 0;
   std::uint64_t next_serial_ = 0;
   std::uint64_t backlogged_weight_ = 0;
-  Duration service_time_{0};  // Over all groups.
+  ServiceTime service_time_;  // Over all groups.
+  std::map<std::string, ServiceTime, std::less<>> kinds_;
   std::map<std::string, Group, std::less<>> groups_;
   std::unordered_map<std::uint64_t, Group*> by_serial_;
   std::unordered_map<CallId, Call> calls_;
--- a/src/core/config_apply.cc
+++ b/src/core/config_apply.cc
@@ -31,24 +31,47 @@
 
 ApplyOutcome ConfigApplier::Offer(std::shared_ptr<const Snapshot> snapshot) {
   if (snapshot->generation < generation()) {
-    machine_.Fire("older");
-    ++stats_.older;
-    return ApplyOutcome::kOlder;
+    return CountOlder();
   }
   if (snapshot_ && snapshot->generation == generation()) {
     const bool same = snapshot->digest == snapshot_->digest;
     stats_.forked += same ? 0 : 1;
     return same ? ApplyOutcome::kUnchanged : ApplyOutcome::kForked;
   }
-  machine_.Fire("offered");
-  return Stage(std::move(snapshot));
+  const ApplyOutcome outcome = Stage(snapshot->generation, [&] {
+    return RouteTable::Compile(*snapshot);
+  });
+  if (outcome == ApplyOutcome::kInForce) {
+    snapshot_ = std::move(snapshot);
+  }
+  return outcome;
 }
 
-ApplyOutcome ConfigApplier::Stage(std::shared_ptr<const Snapshot> snapshot) {
+ApplyOutcome ConfigApplier::Offer(Generation offered, RuleDocument document) {
+  if (offered < generation()) {
+    return CountOlder();
+  }
+  if (table_ && offered == generation()) {
+    return ApplyOutcome::kUnchanged;
+  }
+  return Stage(offered, [&] {
+    return RouteTable::Compile(offered, std::move(document));
+  });
+}
+
+ApplyOutcome ConfigApplier::CountOlder() {
+  machine_.Fire("older");
+  ++stats_.older;
+  return ApplyOutcome::kOlder;
+}
+
+template <typename Compile>
+ApplyOutcome ConfigApplier::Stage(Generation generation, Compile compile) {
+  machine_.Fire("offered");
   std::string reason;
   auto staged = leaf::try_handle_all(
       [&]() -> leaf::result<std::optional<RouteTable>> {
-        BOOST_LEAF_AUTO(table, RouteTable::Compile(*snapshot));
+        BOOST_LEAF_AUTO(table, compile());
         return std::optional<RouteTable>(std::move(table));
       },
       [&](const ConfigError& error) -> std::optional<RouteTable> {
@@ -62,26 +85,22 @@
   if (!staged) {
     machine_.Fire("refused");
     ++stats_.refused;
-    refusal_ = {snapshot->generation, std::move(reason)};
+    refusal_ = {generation, std::move(reason)};
     return ApplyOutcome::kRefused;
   }
   machine_.Fire("staged");
-  Swap(std::move(snapshot), std::move(*staged));
+  Swap(generation, std::move(*staged));
   return ApplyOutcome::kInForce;
 }
 
-void ConfigApplier::Swap(std::shared_ptr<const Snapshot> snapshot,
-                         RouteTable table) {
-  CheckInvariant(snapshot->generation > generation(), "generation_never_falls",
-                 fmt::format("in_force={} offered={}", generation(),
-                             snapshot->generation));
+void ConfigApplier::Swap(Generation offered, RouteTable table) {
+  CheckInvariant(offered > generation(), "generation_never_falls",
+                 fmt::format("in_force={} offered={}", generation(), offered));
   CheckInvariant(HasItsResources(table), "no_route_without_its_resource",
-                 fmt::format("generation={}", snapshot->generation));
-  CheckInvariant(table.generation() == snapshot->generation,
-                 "staged_never_visible_in_part",
-                 fmt::format("table={} snapshot={}", table.generation(),
-                             snapshot->generation));
-  snapshot_ = std::move(snapshot);
+                 fmt::format("generation={}", offered));
+  CheckInvariant(
+      table.generation() == offered, "staged_never_visible_in_part",
+      fmt::format("table={} offered={}", table.generation(), offered));
   table_ = std::make_shared<const RouteTable>(std::move(table));
   refusal_ = {};
   ++stats_.in_force;
--- a/src/core/config_apply.h
+++ b/src/core/config_apply.h
@@ -45,12 +45,15 @@
 
   ApplyOutcome Offer(std::shared_ptr<const Snapshot> snapshot);
 
+  // Offers a document that is already read and that no snapshot is made of.
+  ApplyOutcome Offer(Generation generation, RuleDocument document);
+
   // Null until the first generation is in force. Requests keep the table that
   // they began with, hence the shared ownership.
   std::shared_ptr<const RouteTable> table() const { return table_; }
   std::shared_ptr<const Snapshot> snapshot() const { return snapshot_; }
   Generation generation() const {
-    return snapshot_ ? snapshot_->generation : 0;
+    return table_ ? table_->generation() : 0;
   }
 
   // The last refusal; generation 0 when there was none since the last swap.
@@ -58,8 +61,10 @@
   const ApplyStats& stats() const { return stats_; }
 
  private:
-  ApplyOutcome Stage(std::shared_ptr<const Snapshot> snapshot);
-  void Swap(std::shared_ptr<const Snapshot> snapshot, RouteTable table);
+  ApplyOutcome CountOlder();
+  template <typename Compile>
+  ApplyOutcome Stage(Generation generation, Compile compile);
+  void Swap(Generation generation, RouteTable table);
 
   ChartMachine machine_;
   std::shared_ptr<const Snapshot> snapshot_;
--- /dev/null
+++ b/src/core/member_book.cc
@@ -0,0 +1,54 @@
+#include "core/member_book.h"
+
+namespace verbenastile {
+
+bool MemberBook::Merge(const MemberRecord& record, Time now) {
+  const auto found = entries_.find(record.member.name);
+  if (found != entries_.end() && !IsNewer(record, found->second.record)) {
+    return false;
+  }
+  Entry& entry = entries_[record.member.name];
+  entry.record = record;
+  entry.heard = now;
+  Publish(entry);
+  return true;
+}
+
+void MemberBook::SetLinked(std::string_view name, bool linked, Time now) {
+  const auto found = entries_.find(name);
+  if (found == entries_.end() || found->second.linked == linked) {
+    return;
+  }
+  found->second.linked = linked;
+  found->second.linked_since = now;
+  Publish(found->second);
+}
+
+bool MemberBook::Forget(std::string_view name, std::uint64_t incarnation) {
+  const auto found = entries_.find(name);
+  if (found == entries_.end() ||
+      found->second.record.member.incarnation > incarnation) {
+    return false;
+  }
+  directory_.Remove(name);
+  entries_.erase(found);
+  return true;
+}
+
+const MemberBook::Entry* MemberBook::Find(std::string_view name) const {
+  const auto found = entries_.find(name);
+  return found == entries_.end() ? nullptr : &found->second;
+}
+
+void MemberBook::Publish(const Entry& entry) {
+  Member member = entry.record.member;
+  const bool reachable = entry.linked || member.name == self_;
+  if (!reachable) {
+    member.state = MemberState::kDead;
+  } else if (!member.serving && member.state <= MemberState::kSuspect) {
+    member.state = MemberState::kLeaving;
+  }
+  directory_.Put(std::move(member));
+}
+
+}  // namespace verbenastile
--- a/src/core/route_table.cc
+++ b/src/core/route_table.cc
@@ -18,9 +18,15 @@
 }
 
 leaf::result<RouteTable> RouteTable::Compile(const Snapshot& snapshot) {
+  BOOST_LEAF_AUTO(document, ToDocument(snapshot));
+  return Compile(snapshot.generation, std::move(document));
+}
+
+leaf::result<RouteTable> RouteTable::Compile(Generation generation,
+                                             RuleDocument document) {
   RouteTable table;
-  table.generation_ = snapshot.generation;
-  BOOST_LEAF_ASSIGN(table.document_, ToDocument(snapshot));
+  table.generation_ = generation;
+  table.document_ = std::move(document);
   auto faults = FindFaults(table.document_, "generation");
   if (!faults.empty()) {
     return leaf::new_error(ConfigError{std::move(faults)});
--- a/src/core/route_table.h
+++ b/src/core/route_table.h
@@ -31,6 +31,10 @@
   // faults, a route to an undeclared service among them.
   static leaf::result<RouteTable> Compile(const Snapshot& snapshot);
 
+  // From a document that is already read. Errors: as above, but for items.
+  static leaf::result<RouteTable> Compile(Generation generation,
+                                          RuleDocument document);
+
   // The rule that decides; null when none matches. Valid while the table is.
   const Rule* Decide(const RequestView& request) const;
 
--- /dev/null
+++ b/src/io/http1_parser.h
@@ -0,0 +1,113 @@
+// An incremental parser of HTTP/1.1 messages, on http_parser.
+#ifndef IO_HTTP1_PARSER_H_
+#define IO_HTTP1_PARSER_H_
+
+#include <http_parser.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "io/http_message.h"
+
+namespace verbenastile {
+
+// The first line and the headers of a message.
+struct Http1Head {
+  std::string method;  // Of a request.
+  std::string target;  // Of a request: path and query.
+  int status = 0;      // Of an answer.
+  HttpHeaders headers;
+  std::optional<std::uint64_t> length;  // By Content-Length.
+  bool chunked = false;
+  bool keep_alive = false;
+};
+
+// What a message may take up.
+struct Http1Limits {
+  std::size_t max_header_bytes = 16'384;
+  std::uint64_t max_body_bytes = 67'108'864;
+};
+
+enum class Http1Error : std::uint8_t {
+  kNone = 0,
+  kMalformed,
+  kHeaderTooLarge,
+  kBodyTooLarge,
+};
+
+class Http1Parser {
+ public:
+  enum class Role : std::uint8_t { kRequest, kAnswer };
+
+  Http1Parser(Role role, const Http1Limits& limits);
+  Http1Parser(const Http1Parser&) = delete;
+  Http1Parser& operator=(const Http1Parser&) = delete;
+
+  // Parses at most one message and returns the bytes used. Bytes after the
+  // message's end are left to the caller.
+  std::size_t Feed(std::string_view bytes);
+  // The stream has ended. Returns whether this completes the message, as it
+  // does for an answer without a length.
+  bool FeedEnd();
+  // Makes ready for the next message.
+  void Reset();
+  // The answer that comes has no body, whatever its headers say.
+  void ExpectNoBody() { no_body_ = true; }
+  void SetLimits(const Http1Limits& limits) { limits_ = limits; }
+
+  // Whether any byte of the message has arrived.
+  bool begun() const { return begun_; }
+  bool head_done() const { return head_done_; }
+  bool done() const { return done_; }
+  Http1Error error() const { return error_; }
+  const Http1Head& head() const { return head_; }
+  Http1Head TakeHead() { return std::move(head_); }
+  // The part of the body that has arrived since the last call.
+  std::string TakeBody() { return std::exchange(body_, {}); }
+  std::size_t body_size() const { return body_.size(); }
+
+ private:
+  static const http_parser_settings& Callbacks();
+  static Http1Parser& Self(http_parser* parser) {
+    return *static_cast<Http1Parser*>(parser->data);
+  }
+  int OnField(std::string_view part);
+  int OnValue(std::string_view part);
+  int OnHeadDone();
+  int OnBody(std::string_view part);
+  bool CountHeaderBytes(std::size_t count);
+
+  http_parser parser_ = {};
+  Role role_;
+  Http1Limits limits_;
+  Http1Head head_;
+  std::string body_;
+  std::uint64_t body_bytes_ = 0;
+  std::size_t header_bytes_ = 0;
+  bool in_value_ = false;
+  bool begun_ = false;
+  bool head_done_ = false;
+  bool done_ = false;
+  bool no_body_ = false;
+  Http1Error error_ = Http1Error::kNone;
+};
+
+// The standard phrase of `status`.
+std::string_view ReasonPhrase(int status);
+
+// An answer's first line and headers, with the framing that `length` asks for:
+// a Content-Length, or chunks where there is none.
+std::string FormatAnswerHead(int status,
+                             const HttpHeaders& headers,
+                             std::optional<std::uint64_t> length,
+                             bool close);
+
+// `part` as one chunk; an empty part is the last one.
+std::string FormatChunk(std::string_view part);
+
+}  // namespace verbenastile
+
+#endif  // IO_HTTP1_PARSER_H_
--- /dev/null
+++ b/src/mesh/link.h
@@ -0,0 +1,69 @@
+// One TCP connection between two nodes that carries frames both ways.
+#ifndef MESH_LINK_H_
+#define MESH_LINK_H_
+
+#include <array>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "base/time.h"
+#include "mesh/link_codec.h"
+
+namespace verbenastile {
+
+// Belongs to the thread of its `io_context`. Writes of one turn of the loop
+// leave together.
+class Link : public std::enable_shared_from_this<Link> {
+ public:
+  using Tcp = asio::ip::tcp;
+
+  struct Events {
+    std::function<void(LinkFrame)> on_frame;
+    // Once, unless the link was closed by `Close`.
+    std::function<void(std::string_view why)> on_closed;
+  };
+
+  explicit Link(Tcp::socket socket) : socket_(std::move(socket)) {}
+
+  // Starts on a connected socket.
+  void Open(Events events);
+  void Send(const LinkFrame& frame);
+  // Closes without `on_closed`.
+  void Close();
+
+  bool open() const { return open_; }
+  Time last_heard() const { return last_heard_; }
+  // Bytes that have not left the process.
+  std::size_t unsent() const { return out_.size() + writing_.size(); }
+  std::uint64_t bytes_sent() const { return bytes_sent_; }
+  std::uint64_t bytes_received() const { return bytes_received_; }
+
+ private:
+  static constexpr std::size_t kReadBytes = 65'536;
+
+  void Read();
+  bool DeliverFrames();
+  void Flush();
+  void Fail(std::string_view why);
+
+  Tcp::socket socket_;
+  Events events_;
+  LinkReader reader_;
+  std::array<char, kReadBytes> buffer_ = {};
+  std::string out_;
+  std::string writing_;
+  Time last_heard_;
+  std::uint64_t bytes_sent_ = 0;
+  std::uint64_t bytes_received_ = 0;
+  bool open_ = false;
+  bool flush_posted_ = false;
+};
+
+}  // namespace verbenastile
+
+#endif  // MESH_LINK_H_
--- /dev/null
+++ b/src/mesh/link_codec.cc
@@ -0,0 +1,314 @@
+#include "mesh/link_codec.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+#include <kj/exception.h>
+
+#include <algorithm>
+#include <cstring>
+
+#include "wire/link.capnp.h"
+
+namespace verbenastile {
+namespace {
+
+constexpr std::size_t kWordBytes = sizeof(capnp::word);
+constexpr std::size_t kScratchWords = 1'024;
+constexpr std::int64_t kNoLength = -1;
+constexpr std::size_t kCompactBytes = 65'536;
+
+capnp::Text::Reader TextOf(const std::string& text) {
+  return {text.c_str(), text.size()};
+}
+
+capnp::Data::Reader DataOf(const std::string& text) {
+  return {reinterpret_cast<const kj::byte*>(text.data()), text.size()};
+}
+
+std::string StringOf(capnp::Text::Reader text) {
+  return {text.begin(), text.size()};
+}
+
+std::string StringOf(capnp::Data::Reader data) {
+  return {reinterpret_cast<const char*>(data.begin()), data.size()};
+}
+
+void WriteLoad(const GateLoad& load, wire::Load::Builder out) {
+  out.setBusy(load.upstream.busy);
+  out.setQueued(load.upstream.queued);
+  out.setGeneration(load.generation);
+}
+
+GateLoad ReadLoad(wire::Load::Reader in) {
+  return {{in.getBusy(), in.getQueued()}, in.getGeneration()};
+}
+
+template <typename Builder>
+void WriteHeaders(const HttpHeaders& headers, Builder out) {
+  auto list = out.initHeaders(static_cast<unsigned>(headers.size()));
+  for (unsigned i = 0; i < list.size(); ++i) {
+    list[i].setName(TextOf(headers[i].name));
+    list[i].setValue(TextOf(headers[i].value));
+  }
+}
+
+HttpHeaders ReadHeaders(capnp::List<wire::Header>::Reader in) {
+  HttpHeaders headers;
+  headers.reserve(in.size());
+  for (const auto header : in) {
+    headers.push_back(
+        {StringOf(header.getName()), StringOf(header.getValue())});
+  }
+  return headers;
+}
+
+void WriteRecord(const MemberRecord& record, wire::Member::Builder out) {
+  const Member& member = record.member;
+  out.setName(TextOf(member.name));
+  out.setIncarnation(member.incarnation);
+  out.setSequence(record.sequence);
+  out.setState(static_cast<std::uint8_t>(member.state));
+  out.setServing(member.serving);
+  out.setFailureDomain(TextOf(member.failure_domain));
+  out.setRegion(TextOf(member.region));
+  out.setService(TextOf(member.service));
+  out.setLinkIp(TextOf(member.peers.ip));
+  out.setLinkPort(member.peers.port);
+  out.setSlots(member.slots);
+}
+
+MemberRecord ReadRecord(wire::Member::Reader in) {
+  MemberRecord record;
+  Member& member = record.member;
+  member.name = StringOf(in.getName());
+  member.incarnation = in.getIncarnation();
+  record.sequence = in.getSequence();
+  member.state = static_cast<MemberState>(std::min<int>(
+      in.getState(), static_cast<int>(MemberState::kLeft)));
+  member.serving = in.getServing();
+  member.failure_domain = StringOf(in.getFailureDomain());
+  member.region = StringOf(in.getRegion());
+  member.service = StringOf(in.getService());
+  member.peers = {StringOf(in.getLinkIp()), in.getLinkPort()};
+  member.slots = in.getSlots();
+  return record;
+}
+
+// Writes each kind of frame.
+struct FrameWriter {
+  wire::LinkFrame::Builder out;
+
+  void operator()(const LinkHello& hello) {
+    auto body = out.initHello();
+    WriteRecord(hello.self, body.initMember());
+    body.setGeneration(hello.generation);
+  }
+  void operator()(const GateCall& call) {
+    auto body = out.initCall();
+    body.setService(TextOf(call.service));
+    body.setCallerService(TextOf(call.caller_service));
+    body.setRequestId(TextOf(call.request_id));
+    body.setMethod(TextOf(call.method));
+    body.setTarget(TextOf(call.target));
+    WriteHeaders(call.headers, body);
+    body.setBody(DataOf(call.body));
+    body.setRule(TextOf(call.rule));
+    body.setPriority(static_cast<std::uint8_t>(call.priority));
+    body.setRemainingUs(call.remaining.count());
+    body.setObjectiveUs(call.objective.count());
+    body.setIdempotent(call.idempotent);
+  }
+  void operator()(const LinkCancel&) { out.setCancel(); }
+  void operator()(const GateRefusal& refusal) {
+    auto body = out.initRefusal();
+    body.setReason(static_cast<std::uint8_t>(refusal.reason));
+    body.setComeBackUs(refusal.come_back.count());
+    WriteLoad(refusal.load, body.initLoad());
+  }
+  void operator()(const GateAnswer& answer) {
+    auto body = out.initAnswer();
+    body.setStatus(static_cast<std::uint16_t>(answer.status));
+    WriteHeaders(answer.headers, body);
+    body.setLength(answer.length ? static_cast<std::int64_t>(*answer.length)
+                                 : kNoLength);
+    body.setBody(DataOf(answer.body));
+    body.setLast(answer.last);
+    WriteLoad(answer.load, body.initLoad());
+  }
+  void operator()(const GatePart& part) {
+    auto body = out.initPart();
+    body.setBody(DataOf(part.body));
+    body.setLast(part.last);
+  }
+  void operator()(const GateBroken& broken) {
+    auto body = out.initBroken();
+    body.setDetail(TextOf(broken.detail));
+    WriteLoad(broken.load, body.initLoad());
+  }
+  void operator()(const LinkCredit& credit) { out.setCredit(credit.bytes); }
+  void operator()(const LinkPing&) { out.setPing(); }
+  void operator()(const LinkPong& pong) { WriteLoad(pong.load, out.initPong()); }
+  void operator()(const LinkMember& member) {
+    WriteRecord(member.record, out.initMember());
+  }
+  void operator()(const LinkConfigurationWanted&) {
+    out.setConfigurationWanted();
+  }
+  void operator()(const LinkConfiguration& configuration) {
+    out.setConfiguration(DataOf(configuration.text));
+  }
+};
+
+GateCall ReadCall(wire::Call::Reader in) {
+  GateCall call;
+  call.service = StringOf(in.getService());
+  call.caller_service = StringOf(in.getCallerService());
+  call.request_id = StringOf(in.getRequestId());
+  call.method = StringOf(in.getMethod());
+  call.target = StringOf(in.getTarget());
+  call.headers = ReadHeaders(in.getHeaders());
+  call.body = StringOf(in.getBody());
+  call.rule = StringOf(in.getRule());
+  call.priority = static_cast<Priority>(
+      std::min<int>(in.getPriority(), static_cast<int>(Priority::kLow)));
+  call.remaining = Duration(in.getRemainingUs());
+  call.objective = Duration(in.getObjectiveUs());
+  call.idempotent = in.getIdempotent();
+  return call;
+}
+
+GateAnswer ReadAnswer(wire::Answer::Reader in) {
+  GateAnswer answer;
+  answer.status = in.getStatus();
+  answer.headers = ReadHeaders(in.getHeaders());
+  if (in.getLength() >= 0) {
+    answer.length = static_cast<std::uint64_t>(in.getLength());
+  }
+  answer.body = StringOf(in.getBody());
+  answer.last = in.getLast();
+  answer.load = ReadLoad(in.getLoad());
+  return answer;
+}
+
+GateRefusal ReadRefusal(wire::Refusal::Reader in) {
+  const auto reason = std::min<int>(
+      in.getReason(), static_cast<int>(RefusalReason::kShed));
+  return {static_cast<RefusalReason>(reason), Duration(in.getComeBackUs()),
+          ReadLoad(in.getLoad())};
+}
+
+std::optional<LinkBody> ReadBody(wire::LinkFrame::Reader in) {
+  using Which = wire::LinkFrame::Which;
+  switch (in.which()) {
+    case Which::HELLO:
+      return LinkHello{ReadRecord(in.getHello().getMember()),
+                       in.getHello().getGeneration()};
+    case Which::CALL:
+      return ReadCall(in.getCall());
+    case Which::CANCEL:
+      return LinkCancel{};
+    case Which::REFUSAL:
+      return ReadRefusal(in.getRefusal());
+    case Which::ANSWER:
+      return ReadAnswer(in.getAnswer());
+    case Which::PART:
+      return GatePart{StringOf(in.getPart().getBody()),
+                      in.getPart().getLast()};
+    case Which::BROKEN:
+      return GateBroken{StringOf(in.getBroken().getDetail()),
+                        ReadLoad(in.getBroken().getLoad())};
+    case Which::CREDIT:
+      return LinkCredit{in.getCredit()};
+    case Which::PING:
+      return LinkPing{};
+    case Which::PONG:
+      return LinkPong{ReadLoad(in.getPong())};
+    case Which::MEMBER:
+      return LinkMember{ReadRecord(in.getMember())};
+    case Which::CONFIGURATION_WANTED:
+      return LinkConfigurationWanted{};
+    case Which::CONFIGURATION:
+      return LinkConfiguration{StringOf(in.getConfiguration())};
+  }
+  return std::nullopt;  // A kind that a later version may send.
+}
+
+}  // namespace
+
+std::string_view ToString(RefusalReason reason) {
+  switch (reason) {
+    case RefusalReason::kBusy:
+      return "busy";
+    case RefusalReason::kLeaving:
+      return "leaving";
+    case RefusalReason::kNoInstance:
+      return "no_instance";
+    case RefusalReason::kOtherService:
+      return "other_service";
+    case RefusalReason::kShed:
+      return "shed";
+  }
+  return "unknown";
+}
+
+void AppendFrame(const LinkFrame& frame, std::string& out) {
+  capnp::word scratch[kScratchWords] = {};
+  capnp::MallocMessageBuilder message(kj::arrayPtr(scratch, kScratchWords));
+  auto root = message.initRoot<wire::LinkFrame>();
+  root.setCallId(frame.call);
+  std::visit(FrameWriter{root}, frame.body);
+  const auto words = capnp::messageToFlatArray(message);
+  const auto bytes = words.asBytes();
+  out.append(reinterpret_cast<const char*>(bytes.begin()), bytes.size());
+}
+
+void LinkReader::Append(const char* bytes, std::size_t count) {
+  if (begin_ == end_) {
+    begin_ = 0;
+    end_ = 0;
+  } else if (begin_ > kCompactBytes) {
+    auto* base = reinterpret_cast<char*>(words_.data());
+    std::memmove(base, base + begin_, end_ - begin_);
+    end_ -= begin_;
+    begin_ = 0;
+  }
+  const std::size_t needed = (end_ + count + kWordBytes - 1) / kWordBytes;
+  if (words_.size() < needed) {
+    words_.resize(std::max(needed, words_.size() * 2));
+  }
+  std::memcpy(reinterpret_cast<char*>(words_.data()) + end_, bytes, count);
+  end_ += count;
+}
+
+std::variant<std::optional<LinkFrame>, LinkCodecError> LinkReader::Next() {
+  const std::size_t available = (end_ - begin_) / kWordBytes;
+  if (available == 0) {
+    return std::optional<LinkFrame>();
+  }
+  const auto* first = reinterpret_cast<const capnp::word*>(words_.data()) +
+                      begin_ / kWordBytes;
+  try {
+    const std::size_t needed = capnp::expectedSizeInWordsFromPrefix(
+        kj::arrayPtr(first, available));
+    if (needed * kWordBytes > kMaxLinkFrameBytes) {
+      return LinkCodecError{"a frame is too large"};
+    }
+    if (needed > available) {
+      return std::optional<LinkFrame>();
+    }
+    capnp::ReaderOptions options;
+    options.traversalLimitInWords = kMaxLinkFrameBytes / kWordBytes * 2;
+    capnp::FlatArrayMessageReader reader(kj::arrayPtr(first, needed), options);
+    const auto root = reader.getRoot<wire::LinkFrame>();
+    auto body = ReadBody(root);
+    begin_ += needed * kWordBytes;
+    if (!body) {
+      return Next();
+    }
+    return std::optional<LinkFrame>({root.getCallId(), std::move(*body)});
+  } catch (const kj::Exception& error) {
+    return LinkCodecError{error.getDescription().cStr()};
+  }
+}
+
+}  // namespace verbenastile
--- /dev/null
+++ b/src/mesh/origin.h
@@ -0,0 +1,155 @@
+// The caller's side of a request: decides by the rules in force, chooses an
+// instance, and sees the request through to one whole answer or one true
+// refusal.
+#ifndef MESH_ORIGIN_H_
+#define MESH_ORIGIN_H_
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "base/metrics.h"
+#include "core/balancer.h"
+#include "core/config_apply.h"
+#include "core/member_book.h"
+#include "core/retry_allowance.h"
+#include "core/target_rotation.h"
+#include "io/http1_server.h"
+#include "mesh/call_header_names.h"
+#include "mesh/gate.h"
+#include "mesh/link_hub.h"
+
+namespace verbenastile {
+
+class Origin {
+ public:
+  struct Init {
+    asio::io_context* io = nullptr;
+    std::string node;
+    std::string failure_domain;
+    std::string region;
+    const ConfigApplier* applier = nullptr;
+    const MemberBook* book = nullptr;
+    const StateChart* health_chart = nullptr;
+    Gate* gate = nullptr;
+    LinkHub* links = nullptr;
+    Metrics* metrics = nullptr;
+    CallHeaderNames headers;
+    RetryAllowanceLimits allowance;
+    std::uint64_t seed = 0;
+    // The service that the callers on this machine run.
+    std::function<std::string()> caller_service;
+    // How long ago the platform's store last confirmed the configuration.
+    std::function<Duration()> configuration_age;
+  };
+
+  explicit Origin(const Init& init);
+  ~Origin();
+  Origin(const Origin&) = delete;
+  Origin& operator=(const Origin&) = delete;
+
+  void OnRequest(ExchangePointer exchange);
+  // A frame of an answer by the instance beside `member`.
+  void OnAnswer(std::string_view member, LinkFrame frame);
+  // The link to `member` broke.
+  void OnDown(std::string_view member);
+  void OnLoad(std::string_view member, const GateLoad& load);
+
+  void SetAllowance(const RetryAllowanceLimits& limits) {
+    allowance_.SetLimits(limits);
+  }
+
+  // Requests that are not answered.
+  std::size_t active() const { return calls_.size(); }
+  // The instances as this node judges them, for operators.
+  const Balancer& balancer() const { return balancer_; }
+
+ private:
+  struct Attempt {
+    UpstreamHandle upstream;
+    std::string member;
+    Time begin;
+    bool local = false;
+    CallId at_gate = 0;  // When local.
+  };
+
+  struct Call {
+    ExchangePointer exchange;
+    std::string request_id;
+    std::shared_ptr<const RouteTable> table;
+    const Rule* rule = nullptr;
+    const RouteAction* route = nullptr;
+    std::string service;
+    Time begin;
+    Time deadline;
+    std::optional<Attempt> attempt;
+    std::vector<UpstreamHandle> tried;
+    std::uint32_t runs = 0;      // Instances that it was sent to.
+    std::uint32_t refusals = 0;  // By gates, with nothing sent.
+    Duration come_back{0};       // The least that a gate asked for.
+    bool may_have_run = false;
+    bool streaming = false;      // The answer's head has left.
+    int status = 0;              // Of the answer.
+    HttpHeaders headers;
+    std::optional<std::uint64_t> length;
+    std::string body;            // Of the answer, not passed on.
+    std::size_t owed = 0;        // Taken from the gate and not credited.
+  };
+
+  bool DecideByRules(CallId id, Call& call);
+  void SetDeadline(Call& call) const;
+  void Send(CallId id);
+  UpstreamHandle Choose(Call& call, Time now);
+  GateCall CallFor(const Call& call, Time now) const;
+  void OnBody(CallId id, LinkBody body);
+  void OnRefusal(CallId id, const GateRefusal& refusal);
+  void OnBroken(CallId id, const GateBroken& broken);
+  void OnHead(CallId id, GateAnswer answer);
+  void OnPart(CallId id, GatePart part);
+  void TakeBody(CallId id, std::string body, bool last);
+  void Credit(Call& call, CallId id);
+  void PassOn(CallId id);
+  bool SendsAgain(CallId id, std::string_view why);
+  bool MayRepeat(const Call& call, Time now);
+  bool TakeRepeat(const Call& call, Time now);
+  void EndAttempt(Call& call, AttemptOutcome outcome, Time now);
+  void CancelAttempt(CallId id, Call& call, AttemptOutcome outcome);
+  void Answer(CallId id);
+  void Fail(CallId id, int status, std::string_view reason);
+  Duration ComeBack(const Call& call);
+  void OnGone(CallId id);
+  void Close(CallId id, std::string_view outcome, int status);
+  void Sweep();
+  void ScheduleSweep();
+
+  Init init_;
+  asio::steady_timer timer_;
+  Balancer balancer_;
+  RetryAllowance allowance_;
+  TargetRotation rotation_;
+  std::mt19937_64 random_;
+  std::map<CallId, Call> calls_;
+  CallId last_id_ = 0;
+  bool sweeping_ = false;
+  CounterHandle requests_;
+  CounterHandle answered_;
+  CounterHandle refused_;
+  CounterHandle failed_;
+  CounterHandle repeated_;
+  CounterHandle moved_;
+  CounterHandle gone_;
+  SummaryHandle latency_;
+};
+
+}  // namespace verbenastile
+
+#endif  // MESH_ORIGIN_H_
--- /dev/null
+++ b/src/mesh/record_publisher.cc
@@ -0,0 +1,110 @@
+#include "mesh/record_publisher.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/log.h"
+
+namespace verbenastile {
+namespace {
+
+constexpr std::string_view kPart = "store";
+
+constexpr Duration kFirstRetry = std::chrono::milliseconds(100);
+// Records are to be back within two seconds of the store's return.
+constexpr Duration kLongestRetry = std::chrono::milliseconds(800);
+constexpr unsigned kMaxDoublings = 3;
+
+}  // namespace
+
+RecordPublisher::RecordPublisher(Init init)
+    : init_(std::move(init)), timer_(*init_.io), random_(init_.seed) {}
+
+void RecordPublisher::Publish(nlohmann::json spec,
+                              std::function<void()> on_written) {
+  if (on_written) {
+    waiting_.push_back(std::move(on_written));
+  }
+  spec_ = std::move(spec);
+  ++version_;
+  dirty_ = true;
+  if (!busy_) {
+    Write();
+  }
+}
+
+void RecordPublisher::Write() {
+  busy_ = true;
+  const std::uint64_t version = version_;
+  const auto on_done = [this, version](const StoreResult<StoreObject>& result) {
+    OnDone(version, result);
+  };
+  const StoreObject object{init_.name, revision_, spec_};
+  if (revision_ == 0) {
+    init_.store->Create(init_.kind, object, on_done);
+  } else {
+    init_.store->Replace(init_.kind, object, on_done);
+  }
+}
+
+void RecordPublisher::OnDone(std::uint64_t version,
+                             const StoreResult<StoreObject>& result) {
+  if (const auto* error = std::get_if<StoreError>(&result)) {
+    OnError(*error);
+    return;
+  }
+  busy_ = false;
+  failures_ = 0;
+  revision_ = std::max(revision_, std::get<StoreObject>(result).revision);
+  if (version != version_) {
+    Write();
+    return;
+  }
+  dirty_ = false;
+  for (const auto& on_written : std::exchange(waiting_, {})) {
+    on_written();
+  }
+}
+
+void RecordPublisher::OnError(const StoreError& error) {
+  if (error.kind == StoreError::Kind::kConflict && error.current) {
+    revision_ = error.current->revision;
+  } else if (error.kind == StoreError::Kind::kNotFound) {
+    revision_ = 0;
+  }
+  Log(LogLevel::kWarning, kPart, "The node's record was not written.",
+      {{"error", ToString(error.kind)},
+       {"detail", error.detail},
+       {"revision", revision_},
+       {"failures", failures_}});
+  const unsigned doublings = std::min(failures_, kMaxDoublings);
+  ++failures_;
+  timer_.expires_after(random_.Around(
+      std::min(kFirstRetry * (1U << doublings), kLongestRetry)));
+  timer_.async_wait([this](const asio::error_code& cancelled) {
+    if (!cancelled) {
+      Write();
+    }
+  });
+}
+
+void RecordPublisher::Delete() {
+  if (revision_ != 0) {
+    init_.store->Delete(init_.kind, {init_.name, revision_, {}},
+                        [](const StoreResult<StoreObject>& result) {
+                          if (const auto* error =
+                                  std::get_if<StoreError>(&result)) {
+                            Log(LogLevel::kWarning, kPart,
+                                "The node's record was not deleted.",
+                                {{"error", ToString(error->kind)},
+                                 {"detail", error->detail}});
+                          }
+                        });
+  }
+}
+
+void RecordPublisher::OnSeen(StoreRevision revision) {
+  revision_ = std::max(revision_, revision);
+}
+
+}  // namespace verbenastile
--- /dev/null
+++ b/src/mesh/record_publisher.h
@@ -0,0 +1,62 @@
+// Keeps this node's record in the platform's store equal to what the node says
+// of itself, by conditional writes.
+#ifndef MESH_RECORD_PUBLISHER_H_
+#define MESH_RECORD_PUBLISHER_H_
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <cstdint>
+#include <functional>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "base/random.h"
+#include "mesh/object_store.h"
+
+namespace verbenastile {
+
+class RecordPublisher {
+ public:
+  struct Init {
+    asio::io_context* io = nullptr;
+    ObjectStore* store = nullptr;
+    std::string kind;
+    std::string name;
+    std::uint64_t seed = 0;
+  };
+
+  explicit RecordPublisher(Init init);
+  RecordPublisher(const RecordPublisher&) = delete;
+  RecordPublisher& operator=(const RecordPublisher&) = delete;
+
+  // Writes `spec`, also over what an earlier start of this node wrote.
+  // `on_written` runs when the store has it, or a later one.
+  void Publish(nlohmann::json spec, std::function<void()> on_written);
+  // Deletes the record, once.
+  void Delete();
+  // The store holds the record at `revision`.
+  void OnSeen(StoreRevision revision);
+
+  bool settled() const { return !dirty_ && !busy_; }
+
+ private:
+  void Write();
+  void OnDone(std::uint64_t version, const StoreResult<StoreObject>& result);
+  void OnError(const StoreError& error);
+
+  Init init_;
+  asio::steady_timer timer_;
+  Random random_;
+  nlohmann::json spec_;
+  std::uint64_t version_ = 0;  // Counts what was published.
+  StoreRevision revision_ = 0;  // 0: the store is thought to have none.
+  bool dirty_ = false;
+  bool busy_ = false;
+  unsigned failures_ = 0;
+  std::vector<std::function<void()>> waiting_;
+};
+
+}  // namespace verbenastile
+
+#endif  // MESH_RECORD_PUBLISHER_H_
--- /dev/null
+++ b/src/mesh/sidecar.cc
@@ -0,0 +1,659 @@
+#include "mesh/sidecar.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <boost/leaf/handle_errors.hpp>
+#include <csignal>
+#include <random>
+#include <utility>
+
+#include "base/log.h"
+#include "config/yaml_reader.h"
+#include "platform/configuration.h"
+#include "platform/member_object.h"
+#include "platform/wire_names.h"
+
+namespace verbenastile {
+namespace {
+
+constexpr std::string_view kPart = "sidecar";
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+
+// Callers are sent here until the platform has asked twice, a second apart,
+// and was told twice that the node is not ready.
+constexpr Duration kLeaveNoticeTime = std::chrono::milliseconds(2'600);
+// What is left of the grace period for the process to end by itself.
+constexpr Duration kExitTime = std::chrono::milliseconds(700);
+constexpr Duration kDrainCheckInterval = std::chrono::milliseconds(50);
+// How long the acknowledgement of a leaving instance waits for the store; the
+// other nodes are told by links at once.
+constexpr Duration kAcknowledgeWait = std::chrono::milliseconds(400);
+constexpr Duration kSettingsCheckInterval = std::chrono::seconds(2);
+constexpr Duration kFlushInterval = std::chrono::milliseconds(100);
+// Changes of members come in bursts, as when a service is replaced.
+constexpr Duration kMembersRest = std::chrono::milliseconds(100);
+// A peer is asked for a newer configuration at most this often, and only when
+// the store has not brought it by then.
+constexpr Duration kAskPeerInterval = std::chrono::milliseconds(400);
+constexpr std::size_t kMaxControlBodyBytes = 65'536;
+
+std::uint64_t FreshSeed() {
+  std::random_device device;
+  return (std::uint64_t{device()} << 32U) | device();
+}
+
+std::uint64_t UnixMilliseconds() {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
+
+const HttpHeaders& JsonHeaders() {
+  static const HttpHeaders headers = {{"Content-Type", "application/json"}};
+  return headers;
+}
+
+}  // namespace
+
+leaf::result<SidecarCharts> LoadSidecarCharts() {
+  SidecarCharts charts;
+  BOOST_LEAF_ASSIGN(charts.lifecycle, LoadEmbeddedChart("node_lifecycle"));
+  BOOST_LEAF_ASSIGN(charts.config_apply, LoadEmbeddedChart("config_apply"));
+  BOOST_LEAF_ASSIGN(charts.platform_session,
+                    LoadEmbeddedChart("platform_session"));
+  BOOST_LEAF_ASSIGN(charts.upstream_health,
+                    LoadEmbeddedChart("upstream_health"));
+  return charts;
+}
+
+Sidecar::Sidecar(const SidecarSettings& settings,
+                 const platform::Bounds& bounds,
+                 SidecarCharts charts,
+                 std::string path)
+    : settings_(settings),
+      bounds_(bounds),
+      charts_(std::move(charts)),
+      settings_path_(std::move(path)),
+      signals_(io_, SIGTERM, SIGINT, SIGHUP),
+      drain_timer_(io_),
+      file_timer_(io_),
+      flush_timer_(io_),
+      incarnation_(UnixMilliseconds()),
+      applier_(&charts_.config_apply),
+      lifecycle_(&charts_.lifecycle),
+      tracker_(settings_.upstream),
+      book_(settings_.name),
+      store_(io_, settings_.platform),
+      gate_(GateInit()),
+      links_(HubInit()),
+      origin_(OriginInit()),
+      configuration_(ConfigurationInit()),
+      members_(MembersInit()),
+      publisher_({&io_, &store_, std::string(platform::kMemberKind),
+                  settings_.name, FreshSeed()}),
+      callers_(io_,
+               [this](ExchangePointer exchange) {
+                 origin_.OnRequest(std::move(exchange));
+               }),
+      control_(io_,
+               [this](const ExchangePointer& exchange) {
+                 OnControl(exchange);
+               }),
+      ready_(io_,
+             [this](const ExchangePointer& exchange) { OnControl(exchange); }),
+      metrics_server_(io_, [this](const ExchangePointer& exchange) {
+        OnMetrics(exchange);
+      }) {}
+
+Gate::Init Sidecar::GateInit() {
+  Gate::Init init;
+  init.io = &io_;
+  init.tracker = &tracker_;
+  init.metrics = &metrics_;
+  init.headers = platform::kCallHeaders;
+  init.generation = [this] { return applier_.generation(); };
+  init.on_unreachable = [this] { OnInstanceChanged("unreachable"); };
+  return init;
+}
+
+LinkHub::Init Sidecar::HubInit() {
+  LinkHub::Init init;
+  init.io = &io_;
+  init.address = settings_.listen.links;
+  init.book = &book_;
+  init.gate = &gate_;
+  init.seed = FreshSeed();
+  init.self = [this] { return Self(); };
+  init.generation = [this] { return applier_.generation(); };
+  init.configuration = [this] { return configuration_text_; };
+  init.on_answer = [this](std::string_view member, LinkFrame frame) {
+    origin_.OnAnswer(member, std::move(frame));
+  };
+  init.on_down = [this](std::string_view member) { origin_.OnDown(member); };
+  init.on_load = [this](std::string_view member, const GateLoad& load) {
+    origin_.OnLoad(member, load);
+    OnPeerGeneration(member, load.generation);
+  };
+  init.on_record = [this](const MemberRecord& record) { OnRecord(record); };
+  init.on_configuration = [this](const std::string& text) {
+    const auto spec = nlohmann::json::parse(text, nullptr, false);
+    if (spec.is_discarded()) {
+      Log(LogLevel::kWarning, "config", "A peer's configuration is no JSON.",
+          {{"bytes", text.size()}});
+      return;
+    }
+    OfferConfiguration(spec, "peer");
+  };
+  return init;
+}
+
+Origin::Init Sidecar::OriginInit() {
+  Origin::Init init;
+  init.io = &io_;
+  init.node = settings_.name;
+  init.failure_domain = settings_.failure_domain;
+  init.region = settings_.region;
+  init.applier = &applier_;
+  init.book = &book_;
+  init.health_chart = &charts_.upstream_health;
+  init.gate = &gate_;
+  init.links = &links_;
+  init.metrics = &metrics_;
+  init.headers = platform::kCallHeaders;
+  init.allowance = AllowanceLimits();
+  init.seed = FreshSeed();
+  init.caller_service = [this] { return settings_.service; };
+  init.configuration_age = [this] { return ConfigurationAge(); };
+  return init;
+}
+
+StoreFollower::Init Sidecar::ConfigurationInit() {
+  StoreFollower::Init init;
+  init.io = &io_;
+  init.store = &store_;
+  init.chart = &charts_.platform_session;
+  init.kind = platform::kConfigurationKind;
+  init.seed = FreshSeed();
+  init.on_listed = [this](const std::vector<StoreObject>& items) {
+    for (const StoreObject& object : items) {
+      OnConfigurationObject(object);
+    }
+  };
+  init.on_event = [this](const StoreEvent& event) {
+    if (!event.deleted) {
+      OnConfigurationObject(event.object);
+    }
+  };
+  return init;
+}
+
+StoreFollower::Init Sidecar::MembersInit() {
+  StoreFollower::Init init;
+  init.io = &io_;
+  init.store = &store_;
+  init.chart = &charts_.platform_session;
+  init.kind = platform::kMemberKind;
+  init.rest = kMembersRest;
+  init.seed = FreshSeed();
+  init.on_listed = [this](const std::vector<StoreObject>& items) {
+    OnMembersListed(items);
+  };
+  init.on_event = [this](const StoreEvent& event) {
+    event.deleted ? OnMemberGone(event.object) : OnMemberObject(event.object);
+  };
+  return init;
+}
+
+RetryAllowanceLimits Sidecar::AllowanceLimits() const {
+  RetryAllowanceLimits limits;
+  limits.ratio_permille = bounds_.repeat_permille;
+  limits.slack = bounds_.repeat_slack;
+  limits.window = bounds_.repeat_window;
+  return limits;
+}
+
+int Sidecar::Run() {
+  Log(LogLevel::kInfo, kPart, "Started.",
+      {{"name", settings_.name},
+       {"incarnation", incarnation_},
+       {"failure_domain", settings_.failure_domain},
+       {"service", settings_.service},
+       {"upstream", ToString(settings_.upstream)},
+       {"platform", ToString(settings_.platform)}});
+  if (!Open()) {
+    FlushLog();
+    return 1;
+  }
+  OnRecord(Self());
+  configuration_.Start();
+  members_.Start();
+  PublishSelf(nullptr);
+  WatchSettingsFile();
+  ScheduleFlush();
+  io_.run();
+  Log(LogLevel::kInfo, kPart, "Stopped.", {{"name", settings_.name}});
+  FlushLog();
+  return exit_code_;
+}
+
+bool Sidecar::Open() {
+  signals_.async_wait([this](const asio::error_code& error, int number) {
+    if (!error) {
+      OnSignal(number);
+    }
+  });
+  Http1ServerLimits control_limits;
+  control_limits.message.max_body_bytes = kMaxControlBodyBytes;
+  control_.SetLimits(control_limits);
+  ready_.SetLimits(control_limits);
+  metrics_server_.SetLimits(control_limits);
+  const std::pair<std::string_view, std::string> results[] = {
+      {"callers", callers_.Open(settings_.listen.callers)},
+      {"control", control_.Open(settings_.listen.control)},
+      {"ready", ready_.Open(settings_.listen.ready)},
+      {"metrics", metrics_server_.Open(settings_.listen.metrics)},
+      {"links", links_.Open()}};
+  bool open = true;
+  for (const auto& [what, error] : results) {
+    if (!error.empty()) {
+      Log(LogLevel::kError, kPart, "Cannot listen.",
+          {{"address", what}, {"error", error}});
+      open = false;
+    }
+  }
+  return open;
+}
+
+void Sidecar::OnSignal(int number) {
+  if (number == SIGHUP) {
+    Reload("signal");
+  } else {
+    Fire("leave_requested");
+  }
+  signals_.async_wait([this](const asio::error_code& error, int next) {
+    if (!error) {
+      OnSignal(next);
+    }
+  });
+}
+
+void Sidecar::Fire(std::string_view event) {
+  for (const std::string& action : lifecycle_.Fire(event).actions) {
+    RunAction(action);
+  }
+}
+
+void Sidecar::RunAction(std::string_view action) {
+  if (action == "announce_serving") {
+    Log(LogLevel::kInfo, kPart, "Serving.",
+        {{"name", settings_.name}, {"generation", applier_.generation()}});
+  } else if (action == "announce_leaving") {
+    BeginLeaving();
+  } else if (action == "stop") {
+    Stop();
+  }
+}
+
+void Sidecar::BeginLeaving() {
+  leaving_ = true;
+  leaving_since_ = SteadyNow();
+  Log(LogLevel::kInfo, kPart, "Leaving.",
+      {{"name", settings_.name},
+       {"requests", origin_.active()},
+       {"calls", gate_.active()},
+       {"instance", ToString(tracker_.state())}});
+  callers_.BeginDrain();
+  OnInstanceChanged("node leaving");
+  WaitForCalls();
+}
+
+void Sidecar::WaitForCalls() {
+  const Duration waited = SteadyNow() - leaving_since_;
+  const bool busy = origin_.active() > 0 || gate_.active() > 0 ||
+                    callers_.stats().busy > 0;
+  if (waited >= bounds_.grace - kExitTime) {
+    Log(LogLevel::kWarning, kPart, "The drain took too long.",
+        {{"requests", origin_.active()}, {"calls", gate_.active()}});
+    Fire("drain_expired");
+    return;
+  }
+  if (waited >= kLeaveNoticeTime && !busy) {
+    Fire("calls_finished");
+    return;
+  }
+  drain_timer_.expires_after(kDrainCheckInterval);
+  drain_timer_.async_wait([this](const asio::error_code& error) {
+    if (!error) {
+      WaitForCalls();
+    }
+  });
+}
+
+void Sidecar::Stop() {
+  callers_.CloseIdle();
+  if (tracker_.state() == InstanceState::kGone) {
+    publisher_.Delete();
+  }
+  drain_timer_.expires_after(kDrainCheckInterval);
+  drain_timer_.async_wait([this](const asio::error_code&) { io_.stop(); });
+}
+
+void Sidecar::Reload(std::string_view why) {
+  leaf::try_handle_all(
+      [&]() -> leaf::result<void> {
+        BOOST_LEAF_AUTO(text, ReadConfigFile(settings_path_));
+        settings_text_ = text;
+        BOOST_LEAF_AUTO(fresh, ParseSidecarSettings(text, settings_path_));
+        const bool service_changed = fresh.service != settings_.service;
+        settings_.service = fresh.service;
+        settings_.log_level = fresh.log_level;
+        settings_.bounds = fresh.bounds;
+        SetLogLevel(settings_.log_level);
+        const auto bounds = platform::ParseBounds(settings_.bounds);
+        if (const auto* parsed = std::get_if<platform::Bounds>(&bounds)) {
+          bounds_ = *parsed;
+          origin_.SetAllowance(AllowanceLimits());
+        }
+        Log(LogLevel::kInfo, kPart, "The settings were read again.",
+            {{"why", why}, {"service", settings_.service}});
+        if (service_changed) {
+          OnInstanceChanged("settings");
+        }
+        return {};
+      },
+      [&](const ConfigError& error) {
+        Log(LogLevel::kError, kPart,
+            "The settings have faults; the old ones stay in force.",
+            {{"why", why}, {"error", ToString(error)}});
+      },
+      [&] {
+        Log(LogLevel::kError, kPart, "The settings cannot be read.",
+            {{"why", why}});
+      });
+}
+
+// The file may change without a signal.
+void Sidecar::WatchSettingsFile() {
+  file_timer_.expires_after(kSettingsCheckInterval);
+  file_timer_.async_wait([this](const asio::error_code& error) {
+    if (error) {
+      return;
+    }
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void> {
+          BOOST_LEAF_AUTO(text, ReadConfigFile(settings_path_));
+          if (settings_text_.empty()) {
+            settings_text_ = text;
+          } else if (text != settings_text_) {
+            Reload("file changed");
+          }
+          return {};
+        },
+        [&](const ConfigError& fault) {
+          Log(LogLevel::kWarning, kPart, "The settings file cannot be read.",
+              {{"error", ToString(fault)}});
+        },
+        [] {});
+    WatchSettingsFile();
+  });
+}
+
+void Sidecar::OnControl(const ExchangePointer& exchange) {
+  const Http1Head& head = exchange->head();
+  const auto call = platform::ParseControlCall(head.method, head.target,
+                                               exchange->body());
+  if (std::holds_alternative<platform::ReadyCall>(call)) {
+    OnReady(exchange);
+  } else if (const auto* report = std::get_if<InstanceReport>(&call)) {
+    OnHeartbeat(exchange, *report);
+  } else if (const auto* leave = std::get_if<platform::DeregisterCall>(&call)) {
+    OnDeregister(exchange, leave->id);
+  } else if (const auto* error = std::get_if<platform::FormatError>(&call)) {
+    Log(LogLevel::kWarning, "control", "A report cannot be read.",
+        {{"target", head.target}, {"error", error->reason}});
+    exchange->Send(kBadRequest, JsonHeaders(), "{}");
+  } else {
+    exchange->Send(kNotFound, JsonHeaders(), "{}");
+  }
+}
+
+void Sidecar::OnReady(const ExchangePointer& exchange) {
+  const bool ready = lifecycle_.state() == "serving" && members_.listed();
+  exchange->Send(ready ? kOk : kUnavailable, JsonHeaders(), "{}");
+}
+
+void Sidecar::OnHeartbeat(const ExchangePointer& exchange,
+                          const InstanceReport& report) {
+  const ReportVerdict verdict = tracker_.OnReport(report, SteadyNow());
+  if (verdict == ReportVerdict::kUnchanged) {
+    exchange->Send(kOk, JsonHeaders(), "{}");
+    return;
+  }
+  Log(verdict == ReportVerdict::kChanged ? LogLevel::kInfo : LogLevel::kWarning,
+      "control", "The instance reported.",
+      {{"instance", report.id},
+       {"verdict", ToString(verdict)},
+       {"state", ToString(tracker_.state())},
+       {"service", report.service},
+       {"address", ToString(report.address)},
+       {"slots", report.slots},
+       {"sequence", report.sequence},
+       {"started_ms", report.started_ms}});
+  if (verdict != ReportVerdict::kChanged) {
+    exchange->Send(kOk, JsonHeaders(), "{}");
+    return;
+  }
+  OnInstanceChanged("report");
+  if (report.leaving) {
+    AcknowledgeLater(exchange);
+  } else {
+    exchange->Send(kOk, JsonHeaders(), "{}");
+  }
+}
+
+void Sidecar::OnDeregister(const ExchangePointer& exchange,
+                           const std::string& id) {
+  const ReportVerdict verdict = tracker_.OnDeregistered(id, SteadyNow());
+  Log(LogLevel::kInfo, "control", "The instance deregistered.",
+      {{"instance", id}, {"verdict", ToString(verdict)}});
+  if (verdict != ReportVerdict::kChanged) {
+    exchange->Send(kOk, JsonHeaders(), "{}");
+    return;
+  }
+  OnInstanceChanged("deregistered");
+  AcknowledgeLater(exchange);
+}
+
+void Sidecar::AcknowledgeLater(const ExchangePointer& exchange) {
+  const auto answered = std::make_shared<bool>(false);
+  const auto answer = [exchange, answered] {
+    if (!std::exchange(*answered, true)) {
+      exchange->Send(kOk, JsonHeaders(), "{}");
+    }
+  };
+  const auto timer = std::make_shared<asio::steady_timer>(io_);
+  timer->expires_after(kAcknowledgeWait);
+  timer->async_wait([timer, answer](const asio::error_code&) { answer(); });
+  PublishSelf(answer);
+}
+
+void Sidecar::OnMetrics(const ExchangePointer& exchange) {
+  metrics_.Set(metrics_.Gauge("generation"),
+               static_cast<double>(applier_.generation()));
+  metrics_.Set(metrics_.Gauge("members"),
+               static_cast<double>(book_.entries().size()));
+  metrics_.Set(metrics_.Gauge("open_links"),
+               static_cast<double>(links_.open_links()));
+  metrics_.Set(metrics_.Gauge("store_calls"),
+               static_cast<double>(store_.calls()));
+  metrics_.Set(metrics_.Gauge("log_lines_dropped"),
+               static_cast<double>(DroppedLogLines()));
+  exchange->Send(kOk, {{"Content-Type", "text/plain; version=0.0.4"}},
+                 metrics_.RenderPrometheus());
+}
+
+void Sidecar::OnInstanceChanged(std::string_view why) {
+  ++sequence_;
+  gate_.OnInstanceChanged();
+  OnRecord(Self());
+  links_.Announce();
+  const MemberRecord self = Self();
+  Log(LogLevel::kInfo, kPart, "The node's record changed.",
+      {{"why", why},
+       {"sequence", sequence_},
+       {"instance", ToString(tracker_.state())},
+       {"serving", self.member.serving}});
+  PublishSelf(nullptr);
+}
+
+MemberRecord Sidecar::Self() const {
+  MemberRecord record;
+  Member& member = record.member;
+  member.name = settings_.name;
+  member.incarnation = incarnation_;
+  record.sequence = sequence_;
+  member.state = leaving_ ? MemberState::kLeaving : MemberState::kAlive;
+  member.failure_domain = settings_.failure_domain;
+  member.region = settings_.region;
+  member.service = settings_.service;
+  member.peers = settings_.listen.links;
+  member.serving = tracker_.serves();
+  if (tracker_.report()) {
+    member.service = tracker_.report()->service;
+    member.slots = tracker_.report()->slots;
+  }
+  return record;
+}
+
+void Sidecar::PublishSelf(std::function<void()> on_written) {
+  publisher_.Publish(platform::FormatMember(Self()), std::move(on_written));
+}
+
+void Sidecar::OnConfigurationObject(const StoreObject& object) {
+  if (object.name == platform::kConfigurationName) {
+    OfferConfiguration(object.spec, "store");
+  }
+}
+
+void Sidecar::OfferConfiguration(const nlohmann::json& spec,
+                                 std::string_view source) {
+  auto parsed = platform::ParseConfiguration(spec);
+  if (const auto* error = std::get_if<platform::FormatError>(&parsed)) {
+    Log(LogLevel::kError, "config", "A configuration cannot be read.",
+        {{"source", source}, {"error", error->reason}});
+    return;
+  }
+  auto& configuration = std::get<platform::Configuration>(parsed);
+  const Generation offered = configuration.generation;
+  const Generation before = applier_.generation();
+  const ApplyOutcome outcome =
+      applier_.Offer(offered, std::move(configuration.document));
+  if (outcome == ApplyOutcome::kUnchanged) {
+    return;
+  }
+  if (outcome != ApplyOutcome::kInForce) {
+    Log(LogLevel::kError, "config", "A configuration was refused.",
+        {{"source", source},
+         {"offered", offered},
+         {"in_force", before},
+         {"reason", applier_.refusal().reason}});
+    return;
+  }
+  configuration_text_ = spec.dump();
+  callers_.SetLimits(configuration.limits);
+  Log(LogLevel::kInfo, "config", "A configuration is in force.",
+      {{"generation", offered},
+       {"before", before},
+       {"source", source},
+       {"rules", applier_.table()->document().rules.size()}});
+  Fire("config_in_force");
+}
+
+void Sidecar::OnPeerGeneration(std::string_view member,
+                               std::uint64_t generation) {
+  const Time now = SteadyNow();
+  if (generation <= applier_.generation()) {
+    configuration_asked_ = now;
+    return;
+  }
+  if (now - configuration_asked_ < kAskPeerInterval) {
+    return;
+  }
+  configuration_asked_ = now;
+  Log(LogLevel::kInfo, "config", "A peer has a newer configuration.",
+      {{"peer", member},
+       {"generation", generation},
+       {"in_force", applier_.generation()}});
+  links_.Send(member, {0, LinkConfigurationWanted{}});
+}
+
+void Sidecar::OnMembersListed(const std::vector<StoreObject>& items) {
+  for (const StoreObject& object : items) {
+    OnMemberObject(object);
+  }
+}
+
+void Sidecar::OnMemberObject(const StoreObject& object) {
+  if (object.name == settings_.name) {
+    publisher_.OnSeen(object.revision);
+    return;
+  }
+  const auto parsed = platform::ParseMember(object.spec);
+  if (const auto* error = std::get_if<platform::FormatError>(&parsed)) {
+    Log(LogLevel::kWarning, "members", "A member's record cannot be read.",
+        {{"name", object.name}, {"error", error->reason}});
+    return;
+  }
+  OnRecord(std::get<MemberRecord>(parsed));
+}
+
+void Sidecar::OnMemberGone(const StoreObject& object) {
+  const auto* known = book_.Find(object.name);
+  if (known == nullptr || object.name == settings_.name || known->linked) {
+    return;
+  }
+  Log(LogLevel::kInfo, "members", "A member is gone.",
+      {{"name", object.name}});
+  book_.Forget(object.name, known->record.member.incarnation);
+  links_.Sync();
+}
+
+void Sidecar::OnRecord(const MemberRecord& record) {
+  if (!book_.Merge(record, SteadyNow())) {
+    return;
+  }
+  if (record.member.name != settings_.name) {
+    Log(LogLevel::kInfo, "members", "A member's record changed.",
+        {{"name", record.member.name},
+         {"incarnation", record.member.incarnation},
+         {"sequence", record.sequence},
+         {"service", record.member.service},
+         {"state", ToString(record.member.state)},
+         {"serving", record.member.serving},
+         {"slots", record.member.slots}});
+  }
+  links_.Sync();
+}
+
+Duration Sidecar::ConfigurationAge() const {
+  const auto confirmed = configuration_.confirmed();
+  return confirmed ? SteadyNow() - *confirmed : Duration::max();
+}
+
+void Sidecar::ScheduleFlush() {
+  flush_timer_.expires_after(kFlushInterval);
+  flush_timer_.async_wait([this](const asio::error_code& error) {
+    if (!error) {
+      FlushLog();
+      ScheduleFlush();
+    }
+  });
+}
+
+}  // namespace verbenastile
--- /dev/null
+++ b/src/mesh/sidecar.h
@@ -0,0 +1,135 @@
+// The sidecar: the process in the slot beside one upstream instance. Joins the
+// call path with what the platform's store, the instance and the other sidecars
+// say.
+#ifndef MESH_SIDECAR_H_
+#define MESH_SIDECAR_H_
+
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "base/metrics.h"
+#include "config/sidecar_settings.h"
+#include "core/config_apply.h"
+#include "core/instance_tracker.h"
+#include "core/member_book.h"
+#include "core/state_chart.h"
+#include "io/http1_server.h"
+#include "mesh/gate.h"
+#include "mesh/link_hub.h"
+#include "mesh/origin.h"
+#include "mesh/record_publisher.h"
+#include "mesh/store_follower.h"
+#include "platform/bounds.h"
+#include "platform/control_call.h"
+#include "platform/store_client.h"
+
+namespace verbenastile {
+
+// The charts that a sidecar runs by.
+struct SidecarCharts {
+  StateChart lifecycle;
+  StateChart config_apply;
+  StateChart platform_session;
+  StateChart upstream_health;
+};
+
+// Errors: `ConfigError` when an embedded chart is at fault.
+leaf::result<SidecarCharts> LoadSidecarCharts();
+
+class Sidecar {
+ public:
+  // `path` is the file that `settings` came from, which may change.
+  Sidecar(const SidecarSettings& settings,
+          const platform::Bounds& bounds,
+          SidecarCharts charts,
+          std::string path);
+  Sidecar(const Sidecar&) = delete;
+  Sidecar& operator=(const Sidecar&) = delete;
+
+  // Serves until a graceful shutdown is over. Returns the exit code: 0, or 1
+  // when an address cannot be listened on.
+  int Run();
+
+ private:
+  Gate::Init GateInit();
+  LinkHub::Init HubInit();
+  Origin::Init OriginInit();
+  StoreFollower::Init ConfigurationInit();
+  StoreFollower::Init MembersInit();
+
+  bool Open();
+  void OnSignal(int number);
+  void Fire(std::string_view event);
+  void RunAction(std::string_view action);
+  void BeginLeaving();
+  void WaitForCalls();
+  void Stop();
+  void Reload(std::string_view why);
+  void WatchSettingsFile();
+
+  void OnControl(const ExchangePointer& exchange);
+  void OnReady(const ExchangePointer& exchange);
+  void OnHeartbeat(const ExchangePointer& exchange,
+                   const InstanceReport& report);
+  void OnDeregister(const ExchangePointer& exchange, const std::string& id);
+  // Answers once what the report binds is known to others, or soon.
+  void AcknowledgeLater(const ExchangePointer& exchange);
+  void OnMetrics(const ExchangePointer& exchange);
+
+  void OnInstanceChanged(std::string_view why);
+  MemberRecord Self() const;
+  void PublishSelf(std::function<void()> on_written);
+
+  void OnConfigurationObject(const StoreObject& object);
+  void OfferConfiguration(const nlohmann::json& spec, std::string_view source);
+  void OnPeerGeneration(std::string_view member, std::uint64_t generation);
+  void OnMemberObject(const StoreObject& object);
+  void OnMemberGone(const StoreObject& object);
+  void OnMembersListed(const std::vector<StoreObject>& items);
+  void OnRecord(const MemberRecord& record);
+  Duration ConfigurationAge() const;
+  RetryAllowanceLimits AllowanceLimits() const;
+  void ScheduleFlush();
+
+  SidecarSettings settings_;
+  platform::Bounds bounds_;
+  SidecarCharts charts_;
+  std::string settings_path_;
+  std::string settings_text_;
+  asio::io_context io_{1};
+  asio::signal_set signals_;
+  asio::steady_timer drain_timer_;
+  asio::steady_timer file_timer_;
+  asio::steady_timer flush_timer_;
+  Metrics metrics_;
+  std::uint64_t incarnation_;
+  std::uint64_t sequence_ = 1;
+  ConfigApplier applier_;
+  ChartMachine lifecycle_;
+  InstanceTracker tracker_;
+  MemberBook book_;
+  platform::StoreClient store_;
+  Gate gate_;
+  LinkHub links_;
+  Origin origin_;
+  StoreFollower configuration_;
+  StoreFollower members_;
+  RecordPublisher publisher_;
+  Http1Server callers_;
+  Http1Server control_;
+  Http1Server ready_;
+  Http1Server metrics_server_;
+  std::string configuration_text_;
+  Time configuration_asked_;
+  Time leaving_since_;
+  bool leaving_ = false;
+  int exit_code_ = 0;
+};
+
+}  // namespace verbenastile
+
+#endif  // MESH_SIDECAR_H_
--- /dev/null
+++ b/src/mesh/store_follower.cc
@@ -0,0 +1,145 @@
+#include "mesh/store_follower.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/log.h"
+
+namespace verbenastile {
+namespace {
+
+constexpr std::string_view kPart = "store";
+
+// A watch without events ends after this, and shows that the store is there.
+constexpr Duration kWatchWait = std::chrono::seconds(10);
+constexpr Duration kFirstRetry = std::chrono::milliseconds(100);
+// Bounds how late a change is seen after the store has come back.
+constexpr Duration kLongestRetry = std::chrono::milliseconds(800);
+constexpr unsigned kMaxDoublings = 3;
+
+}  // namespace
+
+std::string_view ToString(StoreError::Kind kind) {
+  switch (kind) {
+    case StoreError::Kind::kNotFound:
+      return "not_found";
+    case StoreError::Kind::kConflict:
+      return "conflict";
+    case StoreError::Kind::kHistoryGone:
+      return "history_gone";
+    case StoreError::Kind::kNotDone:
+      return "not_done";
+    case StoreError::Kind::kUnknown:
+      return "unknown";
+    case StoreError::Kind::kMalformed:
+      return "malformed";
+  }
+  return "unknown";
+}
+
+StoreFollower::StoreFollower(Init init)
+    : init_(std::move(init)),
+      machine_(init_.chart),
+      timer_(*init_.io),
+      random_(init_.seed) {}
+
+void StoreFollower::Start() {
+  List();
+}
+
+void StoreFollower::Stop() {
+  init_.store->Cancel(call_);
+  timer_.cancel();
+}
+
+void StoreFollower::Fire(std::string_view event) {
+  for (const std::string& action : machine_.Fire(event).actions) {
+    RunAction(action);
+  }
+}
+
+void StoreFollower::RunAction(std::string_view action) {
+  if (action == "list") {
+    List();
+  } else if (action == "watch") {
+    Watch();
+  } else if (action == "schedule_retry") {
+    const unsigned doublings = std::min(failures_, kMaxDoublings);
+    ++failures_;
+    timer_.expires_after(random_.Around(
+        std::min(kFirstRetry * (1U << doublings), kLongestRetry)));
+    timer_.async_wait([this](const asio::error_code& error) {
+      if (!error) {
+        Fire("retry_due");
+      }
+    });
+  }
+}
+
+void StoreFollower::List() {
+  call_ = init_.store->List(init_.kind, [this](StoreResult<StoreList> result) {
+    if (const auto* error = std::get_if<StoreError>(&result)) {
+      OnError(*error, "list_failed");
+      return;
+    }
+    const auto& list = std::get<StoreList>(result);
+    revision_ = list.revision;
+    listed_ = true;
+    Confirm();
+    init_.on_listed(list.items);
+    Fire("listed");
+  });
+}
+
+void StoreFollower::Watch() {
+  call_ = init_.store->Watch(init_.kind, revision_, kWatchWait,
+                             [this](StoreResult<StoreEvents> result) {
+                               OnEvents(std::move(result));
+                             });
+}
+
+void StoreFollower::OnEvents(StoreResult<StoreEvents> result) {
+  if (const auto* error = std::get_if<StoreError>(&result)) {
+    const bool gone = error->kind == StoreError::Kind::kHistoryGone;
+    OnError(*error, gone ? "watch_too_old" : "watch_failed");
+    return;
+  }
+  const auto& events = std::get<StoreEvents>(result);
+  revision_ = std::max(revision_, events.revision);
+  Confirm();
+  for (const StoreEvent& event : events.events) {
+    init_.on_event(event);
+  }
+  if (events.events.empty() || init_.rest == Duration::zero()) {
+    Fire("watch_ended");
+    return;
+  }
+  timer_.expires_after(init_.rest);
+  timer_.async_wait([this](const asio::error_code& error) {
+    if (!error) {
+      Fire("watch_ended");
+    }
+  });
+}
+
+void StoreFollower::Confirm() {
+  if (failures_ > 0) {
+    Log(LogLevel::kInfo, kPart, "The store answers again.",
+        {{"kind", init_.kind}, {"failures", failures_}});
+  }
+  failures_ = 0;
+  confirmed_ = SteadyNow();
+}
+
+void StoreFollower::OnError(const StoreError& error, std::string_view event) {
+  if (failures_ == 0) {
+    Log(LogLevel::kWarning, kPart, "The store cannot be followed.",
+        {{"kind", init_.kind},
+         {"error", ToString(error.kind)},
+         {"detail", error.detail},
+         {"state", machine_.state()}});
+  }
+  Fire(event);
+}
+
+}  // namespace verbenastile
--- /dev/null
+++ b/src/wire/link.capnp
@@ -0,0 +1,96 @@
+# What two nodes say to each other on the connection that carries calls from
+# one to the upstream instance beside the other. Each message stands in the
+# standard framing for streams. See src/mesh/link_frames.h for the fields.
+@0xb85a09c6e1f3d742;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("verbenastile::wire");
+
+struct LinkFrame {
+  callId @0 :UInt64;
+  union {
+    hello @1 :Hello;
+    call @2 :Call;
+    cancel @3 :Void;
+    refusal @4 :Refusal;
+    answer @5 :Answer;
+    part @6 :Part;
+    broken @7 :Broken;
+    credit @8 :UInt32;
+    ping @9 :Void;
+    pong @10 :Load;
+    member @11 :Member;
+    configurationWanted @12 :Void;
+    configuration @13 :Data;
+  }
+}
+
+struct Header {
+  name @0 :Text;
+  value @1 :Text;
+}
+
+struct Load {
+  busy @0 :UInt32;
+  queued @1 :UInt32;
+  generation @2 :UInt64;
+}
+
+struct Member {
+  name @0 :Text;
+  incarnation @1 :UInt64;
+  sequence @2 :UInt64;
+  state @3 :UInt8;
+  serving @4 :Bool;
+  failureDomain @5 :Text;
+  region @6 :Text;
+  service @7 :Text;
+  linkIp @8 :Text;
+  linkPort @9 :UInt16;
+  slots @10 :UInt32;
+}
+
+struct Hello {
+  member @0 :Member;
+  generation @1 :UInt64;
+}
+
+struct Call {
+  service @0 :Text;
+  callerService @1 :Text;
+  requestId @2 :Text;
+  method @3 :Text;
+  target @4 :Text;
+  headers @5 :List(Header);
+  body @6 :Data;
+  priority @7 :UInt8;
+  remainingUs @8 :Int64;
+  objectiveUs @9 :Int64;
+  idempotent @10 :Bool;
+  rule @11 :Text;
+}
+
+struct Refusal {
+  reason @0 :UInt8;
+  comeBackUs @1 :Int64;
+  load @2 :Load;
+}
+
+struct Answer {
+  status @0 :UInt16;
+  headers @1 :List(Header);
+  length @2 :Int64;
+  body @3 :Data;
+  last @4 :Bool;
+  load @5 :Load;
+}
+
+struct Part {
+  body @0 :Data;
+  last @1 :Bool;
+}
+
+struct Broken {
+  detail @0 :Text;
+  load @1 :Load;
+}
