Choice by expected time; urgent calls queue longer; leavers are remembered

Change: least expected time over all tiers; queues to 0.6 of the objective, 1.5 for priorities that pass others; instances that left are remembered, also by the node's record in the store; an instance's failed answer is the caller's when no other comes.

--- a/src/core/admission.cc
+++ b/src/core/admission.cc
@@ -55,6 +55,7 @@
   AdmissionResult result;
   Group& group = GroupOf(offer);
   ServiceTime* kind = KindOf(offer.kind);
+  offered_[IndexOf(offer.priority)] = now;
   result.refusal = WhyNotQueue(offer, group, kind, now);
   if (result.refusal == AdmissionRefusal::kNone && busy_ < slots_ &&
       queued_ == 0) {
@@ -139,8 +140,10 @@
   if (!offer.due) {
     return false;
   }
-  const Duration room =
-      (*offer.due - now) * limits_.queue_permille / kPermille;
+  const std::uint32_t part = PassesOthers(offer.priority, now)
+                                 ? limits_.urgent_queue_permille
+                                 : limits_.queue_permille;
+  const Duration room = (*offer.due - now) * part / kPermille;
   return ExpectedWait(group, offer.priority) + Estimate(group, kind) > room;
 }
 
@@ -170,6 +173,16 @@
                                                : kFirstEstimate;
 }
 
+// Whether calls of a lower priority come to this upstream too.
+bool Admission::PassesOthers(Priority priority, Time now) const {
+  for (std::size_t i = IndexOf(priority) + 1; i < kPriorities; ++i) {
+    if (offered_[i] && now - *offered_[i] < limits_.priority_memory) {
+      return true;
+    }
+  }
+  return false;
+}
+
 // The time that a call should have left when it starts: the mean and two
 // deviations, as in TCP's retransmission timer (Jacobson 1988). Calls that
 // come with less than that are only asked not to lose much of it by waiting.
--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -47,8 +47,13 @@
   // Kinds of calls whose service times are remembered.
   std::size_t max_kinds = 4'096;
   // A call is queued when it is expected to end within this part of its
-  // objective; the rest covers what the mean service time does not.
-  std::uint32_t queue_permille = 850;
+  // objective; the rest covers what the mean service time does not. Calls that
+  // pass others by their priority may take more: refused, they cost more than
+  // their lateness does.
+  std::uint32_t queue_permille = 600;
+  std::uint32_t urgent_queue_permille = 1'500;
+  // A priority that was not offered for this long is not passed any more.
+  Duration priority_memory = std::chrono::seconds(5);
   // Off: calls wait until their deadline has passed. For comparisons.
   bool refuse_early = true;
   // Off: one queue for all groups, first come, first served. For comparisons.
@@ -196,6 +201,7 @@
                    const Group& group,
                    const ServiceTime* kind,
                    Time now) const;
+  bool PassesOthers(Priority priority, Time now) const;
   AdmissionRefusal WhyNotStart(const Call& call, Time now) const;
   Duration ExpectedWait(const Group& group, Priority priority) const;
   AdmissionRefusal WhyNotQueue(const AdmissionOffer& offer,
@@ -233,6 +239,7 @@
   Tag virtual_time_ = 0;  // The tag of the last call that started.
   Tag highest_tag_ = 0;
   std::uint64_t next_serial_ = 0;
+  std::array<std::optional<Time>, kPriorities> offered_;  // Last, by priority.
   std::uint64_t backlogged_weight_ = 0;
   ServiceTime service_time_;  // Over all groups.
   std::map<std::string, ServiceTime, std::less<>> kinds_;
--- a/src/core/balancer.cc
+++ b/src/core/balancer.cc
@@ -1,6 +1,7 @@
 #include "core/balancer.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <utility>
 
 #include "core/invariant.h"
@@ -20,6 +21,20 @@
 constexpr std::int64_t kFirstLatencyUs = 1000;
 constexpr int kSampleTries = 4;
 constexpr std::uint32_t kMaxEjectionDoublings = 8;
+// Pools up to this size are compared whole, larger ones by samples.
+constexpr std::size_t kMaxCompared = 12;
+constexpr std::size_t kSamplesOfTier = 4;
+// Calls that came since an instance told its load, beyond these, are those
+// that it has ended.
+constexpr Duration kLoadFresh = std::chrono::milliseconds(500);
+// The part of an instance's load that counts though it has free slots: others
+// choose by the same news.
+constexpr std::int64_t kFreeSlotPart = 4;
+// Expected times differ at random by up to this part, so that nodes with the
+// same news do not all choose the same instance.
+constexpr std::int64_t kTimeJitterPermille = 100;
+constexpr std::int64_t kMaxSlownessPermille = 20'000;
+constexpr Duration kDefaultServiceTime = std::chrono::milliseconds(50);
 
 std::int64_t Faded(std::int64_t value, Time since, Time now) {
   const std::int64_t halvings = (now - since) / kObservationHalfLife;
@@ -191,6 +206,10 @@
   upstream.samples = 0;
   upstream.failures_in_a_row = 0;
   upstream.load_permille = 0;
+  upstream.wanted = 0;
+  upstream.sent_since_report = 0;
+  upstream.slowness_permille = kPermille;
+  upstream.slowness_sampled = now;
 }
 
 void Balancer::Eject(Upstream& upstream, Time now) {
@@ -226,6 +245,10 @@
     ++stats_.probes;
     return HandleAt(probe);
   }
+  if (query.away_cost) {
+    const std::uint32_t quickest = LeastTime(pool, query, now, random);
+    return HandleAt(quickest == kNone ? LastResort(pool, query) : quickest);
+  }
   std::uint32_t best = kNone;
   std::int64_t best_pressure = 0;
   for (std::size_t tier = 0; tier < kTiers; ++tier) {
@@ -329,6 +352,73 @@
   return static_cast<std::int64_t>(random() % kPermille) < share;
 }
 
+// The instance that is expected to answer first, with what it costs to go
+// there.
+std::uint32_t Balancer::LeastTime(const Pool& pool,
+                                  const ChooseQuery& query,
+                                  Time now,
+                                  std::mt19937_64& random) {
+  std::uint32_t best = kNone;
+  std::int64_t best_time = 0;
+  const bool all = pool.members <= kMaxCompared;
+  for (std::size_t tier = 0; tier < kTiers; ++tier) {
+    const auto& members = pool.tiers[tier];
+    const std::size_t count =
+        all ? members.size() : std::min(members.size(), kSamplesOfTier);
+    for (std::size_t i = 0; i < count; ++i) {
+      const std::uint32_t index =
+          all ? members[i] : members[random() % members.size()];
+      if (IsExcluded(index, query)) {
+        continue;
+      }
+      Advance(upstreams_[index], now);
+      const auto jitter =
+          static_cast<std::int64_t>(random() % (2 * kTimeJitterPermille));
+      const std::int64_t expected =
+          ExpectedTime(upstreams_[index], query, now) *
+              (kPermille - kTimeJitterPermille + jitter) / kPermille +
+          query.away_cost->count() * static_cast<std::int64_t>(tier);
+      if (best == kNone || expected < best_time) {
+        best = index;
+        best_time = expected;
+      }
+    }
+  }
+  return best;
+}
+
+// Microseconds until an answer: the wait for a slot and the time in it.
+std::int64_t Balancer::ExpectedTime(const Upstream& upstream,
+                                    const ChooseQuery& query,
+                                    Time now) const {
+  const std::int64_t mean =
+      (query.service_time > Duration::zero() ? query.service_time
+                                             : kDefaultServiceTime)
+          .count();
+  const std::int64_t slowness =
+      kPermille + (upstream.slowness_permille >= kPermille ? 1 : -1) *
+                      Faded(std::abs(upstream.slowness_permille - kPermille),
+                            upstream.slowness_sampled, now);
+  const std::int64_t slots = std::max<std::int64_t>(upstream.member.slots, 1);
+  const bool fresh = now - upstream.load_reported < kLoadFresh;
+  const std::int64_t told =
+      Faded(upstream.wanted, upstream.load_reported, now) +
+      (fresh ? upstream.sent_since_report : 0);
+  const std::int64_t load =
+      std::max<std::int64_t>(told, upstream.in_flight) + 1;
+  const std::int64_t waiting = std::max<std::int64_t>(load - slots, 0);
+  std::int64_t penalty =
+      kPermille + 4 * Faded(upstream.refusals_permille, upstream.sampled, now) +
+      4 * Faded(upstream.failures_permille, upstream.sampled, now);
+  if (upstream.health == UpstreamHealth::kCold) {
+    penalty += kPermille;
+  }
+  const std::int64_t in_slot = mean * slowness / kPermille;
+  const std::int64_t parts = kPermille + waiting * kPermille / slots +
+                             load * kPermille / slots / kFreeSlotPart;
+  return in_slot * parts / kPermille * penalty / kPermille;
+}
+
 // With all others tried, one that is aside is better than none.
 std::uint32_t Balancer::LastResort(const Pool& pool,
                                    const ChooseQuery& query) const {
@@ -378,6 +468,7 @@
                  "no_new_work_to_leaving", upstream->member.name);
   Advance(*upstream, now);
   ++upstream->in_flight;
+  ++upstream->sent_since_report;
   if (upstream->health == UpstreamHealth::kProbing) {
     ++upstream->probes_in_flight;
   }
@@ -474,6 +565,22 @@
       static_cast<std::int64_t>(load.busy) + load.queued;
   upstream->load_permille = wanted * kPermille / slots;
   upstream->load_reported = now;
+  upstream->wanted = wanted;
+  upstream->sent_since_report = 0;
+}
+
+void Balancer::OnServiceTime(UpstreamHandle handle,
+                             Duration taken,
+                             Duration mean,
+                             Time now) {
+  Upstream* upstream = Get(handle);
+  if (upstream == nullptr || mean <= Duration::zero()) {
+    return;
+  }
+  const std::int64_t sample = std::min<std::int64_t>(
+      taken.count() * kPermille / mean.count(), kMaxSlownessPermille);
+  MoveAverage(upstream->slowness_permille, sample);
+  upstream->slowness_sampled = now;
 }
 
 const Balancer::Upstream* Balancer::Get(UpstreamHandle handle) const {
--- a/src/core/balancer.h
+++ b/src/core/balancer.h
@@ -78,6 +78,12 @@
   std::span<const UpstreamHandle> excluded;  // Tried by this call already.
   // Whether the call may try an instance that was set aside.
   bool may_probe = true;
+  // Set: the instance with the least expected time over all tiers is chosen,
+  // and this much is added outside the own failure domain, twice as much
+  // outside the region. Unset: the nearest tier that is not loaded.
+  std::optional<Duration> away_cost = std::nullopt;
+  // The mean time at an instance; with `away_cost`.
+  Duration service_time{0};
 };
 
 struct BalancerStats {
@@ -115,6 +121,11 @@
                Duration latency,
                Time now);
   void OnLoad(UpstreamHandle handle, UpstreamLoad load, Time now);
+  // The instance took `taken` for a call whose like take `mean`.
+  void OnServiceTime(UpstreamHandle handle,
+                     Duration taken,
+                     Duration mean,
+                     Time now);
 
   // Null when the handle is not valid any more. Valid until the next `Sync`.
   const Member* Find(UpstreamHandle handle) const;
@@ -150,6 +161,10 @@
     Time sampled;
     std::int64_t load_permille = 0;
     Time load_reported;
+    std::int64_t wanted = 0;            // Busy and queued, as last told.
+    std::int64_t sent_since_report = 0;
+    std::int64_t slowness_permille = 1000;  // Of the mean service time.
+    Time slowness_sampled;
   };
 
   // The instances of one service that take calls, by tier, and the others.
@@ -191,6 +206,13 @@
   bool AcceptsCold(const Upstream& upstream,
                    Time now,
                    std::mt19937_64& random) const;
+  std::uint32_t LeastTime(const Pool& pool,
+                          const ChooseQuery& query,
+                          Time now,
+                          std::mt19937_64& random);
+  std::int64_t ExpectedTime(const Upstream& upstream,
+                            const ChooseQuery& query,
+                            Time now) const;
   std::uint32_t LastResort(const Pool& pool, const ChooseQuery& query) const;
   std::int64_t Score(const Upstream& upstream, Time now) const;
   std::int64_t PressurePermille(const Upstream& upstream, Time now) const;
--- a/src/core/instance_tracker.cc
+++ b/src/core/instance_tracker.cc
@@ -59,14 +59,11 @@
   if (report.address != slot_) {
     return ReportVerdict::kForeign;
   }
-  if (IsOlder(report)) {
+  if (IsOlder(report) || HasLeft(report)) {
     return ReportVerdict::kStale;
   }
   const bool same_start = report_ && report.id == report_->id &&
                           report.started_ms == report_->started_ms;
-  if (same_start && state_ == InstanceState::kGone) {
-    return ReportVerdict::kStale;
-  }
   const bool changed = !same_start || report.service != report_->service ||
                        report.slots != report_->slots;
   if (report_ && report_->id != report.id) {
@@ -94,10 +91,38 @@
     return ReportVerdict::kUnchanged;
   }
   heard_ = now;
+  Remember({std::string(id), true, 0});
   Enter(InstanceState::kGone, now);
   return ReportVerdict::kChanged;
 }
 
+void InstanceTracker::OnRemembered(std::string_view id,
+                                   bool gone,
+                                   std::uint64_t sequence) {
+  Remember({std::string(id), gone, sequence});
+}
+
+void InstanceTracker::Remember(const Leaver& leaver) {
+  leavers_.push_back(leaver);
+  if (leavers_.size() > kMaxReplaced) {
+    leavers_.pop_front();
+  }
+}
+
+// Whether the report is one that the instance sent before it left. An instance
+// that tells its start may start again under its old id.
+bool InstanceTracker::HasLeft(const InstanceReport& report) const {
+  const bool started_again = report.started_ms != 0 && report_ &&
+                             report.started_ms > report_->started_ms;
+  return !started_again &&
+         std::any_of(leavers_.begin(), leavers_.end(),
+                     [&](const Leaver& leaver) {
+                       return leaver.id == report.id &&
+                              (leaver.gone ||
+                               report.sequence <= leaver.sequence);
+                     });
+}
+
 bool InstanceTracker::OnConnectFailed(Time now) {
   if (state_ != InstanceState::kServing) {
     return false;
--- a/src/core/instance_tracker.h
+++ b/src/core/instance_tracker.h
@@ -58,6 +58,9 @@
   ReportVerdict OnReport(const InstanceReport& report, Time now);
   // The instance `id` says that it ends.
   ReportVerdict OnDeregistered(std::string_view id, Time now);
+  // An earlier start of this node believed that the instance `id` had gone, or
+  // was leaving as of its report number `sequence`.
+  void OnRemembered(std::string_view id, bool gone, std::uint64_t sequence);
   // A connection to the slot's address was refused or timed out.
   // Returns whether this is news.
   bool OnConnectFailed(Time now);
@@ -80,8 +83,19 @@
   // Instances that were replaced by another one at the same address.
   static constexpr std::size_t kMaxReplaced = 64;
 
+  // What is known of an instance that was leaving.
+  struct Leaver {
+    std::string id;
+    bool gone = false;
+    std::uint64_t sequence = 0;  // Later reports are believed, unless gone.
+  };
+
+  bool HasLeft(const InstanceReport& report) const;
+  void Remember(const Leaver& leaver);
+
   SocketAddress slot_;
   std::deque<std::string> replaced_;
+  std::deque<Leaver> leavers_;
   std::optional<InstanceReport> report_;
   InstanceState state_ = InstanceState::kUnknown;
   Time since_;
--- a/src/core/member_record.h
+++ b/src/core/member_record.h
@@ -4,6 +4,7 @@
 #define CORE_MEMBER_RECORD_H_
 
 #include <cstdint>
+#include <string>
 
 #include "core/member_directory.h"
 
@@ -15,6 +16,12 @@
   Member member;
   // Raised with each change within one incarnation.
   std::uint64_t sequence = 0;
+  // The instance in the slot, and how far it has left, for a later start of
+  // the same node.
+  std::string instance;
+  bool instance_leaving = false;
+  bool instance_gone = false;
+  std::uint64_t instance_sequence = 0;  // Of its last report.
 
   bool operator==(const MemberRecord&) const = default;
 };
--- a/src/mesh/gate.cc
+++ b/src/mesh/gate.cc
@@ -211,6 +211,7 @@
   answer.body = std::move(body);
   answer.last = last;
   answer.load = load();
+  answer.service_time = SteadyNow() - call.started;
   LogEnd(id, call, last ? "answered" : "answer_begun");
   Tell(call.reply, std::move(answer));
 }
@@ -413,6 +414,7 @@
       {{"request", call.call.request_id},
        {"call", id},
        {"rule", call.call.rule},
+       {"priority", kPriorityNames[static_cast<int>(call.call.priority)]},
        {"outcome", outcome},
        {"status", call.head.status},
        {"instance", call.instance},
--- a/src/mesh/link_codec.cc
+++ b/src/mesh/link_codec.cc
@@ -134,6 +134,7 @@
     body.setBody(DataOf(answer.body));
     body.setLast(answer.last);
     WriteLoad(answer.load, body.initLoad());
+    body.setServiceUs(answer.service_time.count());
   }
   void operator()(const GatePart& part) {
     auto body = out.initPart();
@@ -187,6 +188,7 @@
   answer.body = StringOf(in.getBody());
   answer.last = in.getLast();
   answer.load = ReadLoad(in.getLoad());
+  answer.service_time = Duration(in.getServiceUs());
   return answer;
 }
 
--- a/src/mesh/link_frames.h
+++ b/src/mesh/link_frames.h
@@ -66,6 +66,7 @@
   std::string body;
   bool last = false;
   GateLoad load;
+  Duration service_time{0};  // At the instance so far.
 };
 
 struct GatePart {
--- a/src/mesh/origin.cc
+++ b/src/mesh/origin.cc
@@ -46,6 +46,11 @@
 // Instances warm up within this time after their start.
 constexpr Duration kWarmUp = std::chrono::seconds(3);
 constexpr std::uint32_t kColdSharePermille = 300;
+// What an answer from another failure domain costs, as time: the way there and
+// back, and its bytes, which the operators pay for.
+constexpr Duration kAwayTime = std::chrono::milliseconds(3);
+constexpr Duration kAwayTimePerKilobyte = std::chrono::milliseconds(1);
+constexpr std::int64_t kKilobyte = 1'000;
 
 BalancerLimits Limits() {
   BalancerLimits limits;
@@ -212,8 +217,15 @@
 }
 
 UpstreamHandle Origin::Choose(Call& call, Time now) {
-  return balancer_.Choose(
-      {call.service, call.tried, call.route->repeatable}, now, random_);
+  const RuleProfile profile = profiles_.Find(call.rule->id);
+  ChooseQuery query;
+  query.service = call.service;
+  query.excluded = call.tried;
+  query.may_probe = call.route->repeatable;
+  query.service_time = profile.service_time;
+  query.away_cost =
+      kAwayTime + kAwayTimePerKilobyte * profile.answer_bytes / kKilobyte;
+  return balancer_.Choose(query, now, random_);
 }
 
 GateCall Origin::CallFor(const Call& call, Time now) const {
@@ -329,6 +341,7 @@
   call.status = 0;
   call.headers.clear();
   call.body.clear();
+  call.body_bytes = 0;
   call.owed = 0;
   Send(id);
   return true;
@@ -340,6 +353,7 @@
   call.status = answer.status;
   call.headers = std::move(answer.headers);
   call.length = answer.length;
+  call.service_time = answer.service_time;
   TakeBody(id, std::move(answer.body), answer.last);
 }
 
@@ -350,6 +364,7 @@
 void Origin::TakeBody(CallId id, std::string body, bool last) {
   Call& call = calls_.at(id);
   call.owed += body.size();
+  call.body_bytes += body.size();
   call.body += body;
   if (last) {
     Answer(id);
@@ -400,10 +415,14 @@
              SteadyNow());
   if (failed && !call.streaming) {
     call.may_have_run = true;
-    if (MayRepeat(call, SteadyNow()) && SendsAgain(id, "server error")) {
+    call.failed = {call.status, call.headers, call.body};
+    if (SendsAgain(id, "server error")) {
       return;
     }
   }
+  if (!failed) {
+    LearnFrom(call);
+  }
   init_.metrics->Add(failed ? failed_ : answered_);
   if (call.streaming) {
     call.exchange->Write(call.body);
@@ -414,6 +433,16 @@
   Close(id, "answered", call.status);
 }
 
+void Origin::LearnFrom(const Call& call) {
+  if (call.tried.empty() || call.service_time <= Duration::zero()) {
+    return;
+  }
+  const RuleProfile profile = profiles_.Find(call.rule->id);
+  balancer_.OnServiceTime(call.tried.back(), call.service_time,
+                          profile.service_time, SteadyNow());
+  profiles_.Learn(call.rule->id, call.service_time, call.body_bytes);
+}
+
 void Origin::EndAttempt(Call& call, AttemptOutcome outcome, Time now) {
   if (call.attempt) {
     balancer_.OnEnded(call.attempt->upstream, outcome,
@@ -481,6 +510,14 @@
     Close(id, reason, status);
     return;
   }
+  if (call.failed) {
+    // An instance has answered, if with a failure: that is the caller's.
+    init_.metrics->Add(failed_);
+    call.exchange->Send(call.failed->status, call.failed->headers,
+                        call.failed->body);
+    Close(id, "answered_by_an_earlier_instance", call.failed->status);
+    return;
+  }
   HttpHeaders headers = {{"Content-Type", "text/plain"}};
   if (status == kUnavailable) {
     const double seconds =
@@ -504,6 +541,7 @@
   Log(LogLevel::kInfo, kPart, "Request.",
       {{"request", call.request_id},
        {"call", id},
+       {"caller", call.exchange->remote_ip()},
        {"target", call.exchange->head().target},
        {"rule", call.rule == nullptr ? std::string_view() : call.rule->id},
        {"generation", call.table ? call.table->generation() : 0},
--- a/src/mesh/origin.h
+++ b/src/mesh/origin.h
@@ -22,6 +22,7 @@
 #include "core/config_apply.h"
 #include "core/member_book.h"
 #include "core/retry_allowance.h"
+#include "core/rule_profile.h"
 #include "core/target_rotation.h"
 #include "io/http1_server.h"
 #include "mesh/call_header_names.h"
@@ -82,6 +83,12 @@
     CallId at_gate = 0;  // When local.
   };
 
+  struct FailedAnswer {
+    int status = 0;
+    HttpHeaders headers;
+    std::string body;
+  };
+
   struct Call {
     ExchangePointer exchange;
     std::string request_id;
@@ -97,11 +104,16 @@
     std::uint32_t refusals = 0;  // By gates, with nothing sent.
     Duration come_back{0};       // The least that a gate asked for.
     bool may_have_run = false;
+    // An instance's answer that says that it failed, kept until another
+    // instance has answered.
+    std::optional<FailedAnswer> failed;
     bool streaming = false;      // The answer's head has left.
     int status = 0;              // Of the answer.
     HttpHeaders headers;
     std::optional<std::uint64_t> length;
     std::string body;            // Of the answer, not passed on.
+    std::size_t body_bytes = 0;  // Of the answer so far.
+    Duration service_time{0};    // Of the answer's run.
     std::size_t owed = 0;        // Taken from the gate and not credited.
   };
 
@@ -124,6 +136,7 @@
   void EndAttempt(Call& call, AttemptOutcome outcome, Time now);
   void CancelAttempt(CallId id, Call& call, AttemptOutcome outcome);
   void Answer(CallId id);
+  void LearnFrom(const Call& call);
   void Fail(CallId id, int status, std::string_view reason);
   Duration ComeBack(const Call& call);
   void OnGone(CallId id);
@@ -135,6 +148,7 @@
   asio::steady_timer timer_;
   Balancer balancer_;
   RetryAllowance allowance_;
+  RuleProfiles profiles_;
   TargetRotation rotation_;
   std::mt19937_64 random_;
   std::map<CallId, Call> calls_;
--- a/src/mesh/sidecar.cc
+++ b/src/mesh/sidecar.cc
@@ -28,7 +28,7 @@
 // and was told twice that the node is not ready.
 constexpr Duration kLeaveNoticeTime = std::chrono::milliseconds(2'600);
 // What is left of the grace period for the process to end by itself.
-constexpr Duration kExitTime = std::chrono::milliseconds(700);
+constexpr Duration kExitTime = std::chrono::milliseconds(500);
 constexpr Duration kDrainCheckInterval = std::chrono::milliseconds(50);
 // How long the acknowledgement of a leaving instance waits for the store; the
 // other nodes are told by links at once.
@@ -323,9 +323,14 @@
     Fire("drain_expired");
     return;
   }
-  if (waited >= kLeaveNoticeTime && !busy) {
-    Fire("calls_finished");
-    return;
+  if (waited >= kLeaveNoticeTime) {
+    // From here on callers find the address closed, and go elsewhere with what
+    // was not read.
+    callers_.CloseIdle();
+    if (!busy) {
+      Fire("calls_finished");
+      return;
+    }
   }
   drain_timer_.expires_after(kDrainCheckInterval);
   drain_timer_.async_wait([this](const asio::error_code& error) {
@@ -527,7 +532,13 @@
   if (tracker_.report()) {
     member.service = tracker_.report()->service;
     member.slots = tracker_.report()->slots;
+    record.instance = tracker_.report()->id;
+    record.instance_sequence = tracker_.report()->sequence;
   }
+  const InstanceState state = tracker_.state();
+  record.instance_gone = state == InstanceState::kGone;
+  record.instance_leaving =
+      record.instance_gone || state == InstanceState::kLeaving;
   return record;
 }
 
@@ -602,7 +613,6 @@
 void Sidecar::OnMemberObject(const StoreObject& object) {
   if (object.name == settings_.name) {
     publisher_.OnSeen(object.revision);
-    return;
   }
   const auto parsed = platform::ParseMember(object.spec);
   if (const auto* error = std::get_if<platform::FormatError>(&parsed)) {
@@ -610,7 +620,14 @@
         {{"name", object.name}, {"error", error->reason}});
     return;
   }
-  OnRecord(std::get<MemberRecord>(parsed));
+  const auto& record = std::get<MemberRecord>(parsed);
+  if (object.name != settings_.name) {
+    OnRecord(record);
+  } else if (record.member.incarnation < incarnation_ &&
+             record.instance_leaving) {
+    tracker_.OnRemembered(record.instance, record.instance_gone,
+                          record.instance_sequence);
+  }
 }
 
 void Sidecar::OnMemberGone(const StoreObject& object) {
--- a/src/wire/link.capnp.h
+++ b/src/wire/link.capnp.h
@@ -161,7 +161,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9c340782a1c231b8, 2, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(9c340782a1c231b8, 3, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1124,6 +1124,8 @@
   inline bool hasLoad() const;
   inline  ::verbenastile::wire::Load::Reader getLoad() const;
 
+  inline  ::int64_t getServiceUs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1182,6 +1184,9 @@
   inline void adoptLoad(::capnp::Orphan< ::verbenastile::wire::Load>&& value);
   inline ::capnp::Orphan< ::verbenastile::wire::Load> disownLoad();
 
+  inline  ::int64_t getServiceUs();
+  inline void setServiceUs( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2963,6 +2968,20 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline  ::int64_t Answer::Reader::getServiceUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Answer::Builder::getServiceUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Answer::Builder::setServiceUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Part::Reader::hasBody() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
