Choice by the risk of a late answer

Change: the risk is the square of the expected time over the objective, and an answer from elsewhere costs 8 ms a kilobyte.

--- a/src/core/balancer.cc
+++ b/src/core/balancer.cc
@@ -34,6 +34,7 @@
 // same news do not all choose the same instance.
 constexpr std::int64_t kTimeJitterPermille = 100;
 constexpr std::int64_t kMaxSlownessPermille = 20'000;
+constexpr std::int64_t kMostExpected = 60'000'000;  // Microseconds.
 constexpr Duration kDefaultServiceTime = std::chrono::milliseconds(50);
 
 std::int64_t Faded(std::int64_t value, Time since, Time now) {
@@ -246,8 +247,8 @@
     return HandleAt(probe);
   }
   if (query.away_cost) {
-    const std::uint32_t quickest = LeastTime(pool, query, now, random);
-    return HandleAt(quickest == kNone ? LastResort(pool, query) : quickest);
+    const std::uint32_t safest = LeastRisk(pool, query, now, random);
+    return HandleAt(safest == kNone ? LastResort(pool, query) : safest);
   }
   std::uint32_t best = kNone;
   std::int64_t best_pressure = 0;
@@ -352,14 +353,15 @@
   return static_cast<std::int64_t>(random() % kPermille) < share;
 }
 
-// The instance that is expected to answer first, with what it costs to go
-// there.
-std::uint32_t Balancer::LeastTime(const Pool& pool,
+// The instance whose answer is least likely to be late, with what it costs to
+// go there. The risk grows with the square of the expected time: well within
+// the objective it hardly matters which instance is faster.
+std::uint32_t Balancer::LeastRisk(const Pool& pool,
                                   const ChooseQuery& query,
                                   Time now,
                                   std::mt19937_64& random) {
   std::uint32_t best = kNone;
-  std::int64_t best_time = 0;
+  std::int64_t best_risk = 0;
   const bool all = pool.members <= kMaxCompared;
   for (std::size_t tier = 0; tier < kTiers; ++tier) {
     const auto& members = pool.tiers[tier];
@@ -376,11 +378,15 @@
           static_cast<std::int64_t>(random() % (2 * kTimeJitterPermille));
       const std::int64_t expected =
           ExpectedTime(upstreams_[index], query, now) *
-              (kPermille - kTimeJitterPermille + jitter) / kPermille +
+          (kPermille - kTimeJitterPermille + jitter) / kPermille;
+      const std::int64_t objective =
+          std::max(query.objective, kDefaultServiceTime).count();
+      const std::int64_t risk =
+          expected * std::min(expected, kMostExpected) / objective +
           query.away_cost->count() * static_cast<std::int64_t>(tier);
-      if (best == kNone || expected < best_time) {
+      if (best == kNone || risk < best_risk) {
         best = index;
-        best_time = expected;
+        best_risk = risk;
       }
     }
   }
--- a/src/core/balancer.h
+++ b/src/core/balancer.h
@@ -78,12 +78,14 @@
   std::span<const UpstreamHandle> excluded;  // Tried by this call already.
   // Whether the call may try an instance that was set aside.
   bool may_probe = true;
-  // Set: the instance with the least expected time over all tiers is chosen,
-  // and this much is added outside the own failure domain, twice as much
-  // outside the region. Unset: the nearest tier that is not loaded.
+  // Set: the instance with the least risk of a late answer over all tiers is
+  // chosen, and this much is added outside the own failure domain, twice as
+  // much outside the region. Unset: the nearest tier that is not loaded.
   std::optional<Duration> away_cost = std::nullopt;
   // The mean time at an instance; with `away_cost`.
   Duration service_time{0};
+  // The time after which an answer is late; with `away_cost`.
+  Duration objective{0};
 };
 
 struct BalancerStats {
@@ -206,7 +208,7 @@
   bool AcceptsCold(const Upstream& upstream,
                    Time now,
                    std::mt19937_64& random) const;
-  std::uint32_t LeastTime(const Pool& pool,
+  std::uint32_t LeastRisk(const Pool& pool,
                           const ChooseQuery& query,
                           Time now,
                           std::mt19937_64& random);
--- a/src/mesh/origin.cc
+++ b/src/mesh/origin.cc
@@ -49,7 +49,7 @@
 // What an answer from another failure domain costs, as time: the way there and
 // back, and its bytes, which the operators pay for.
 constexpr Duration kAwayTime = std::chrono::milliseconds(3);
-constexpr Duration kAwayTimePerKilobyte = std::chrono::milliseconds(1);
+constexpr Duration kAwayTimePerKilobyte = std::chrono::milliseconds(8);
 constexpr std::int64_t kKilobyte = 1'000;
 
 BalancerLimits Limits() {
@@ -223,11 +223,17 @@
   query.excluded = call.tried;
   query.may_probe = call.route->repeatable;
   query.service_time = profile.service_time;
+  query.objective = ObjectiveOf(call);
   query.away_cost =
       kAwayTime + kAwayTimePerKilobyte * profile.answer_bytes / kKilobyte;
   return balancer_.Choose(query, now, random_);
 }
 
+Duration Origin::ObjectiveOf(const Call& call) const {
+  return call.route->objective == Duration::zero() ? call.deadline - call.begin
+                                                   : call.route->objective;
+}
+
 GateCall Origin::CallFor(const Call& call, Time now) const {
   const Http1Head& head = call.exchange->head();
   GateCall gate;
@@ -241,10 +247,7 @@
   gate.body = call.exchange->body();
   gate.priority = call.route->priority;
   gate.remaining = call.deadline - now;
-  const Duration objective = call.route->objective == Duration::zero()
-                                 ? call.deadline - call.begin
-                                 : call.route->objective;
-  gate.objective = call.begin + objective - now;
+  gate.objective = call.begin + ObjectiveOf(call) - now;
   gate.idempotent = call.route->repeatable;
   return gate;
 }
--- a/src/mesh/origin.h
+++ b/src/mesh/origin.h
@@ -121,6 +121,7 @@
   void SetDeadline(Call& call) const;
   void Send(CallId id);
   UpstreamHandle Choose(Call& call, Time now);
+  Duration ObjectiveOf(const Call& call) const;
   GateCall CallFor(const Call& call, Time now) const;
   void OnBody(CallId id, LinkBody body);
   void OnRefusal(CallId id, const GateRefusal& refusal);
