Large answers are paced; instances are judged by the whole way to them

At 10 Mbit/s a film of 90 KB keeps a link for 72 ms, and small answers waited behind films; the fastest instance of a failure domain drew the most calls, while the link of its node was the slow part (118 ms on the way at three nodes, 15 ms at the others).

Ruled out: slots (no waits at the gates), processor time (0.8 % of a core).

Change: core/link_pacer.h spreads large answers a little below the link's rate, small frames pass them; a gate refuses a large answer that the link would make late; the balancer learns the whole time but the wait for a slot.

--- a/src/config/sidecar_settings.cc
+++ b/src/config/sidecar_settings.cc
@@ -1,5 +1,7 @@
 #include "config/sidecar_settings.h"
 
+#include <cstdlib>
+
 #include "config/settings_fields.h"
 #include "config/yaml_reader.h"
 
@@ -17,6 +19,22 @@
   return listen;
 }
 
+void ReadLink(YamlReader& reader, SidecarSettings& settings) {
+  constexpr double kBytesPerMegabit = 125'000;
+  if (!reader.Has("link_mbps")) {
+    return;
+  }
+  const std::string text = reader.String("link_mbps", "");
+  char* end = nullptr;
+  const double mbps = std::strtod(text.c_str(), &end);
+  if (text.empty() || *end != '\0' || !(mbps > 0)) {
+    reader.AddFault("link_mbps", "link_mbps: a number above 0 is expected");
+    return;
+  }
+  settings.link_bytes_per_second =
+      static_cast<std::int64_t>(mbps * kBytesPerMegabit);
+}
+
 SidecarSettings ReadSettings(YamlReader& reader) {
   SidecarSettings settings;
   YamlReader node = reader.Section("node");
@@ -36,6 +54,7 @@
                       settings.bounds[name] = value;
                     });
   platform.RejectUnknownKeys();
+  ReadLink(reader, settings);
   settings.log_level = static_cast<LogLevel>(
       reader.Choice("log_level", {"debug", "info", "warning", "error"},
                     static_cast<std::size_t>(settings.log_level)));
--- a/src/config/sidecar_settings.h
+++ b/src/config/sidecar_settings.h
@@ -4,6 +4,7 @@
 #define CONFIG_SIDECAR_SETTINGS_H_
 
 #include <boost/leaf/result.hpp>
+#include <cstdint>
 #include <map>
 #include <string>
 
@@ -27,6 +28,8 @@
   std::string service;     // Of the instance in the slot.
   SocketAddress upstream;  // Where that instance listens.
   SocketAddress platform;  // The platform's store.
+  // What the machine's link carries each way.
+  std::int64_t link_bytes_per_second = 125'000'000;
   // The platform's bounds by their names.
   std::map<std::string, std::string> bounds;
   LogLevel log_level = LogLevel::kInfo;
--- a/src/mesh/gate.cc
+++ b/src/mesh/gate.cc
@@ -19,7 +19,9 @@
 constexpr std::size_t kWholeAnswerBytes = 65'536;
 // Bytes of an answer's body that the caller has not taken; beyond, the
 // instance is read no further.
-constexpr std::size_t kWindowBytes = 262'144;
+constexpr std::size_t kWindowBytes = 1'048'576;
+// Answers of rules with more than this wait for the machine's link.
+constexpr std::int64_t kLargeAnswerBytes = 16'384;
 // How often queues and deadlines are looked at while there are calls.
 constexpr Duration kTickInterval = std::chrono::milliseconds(20);
 // How long the slot of a cancelled call is kept: the instance notices a closed
@@ -87,6 +89,8 @@
     Refuse(id, RefusalReason::kOtherService, Duration::zero());
   } else if (held.call.only_if_free && !admission_.HasFreeSlot()) {
     Refuse(id, RefusalReason::kBusy, Duration::zero());
+  } else if (WaitsForLink(held)) {
+    Refuse(id, RefusalReason::kBusy, init_.link_backlog());
   } else {
     Offer(id, held, now);
   }
@@ -96,6 +100,13 @@
   return id;
 }
 
+// Whether the answer would be late since others wait for the machine's link.
+bool Gate::WaitsForLink(const Call& call) const {
+  const RuleProfile profile = profiles_.Find(call.call.rule);
+  return profile.answer_bytes > kLargeAnswerBytes &&
+         init_.link_backlog() + profile.service_time > call.call.objective;
+}
+
 void Gate::Offer(CallId id, Call& call, Time now) {
   AdmissionOffer offer;
   offer.id = id;
@@ -193,6 +204,7 @@
 void Gate::TellPart(CallId id, Call& call, bool last) {
   std::string body = std::exchange(call.body, {});
   call.unread += body.size();
+  call.told += body.size();
   if (call.unread > kWindowBytes && !call.paused && !last) {
     call.paused = true;
     http_.Pause(call.http);
@@ -213,7 +225,7 @@
   answer.body = std::move(body);
   answer.last = last;
   answer.load = load();
-  answer.service_time = SteadyNow() - call.started;
+  answer.waited = call.started - call.arrived;
   LogEnd(id, call, last ? "answered" : "answer_begun");
   Tell(call.reply, std::move(answer));
 }
@@ -269,6 +281,7 @@
   if (!call.abandoned) {
     TellPart(id, call, true);
   }
+  profiles_.Learn(call.call.rule, SteadyNow() - call.started, call.told);
   calls_.erase(id);
 }
 
--- a/src/mesh/gate.h
+++ b/src/mesh/gate.h
@@ -16,6 +16,7 @@
 #include "base/metrics.h"
 #include "core/admission.h"
 #include "core/instance_tracker.h"
+#include "core/rule_profile.h"
 #include "io/http1_client.h"
 #include "mesh/call_header_names.h"
 #include "mesh/link_frames.h"
@@ -33,6 +34,8 @@
     std::function<std::uint64_t()> generation;
     // The gate learned that the instance cannot be reached.
     std::function<void()> on_unreachable;
+    // How long a large answer waits for the machine's link.
+    std::function<Duration()> link_backlog;
   };
 
   // Gets a `GateRefusal`, a `GateBroken`, or a `GateAnswer` that `GatePart`s
@@ -74,6 +77,7 @@
     bool paused = false;
     std::string body;        // Not told yet.
     std::size_t unread = 0;  // Told and not taken.
+    std::size_t told = 0;    // Bytes of the body.
   };
 
   // A cancelled call, whose slot the instance needs a moment to free.
@@ -84,6 +88,7 @@
 
   bool TakesWork(Time now) const;
   RefusalReason WhyNoWork() const;
+  bool WaitsForLink(const Call& call) const;
   void Offer(CallId id, Call& call, Time now);
   void Send(CallId id);
   HttpHeaders HeadersFor(const Call& call, Time now) const;
@@ -105,6 +110,7 @@
   asio::steady_timer timer_;
   Http1Client http_;
   Admission admission_;
+  RuleProfiles profiles_;
   std::map<CallId, Call> calls_;
   std::vector<HeldSlot> held_slots_;
   CallId last_id_ = 0;
--- a/src/mesh/link_codec.cc
+++ b/src/mesh/link_codec.cc
@@ -135,7 +135,7 @@
     body.setBody(DataOf(answer.body));
     body.setLast(answer.last);
     WriteLoad(answer.load, body.initLoad());
-    body.setServiceUs(answer.service_time.count());
+    body.setWaitedUs(answer.waited.count());
   }
   void operator()(const GatePart& part) {
     auto body = out.initPart();
@@ -192,7 +192,7 @@
   answer.body = StringOf(in.getBody());
   answer.last = in.getLast();
   answer.load = ReadLoad(in.getLoad());
-  answer.service_time = Duration(in.getServiceUs());
+  answer.waited = Duration(in.getWaitedUs());
   return answer;
 }
 
--- a/src/mesh/link_frames.h
+++ b/src/mesh/link_frames.h
@@ -67,7 +67,7 @@
   std::string body;
   bool last = false;
   GateLoad load;
-  Duration service_time{0};  // At the instance so far.
+  Duration waited{0};  // For a slot.
 };
 
 struct GatePart {
--- a/src/mesh/link_hub.cc
+++ b/src/mesh/link_hub.cc
@@ -11,6 +11,8 @@
 constexpr std::string_view kPart = "links";
 
 constexpr int kBacklog = 1'024;
+// Frames up to this size need not wait for the machine's link.
+constexpr std::size_t kSmallBytes = 4'096;
 constexpr Duration kConnectTimeout = std::chrono::seconds(1);
 // Links that broke are opened again after this, doubled up to the longest.
 constexpr Duration kFirstRedial = std::chrono::milliseconds(100);
@@ -52,7 +54,9 @@
     : init_(std::move(init)),
       acceptor_(*init_.io),
       probe_timer_(*init_.io),
-      random_(init_.seed) {}
+      random_(init_.seed),
+      pacer_(init_.pacer, SteadyNow()),
+      pacer_timer_(*init_.io) {}
 
 LinkHub::~LinkHub() {
   Close();
@@ -87,6 +91,7 @@
   asio::error_code ignored;  // It may not be open.
   acceptor_.close(ignored);
   probe_timer_.cancel();
+  pacer_timer_.cancel();
   for (const auto& [name, peer] : std::exchange(outgoing_, {})) {
     Shut(*peer);
   }
@@ -144,6 +149,7 @@
             if (found != peer->calls.end()) {
               const CallId at_gate = found->second;
               peer->calls.erase(found);
+              peer->queued.erase(id);
               init_.gate->Cancel(at_gate);
             }
           },
@@ -169,22 +175,97 @@
                              GateCall call) {
   const std::weak_ptr<Incoming> weak = peer;
   peer->calls[id] =
-      init_.gate->Start(std::move(call), [weak, id](LinkBody body) {
+      init_.gate->Start(std::move(call), [this, weak, id](LinkBody body) {
         const auto held = weak.lock();
-        if (!held || !held->calls.contains(id)) {
-          return;
-        }
-        if (IsLast(body)) {
-          held->calls.erase(id);
+        if (held && held->calls.contains(id)) {
+          SendAnswer(held, id, std::move(body));
         }
-        held->link->Send({id, std::move(body)});
       });
 }
 
+// Small frames leave at once; the bodies of large answers wait for the link.
+void LinkHub::SendAnswer(const IncomingPointer& peer,
+                         CallId id,
+                         LinkBody body) {
+  if (auto* answer = std::get_if<GateAnswer>(&body);
+      answer != nullptr && answer->body.size() > kSmallBytes) {
+    GatePart part{std::exchange(answer->body, {}), answer->last};
+    answer->last = false;
+    peer->link->Send({id, std::move(body)});
+    Queue(peer, id, std::move(part));
+    return;
+  }
+  auto* part = std::get_if<GatePart>(&body);
+  const bool follows = peer->queued.contains(id);
+  if (part != nullptr && (follows || part->body.size() > kSmallBytes)) {
+    Queue(peer, id, std::move(*part));
+    return;
+  }
+  if (follows) {
+    // The answer broke off: what still waits of it is of no use.
+    peer->queued.erase(id);
+  }
+  if (IsLast(body)) {
+    peer->calls.erase(id);
+  }
+  peer->link->Send({id, std::move(body)});
+}
+
+void LinkHub::Queue(const IncomingPointer& peer, CallId id, GatePart part) {
+  peer->queued.insert(id);
+  backlog_ += part.body.size();
+  parts_.push_back({peer, id, std::move(part), 0});
+  if (!pacing_) {
+    SendQueued();
+  }
+}
+
+void LinkHub::SendQueued() {
+  const Time now = SteadyNow();
+  while (!parts_.empty()) {
+    QueuedPart& first = parts_.front();
+    const auto peer = first.peer.lock();
+    const std::size_t left = first.part.body.size() - first.sent;
+    if (!peer || !peer->queued.contains(first.call)) {
+      backlog_ -= left;
+      parts_.pop_front();
+      continue;
+    }
+    const std::size_t taken = pacer_.Take(left, now);
+    if (taken == 0 && left > 0) {
+      break;
+    }
+    const bool last = taken == left && first.part.last;
+    peer->link->Send(
+        {first.call,
+         GatePart{first.part.body.substr(first.sent, taken), last}});
+    backlog_ -= taken;
+    first.sent += taken;
+    if (taken == left) {
+      if (last) {
+        peer->queued.erase(first.call);
+        peer->calls.erase(first.call);
+      }
+      parts_.pop_front();
+    }
+  }
+  pacing_ = !parts_.empty();
+  if (!pacing_) {
+    return;
+  }
+  pacer_timer_.expires_after(pacer_.UntilNext(now));
+  pacer_timer_.async_wait([this](const asio::error_code& error) {
+    if (!error) {
+      SendQueued();
+    }
+  });
+}
+
 void LinkHub::DropIncoming(const IncomingPointer& peer, std::string_view why) {
   Log(LogLevel::kInfo, kPart, "A peer's link has closed.",
       {{"peer", peer->name}, {"error", why}, {"calls", peer->calls.size()}});
   incoming_.erase(peer);
+  peer->queued.clear();
   for (const auto& [id, at_gate] : std::exchange(peer->calls, {})) {
     init_.gate->Cancel(at_gate);
   }
--- a/src/mesh/link_hub.h
+++ b/src/mesh/link_hub.h
@@ -7,6 +7,7 @@
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -15,6 +16,7 @@
 #include <string_view>
 
 #include "base/random.h"
+#include "core/link_pacer.h"
 #include "core/member_book.h"
 #include "mesh/gate.h"
 #include "mesh/link.h"
@@ -29,6 +31,7 @@
     MemberBook* book = nullptr;
     Gate* gate = nullptr;
     std::uint64_t seed = 0;
+    LinkPacerInit pacer;
     // What this node says of itself.
     std::function<MemberRecord()> self;
     std::function<std::uint64_t()> generation;
@@ -60,6 +63,8 @@
   void Close();
 
   std::size_t open_links() const;
+  // How long a large answer that ends now waits for the machine's link.
+  Duration backlog_time() const { return pacer_.TimeFor(backlog_); }
 
  private:
   using Tcp = asio::ip::tcp;
@@ -86,13 +91,25 @@
     std::shared_ptr<Link> link;
     std::string name;                // Empty until it has said who it is.
     std::map<CallId, CallId> calls;  // The gate's ids by the peer's.
+    std::set<CallId> queued;         // Calls whose answers wait for the link.
   };
   using IncomingPointer = std::shared_ptr<Incoming>;
 
+  // A part of a large answer that waits for the machine's link.
+  struct QueuedPart {
+    std::weak_ptr<Incoming> peer;
+    CallId call = 0;
+    GatePart part;
+    std::size_t sent = 0;  // Bytes of it that have left.
+  };
+
   void Accept();
   void TakeIncoming(Tcp::socket socket);
   void OnIncomingFrame(const IncomingPointer& peer, LinkFrame frame);
   void OnIncomingCall(const IncomingPointer& peer, CallId id, GateCall call);
+  void SendAnswer(const IncomingPointer& peer, CallId id, LinkBody body);
+  void Queue(const IncomingPointer& peer, CallId id, GatePart part);
+  void SendQueued();
   void DropIncoming(const IncomingPointer& peer, std::string_view why);
   void Dial(const OutgoingPointer& peer);
   void OnConnected(const OutgoingPointer& peer, const asio::error_code& error);
@@ -112,6 +129,11 @@
   std::map<std::string, OutgoingPointer, std::less<>> outgoing_;
   std::set<IncomingPointer> incoming_;
   Time last_probe_;
+  LinkPacer pacer_;
+  asio::steady_timer pacer_timer_;
+  std::deque<QueuedPart> parts_;
+  std::size_t backlog_ = 0;  // Bytes in `parts_`.
+  bool pacing_ = false;
 };
 
 }  // namespace verbenastile
--- a/src/mesh/origin.cc
+++ b/src/mesh/origin.cc
@@ -381,7 +381,7 @@
   call.status = answer.status;
   call.headers = std::move(answer.headers);
   call.length = answer.length;
-  call.service_time = answer.service_time;
+  call.waited = answer.waited;
   TakeBody(id, std::move(answer.body), answer.last);
 }
 
@@ -439,6 +439,9 @@
 void Origin::Answer(CallId id) {
   Call& call = calls_.at(id);
   const bool failed = call.status >= kServerError;
+  if (!failed) {
+    LearnFrom(call, SteadyNow());
+  }
   EndAttempt(call, failed ? AttemptOutcome::kFailed : AttemptOutcome::kAnswered,
              SteadyNow());
   if (failed && !call.streaming) {
@@ -448,9 +451,6 @@
       return;
     }
   }
-  if (!failed) {
-    LearnFrom(call);
-  }
   init_.metrics->Add(failed ? failed_ : answered_);
   if (call.streaming) {
     call.exchange->Write(call.body);
@@ -461,14 +461,13 @@
   Close(id, "answered", call.status);
 }
 
-void Origin::LearnFrom(const Call& call) {
-  if (call.tried.empty() || call.service_time <= Duration::zero()) {
-    return;
-  }
+// The wait for a slot is left out: it shows in the load that gates tell.
+void Origin::LearnFrom(const Call& call, Time now) {
+  const Duration taken = now - call.attempt->begin - call.waited;
   const RuleProfile profile = profiles_.Find(call.rule->id);
-  balancer_.OnServiceTime(call.tried.back(), call.service_time,
-                          profile.service_time, SteadyNow());
-  profiles_.Learn(call.rule->id, call.service_time, call.body_bytes);
+  balancer_.OnServiceTime(call.attempt->upstream, taken, profile.service_time,
+                          now);
+  profiles_.Learn(call.rule->id, taken, call.body_bytes);
 }
 
 void Origin::EndAttempt(Call& call, AttemptOutcome outcome, Time now) {
--- a/src/mesh/origin.h
+++ b/src/mesh/origin.h
@@ -116,7 +116,7 @@
     std::optional<std::uint64_t> length;
     std::string body;            // Of the answer, not passed on.
     std::size_t body_bytes = 0;  // Of the answer so far.
-    Duration service_time{0};    // Of the answer's run.
+    Duration waited{0};          // For a slot, of the last attempt.
     std::size_t owed = 0;        // Taken from the gate and not credited.
   };
 
@@ -141,7 +141,7 @@
   void EndAttempt(Call& call, AttemptOutcome outcome, Time now);
   void CancelAttempt(CallId id, Call& call, AttemptOutcome outcome);
   void Answer(CallId id);
-  void LearnFrom(const Call& call);
+  void LearnFrom(const Call& call, Time now);
   void Fail(CallId id, int status, std::string_view reason);
   Duration ComeBack(const Call& call);
   void OnGone(CallId id);
--- a/src/mesh/sidecar.cc
+++ b/src/mesh/sidecar.cc
@@ -123,6 +123,7 @@
   init.headers = platform::kCallHeaders;
   init.generation = [this] { return applier_.generation(); };
   init.on_unreachable = [this] { OnInstanceChanged("unreachable"); };
+  init.link_backlog = [this] { return links_.backlog_time(); };
   return init;
 }
 
@@ -133,6 +134,7 @@
   init.book = &book_;
   init.gate = &gate_;
   init.seed = FreshSeed();
+  init.pacer.link_bytes_per_second = settings_.link_bytes_per_second;
   init.self = [this] { return Self(); };
   init.generation = [this] { return applier_.generation(); };
   init.configuration = [this] { return configuration_text_; };
--- a/src/wire/link.capnp
+++ b/src/wire/link.capnp
@@ -84,7 +84,7 @@
   body @3 :Data;
   last @4 :Bool;
   load @5 :Load;
-  serviceUs @6 :Int64;
+  waitedUs @6 :Int64;
 }
 
 struct Part {
--- a/src/wire/link.capnp.h
+++ b/src/wire/link.capnp.h
@@ -1129,7 +1129,7 @@
   inline bool hasLoad() const;
   inline  ::verbenastile::wire::Load::Reader getLoad() const;
 
-  inline  ::int64_t getServiceUs() const;
+  inline  ::int64_t getWaitedUs() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1189,8 +1189,8 @@
   inline void adoptLoad(::capnp::Orphan< ::verbenastile::wire::Load>&& value);
   inline ::capnp::Orphan< ::verbenastile::wire::Load> disownLoad();
 
-  inline  ::int64_t getServiceUs();
-  inline void setServiceUs( ::int64_t value);
+  inline  ::int64_t getWaitedUs();
+  inline void setWaitedUs( ::int64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2987,16 +2987,16 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t Answer::Reader::getServiceUs() const {
+inline  ::int64_t Answer::Reader::getWaitedUs() const {
   return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t Answer::Builder::getServiceUs() {
+inline  ::int64_t Answer::Builder::getWaitedUs() {
   return _builder.getDataField< ::int64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Answer::Builder::setServiceUs( ::int64_t value) {
+inline void Answer::Builder::setWaitedUs( ::int64_t value) {
   _builder.setDataField< ::int64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
--- a/tests/link_codec_test.cc
+++ b/tests/link_codec_test.cc
@@ -51,7 +51,7 @@
   answer.body = "x";
   answer.last = true;
   answer.load = {{3, 4}, 12};
-  answer.service_time = std::chrono::milliseconds(7);
+  answer.waited = std::chrono::milliseconds(7);
   AppendFrame({8, answer}, bytes);
   AppendFrame({0, LinkPing{}}, bytes);
 
@@ -73,7 +73,7 @@
   CHECK_FALSE(read.length.has_value());
   CHECK(read.load.upstream.queued == 4);
   CHECK(read.load.generation == 12);
-  CHECK(read.service_time == std::chrono::milliseconds(7));
+  CHECK(read.waited == std::chrono::milliseconds(7));
   CHECK(std::holds_alternative<LinkPing>(frames[3].body));
 }
 
