Sockets that wait hold no read buffer

Change: io/shared_read.h waits for a socket and reads into one buffer; buffers that a large frame made grow are given back.

--- a/src/io/http1_client.cc
+++ b/src/io/http1_client.cc
@@ -3,19 +3,19 @@
 #include <netinet/tcp.h>
 
 #include <algorithm>
-#include <array>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 #include <charconv>
 #include <utility>
 
+#include "io/shared_read.h"
+
 namespace verbenastile {
 namespace {
 
 using Tcp = asio::ip::tcp;
 
-constexpr std::size_t kReadBytes = 32'768;
 constexpr int kMissedProbes = 2;
 // Part of the server's announced idle time for which a connection is used.
 constexpr int kIdleNumerator = 7;
@@ -78,7 +78,7 @@
   void OnConnected(const asio::error_code& error);
   void Write();
   void Read();
-  void OnRead(const asio::error_code& error, std::size_t count);
+  void OnRead(const asio::error_code& error, std::string_view bytes);
   void Parse();
   bool SkipStray();
   void DeliverBody();
@@ -95,7 +95,6 @@
   Http1CallId id_ = 0;
   Http1Call call_;
   std::string out_;
-  std::array<char, kReadBytes> buffer_ = {};
   std::string in_;
   Time idle_since_;
   Duration announced_idle_{0};
@@ -154,6 +153,7 @@
 void Http1ClientConnection::SetKeepAlive() {
   asio::error_code ignored;  // Options only tune the connection.
   socket_.set_option(Tcp::no_delay(true), ignored);
+  socket_.non_blocking(true, ignored);
   const int seconds = owner_->init_.keep_alive_s;
   if (seconds > 0) {
     using Idle =
@@ -212,17 +212,15 @@
     return;
   }
   reading_ = true;
-  socket_.async_read_some(
-      asio::buffer(buffer_),
-      [self = shared_from_this()](const asio::error_code& error,
-                                  std::size_t count) {
-        self->reading_ = false;
-        self->OnRead(error, count);
-      });
+  ReadShared(socket_, [self = shared_from_this()](const asio::error_code& error,
+                                                  std::string_view bytes) {
+    self->reading_ = false;
+    self->OnRead(error, bytes);
+  });
 }
 
 void Http1ClientConnection::OnRead(const asio::error_code& error,
-                                   std::size_t count) {
+                                   std::string_view bytes) {
   if (id_ == 0) {
     // Nothing is expected on an idle connection: it closes, or its bytes
     // belong to no request.
@@ -243,7 +241,7 @@
     End(Http1End::kBroken, error.message(), false);
     return;
   }
-  in_.append(buffer_.data(), count);
+  in_.append(bytes);
   Parse();
   if (id_ != 0) {
     Read();
--- a/src/io/http1_server.cc
+++ b/src/io/http1_server.cc
@@ -1,18 +1,17 @@
 #include "io/http1_server.h"
 
-#include <array>
 #include <asio/write.hpp>
 #include <utility>
 #include <vector>
 
 #include "base/log.h"
+#include "io/shared_read.h"
 
 namespace verbenastile {
 namespace {
 
 using Tcp = asio::ip::tcp;
 
-constexpr std::size_t kReadBytes = 16'384;
 // Bytes read ahead while a request is being answered.
 constexpr std::size_t kMaxReadAhead = 65'536;
 // How often timeouts of connections are looked at.
@@ -51,6 +50,7 @@
         since_(SteadyNow()) {
     asio::error_code error;
     socket_.set_option(Tcp::no_delay(true), error);
+    socket_.non_blocking(true, error);
     const auto remote = socket_.remote_endpoint(error);
     remote_ip_ = error ? std::string() : remote.address().to_string();
   }
@@ -73,7 +73,7 @@
  private:
   enum class State : std::uint8_t { kOpen, kLingering, kClosed };
 
-  void OnRead(const asio::error_code& error, std::size_t count);
+  void OnRead(const asio::error_code& error, std::string_view bytes);
   void Parse();
   void Dispatch();
   void Reject(int status);
@@ -88,7 +88,6 @@
   Http1Parser parser_;
   Time since_;  // When the present wait began.
   std::string remote_ip_;
-  std::array<char, kReadBytes> buffer_ = {};
   std::string in_;       // Read and not parsed.
   std::string body_;     // Of the request being read.
   std::string out_;      // Not handed to the socket.
@@ -106,16 +105,15 @@
     return;
   }
   reading_ = true;
-  socket_.async_read_some(
-      asio::buffer(buffer_),
-      [self = shared_from_this()](const asio::error_code& error,
-                                  std::size_t count) {
-        self->reading_ = false;
-        self->OnRead(error, count);
-      });
+  ReadShared(socket_, [self = shared_from_this()](const asio::error_code& error,
+                                                  std::string_view bytes) {
+    self->reading_ = false;
+    self->OnRead(error, bytes);
+  });
 }
 
-void Http1Connection::OnRead(const asio::error_code& error, std::size_t count) {
+void Http1Connection::OnRead(const asio::error_code& error,
+                             std::string_view bytes) {
   if (state_ == State::kClosed) {
     return;
   }
@@ -124,7 +122,7 @@
     return;
   }
   if (state_ == State::kOpen) {
-    in_.append(buffer_.data(), count);
+    in_.append(bytes);
     if (!answering_) {
       Parse();
     }
--- /dev/null
+++ b/src/io/shared_read.h
@@ -0,0 +1,39 @@
+// Reads from sockets without a buffer for each: one that waits for its peer
+// holds no memory.
+#ifndef IO_SHARED_READ_H_
+#define IO_SHARED_READ_H_
+
+#include <array>
+#include <asio/ip/tcp.hpp>
+#include <string_view>
+#include <utility>
+
+namespace verbenastile {
+
+// What one read takes at most.
+constexpr std::size_t kSharedReadBytes = 65'536;
+
+// Waits until `socket`, which must not block, has bytes, and hands them to
+// `handler(error, bytes)`; the bytes are valid until the handler returns. The
+// handler keeps the socket alive.
+template <typename Handler>
+void ReadShared(asio::ip::tcp::socket& socket, Handler handler) {
+  socket.async_wait(
+      asio::ip::tcp::socket::wait_read,
+      [&socket, handler = std::move(handler)](asio::error_code error) mutable {
+        static thread_local std::array<char, kSharedReadBytes> buffer;
+        std::size_t count = 0;
+        if (!error) {
+          count = socket.read_some(asio::buffer(buffer), error);
+        }
+        if (error == asio::error::would_block) {
+          ReadShared(socket, std::move(handler));
+          return;
+        }
+        handler(error, std::string_view(buffer.data(), count));
+      });
+}
+
+}  // namespace verbenastile
+
+#endif  // IO_SHARED_READ_H_
--- a/src/mesh/link.cc
+++ b/src/mesh/link.cc
@@ -4,6 +4,8 @@
 #include <asio/write.hpp>
 #include <utility>
 
+#include "io/shared_read.h"
+
 namespace verbenastile {
 namespace {
 
@@ -11,6 +13,15 @@
 // body fits in.
 constexpr std::size_t kMaxUnsentBytes = 100'000'000;
 
+// Empties `text`, and gives back what a large frame made it take.
+void Reuse(std::string& text) {
+  constexpr std::size_t kKeptBytes = 32'768;
+  text.clear();
+  if (text.capacity() > kKeptBytes) {
+    text.shrink_to_fit();
+  }
+}
+
 }  // namespace
 
 void Link::Open(Events events) {
@@ -19,6 +30,7 @@
   last_heard_ = SteadyNow();
   asio::error_code ignored;  // The option only tunes the connection.
   socket_.set_option(Tcp::no_delay(true), ignored);
+  socket_.non_blocking(true, ignored);
   Read();
 }
 
@@ -49,7 +61,7 @@
                     [self = shared_from_this()](const asio::error_code& error,
                                                 std::size_t count) {
                       self->bytes_sent_ += count;
-                      self->writing_.clear();
+                      Reuse(self->writing_);
                       if (error) {
                         self->Fail(error.message());
                       } else {
@@ -59,24 +71,22 @@
 }
 
 void Link::Read() {
-  socket_.async_read_some(
-      asio::buffer(buffer_),
-      [self = shared_from_this()](const asio::error_code& error,
-                                  std::size_t count) {
-        if (!self->open_) {
-          return;
-        }
-        if (error) {
-          self->Fail(error.message());
-          return;
-        }
-        self->last_heard_ = SteadyNow();
-        self->bytes_received_ += count;
-        self->reader_.Append(self->buffer_.data(), count);
-        if (self->DeliverFrames()) {
-          self->Read();
-        }
-      });
+  ReadShared(socket_, [self = shared_from_this()](const asio::error_code& error,
+                                                  std::string_view bytes) {
+    if (!self->open_) {
+      return;
+    }
+    if (error) {
+      self->Fail(error.message());
+      return;
+    }
+    self->last_heard_ = SteadyNow();
+    self->bytes_received_ += bytes.size();
+    self->reader_.Append(bytes.data(), bytes.size());
+    if (self->DeliverFrames()) {
+      self->Read();
+    }
+  });
 }
 
 bool Link::DeliverFrames() {
--- a/src/mesh/link.h
+++ b/src/mesh/link.h
@@ -2,7 +2,6 @@
 #ifndef MESH_LINK_H_
 #define MESH_LINK_H_
 
-#include <array>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <cstdint>
@@ -44,8 +43,6 @@
   std::uint64_t bytes_received() const { return bytes_received_; }
 
  private:
-  static constexpr std::size_t kReadBytes = 65'536;
-
   void Read();
   bool DeliverFrames();
   void Flush();
@@ -54,7 +51,6 @@
   Tcp::socket socket_;
   Events events_;
   LinkReader reader_;
-  std::array<char, kReadBytes> buffer_ = {};
   std::string out_;
   std::string writing_;
   Time last_heard_;
--- a/src/mesh/link_codec.cc
+++ b/src/mesh/link_codec.cc
@@ -271,6 +271,9 @@
   if (begin_ == end_) {
     begin_ = 0;
     end_ = 0;
+    if (words_.size() * kWordBytes > kCompactBytes) {
+      words_ = {};
+    }
   } else if (begin_ > kCompactBytes) {
     auto* base = reinterpret_cast<char*>(words_.data());
     std::memmove(base, base + begin_, end_ - begin_);
