--- /dev/null
+++ b/soak/faults.py
@@ -0,0 +1,718 @@
+#!/usr/bin/env python3
+"""Runs real sidecars as processes on loopback, injects faults from outside and
+checks what callers and instances see.
+
+One seed is one run: `python3 soak/faults.py --seed 7`. Exit code 0: every
+promise was kept. Otherwise the logs and the schedule stay in the work folder.
+"""
+import argparse
+import asyncio
+import json
+import os
+import pathlib
+import random
+import shutil
+import signal
+import sys
+import tempfile
+import time
+
+GRACE = 6.0  # Seconds from SIGTERM to SIGKILL.
+DRAIN = 2.0  # Seconds in which a leaving instance may still get new work.
+APPLY = 2.0  # Seconds in which a configuration is in force, without faults.
+TOUCH = 3.0  # Seconds without faults after which bounds hold.
+RECOVERY = 15.0  # Seconds after the last fault until requests are served.
+SLACK = 0.5  # Seconds for the scheduling of this process.
+SLOTS = 6
+WORK = 0.02  # Mean seconds that a request takes.
+
+
+class HttpError(Exception):
+    """What was read is no whole message."""
+
+
+async def read_message(reader):
+    """The first line, the headers and the body of one message."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    lines = head.decode("latin-1").split("\r\n")
+    headers = {}
+    for line in lines[1:]:
+        if ":" in line:
+            name, value = line.split(":", 1)
+            headers[name.strip().lower()] = value.strip()
+    if headers.get("transfer-encoding") == "chunked":
+        body = b""
+        while True:
+            size = int(await reader.readuntil(b"\r\n"), 16)
+            body += (await reader.readexactly(size + 2))[:size]
+            if size == 0:
+                return lines[0], headers, body
+    length = int(headers.get("content-length", "0"))
+    return lines[0], headers, await reader.readexactly(length)
+
+
+def format_answer(status, headers, body):
+    text = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n"
+    text += "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+    return text.encode() + b"\r\n" + body
+
+
+async def call(address, method, target, headers=None, body=b"", timeout=2.0):
+    """One request on a connection of its own: status, headers, body."""
+
+    async def exchange():
+        reader, writer = await asyncio.open_connection(*address)
+        try:
+            text = f"{method} {target} HTTP/1.1\r\nContent-Length: {len(body)}\r\n"
+            for name, value in (headers or {}).items():
+                text += f"{name}: {value}\r\n"
+            writer.write(text.encode() + b"\r\n" + body)
+            line, got, answer = await read_message(reader)
+            return int(line.split()[1]), got, answer
+        finally:
+            writer.close()
+
+    return await asyncio.wait_for(exchange(), timeout)
+
+
+class Store:
+    """The platform's store: objects, revisions, watches, and its faults."""
+
+    def __init__(self, rng):
+        self.rng = rng
+        self.objects = {}  # (kind, name) -> object
+        self.events = []  # (revision, kind, object, deleted)
+        self.revision = 100
+        self.oldest = 100  # Watches from before get 410.
+        self.fault = None  # None, "busy", "silent", "lost" or "slow".
+        self.changed = asyncio.Condition()
+
+    async def change(self, kind, name, spec, deleted=False):
+        self.revision += 1
+        value = {
+            "metadata": {"name": name, "revision": self.revision},
+            "spec": spec,
+            "status": None,
+        }
+        if deleted:
+            self.objects.pop((kind, name), None)
+        else:
+            self.objects[(kind, name)] = value
+        self.events.append((self.revision, kind, value, deleted))
+        async with self.changed:
+            self.changed.notify_all()
+        return value
+
+    async def serve(self, reader, writer):
+        try:
+            while True:
+                line, _, body = await read_message(reader)
+                method, target, _ = line.split(" ")
+                if self.fault == "silent":
+                    await asyncio.sleep(30)
+                    return
+                if self.fault == "slow":
+                    await asyncio.sleep(0.5)
+                if self.fault == "busy":
+                    status, answer = 503, {}
+                else:
+                    status, answer = await self.handle(method, target, body)
+                if self.fault == "lost" and self.rng.random() < 0.4:
+                    return
+                writer.write(
+                    format_answer(
+                        status,
+                        {"Content-Type": "application/json"},
+                        json.dumps(answer).encode(),
+                    )
+                )
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError, OSError):
+            pass  # The node closed its connection.
+        except asyncio.CancelledError:
+            pass  # The soak is over.
+        finally:
+            writer.close()
+
+    async def handle(self, method, target, body):
+        path, _, query = target.partition("?")
+        parts = path.removeprefix("/api/objects/").split("/")
+        options = dict(pair.split("=", 1) for pair in query.split("&") if "=" in pair)
+        if method == "GET" and "watch" in options:
+            return await self.watch(parts[0], options)
+        if method == "GET":
+            items = [v for (kind, _), v in self.objects.items() if kind == parts[0]]
+            return 200, {
+                "items": items,
+                "has_more": False,
+                "current_rev": self.revision,
+            }
+        kind, name = parts
+        known = self.objects.get((kind, name))
+        sent = json.loads(body) if body else {}
+        revision = sent.get("metadata", {}).get("revision") or options.get("revision")
+        if method == "POST":
+            if known:
+                return 409, known
+            return 200, await self.change(kind, name, sent["spec"])
+        if known is None:
+            return 404, {}
+        if revision is not None and int(revision) != known["metadata"]["revision"]:
+            return 409, known
+        if method == "DELETE":
+            return 200, await self.change(kind, name, None, deleted=True)
+        return 200, await self.change(kind, name, sent["spec"])
+
+    async def watch(self, kind, options):
+        since = int(options["watch"])
+        end = time.monotonic() + int(options["wait_ms"]) / 1000
+        while True:
+            if since < self.oldest:
+                return 410, {}
+            events = [
+                {"object": value, "deleted": deleted}
+                for revision, of, value, deleted in self.events
+                if revision > since and of == kind
+            ]
+            left = end - time.monotonic()
+            if events or left <= 0:
+                return 200, {"events": events, "current_rev": self.revision}
+            try:
+                async with self.changed:
+                    await asyncio.wait_for(self.changed.wait(), min(left, 1.0))
+            except asyncio.TimeoutError:
+                pass  # Looks again whether the history is still there.
+
+
+class Proxy:
+    """Passes bytes on to `target`, unless told to misbehave."""
+
+    def __init__(self, target):
+        self.target = target
+        self.mode = "pass"  # "delay", "one_way", "silent" or "reset".
+        self.writers = set()
+
+    async def serve(self, reader, writer):
+        if self.mode == "reset":
+            writer.transport.abort()
+            return
+        try:
+            far_reader, far_writer = await asyncio.open_connection(*self.target)
+        except OSError:
+            writer.transport.abort()
+            return
+        self.writers |= {writer, far_writer}
+        await asyncio.gather(
+            self.pump(reader, far_writer, True), self.pump(far_reader, writer, False)
+        )
+        self.writers -= {writer, far_writer}
+
+    async def pump(self, reader, writer, forward):
+        try:
+            while data := await reader.read(65536):
+                while self.mode == "silent" or (self.mode == "one_way" and forward):
+                    await asyncio.sleep(0.05)
+                if self.mode == "delay":
+                    await asyncio.sleep(0.1)
+                writer.write(data)
+                await writer.drain()
+        except (ConnectionError, OSError):
+            pass  # One side has closed; so does the other.
+        finally:
+            writer.close()
+
+    def set_mode(self, mode):
+        self.mode = mode
+        if mode == "reset":
+            for writer in list(self.writers):
+                writer.transport.abort()
+
+
+class Instance:
+    """The upstream instance beside one node."""
+
+    def __init__(self, soak, node):
+        self.soak = soak
+        self.node = node
+        self.number = 0
+        self.server = None
+        self.leaving_acked = None
+        self.task = None
+
+    async def start(self):
+        self.number += 1
+        self.id = f"i-{self.node.index}-{self.number}"
+        self.leaving_acked = None
+        self.sequence = 0
+        self.state = "ready"
+        self.server = await asyncio.start_server(self.serve, *self.node.app)
+        self.task = asyncio.create_task(self.report())
+
+    async def report(self):
+        while True:
+            await self.heartbeat()
+            await asyncio.sleep(0.5)
+
+    async def heartbeat(self):
+        self.sequence += 1
+        body = {
+            "address": "%s:%d" % self.node.app,
+            "info": {
+                "service": self.node.service,
+                "version": "v1",
+                "zone": self.node.domain,
+                "slots": SLOTS,
+            },
+            "status": {
+                "state": self.state,
+                "sequence": self.sequence,
+                "warmup_left_ms": 0,
+            },
+        }
+        return await self.tell(f"/api/Instances.Heartbeat/{self.id}", body)
+
+    async def tell(self, target, body):
+        try:
+            status, _, _ = await call(
+                self.node.control, "POST", target, {}, json.dumps(body).encode(), 1.0
+            )
+            return status == 200
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+            return False  # The node is down; the next report is due soon.
+
+    async def crash(self):
+        self.task.cancel()
+        self.server.close()
+        for writer in list(self.soak.busy.get(self.id, ())):
+            writer.transport.abort()
+        await asyncio.sleep(0.3)
+        await self.start()
+
+    async def replace(self, says_leaving):
+        self.task.cancel()
+        target = f"/api/Instances.Deregister/{self.id}"
+        self.state = "draining"
+        acked = await (self.heartbeat() if says_leaving else self.tell(target, {}))
+        if acked:
+            self.leaving_acked = time.monotonic()
+        await asyncio.sleep(DRAIN + 1.0)
+        if says_leaving:
+            await self.tell(target, {})
+        self.server.close()
+        await asyncio.sleep(0.2)
+        await self.start()
+
+    async def serve(self, reader, writer):
+        mine = self.id
+        busy = self.soak.busy.setdefault(mine, set())
+        busy.add(writer)
+        try:
+            while True:
+                line, headers, body = await read_message(reader)
+                await self.answer(mine, line, headers, body, writer)
+        except (asyncio.IncompleteReadError, ConnectionError, OSError):
+            pass  # The node closed its connection.
+        finally:
+            busy.discard(writer)
+            writer.close()
+
+    async def answer(self, mine, line, headers, body, writer):
+        request = headers.get("x-attempt-id", "")
+        expected = headers.get("x-expect-instance")
+        if expected not in (None, mine) or mine != self.id:
+            writer.write(format_answer(421, {"X-Instance-Id": self.id}, b""))
+            return
+        self.soak.on_run(self, request, line, headers)
+        roll = self.soak.rng.random()
+        await asyncio.sleep(WORK * self.soak.rng.uniform(0.5, 1.5))
+        if roll < self.soak.lose_answers:
+            writer.transport.abort()
+            return
+        content = self.soak.content(request)
+        answer = format_answer(200, self.echo(request), content)
+        if roll < self.soak.lose_answers * 2:
+            writer.write(answer[: -len(content) // 2])
+            writer.close()
+            return
+        writer.write(answer)
+        await writer.drain()
+
+    def echo(self, request):
+        return {"X-Attempt-Id": request, "X-Response-Signature": f"s.{request}"}
+
+
+class Node:
+    """One sidecar process with its addresses."""
+
+    def __init__(self, soak, index):
+        self.soak = soak
+        self.index = index
+        self.ip = f"127.0.60.{index + 1}"
+        self.domain = f"d{index % 3}"
+        self.service = "booking" if index % 3 else "library"
+        base = soak.base_port
+        self.callers = (self.ip, base)
+        self.links = (self.ip, base + 1)
+        self.links_proxy = (self.ip, base + 2)
+        self.control = (self.ip, base + 3)
+        self.ready = (self.ip, base + 4)
+        self.metrics = (self.ip, base + 5)
+        self.app = (self.ip, base + 6)
+        self.store_proxy = (self.ip, base + 7)
+        self.process = None
+        self.told_to_stop = False
+        self.disturbed = time.monotonic()
+        self.starts = 0
+
+    def write_settings(self):
+        text = json.dumps(
+            {
+                "node": {
+                    "name": f"node-{self.index}",
+                    "failure_domain": self.domain,
+                    "region": "north",
+                },
+                "listen": {
+                    "callers": "%s:%d" % self.callers,
+                    "links": "%s:%d" % self.links,
+                    "links_from_outside": "%s:%d" % self.links_proxy,
+                    "control": "%s:%d" % self.control,
+                    "ready": "%s:%d" % self.ready,
+                    "metrics": "%s:%d" % self.metrics,
+                },
+                "upstream": {"service": self.service, "address": "%s:%d" % self.app},
+                "platform": {
+                    "address": "%s:%d" % self.store_proxy,
+                    "bounds": {
+                        "grace_s": GRACE,
+                        "retry_budget_ratio": 0.2,
+                        "budget_slack": 56,
+                        "budget_window_s": 10,
+                    },
+                },
+            },
+            indent=1,
+        )
+        self.settings = self.soak.folder / f"node-{self.index}.yaml"
+        self.settings.write_text(text)
+
+    async def run(self):
+        """Keeps a process running until the soak ends."""
+        while not self.soak.over:
+            self.starts += 1
+            self.told_to_stop = False
+            log = self.soak.folder / f"node-{self.index}.{self.starts}.log"
+            with open(log, "wb") as out:
+                self.process = await asyncio.create_subprocess_exec(
+                    self.soak.binary,
+                    "sidecar",
+                    "--settings",
+                    str(self.settings),
+                    stdout=out,
+                    stderr=out,
+                )
+                code = await self.process.wait()
+            self.disturbed = time.monotonic()
+            if code not in (0, -signal.SIGKILL):
+                self.soak.fail(f"node {self.index} ended with code {code}: {log}")
+            if code == 0 and not self.told_to_stop:
+                self.soak.fail(f"node {self.index} ended by itself: {log}")
+            await asyncio.sleep(0.3)
+
+    def signal(self, number):
+        self.disturbed = time.monotonic()
+        if self.process and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def stop(self):
+        self.told_to_stop = True
+        process = self.process
+        self.signal(signal.SIGTERM)
+        try:
+            await asyncio.wait_for(process.wait(), GRACE + SLACK)
+        except asyncio.TimeoutError:
+            self.soak.fail(f"node {self.index} did not stop within its grace period")
+            process.kill()
+
+    async def is_ready(self):
+        try:
+            status, _, _ = await call(self.ready, "GET", "/api/ready", timeout=1.0)
+            return status == 200
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+            return False  # It is down or stopped; so it is not ready.
+
+
+class Soak:
+    def __init__(self, options):
+        self.options = options
+        self.rng = random.Random(options.seed)
+        self.binary = str(pathlib.Path(options.binary).resolve())
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix=f"faults-{options.seed}-"))
+        self.base_port = 20000 + options.port_offset
+        self.over = False
+        self.failures = []
+        self.schedule = []
+        self.busy = {}
+        self.runs = {}  # Request id -> runs.
+        self.sent = {}  # Request id -> (unsafe, outcome status or None).
+        self.lose_answers = 0.0
+        self.version = 1
+        self.routes = ["p1"]
+        self.acked = {"p1": time.monotonic()}
+        self.last_fault = time.monotonic()
+        self.served = []  # (time, whether it was served)
+        self.store = Store(self.rng)
+        self.nodes = [Node(self, i) for i in range(options.nodes)]
+        self.instances = [Instance(self, node) for node in self.nodes]
+        self.store_proxies = [Proxy((n.ip, self.base_port + 8)) for n in self.nodes]
+        self.link_proxies = [Proxy(n.links) for n in self.nodes]
+
+    def fail(self, text):
+        if len(self.failures) < 20:
+            self.failures.append(f"{time.monotonic() - self.begin:.3f} s: {text}")
+
+    def content(self, request):
+        return (request * 200).encode()
+
+    def configuration(self):
+        routes = {}
+        for name in self.routes:
+            for kind in ("safe", "unsafe"):
+                routes[f"{name}-{kind}"] = {
+                    "host": "a.example",
+                    "path_prefix": f"/{name}/{kind}/",
+                    "kind": kind,
+                    "timeout_ms": 1500,
+                    "target_latency_ms": 300,
+                    "priority": 1,
+                    "service": "booking",
+                    "max_attempts": 2,
+                }
+        return {
+            "version": f"{self.version:08x}",
+            "routes": routes,
+            "services": {"booking": {}, "library": {}},
+            "limits": {},
+        }
+
+    def on_run(self, instance, request, line, headers):
+        self.runs[request] = self.runs.get(request, 0) + 1
+        unsafe = "/unsafe/" in line
+        if request not in self.sent:
+            self.fail(f"an instance ran {request}, which no client sent")
+        if unsafe and self.runs[request] > 1:
+            self.fail(f"unsafe request {request} ran {self.runs[request]} times")
+        if instance.node.service != "booking":
+            self.fail(f"{request} ran at the wrong service")
+        acked = instance.leaving_acked
+        if acked and time.monotonic() - acked > DRAIN + SLACK:
+            self.fail(f"{request} reached {instance.id} after it left")
+
+    async def client(self, number):
+        sequence = 0
+        while not self.over:
+            sequence += 1
+            node = self.rng.choice(self.nodes)
+            unsafe = self.rng.random() < 0.4
+            route = self.rng.choice(self.routes)
+            request = f"{number:x}x{sequence:x}"
+            await self.one_request(node, route, unsafe, request)
+            await asyncio.sleep(self.rng.uniform(0.0, 0.06))
+
+    async def one_request(self, node, route, unsafe, request):
+        self.sent[request] = (unsafe, None)
+        kind = "unsafe" if unsafe else "safe"
+        begin = time.monotonic()
+        status = None
+        try:
+            status, headers, body = await call(
+                node.callers,
+                "POST" if unsafe else "GET",
+                f"/{route}/{kind}/{request}",
+                {"Host": "a.example", "X-Attempt-Id": request, "X-Deadline-Ms": "1500"},
+                timeout=2.5,
+            )
+            self.check_answer(node, route, request, begin, status, headers, body)
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+            pass  # No answer promises nothing.
+        self.sent[request] = (unsafe, status)
+        self.served.append((begin, status == 200))
+
+    def check_answer(self, node, route, request, begin, status, headers, body):
+        if status == 200:
+            if headers.get("x-response-signature") != f"s.{request}":
+                self.fail(f"{request} got the answer of another request")
+            if body != self.content(request):
+                self.fail(f"{request} got a body that is not its own, or not whole")
+        calm = begin - max(self.last_fault, node.disturbed) > TOUCH + APPLY
+        in_force = begin - self.acked.get(route, begin) > APPLY + SLACK
+        if status == 404 and calm and in_force:
+            self.fail(f"{request} got 404 on {route}, in force since long")
+
+    # Faults: each is a coroutine that begins and ends one.
+
+    async def fault_kill(self):
+        self.rng.choice(self.nodes).signal(signal.SIGKILL)
+
+    async def fault_herd(self):
+        for node in self.rng.sample(self.nodes, len(self.nodes) // 2):
+            node.signal(signal.SIGKILL)
+
+    async def fault_freeze(self):
+        node = self.rng.choice(self.nodes)
+        node.signal(signal.SIGSTOP)
+        await asyncio.sleep(self.rng.uniform(0.3, 3.0))
+        node.signal(signal.SIGCONT)
+
+    async def fault_stop(self):
+        node = self.rng.choice(self.nodes)
+        if not node.told_to_stop and node.process.returncode is None:
+            await node.stop()
+
+    async def fault_hup(self):
+        self.rng.choice(self.nodes).signal(signal.SIGHUP)
+
+    async def fault_link(self):
+        proxy = self.rng.choice(self.link_proxies)
+        proxy.set_mode(self.rng.choice(["delay", "one_way", "silent", "reset"]))
+        await asyncio.sleep(self.rng.uniform(0.2, 3.0))
+        proxy.set_mode("pass")
+
+    async def fault_store_link(self):
+        proxy = self.rng.choice(self.store_proxies)
+        proxy.set_mode(self.rng.choice(["delay", "one_way", "silent", "reset"]))
+        await asyncio.sleep(self.rng.uniform(0.2, 4.0))
+        proxy.set_mode("pass")
+
+    async def fault_store(self):
+        self.store.fault = self.rng.choice(["busy", "silent", "lost", "slow"])
+        await asyncio.sleep(self.rng.uniform(0.5, 4.0))
+        self.store.fault = None
+
+    async def fault_history(self):
+        self.store.oldest = self.store.revision + 1
+        self.store.revision += 1
+
+    async def fault_crash(self):
+        await self.rng.choice(self.instances).crash()
+
+    async def fault_replace(self):
+        instance = self.rng.choice(self.instances)
+        if instance.state == "ready":
+            await instance.replace(self.rng.random() < 0.6)
+
+    async def fault_lost_answers(self):
+        self.lose_answers = 0.05
+        await asyncio.sleep(self.rng.uniform(0.5, 3.0))
+        self.lose_answers = 0.0
+
+    async def fault_configuration(self):
+        self.version += self.rng.randint(1, 3)
+        name = f"p{self.version}"
+        self.routes = self.routes[:1] + [name]
+        await self.store.change("config", "main", self.configuration())
+        self.acked[name] = time.monotonic()
+
+    async def inject(self):
+        kinds = [getattr(self, name) for name in dir(self) if name.startswith("fault_")]
+        running = set()
+        end = self.begin + self.options.warm_up + self.options.seconds
+        while time.monotonic() < end:
+            for _ in range(self.rng.choice([1, 1, 2, 3])):
+                fault = self.rng.choice(kinds)
+                at = time.monotonic() - self.begin
+                self.schedule.append(f"{at:.3f} s: {fault.__name__}")
+                running.add(asyncio.create_task(fault()))
+            self.last_fault = time.monotonic()
+            await asyncio.sleep(self.rng.uniform(0.1, 2.0))
+        results = await asyncio.gather(*running, return_exceptions=True)
+        for result in results:
+            if isinstance(result, Exception):
+                self.fail(f"the soak itself failed: {result!r}")
+        self.last_fault = time.monotonic()
+
+    async def check_recovery(self):
+        deadline = self.last_fault + RECOVERY
+        while time.monotonic() < deadline:
+            states = await asyncio.gather(*(node.is_ready() for node in self.nodes))
+            if all(states):
+                break
+            await asyncio.sleep(0.1)
+        else:
+            self.fail(f"not all nodes are ready {RECOVERY} s after the last fault")
+        await asyncio.sleep(TOUCH)
+        begin = time.monotonic()
+        await asyncio.sleep(2.0)
+        recent = [ok for at, ok in self.served if at >= begin]
+        if not recent or sum(recent) < 0.9 * len(recent):
+            self.fail(f"{sum(recent)} of {len(recent)} are served after recovery")
+
+    def check_refusals(self):
+        for request, (unsafe, status) in self.sent.items():
+            if unsafe and status in (408, 421, 429, 503) and self.runs.get(request):
+                self.fail(f"{request} was refused with {status} and has run")
+
+    async def main(self):
+        self.begin = time.monotonic()
+        await self.store.change("config", "main", self.configuration())
+        servers = []
+        for node, store_proxy, link_proxy in zip(
+            self.nodes, self.store_proxies, self.link_proxies
+        ):
+            node.write_settings()
+            address = (node.ip, self.base_port + 8)
+            servers += [
+                await asyncio.start_server(self.store.serve, *address),
+                await asyncio.start_server(store_proxy.serve, *node.store_proxy),
+                await asyncio.start_server(link_proxy.serve, *node.links_proxy),
+            ]
+        keepers = [asyncio.create_task(node.run()) for node in self.nodes]
+        for instance in self.instances:
+            await instance.start()
+        await asyncio.sleep(self.options.warm_up)
+        clients = [
+            asyncio.create_task(self.client(i)) for i in range(self.options.clients)
+        ]
+        await self.inject()
+        await self.check_recovery()
+        self.over = True
+        await asyncio.gather(*clients)
+        for instance in self.instances:
+            instance.task.cancel()
+        await asyncio.gather(*(node.stop() for node in self.nodes))
+        await asyncio.gather(*keepers)
+        self.check_refusals()
+        for server in servers:
+            server.close()
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, required=True)
+    parser.add_argument("--binary", default="build/verbenastile")
+    parser.add_argument("--nodes", type=int, default=6)
+    parser.add_argument("--clients", type=int, default=12)
+    parser.add_argument("--seconds", type=float, default=15.0)
+    parser.add_argument("--warm-up", type=float, default=2.0)
+    parser.add_argument("--port-offset", type=int, default=0)
+    options = parser.parse_args()
+    soak = Soak(options)
+    asyncio.run(soak.main())
+    served = sum(ok for _, ok in soak.served)
+    print(
+        f"faults: seed {options.seed}: {len(soak.schedule)} faults, "
+        f"{served} of {len(soak.served)} requests served, "
+        f"{len(soak.failures)} broken promises"
+    )
+    if not soak.failures:
+        shutil.rmtree(soak.folder)
+        return 0
+    for failure in soak.failures:
+        print(f"  {failure}")
+    (soak.folder / "schedule").write_text("\n".join(soak.schedule) + "\n")
+    print(f"  logs and schedule: {soak.folder}")
+    return 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/config/sidecar_settings.cc
+++ b/src/config/sidecar_settings.cc
@@ -12,6 +12,9 @@
   SidecarListenSettings listen;
   listen.callers = ReadAddress(reader, "callers");
   listen.links = ReadAddress(reader, "links");
+  listen.links_from_outside = reader.Has("links_from_outside")
+                                  ? ReadAddress(reader, "links_from_outside")
+                                  : listen.links;
   listen.control = ReadAddress(reader, "control");
   listen.ready = ReadAddress(reader, "ready");
   listen.metrics = ReadAddress(reader, "metrics");
--- a/src/config/sidecar_settings.h
+++ b/src/config/sidecar_settings.h
@@ -15,6 +15,8 @@
 struct SidecarListenSettings {
   SocketAddress callers;  // HTTP, from callers on this machine.
   SocketAddress links;    // From other sidecars.
+  // Where others reach `links`, when that is another address.
+  SocketAddress links_from_outside;
   SocketAddress control;  // HTTP, from the instance in the slot.
   SocketAddress ready;    // HTTP, from the platform.
   SocketAddress metrics;  // HTTP, from operators.
--- a/src/mesh/sidecar.cc
+++ b/src/mesh/sidecar.cc
@@ -530,7 +530,7 @@
   member.failure_domain = settings_.failure_domain;
   member.region = settings_.region;
   member.service = settings_.service;
-  member.peers = settings_.listen.links;
+  member.peers = settings_.listen.links_from_outside;
   member.serving = tracker_.serves();
   if (tracker_.report()) {
     member.service = tracker_.report()->service;
