--- a/src/mesh/gate.cc
+++ b/src/mesh/gate.cc
@@ -226,6 +226,7 @@
   answer.last = last;
   answer.load = load();
   answer.waited = call.started - call.arrived;
+  answer.ran = SteadyNow() - call.started;
   LogEnd(id, call, last ? "answered" : "answer_begun");
   Tell(call.reply, std::move(answer));
 }
@@ -281,7 +282,9 @@
   if (!call.abandoned) {
     TellPart(id, call, true);
   }
-  profiles_.Learn(call.call.rule, SteadyNow() - call.started, call.told);
+  const Duration ran = SteadyNow() - call.started;
+  profiles_.Learn(call.call.rule, ran, call.told);
+  slowness_.OnEnded(ran, call.call.usual);
   calls_.erase(id);
 }
 
@@ -333,6 +336,10 @@
     return;
   }
   LogEnd(id, call, "cancelled");
+  // It would have taken at least as long.
+  if (now - call.started > call.call.usual) {
+    slowness_.OnEnded(now - call.started, call.call.usual);
+  }
   http_.Cancel(call.http);
   calls_.erase(found);
   held_slots_.push_back({now + kCancelledSlotTime, id});
@@ -361,7 +368,8 @@
 }
 
 GateLoad Gate::load() const {
-  return {{admission_.busy(), static_cast<std::uint32_t>(admission_.queued())},
+  return {{admission_.busy(), static_cast<std::uint32_t>(admission_.queued()),
+           slowness_.permille()},
           init_.generation()};
 }
 
@@ -392,8 +400,21 @@
   }
 }
 
+void Gate::WeighRunning(Time now) {
+  Duration taken{0};
+  Duration usual{0};
+  for (const auto& [id, call] : calls_) {
+    if (call.http != 0) {
+      taken += now - call.started;
+      usual += call.call.usual;
+    }
+  }
+  slowness_.OnRunning(taken, usual);
+}
+
 void Gate::Tick() {
   const Time now = SteadyNow();
+  WeighRunning(now);
   EndOverdue(now);
   for (const HeldSlot& slot : std::exchange(held_slots_, {})) {
     if (slot.until <= now) {
--- a/src/mesh/link.cc
+++ b/src/mesh/link.cc
@@ -34,18 +34,21 @@
   Read();
 }
 
-void Link::Send(const LinkFrame& frame) {
+std::size_t Link::Send(const LinkFrame& frame) {
   if (!open_) {
-    return;
+    return 0;
   }
+  const std::size_t before = out_.size();
   AppendFrame(frame, out_);
+  const std::size_t size = out_.size() - before;
   if (!writing_.empty() || std::exchange(flush_posted_, true)) {
-    return;
+    return size;
   }
   asio::post(socket_.get_executor(), [self = shared_from_this()] {
     self->flush_posted_ = false;
     self->Flush();
   });
+  return size;
 }
 
 void Link::Flush() {
--- a/src/mesh/link.h
+++ b/src/mesh/link.h
@@ -31,7 +31,8 @@
 
   // Starts on a connected socket.
   void Open(Events events);
-  void Send(const LinkFrame& frame);
+  // Returns the frame's size in bytes.
+  std::size_t Send(const LinkFrame& frame);
   // Closes without `on_closed`.
   void Close();
 
--- a/src/mesh/link_hub.cc
+++ b/src/mesh/link_hub.cc
@@ -11,8 +11,6 @@
 constexpr std::string_view kPart = "links";
 
 constexpr int kBacklog = 1'024;
-// Frames up to this size need not wait for the machine's link.
-constexpr std::size_t kSmallBytes = 4'096;
 constexpr Duration kConnectTimeout = std::chrono::seconds(1);
 // Links that broke are opened again after this, doubled up to the longest.
 constexpr Duration kFirstRedial = std::chrono::milliseconds(100);
@@ -54,9 +52,7 @@
     : init_(std::move(init)),
       acceptor_(*init_.io),
       probe_timer_(*init_.io),
-      random_(init_.seed),
-      pacer_(init_.pacer, SteadyNow()),
-      pacer_timer_(*init_.io) {}
+      random_(init_.seed) {}
 
 LinkHub::~LinkHub() {
   Close();
@@ -91,7 +87,6 @@
   asio::error_code ignored;  // It may not be open.
   acceptor_.close(ignored);
   probe_timer_.cancel();
-  pacer_timer_.cancel();
   for (const auto& [name, peer] : std::exchange(outgoing_, {})) {
     Shut(*peer);
   }
@@ -188,7 +183,7 @@
                          CallId id,
                          LinkBody body) {
   if (auto* answer = std::get_if<GateAnswer>(&body);
-      answer != nullptr && answer->body.size() > kSmallBytes) {
+      answer != nullptr && answer->body.size() > PacedSender::kSmallBytes) {
     GatePart part{std::exchange(answer->body, {}), answer->last};
     answer->last = false;
     peer->link->Send({id, std::move(body)});
@@ -197,7 +192,8 @@
   }
   auto* part = std::get_if<GatePart>(&body);
   const bool follows = peer->queued.contains(id);
-  if (part != nullptr && (follows || part->body.size() > kSmallBytes)) {
+  if (part != nullptr &&
+      (follows || part->body.size() > PacedSender::kSmallBytes)) {
     Queue(peer, id, std::move(*part));
     return;
   }
@@ -208,56 +204,25 @@
   if (IsLast(body)) {
     peer->calls.erase(id);
   }
-  peer->link->Send({id, std::move(body)});
+  init_.sender->OnSent(peer->link->Send({id, std::move(body)}));
 }
 
 void LinkHub::Queue(const IncomingPointer& peer, CallId id, GatePart part) {
   peer->queued.insert(id);
-  backlog_ += part.body.size();
-  parts_.push_back({peer, id, std::move(part), 0});
-  if (!pacing_) {
-    SendQueued();
-  }
-}
-
-void LinkHub::SendQueued() {
-  const Time now = SteadyNow();
-  while (!parts_.empty()) {
-    QueuedPart& first = parts_.front();
-    const auto peer = first.peer.lock();
-    const std::size_t left = first.part.body.size() - first.sent;
-    if (!peer || !peer->queued.contains(first.call)) {
-      backlog_ -= left;
-      parts_.pop_front();
-      continue;
-    }
-    const std::size_t taken = pacer_.Take(left, now);
-    if (taken == 0 && left > 0) {
-      break;
-    }
-    const bool last = taken == left && first.part.last;
-    peer->link->Send(
-        {first.call,
-         GatePart{first.part.body.substr(first.sent, taken), last}});
-    backlog_ -= taken;
-    first.sent += taken;
-    if (taken == left) {
-      if (last) {
-        peer->queued.erase(first.call);
-        peer->calls.erase(first.call);
-      }
-      parts_.pop_front();
+  const std::weak_ptr<Incoming> weak = peer;
+  init_.sender->Queue(std::move(part.body), [weak, id, ends = part.last](
+                                                std::string piece, bool whole) {
+    const auto held = weak.lock();
+    if (!held || !held->queued.contains(id)) {
+      return false;
     }
-  }
-  pacing_ = !parts_.empty();
-  if (!pacing_) {
-    return;
-  }
-  pacer_timer_.expires_after(pacer_.UntilNext(now));
-  pacer_timer_.async_wait([this](const asio::error_code& error) {
-    if (!error) {
-      SendQueued();
+    const bool last = ends && whole;
+    if (last) {
+      held->queued.erase(id);
+      held->calls.erase(id);
     }
+    held->link->Send({id, GatePart{std::move(piece), last}});
+    return true;
   });
 }
 
@@ -442,7 +407,7 @@
   } else if (std::holds_alternative<LinkCancel>(frame.body)) {
     peer.calls.erase(frame.call);
   }
-  peer.link->Send(frame);
+  init_.sender->OnSent(peer.link->Send(frame));
   return true;
 }
 
--- a/src/mesh/link_hub.h
+++ b/src/mesh/link_hub.h
@@ -7,7 +7,6 @@
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -16,10 +15,10 @@
 #include <string_view>
 
 #include "base/random.h"
-#include "core/link_pacer.h"
 #include "core/member_book.h"
 #include "mesh/gate.h"
 #include "mesh/link.h"
+#include "mesh/paced_sender.h"
 
 namespace verbenastile {
 
@@ -31,7 +30,7 @@
     MemberBook* book = nullptr;
     Gate* gate = nullptr;
     std::uint64_t seed = 0;
-    LinkPacerInit pacer;
+    PacedSender* sender = nullptr;
     // What this node says of itself.
     std::function<MemberRecord()> self;
     std::function<std::uint64_t()> generation;
@@ -63,8 +62,6 @@
   void Close();
 
   std::size_t open_links() const;
-  // How long a large answer that ends now waits for the machine's link.
-  Duration backlog_time() const { return pacer_.TimeFor(backlog_); }
 
  private:
   using Tcp = asio::ip::tcp;
@@ -95,21 +92,12 @@
   };
   using IncomingPointer = std::shared_ptr<Incoming>;
 
-  // A part of a large answer that waits for the machine's link.
-  struct QueuedPart {
-    std::weak_ptr<Incoming> peer;
-    CallId call = 0;
-    GatePart part;
-    std::size_t sent = 0;  // Bytes of it that have left.
-  };
-
   void Accept();
   void TakeIncoming(Tcp::socket socket);
   void OnIncomingFrame(const IncomingPointer& peer, LinkFrame frame);
   void OnIncomingCall(const IncomingPointer& peer, CallId id, GateCall call);
   void SendAnswer(const IncomingPointer& peer, CallId id, LinkBody body);
   void Queue(const IncomingPointer& peer, CallId id, GatePart part);
-  void SendQueued();
   void DropIncoming(const IncomingPointer& peer, std::string_view why);
   void Dial(const OutgoingPointer& peer);
   void OnConnected(const OutgoingPointer& peer, const asio::error_code& error);
@@ -129,11 +117,6 @@
   std::map<std::string, OutgoingPointer, std::less<>> outgoing_;
   std::set<IncomingPointer> incoming_;
   Time last_probe_;
-  LinkPacer pacer_;
-  asio::steady_timer pacer_timer_;
-  std::deque<QueuedPart> parts_;
-  std::size_t backlog_ = 0;  // Bytes in `parts_`.
-  bool pacing_ = false;
 };
 
 }  // namespace verbenastile
--- a/src/mesh/object_store.h
+++ b/src/mesh/object_store.h
@@ -5,7 +5,6 @@
 
 #include <cstdint>
 #include <functional>
-#include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -22,7 +21,7 @@
 struct StoreObject {
   std::string name;
   StoreRevision revision = 0;
-  nlohmann::json spec;
+  std::string spec;  // JSON, as it came.
 };
 
 struct StoreError {
--- a/src/mesh/origin.cc
+++ b/src/mesh/origin.cc
@@ -52,7 +52,7 @@
 // What an answer from another failure domain costs, as time: the way there and
 // back, and its bytes, which the operators pay for.
 constexpr Duration kAwayTime = std::chrono::milliseconds(3);
-constexpr Duration kAwayTimePerKilobyte = std::chrono::milliseconds(8);
+constexpr Duration kAwayTimePerKilobyte = std::chrono::milliseconds(12);
 constexpr std::int64_t kKilobyte = 1'000;
 
 BalancerLimits Limits() {
@@ -266,6 +266,7 @@
   gate.priority = call.route->priority;
   gate.remaining = call.deadline - now;
   gate.objective = call.begin + ObjectiveOf(call) - now;
+  gate.usual = profiles_.Find(call.rule->id).service_time;
   gate.idempotent = call.route->repeatable;
   gate.only_if_free = call.refusals < kFreeSlotTries;
   return gate;
@@ -382,6 +383,7 @@
   call.headers = std::move(answer.headers);
   call.length = answer.length;
   call.waited = answer.waited;
+  call.ran = answer.ran;
   TakeBody(id, std::move(answer.body), answer.last);
 }
 
@@ -461,13 +463,10 @@
   Close(id, "answered", call.status);
 }
 
-// The wait for a slot is left out: it shows in the load that gates tell.
 void Origin::LearnFrom(const Call& call, Time now) {
-  const Duration taken = now - call.attempt->begin - call.waited;
-  const RuleProfile profile = profiles_.Find(call.rule->id);
-  balancer_.OnServiceTime(call.attempt->upstream, taken, profile.service_time,
-                          now);
-  profiles_.Learn(call.rule->id, taken, call.body_bytes);
+  const Duration path = now - call.attempt->begin - call.waited - call.ran;
+  balancer_.OnPathTime(call.attempt->upstream, path, now);
+  profiles_.Learn(call.rule->id, call.ran, call.body_bytes);
 }
 
 void Origin::EndAttempt(Call& call, AttemptOutcome outcome, Time now) {
--- /dev/null
+++ b/src/mesh/paced_sender.h
@@ -0,0 +1,53 @@
+// Sends large answers at the pace of the machine's link, one after the other.
+#ifndef MESH_PACED_SENDER_H_
+#define MESH_PACED_SENDER_H_
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <string>
+
+#include "base/time.h"
+#include "core/link_pacer.h"
+
+namespace verbenastile {
+
+class PacedSender {
+ public:
+  // Gets the pieces in order; false when nobody wants the rest.
+  using Write = std::function<bool(std::string piece, bool last)>;
+
+  // Frames and answers up to this size need not be queued.
+  static constexpr std::size_t kSmallBytes = 4'096;
+
+  PacedSender(asio::io_context& io, const LinkPacerInit& init);
+  PacedSender(const PacedSender&) = delete;
+  PacedSender& operator=(const PacedSender&) = delete;
+
+  void Queue(std::string bytes, Write write);
+  // Bytes that left without being queued.
+  void OnSent(std::size_t bytes);
+  // How long bytes that are queued now wait.
+  Duration backlog_time() const { return pacer_.TimeFor(backlog_); }
+
+ private:
+  struct Item {
+    std::string bytes;
+    std::size_t sent = 0;
+    Write write;
+  };
+
+  void SendQueued();
+
+  asio::steady_timer timer_;
+  LinkPacer pacer_;
+  std::deque<Item> items_;
+  std::size_t backlog_ = 0;
+  bool sending_ = false;
+};
+
+}  // namespace verbenastile
+
+#endif  // MESH_PACED_SENDER_H_
--- a/src/mesh/record_publisher.cc
+++ b/src/mesh/record_publisher.cc
@@ -20,7 +20,7 @@
 RecordPublisher::RecordPublisher(Init init)
     : init_(std::move(init)), timer_(*init_.io), random_(init_.seed) {}
 
-void RecordPublisher::Publish(nlohmann::json spec,
+void RecordPublisher::Publish(std::string spec,
                               std::function<void()> on_written) {
   if (on_written) {
     waiting_.push_back(std::move(on_written));
--- a/src/mesh/record_publisher.h
+++ b/src/mesh/record_publisher.h
@@ -7,7 +7,6 @@
 #include <asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
-#include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
@@ -32,7 +31,7 @@
 
   // Writes `spec`, also over what an earlier start of this node wrote.
   // `on_written` runs when the store has it, or a later one.
-  void Publish(nlohmann::json spec, std::function<void()> on_written);
+  void Publish(std::string spec, std::function<void()> on_written);
   // Deletes the record, once.
   void Delete();
   // The store holds the record at `revision`.
@@ -48,7 +47,7 @@
   Init init_;
   asio::steady_timer timer_;
   Random random_;
-  nlohmann::json spec_;
+  std::string spec_;
   std::uint64_t version_ = 0;   // Counts what was published.
   StoreRevision revision_ = 0;  // 0: the store is thought to have none.
   bool dirty_ = false;
--- a/src/mesh/sidecar.cc
+++ b/src/mesh/sidecar.cc
@@ -36,15 +36,18 @@
 constexpr Duration kAcknowledgeWait = std::chrono::milliseconds(400);
 constexpr Duration kSettingsCheckInterval = std::chrono::seconds(2);
 constexpr Duration kFlushInterval = std::chrono::milliseconds(100);
+// Timers that fire later than this are told of: calls waited as long.
+constexpr Duration kLongLag = std::chrono::milliseconds(50);
 // New members open links to all others, so that the store is only asked in case
 // that this failed.
 constexpr Duration kMembersPoll = std::chrono::milliseconds(2'500);
-// Configurations come in bursts; a rest between watches makes them one call.
-// With the call itself well within the bound of two seconds on a change.
-constexpr Duration kConfigurationRest = std::chrono::milliseconds(700);
+// Configurations come in bursts; a rest between watches makes them one call,
+// and one transfer on small links. With both well within the bound of two
+// seconds on a change.
+constexpr Duration kConfigurationRest = std::chrono::milliseconds(1'000);
 // A peer is asked for a newer configuration when the store has not brought it
 // for this long.
-constexpr Duration kAskPeerAfter = std::chrono::milliseconds(1'100);
+constexpr Duration kAskPeerAfter = std::chrono::milliseconds(1'400);
 constexpr std::size_t kMaxControlBodyBytes = 65'536;
 
 std::uint64_t FreshSeed() {
@@ -95,6 +98,7 @@
       tracker_(settings_.upstream),
       book_(settings_.name),
       store_(io_, settings_.platform),
+      sender_(io_, PacerInit()),
       gate_(GateInit()),
       links_(HubInit()),
       origin_(OriginInit()),
@@ -115,6 +119,12 @@
         OnMetrics(exchange);
       }) {}
 
+LinkPacerInit Sidecar::PacerInit() const {
+  LinkPacerInit init;
+  init.link_bytes_per_second = settings_.link_bytes_per_second;
+  return init;
+}
+
 Gate::Init Sidecar::GateInit() {
   Gate::Init init;
   init.io = &io_;
@@ -123,7 +133,7 @@
   init.headers = platform::kCallHeaders;
   init.generation = [this] { return applier_.generation(); };
   init.on_unreachable = [this] { OnInstanceChanged("unreachable"); };
-  init.link_backlog = [this] { return links_.backlog_time(); };
+  init.link_backlog = [this] { return sender_.backlog_time(); };
   return init;
 }
 
@@ -134,7 +144,7 @@
   init.book = &book_;
   init.gate = &gate_;
   init.seed = FreshSeed();
-  init.pacer.link_bytes_per_second = settings_.link_bytes_per_second;
+  init.sender = &sender_;
   init.self = [this] { return Self(); };
   init.generation = [this] { return applier_.generation(); };
   init.configuration = [this] { return configuration_text_; };
@@ -147,14 +157,8 @@
     OnPeerGeneration(member, load.generation);
   };
   init.on_record = [this](const MemberRecord& record) { OnRecord(record); };
-  init.on_configuration = [this](const std::string& text) {
-    const auto spec = nlohmann::json::parse(text, nullptr, false);
-    if (spec.is_discarded()) {
-      Log(LogLevel::kWarning, "config", "A peer's configuration is no JSON.",
-          {{"bytes", text.size()}});
-      return;
-    }
-    OfferConfiguration(spec, "peer");
+  init.on_configuration = [this](std::string text) {
+    OfferConfiguration(std::move(text), "peer");
   };
   return init;
 }
@@ -565,9 +569,8 @@
   }
 }
 
-void Sidecar::OfferConfiguration(const nlohmann::json& spec,
-                                 std::string_view source) {
-  auto parsed = platform::ParseConfiguration(spec);
+void Sidecar::OfferConfiguration(std::string text, std::string_view source) {
+  auto parsed = platform::ParseConfiguration(text);
   if (const auto* error = std::get_if<platform::FormatError>(&parsed)) {
     Log(LogLevel::kError, "config", "A configuration cannot be read.",
         {{"source", source}, {"error", error->reason}});
@@ -589,7 +592,7 @@
          {"reason", applier_.refusal().reason}});
     return;
   }
-  configuration_text_ = spec.dump();
+  configuration_text_ = std::move(text);
   behind_since_ = Time();
   callers_.SetLimits(configuration.limits);
   Log(LogLevel::kInfo, "config", "A configuration is in force.",
@@ -681,10 +684,24 @@
   return confirmed ? SteadyNow() - *confirmed : Duration::max();
 }
 
+// How late timers fire tells how long calls wait for the processor here.
+void Sidecar::ObserveLag(Duration lag) {
+  metrics_.Observe(metrics_.Summary("loop_lag_microseconds"),
+                   static_cast<double>(lag.count()));
+  if (lag > kLongLag) {
+    Log(LogLevel::kWarning, kPart, "The loop was late.",
+        {{"lag_ms", ToMilliseconds(lag)},
+         {"requests", origin_.active()},
+         {"calls", gate_.active()}});
+  }
+}
+
 void Sidecar::ScheduleFlush() {
+  const Time due = SteadyNow() + kFlushInterval;
   flush_timer_.expires_after(kFlushInterval);
-  flush_timer_.async_wait([this](const asio::error_code& error) {
+  flush_timer_.async_wait([this, due](const asio::error_code& error) {
     if (!error) {
+      ObserveLag(SteadyNow() - due);
       FlushLog();
       ScheduleFlush();
     }
--- a/src/mesh/sidecar.h
+++ b/src/mesh/sidecar.h
@@ -21,6 +21,7 @@
 #include "mesh/gate.h"
 #include "mesh/link_hub.h"
 #include "mesh/origin.h"
+#include "mesh/paced_sender.h"
 #include "mesh/record_publisher.h"
 #include "mesh/store_follower.h"
 #include "platform/bounds.h"
@@ -55,6 +56,7 @@
   int Run();
 
  private:
+  LinkPacerInit PacerInit() const;
   Gate::Init GateInit();
   LinkHub::Init HubInit();
   Origin::Init OriginInit();
@@ -88,13 +90,14 @@
   void PublishSelf(std::function<void()> on_written);
 
   void OnConfigurationObject(const StoreObject& object);
-  void OfferConfiguration(const nlohmann::json& spec, std::string_view source);
+  void OfferConfiguration(std::string text, std::string_view source);
   void OnPeerGeneration(std::string_view member, std::uint64_t generation);
   void OnMemberObject(const StoreObject& object);
   void OnMembersListed(const std::vector<StoreObject>& items);
   void OnRecord(const MemberRecord& record);
   Duration ConfigurationAge() const;
   RetryAllowanceLimits AllowanceLimits() const;
+  void ObserveLag(Duration lag);
   void ScheduleFlush();
 
   SidecarSettings settings_;
@@ -115,6 +118,7 @@
   InstanceTracker tracker_;
   MemberBook book_;
   platform::StoreClient store_;
+  PacedSender sender_;
   Gate gate_;
   LinkHub links_;
   Origin origin_;
--- a/src/wire/link.capnp
+++ b/src/wire/link.capnp
@@ -34,6 +34,7 @@
   busy @0 :UInt32;
   queued @1 :UInt32;
   generation @2 :UInt64;
+  slownessPermille @3 :UInt32;
 }
 
 struct Member {
@@ -69,6 +70,7 @@
   idempotent @10 :Bool;
   rule @11 :Text;
   onlyIfFree @12 :Bool;
+  usualUs @13 :Int64;
 }
 
 struct Refusal {
@@ -85,6 +87,7 @@
   last @4 :Bool;
   load @5 :Load;
   waitedUs @6 :Int64;
+  ranUs @7 :Int64;
 }
 
 struct Part {
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -36,7 +36,7 @@
 
 SCENARIO("the operators' configuration becomes ordered rules") {
   GIVEN("a whole one") {
-    auto parsed = ParseConfiguration(ConfigurationOf());
+    auto parsed = ParseConfiguration(ConfigurationOf().dump());
     auto& configuration = std::get<Configuration>(parsed);
     CHECK(configuration.generation == 31);
     CHECK(configuration.limits.message.max_body_bytes == 1'000);
@@ -90,7 +90,7 @@
     WHEN("it is no object") {
       spec = json::array();
     }
-    CHECK(std::holds_alternative<FormatError>(ParseConfiguration(spec)));
+    CHECK(std::holds_alternative<FormatError>(ParseConfiguration(spec.dump())));
   }
 }
 
@@ -207,11 +207,11 @@
   record.instance = "i-1";
   record.instance_leaving = true;
   record.instance_sequence = 12;
-  const json spec = FormatMember(record);
-  CHECK(std::get<MemberRecord>(ParseMember(spec)) == record);
+  const std::string text = FormatMember(record);
+  CHECK(std::get<MemberRecord>(ParseMember(text)) == record);
 
   GIVEN("records that cannot be read") {
-    json bad = spec;
+    json bad = json::parse(text);
     WHEN("a field is missing") {
       bad.erase("link");
     }
@@ -224,7 +224,7 @@
     WHEN("a field has another type") {
       bad["slots"] = "six";
     }
-    CHECK(std::holds_alternative<FormatError>(ParseMember(bad)));
+    CHECK(std::holds_alternative<FormatError>(ParseMember(bad.dump())));
   }
 }
 
