--- a/src/core/balancer.cc
+++ b/src/core/balancer.cc
@@ -210,9 +210,7 @@
   upstream.wanted = 0;
   upstream.sent_since_report = 0;
   upstream.slowness_permille = kPermille;
-  upstream.slowness_told = now;
-  upstream.path_us = 0;
-  upstream.path_sampled = now;
+  upstream.slowness_sampled = now;
 }
 
 void Balancer::Eject(Upstream& upstream, Time now) {
@@ -406,7 +404,7 @@
   const std::int64_t slowness =
       kPermille + (upstream.slowness_permille >= kPermille ? 1 : -1) *
                       Faded(std::abs(upstream.slowness_permille - kPermille),
-                            upstream.slowness_told, now);
+                            upstream.slowness_sampled, now);
   const std::int64_t slots = std::max<std::int64_t>(upstream.member.slots, 1);
   const bool fresh = now - upstream.load_reported < kLoadFresh;
   const std::int64_t told =
@@ -424,8 +422,7 @@
   const std::int64_t in_slot = mean * slowness / kPermille;
   const std::int64_t parts = kPermille + waiting * kPermille / slots +
                              load * kPermille / slots / kFreeSlotPart;
-  const std::int64_t path = Faded(upstream.path_us, upstream.path_sampled, now);
-  return (in_slot * parts / kPermille + path) * penalty / kPermille;
+  return in_slot * parts / kPermille * penalty / kPermille;
 }
 
 // With all others tried, one that is aside is better than none.
@@ -576,20 +573,20 @@
   upstream->load_reported = now;
   upstream->wanted = wanted;
   upstream->sent_since_report = 0;
-  if (load.slowness_permille > 0) {
-    upstream->slowness_permille =
-        std::min<std::int64_t>(load.slowness_permille, kMaxSlownessPermille);
-    upstream->slowness_told = now;
-  }
 }
 
-void Balancer::OnPathTime(UpstreamHandle handle, Duration time, Time now) {
+void Balancer::OnServiceTime(UpstreamHandle handle,
+                             Duration taken,
+                             Duration mean,
+                             Time now) {
   Upstream* upstream = Get(handle);
-  if (upstream != nullptr) {
-    upstream->path_us = Faded(upstream->path_us, upstream->path_sampled, now);
-    MoveAverage(upstream->path_us, std::max<std::int64_t>(time.count(), 0));
-    upstream->path_sampled = now;
+  if (upstream == nullptr || mean <= Duration::zero()) {
+    return;
   }
+  const std::int64_t sample = std::min<std::int64_t>(
+      taken.count() * kPermille / mean.count(), kMaxSlownessPermille);
+  MoveAverage(upstream->slowness_permille, sample);
+  upstream->slowness_sampled = now;
 }
 
 const Balancer::Upstream* Balancer::Get(UpstreamHandle handle) const {
--- a/src/core/balancer.h
+++ b/src/core/balancer.h
@@ -61,8 +61,6 @@
 struct UpstreamLoad {
   std::uint32_t busy = 0;
   std::uint32_t queued = 0;
-  // Of the usual time of its calls, in thousandths; 0: not told.
-  std::uint32_t slowness_permille = 0;
 };
 
 // The health of one upstream instance as this node sees it.
@@ -125,9 +123,12 @@
                Duration latency,
                Time now);
   void OnLoad(UpstreamHandle handle, UpstreamLoad load, Time now);
-  // The way to the instance and back took `time`, without what the instance
-  // took.
-  void OnPathTime(UpstreamHandle handle, Duration time, Time now);
+  // An answer of the instance took `taken`, the way there and back included,
+  // where the like of it takes `mean`.
+  void OnServiceTime(UpstreamHandle handle,
+                     Duration taken,
+                     Duration mean,
+                     Time now);
 
   // Null when the handle is not valid any more. Valid until the next `Sync`.
   const Member* Find(UpstreamHandle handle) const;
@@ -166,9 +167,7 @@
     std::int64_t wanted = 0;  // Busy and queued, as last told.
     std::int64_t sent_since_report = 0;
     std::int64_t slowness_permille = 1000;  // Of the mean service time.
-    Time slowness_told;
-    std::int64_t path_us = 0;
-    Time path_sampled;
+    Time slowness_sampled;
   };
 
   // The instances of one service that take calls, by tier, and the others.
--- a/src/core/retry_allowance.h
+++ b/src/core/retry_allowance.h
@@ -27,7 +27,7 @@
   Duration window = std::chrono::seconds(10);
   // The part of both that is spent. The rest covers calls that repeated
   // requests make: they are repeats at the service that is called.
-  std::uint32_t spent_permille = 500;
+  std::uint32_t spent_permille = 400;
 };
 
 class RetryAllowance {
--- a/src/mesh/gate.cc
+++ b/src/mesh/gate.cc
@@ -226,7 +226,6 @@
   answer.last = last;
   answer.load = load();
   answer.waited = call.started - call.arrived;
-  answer.ran = SteadyNow() - call.started;
   LogEnd(id, call, last ? "answered" : "answer_begun");
   Tell(call.reply, std::move(answer));
 }
@@ -284,7 +283,6 @@
   }
   const Duration ran = SteadyNow() - call.started;
   profiles_.Learn(call.call.rule, ran, call.told);
-  slowness_.OnEnded(ran, call.call.usual);
   calls_.erase(id);
 }
 
@@ -336,10 +334,6 @@
     return;
   }
   LogEnd(id, call, "cancelled");
-  // It would have taken at least as long.
-  if (now - call.started > call.call.usual) {
-    slowness_.OnEnded(now - call.started, call.call.usual);
-  }
   http_.Cancel(call.http);
   calls_.erase(found);
   held_slots_.push_back({now + kCancelledSlotTime, id});
@@ -368,8 +362,7 @@
 }
 
 GateLoad Gate::load() const {
-  return {{admission_.busy(), static_cast<std::uint32_t>(admission_.queued()),
-           slowness_.permille()},
+  return {{admission_.busy(), static_cast<std::uint32_t>(admission_.queued())},
           init_.generation()};
 }
 
@@ -400,21 +393,8 @@
   }
 }
 
-void Gate::WeighRunning(Time now) {
-  Duration taken{0};
-  Duration usual{0};
-  for (const auto& [id, call] : calls_) {
-    if (call.http != 0) {
-      taken += now - call.started;
-      usual += call.call.usual;
-    }
-  }
-  slowness_.OnRunning(taken, usual);
-}
-
 void Gate::Tick() {
   const Time now = SteadyNow();
-  WeighRunning(now);
   EndOverdue(now);
   for (const HeldSlot& slot : std::exchange(held_slots_, {})) {
     if (slot.until <= now) {
--- a/src/mesh/gate.h
+++ b/src/mesh/gate.h
@@ -17,7 +17,6 @@
 #include "core/admission.h"
 #include "core/instance_tracker.h"
 #include "core/rule_profile.h"
-#include "core/slowness.h"
 #include "io/http1_client.h"
 #include "mesh/call_header_names.h"
 #include "mesh/link_frames.h"
@@ -103,7 +102,6 @@
   void Tell(const Reply& reply, LinkBody body);
   void Run(const AdmissionActions& actions);
   void EndOverdue(Time now);
-  void WeighRunning(Time now);
   void Tick();
   void ScheduleTick();
   void LogEnd(CallId id, const Call& call, std::string_view outcome) const;
@@ -113,7 +111,6 @@
   Http1Client http_;
   Admission admission_;
   RuleProfiles profiles_;
-  Slowness slowness_;
   std::map<CallId, Call> calls_;
   std::vector<HeldSlot> held_slots_;
   CallId last_id_ = 0;
--- a/src/mesh/link_codec.cc
+++ b/src/mesh/link_codec.cc
@@ -37,12 +37,10 @@
   out.setBusy(load.upstream.busy);
   out.setQueued(load.upstream.queued);
   out.setGeneration(load.generation);
-  out.setSlownessPermille(load.upstream.slowness_permille);
 }
 
 GateLoad ReadLoad(wire::Load::Reader in) {
-  return {{in.getBusy(), in.getQueued(), in.getSlownessPermille()},
-          in.getGeneration()};
+  return {{in.getBusy(), in.getQueued()}, in.getGeneration()};
 }
 
 template <typename Builder>
@@ -118,7 +116,6 @@
     body.setPriority(static_cast<std::uint8_t>(call.priority));
     body.setRemainingUs(call.remaining.count());
     body.setObjectiveUs(call.objective.count());
-    body.setUsualUs(call.usual.count());
     body.setIdempotent(call.idempotent);
     body.setOnlyIfFree(call.only_if_free);
   }
@@ -139,7 +136,6 @@
     body.setLast(answer.last);
     WriteLoad(answer.load, body.initLoad());
     body.setWaitedUs(answer.waited.count());
-    body.setRanUs(answer.ran.count());
   }
   void operator()(const GatePart& part) {
     auto body = out.initPart();
@@ -181,7 +177,6 @@
       std::min<int>(in.getPriority(), static_cast<int>(Priority::kLow)));
   call.remaining = Duration(in.getRemainingUs());
   call.objective = Duration(in.getObjectiveUs());
-  call.usual = Duration(in.getUsualUs());
   call.idempotent = in.getIdempotent();
   call.only_if_free = in.getOnlyIfFree();
   return call;
@@ -198,7 +193,6 @@
   answer.last = in.getLast();
   answer.load = ReadLoad(in.getLoad());
   answer.waited = Duration(in.getWaitedUs());
-  answer.ran = Duration(in.getRanUs());
   return answer;
 }
 
--- a/src/mesh/link_frames.h
+++ b/src/mesh/link_frames.h
@@ -43,7 +43,6 @@
   Priority priority = Priority::kNormal;
   Duration remaining{0};  // Until the caller is answered without it.
   Duration objective{0};  // Until its answer is late.
-  Duration usual{0};      // At instances of the service; 0: not known.
   bool idempotent = false;
   bool only_if_free = false;  // Refuse rather than let it wait for a slot.
 };
@@ -69,7 +68,6 @@
   bool last = false;
   GateLoad load;
   Duration waited{0};  // For a slot.
-  Duration ran{0};     // At the instance so far.
 };
 
 struct GatePart {
--- a/src/mesh/origin.cc
+++ b/src/mesh/origin.cc
@@ -266,7 +266,6 @@
   gate.priority = call.route->priority;
   gate.remaining = call.deadline - now;
   gate.objective = call.begin + ObjectiveOf(call) - now;
-  gate.usual = profiles_.Find(call.rule->id).service_time;
   gate.idempotent = call.route->repeatable;
   gate.only_if_free = call.refusals < kFreeSlotTries;
   return gate;
@@ -383,7 +382,6 @@
   call.headers = std::move(answer.headers);
   call.length = answer.length;
   call.waited = answer.waited;
-  call.ran = answer.ran;
   TakeBody(id, std::move(answer.body), answer.last);
 }
 
@@ -463,10 +461,13 @@
   Close(id, "answered", call.status);
 }
 
+// The wait for a slot is left out: it shows in the load that gates tell.
 void Origin::LearnFrom(const Call& call, Time now) {
-  const Duration path = now - call.attempt->begin - call.waited - call.ran;
-  balancer_.OnPathTime(call.attempt->upstream, path, now);
-  profiles_.Learn(call.rule->id, call.ran, call.body_bytes);
+  const Duration taken = now - call.attempt->begin - call.waited;
+  const RuleProfile profile = profiles_.Find(call.rule->id);
+  balancer_.OnServiceTime(call.attempt->upstream, taken, profile.service_time,
+                          now);
+  profiles_.Learn(call.rule->id, taken, call.body_bytes);
 }
 
 void Origin::EndAttempt(Call& call, AttemptOutcome outcome, Time now) {
--- a/src/mesh/origin.h
+++ b/src/mesh/origin.h
@@ -116,7 +116,6 @@
     std::optional<std::uint64_t> length;
     std::string body;            // Of the answer, not passed on.
     std::size_t body_bytes = 0;  // Of the answer so far.
-    Duration ran{0};             // At the instance, of the last attempt.
     Duration waited{0};          // For a slot, of the last attempt.
     std::size_t owed = 0;        // Taken from the gate and not credited.
   };
--- a/src/wire/link.capnp
+++ b/src/wire/link.capnp
@@ -34,7 +34,6 @@
   busy @0 :UInt32;
   queued @1 :UInt32;
   generation @2 :UInt64;
-  slownessPermille @3 :UInt32;
 }
 
 struct Member {
@@ -70,7 +69,6 @@
   idempotent @10 :Bool;
   rule @11 :Text;
   onlyIfFree @12 :Bool;
-  usualUs @13 :Int64;
 }
 
 struct Refusal {
@@ -87,7 +85,6 @@
   last @4 :Bool;
   load @5 :Load;
   waitedUs @6 :Int64;
-  ranUs @7 :Int64;
 }
 
 struct Part {
--- a/src/wire/link.capnp.h
+++ b/src/wire/link.capnp.h
@@ -86,7 +86,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e59ba452baee4d07, 3, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(e59ba452baee4d07, 2, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -131,7 +131,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8aa339ba54180145, 4, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(8aa339ba54180145, 3, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -161,7 +161,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9c340782a1c231b8, 4, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(9c340782a1c231b8, 3, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -528,8 +528,6 @@
 
   inline  ::uint64_t getGeneration() const;
 
-  inline  ::uint32_t getSlownessPermille() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -567,9 +565,6 @@
   inline  ::uint64_t getGeneration();
   inline void setGeneration( ::uint64_t value);
 
-  inline  ::uint32_t getSlownessPermille();
-  inline void setSlownessPermille( ::uint32_t value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -885,8 +880,6 @@
 
   inline bool getOnlyIfFree() const;
 
-  inline  ::int64_t getUsualUs() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -986,9 +979,6 @@
   inline bool getOnlyIfFree();
   inline void setOnlyIfFree(bool value);
 
-  inline  ::int64_t getUsualUs();
-  inline void setUsualUs( ::int64_t value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1141,8 +1131,6 @@
 
   inline  ::int64_t getWaitedUs() const;
 
-  inline  ::int64_t getRanUs() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1204,9 +1192,6 @@
   inline  ::int64_t getWaitedUs();
   inline void setWaitedUs( ::int64_t value);
 
-  inline  ::int64_t getRanUs();
-  inline void setRanUs( ::int64_t value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2137,20 +2122,6 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Load::Reader::getSlownessPermille() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t Load::Builder::getSlownessPermille() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-inline void Load::Builder::setSlownessPermille( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
-}
-
 inline bool Member::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2800,20 +2771,6 @@
       ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t Call::Reader::getUsualUs() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t Call::Builder::getUsualUs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-inline void Call::Builder::setUsualUs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
-}
-
 inline  ::uint8_t Refusal::Reader::getReason() const {
   return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3044,20 +3001,6 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t Answer::Reader::getRanUs() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t Answer::Builder::getRanUs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-inline void Answer::Builder::setRanUs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
-}
-
 inline bool Part::Reader::hasBody() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
