--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -19,3 +19,5 @@
   fi
   echo "soak: the mutation $mutation of topic $topic is caught"
 done
+# Real processes under faults, each seed for a few seconds.
+./soak/faults.sh 1 3 3 --seconds 6
--- a/src/core/admission.cc
+++ b/src/core/admission.cc
@@ -160,6 +160,16 @@
   return &kinds_[std::string(kind)];
 }
 
+std::optional<Duration> Admission::ExpectedService(std::string_view kind,
+                                                   Time now) const {
+  const auto found = kinds_.find(kind);
+  if (found == kinds_.end() || found->second.mean == Duration::zero() ||
+      now - found->second.learned > limits_.estimate_memory) {
+    return std::nullopt;
+  }
+  return found->second.mean;
+}
+
 Duration Admission::Estimate(const Group& group,
                              const ServiceTime* kind) const {
   if (kind != nullptr && kind->mean > Duration::zero()) {
@@ -415,7 +425,7 @@
   ++stats_.ended;
   const Duration held = now - call.started;
   Charge(*call.group, held - call.charged);
-  LearnServiceTime(call, held);
+  LearnServiceTime(call, held, now);
   StartQueued(now, actions);
   EndBusyPeriod();
   return actions;
@@ -475,11 +485,12 @@
   return found == groups_.end() ? 0 : found->second.queued;
 }
 
-void Admission::LearnServiceTime(const Call& call, Duration time) {
+void Admission::LearnServiceTime(const Call& call, Duration time, Time now) {
   Learn(call.group->service_time, time);
   Learn(service_time_, time);
   if (call.kind != nullptr) {
     Learn(*call.kind, time);
+    call.kind->learned = now;
   }
 }
 
--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -54,6 +54,7 @@
   std::uint32_t urgent_queue_permille = 1'500;
   // A priority that was not offered for this long is not passed any more.
   Duration priority_memory = std::chrono::seconds(5);
+  Duration estimate_memory = std::chrono::seconds(1);
   // Off: calls wait until their deadline has passed. For comparisons.
   bool refuse_early = true;
   // Off: one queue for all groups, first come, first served. For comparisons.
@@ -145,6 +146,12 @@
   // From now on all offers are refused; queued calls still run.
   void Drain() { draining_ = true; }
 
+  // The time that a call of the kind is expected to hold a slot; nothing when
+  // none has ended for `estimate_memory`, so that a slow upstream is tried
+  // again.
+  std::optional<Duration> ExpectedService(std::string_view kind,
+                                          Time now) const;
+
   std::uint32_t slots() const { return slots_; }
   std::uint32_t busy() const { return busy_; }
   // Whether a call that is offered now starts at once.
@@ -163,6 +170,7 @@
   struct ServiceTime {
     Duration mean{0};  // 0: not known.
     Duration deviation{0};
+    Time learned;  // When the last call of the kind ended.
   };
 
   // Slot time over weight, in microseconds times `kTagScale`.
@@ -227,7 +235,7 @@
   void SetTag(Group& group, Tag tag);
   void Charge(Group& group, Duration time);
   void ChargeRunning(Time now);
-  void LearnServiceTime(const Call& call, Duration time);
+  void LearnServiceTime(const Call& call, Duration time, Time now);
   void Learn(ServiceTime& known, Duration time) const;
   void EndBusyPeriod();
   void Rebase();
--- a/src/mesh/gate.cc
+++ b/src/mesh/gate.cc
@@ -89,6 +89,8 @@
     Refuse(id, RefusalReason::kOtherService, Duration::zero());
   } else if (held.call.only_if_free && !admission_.HasFreeSlot()) {
     Refuse(id, RefusalReason::kBusy, Duration::zero());
+  } else if (held.call.only_if_free && IsTooSlow(held, now)) {
+    Refuse(id, RefusalReason::kSlow, Duration::zero());
   } else if (WaitsForLink(held)) {
     Refuse(id, RefusalReason::kBusy, init_.link_backlog());
   } else {
@@ -100,6 +102,12 @@
   return id;
 }
 
+// Whether the instance takes longer for such calls than their objective is.
+bool Gate::IsTooSlow(const Call& call, Time now) const {
+  const auto expected = admission_.ExpectedService(call.call.rule, now);
+  return expected && *expected > call.call.objective;
+}
+
 // Whether the answer would be late since others wait for the machine's link.
 bool Gate::WaitsForLink(const Call& call) const {
   const RuleProfile profile = profiles_.Find(call.call.rule);
--- a/src/mesh/gate.h
+++ b/src/mesh/gate.h
@@ -88,6 +88,7 @@
 
   bool TakesWork(Time now) const;
   RefusalReason WhyNoWork() const;
+  bool IsTooSlow(const Call& call, Time now) const;
   bool WaitsForLink(const Call& call) const;
   void Offer(CallId id, Call& call, Time now);
   void Send(CallId id);
--- a/src/mesh/link_codec.cc
+++ b/src/mesh/link_codec.cc
@@ -198,7 +198,7 @@
 
 GateRefusal ReadRefusal(wire::Refusal::Reader in) {
   const auto reason =
-      std::min<int>(in.getReason(), static_cast<int>(RefusalReason::kShed));
+      std::min<int>(in.getReason(), static_cast<int>(RefusalReason::kSlow));
   return {static_cast<RefusalReason>(reason), Duration(in.getComeBackUs()),
           ReadLoad(in.getLoad())};
 }
@@ -252,6 +252,8 @@
       return "other_service";
     case RefusalReason::kShed:
       return "shed";
+    case RefusalReason::kSlow:
+      return "slow";
   }
   return "unknown";
 }
--- a/src/mesh/link_frames.h
+++ b/src/mesh/link_frames.h
@@ -24,6 +24,7 @@
   kNoInstance = 2,    // None is known, or it does not take connections.
   kOtherService = 3,  // The instance is of another service.
   kShed = 4,          // The instance itself refused to run it.
+  kSlow = 5,          // The instance is too slow to answer it in time.
 };
 
 // The name of `reason` in lower case.
--- a/src/mesh/origin.cc
+++ b/src/mesh/origin.cc
@@ -303,8 +303,9 @@
   AttemptOutcome outcome = AttemptOutcome::kRefused;
   if (shed || refusal.reason == RefusalReason::kNoInstance) {
     outcome = AttemptOutcome::kFailed;
-  } else if (refusal.reason == RefusalReason::kLeaving ||
-             call.refusals < kFreeSlotTries) {
+  } else if (refusal.reason != RefusalReason::kSlow &&
+             (refusal.reason == RefusalReason::kLeaving ||
+              call.refusals < kFreeSlotTries)) {
     // It says nothing of the instance but its load.
     outcome = AttemptOutcome::kCancelled;
   }
@@ -315,7 +316,8 @@
                          ? refusal.come_back
                          : std::min(call.come_back, refusal.come_back);
   }
-  if (refusal.reason == RefusalReason::kBusy) {
+  if (refusal.reason == RefusalReason::kBusy ||
+      refusal.reason == RefusalReason::kSlow) {
     call.full.push_back(call.tried.back());
     if (call.refusals == kFreeSlotTries) {
       AllowQueueing(call);
--- a/tests/overload_test.cc
+++ b/tests/overload_test.cc
@@ -207,6 +207,25 @@
   }
 }
 
+SCENARIO("an instance that has turned slow says so, and is tried again") {
+  Admission admission(4);
+  Time now = kStart;
+  CHECK_FALSE(admission.ExpectedService("read", now).has_value());
+  for (CallId id = 1; id <= 20; ++id) {
+    AdmissionOffer offer;
+    offer.id = id;
+    offer.kind = "read";
+    offer.deadline = now + 2'000 * kMs;
+    admission.Offer(offer, now);
+    now += 1'200 * kMs;
+    admission.OnEnded(id, now);
+  }
+  REQUIRE(admission.ExpectedService("read", now).has_value());
+  CHECK(*admission.ExpectedService("read", now) > 1'000 * kMs);
+  CHECK_FALSE(admission.ExpectedService("write", now).has_value());
+  CHECK_FALSE(admission.ExpectedService("read", now + 1'100 * kMs).has_value());
+}
+
 SCENARIO("a weighted rule splits its requests evenly at any time") {
   RouteAction route;
   route.targets = {{"a", 90}, {"b", 10}};
