--- a/src/mesh/paced_sender.h
+++ b/src/mesh/paced_sender.h
@@ -1,4 +1,5 @@
-// Sends large answers at the pace of the machine's link, one after the other.
+// Sends large answers at the pace of the machine's link and of those of their
+// receivers, the oldest first.
 #ifndef MESH_PACED_SENDER_H_
 #define MESH_PACED_SENDER_H_
 
@@ -7,6 +8,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <memory>
 #include <string>
 
 #include "base/time.h"
@@ -26,7 +28,10 @@
   PacedSender(const PacedSender&) = delete;
   PacedSender& operator=(const PacedSender&) = delete;
 
-  void Queue(std::string bytes, Write write);
+  // `receiver` paces what goes to one machine; null: nothing does.
+  void Queue(std::string bytes,
+             std::shared_ptr<LinkPacer> receiver,
+             Write write);
   // Bytes that left without being queued.
   void OnSent(std::size_t bytes);
   // How long bytes that are queued now wait.
@@ -36,9 +41,12 @@
   struct Item {
     std::string bytes;
     std::size_t sent = 0;
+    std::shared_ptr<LinkPacer> receiver;
     Write write;
   };
 
+  // Sends what may leave of the item. Returns whether it is done with.
+  bool SendSome(Item& item, Time now);
   void SendQueued();
 
   asio::steady_timer timer_;
