Take back: receivers' links pace large answers

Tried: each sender paced what goes to a peer at 0.6 of the peer's link, and origins refused large answers that their own link would make late.

Configurations need to travel as deltas to small machines: open.

--- a/src/core/link_pacer.cc
+++ b/src/core/link_pacer.cc
@@ -39,11 +39,6 @@
   return static_cast<std::size_t>(taken);
 }
 
-std::size_t LinkPacer::Available(Time now) {
-  Refill(now);
-  return static_cast<std::size_t>(std::max<std::int64_t>(tokens_, 0));
-}
-
 void LinkPacer::OnSent(std::size_t bytes, Time now) {
   Refill(now);
   tokens_ = std::max(tokens_ - static_cast<std::int64_t>(bytes),
--- a/src/core/link_pacer.h
+++ b/src/core/link_pacer.h
@@ -28,8 +28,6 @@
 
   // How many of `wanted` bytes may leave now.
   std::size_t Take(std::size_t wanted, Time now);
-  // How many bytes may leave now.
-  std::size_t Available(Time now);
   // Bytes that left without asking.
   void OnSent(std::size_t bytes, Time now);
   // How long until a piece of the burst's size may leave.
--- a/src/mesh/link_codec.cc
+++ b/src/mesh/link_codec.cc
@@ -102,7 +102,6 @@
     auto body = out.initHello();
     WriteRecord(hello.self, body.initMember());
     body.setGeneration(hello.generation);
-    body.setLinkBytesPerSecond(hello.link_bytes_per_second);
   }
   void operator()(const GateCall& call) {
     auto body = out.initCall();
@@ -209,8 +208,7 @@
   switch (in.which()) {
     case Which::HELLO:
       return LinkHello{ReadRecord(in.getHello().getMember()),
-                       in.getHello().getGeneration(),
-                       in.getHello().getLinkBytesPerSecond()};
+                       in.getHello().getGeneration()};
     case Which::CALL:
       return ReadCall(in.getCall());
     case Which::CANCEL:
--- a/src/mesh/link_frames.h
+++ b/src/mesh/link_frames.h
@@ -86,7 +86,6 @@
 struct LinkHello {
   MemberRecord self;
   std::uint64_t generation = 0;
-  std::int64_t link_bytes_per_second = 0;  // Of the machine's link.
 };
 
 struct LinkCancel {};
--- a/src/mesh/link_hub.cc
+++ b/src/mesh/link_hub.cc
@@ -11,9 +11,6 @@
 constexpr std::string_view kPart = "links";
 
 constexpr int kBacklog = 1'024;
-// The part of a peer's link that large answers from here may take; others send
-// to it too, and the store.
-constexpr std::uint32_t kPeerPermille = 600;
 constexpr Duration kConnectTimeout = std::chrono::seconds(1);
 // Links that broke are opened again after this, doubled up to the longest.
 constexpr Duration kFirstRedial = std::chrono::milliseconds(100);
@@ -39,16 +36,6 @@
 template <class... Ts>
 Overload(Ts...) -> Overload<Ts...>;
 
-// Paces large answers to a peer by its link.
-std::shared_ptr<LinkPacer> PeerPacer(std::int64_t bytes_per_second) {
-  LinkPacerInit init;
-  if (bytes_per_second > 0) {
-    init.link_bytes_per_second = bytes_per_second;
-  }
-  init.used_permille = kPeerPermille;
-  return std::make_shared<LinkPacer>(init, SteadyNow());
-}
-
 bool IsLast(const LinkBody& body) {
   return std::visit(
       Overload{[](const GateRefusal&) { return true; },
@@ -147,7 +134,6 @@
       Overload{
           [&](const LinkHello& hello) {
             peer->name = hello.self.member.name;
-            peer->pacer = PeerPacer(hello.link_bytes_per_second);
             init_.on_record(hello.self);
             peer->link->Send(Hello());
             init_.on_load(peer->name, {{}, hello.generation});
@@ -224,21 +210,20 @@
 void LinkHub::Queue(const IncomingPointer& peer, CallId id, GatePart part) {
   peer->queued.insert(id);
   const std::weak_ptr<Incoming> weak = peer;
-  init_.sender->Queue(
-      std::move(part.body), peer->pacer,
-      [weak, id, ends = part.last](std::string piece, bool whole) {
-        const auto held = weak.lock();
-        if (!held || !held->queued.contains(id)) {
-          return false;
-        }
-        const bool last = ends && whole;
-        if (last) {
-          held->queued.erase(id);
-          held->calls.erase(id);
-        }
-        held->link->Send({id, GatePart{std::move(piece), last}});
-        return true;
-      });
+  init_.sender->Queue(std::move(part.body), [weak, id, ends = part.last](
+                                                std::string piece, bool whole) {
+    const auto held = weak.lock();
+    if (!held || !held->queued.contains(id)) {
+      return false;
+    }
+    const bool last = ends && whole;
+    if (last) {
+      held->queued.erase(id);
+      held->calls.erase(id);
+    }
+    held->link->Send({id, GatePart{std::move(piece), last}});
+    return true;
+  });
 }
 
 void LinkHub::DropIncoming(const IncomingPointer& peer, std::string_view why) {
@@ -328,8 +313,7 @@
 }
 
 LinkFrame LinkHub::Hello() const {
-  return {0, LinkHello{init_.self(), init_.generation(),
-                       init_.link_bytes_per_second}};
+  return {0, LinkHello{init_.self(), init_.generation()}};
 }
 
 void LinkHub::OnOutgoingFrame(const OutgoingPointer& peer, LinkFrame frame) {
--- a/src/mesh/link_hub.h
+++ b/src/mesh/link_hub.h
@@ -31,7 +31,6 @@
     Gate* gate = nullptr;
     std::uint64_t seed = 0;
     PacedSender* sender = nullptr;
-    std::int64_t link_bytes_per_second = 0;  // Of this machine.
     // What this node says of itself.
     std::function<MemberRecord()> self;
     std::function<std::uint64_t()> generation;
@@ -89,9 +88,7 @@
     std::shared_ptr<Link> link;
     std::string name;                // Empty until it has said who it is.
     std::map<CallId, CallId> calls;  // The gate's ids by the peer's.
-    // What the peer's link takes of large answers.
-    std::shared_ptr<LinkPacer> pacer;
-    std::set<CallId> queued;  // Calls whose answers wait for the link.
+    std::set<CallId> queued;         // Calls whose answers wait for the link.
   };
   using IncomingPointer = std::shared_ptr<Incoming>;
 
--- a/src/mesh/origin.cc
+++ b/src/mesh/origin.cc
@@ -54,9 +54,6 @@
 constexpr Duration kAwayTime = std::chrono::milliseconds(3);
 constexpr Duration kAwayTimePerKilobyte = std::chrono::milliseconds(12);
 constexpr std::int64_t kKilobyte = 1'000;
-// Answers of rules with more than this are counted against the link.
-constexpr std::int64_t kLargeAnswerBytes = 16'384;
-constexpr std::int64_t kMicrosPerSecond = 1'000'000;
 
 BalancerLimits Limits() {
   BalancerLimits limits;
@@ -138,34 +135,12 @@
   call.exchange->OnGone([this, id] { OnGone(id); });
   call.service = rotation_.Next(call.rule->id, *call.route);
   allowance_.OnRequest(call.service, call.begin);
-  if (WaitsForLink(call)) {
-    Fail(id, kUnavailable, "the link is full");
-    return;
-  }
   if (!sweeping_) {
     ScheduleSweep();
   }
   Send(id);
 }
 
-// Whether the answer would be late since others are on their way here. One
-// that is not is counted among them.
-bool Origin::WaitsForLink(Call& call) {
-  const std::int64_t bytes = profiles_.Find(call.rule->id).answer_bytes;
-  if (bytes < kLargeAnswerBytes || init_.link_bytes_per_second <= 0) {
-    return false;
-  }
-  const auto time = Duration((expected_bytes_ + bytes) * kMicrosPerSecond /
-                             init_.link_bytes_per_second);
-  if (expected_bytes_ > 0 && time > ObjectiveOf(call)) {
-    call.come_back = time;
-    return true;
-  }
-  call.expected_bytes = bytes;
-  expected_bytes_ += bytes;
-  return false;
-}
-
 // False when the request was answered.
 bool Origin::DecideByRules(CallId id, Call& call) {
   call.table = init_.applier->table();
@@ -465,6 +440,10 @@
 // The instance's answer is whole.
 void Origin::Answer(CallId id) {
   Call& call = calls_.at(id);
+  if (call.length && *call.length != call.body_bytes) {
+    OnBroken(id, {"the answer is not whole", {}});
+    return;
+  }
   const bool failed = call.status >= kServerError;
   if (!failed) {
     LearnFrom(call, SteadyNow());
@@ -607,7 +586,6 @@
        {"refusals", call.refusals},
        {"took_ms", ToMilliseconds(took)},
        {"left_ms", ToMilliseconds(call.deadline - now)}});
-  expected_bytes_ -= call.expected_bytes;
   calls_.erase(found);
 }
 
--- a/src/mesh/origin.h
+++ b/src/mesh/origin.h
@@ -46,7 +46,6 @@
     Metrics* metrics = nullptr;
     CallHeaderNames headers;
     RetryAllowanceLimits allowance;
-    std::int64_t link_bytes_per_second = 0;  // Of this machine.
     std::uint64_t seed = 0;
     // The service that the callers on this machine run.
     std::function<std::string()> caller_service;
@@ -101,10 +100,9 @@
     Time deadline;
     std::optional<Attempt> attempt;
     std::vector<UpstreamHandle> tried;
-    std::int64_t expected_bytes = 0;  // Of its answer, when that is large.
-    std::uint32_t serial = 0;         // Of the attempt at this node's own gate.
-    std::uint32_t runs = 0;           // Instances that it was sent to.
-    std::uint32_t refusals = 0;       // By gates, with nothing sent.
+    std::uint32_t serial = 0;    // Of the attempt at this node's own gate.
+    std::uint32_t runs = 0;      // Instances that it was sent to.
+    std::uint32_t refusals = 0;  // By gates, with nothing sent.
     // Gates that had no free slot, and may be asked once more to queue it.
     std::vector<UpstreamHandle> full;
     Duration come_back{0};  // The least that a gate asked for.
@@ -124,7 +122,6 @@
 
   bool DecideByRules(CallId id, Call& call);
   void SetDeadline(Call& call) const;
-  bool WaitsForLink(Call& call);
   void Send(CallId id);
   void AllowQueueing(Call& call);
   UpstreamHandle Choose(Call& call, Time now);
@@ -160,7 +157,6 @@
   TargetRotation rotation_;
   std::mt19937_64 random_;
   std::map<CallId, Call> calls_;
-  std::int64_t expected_bytes_ = 0;  // Of large answers under way to here.
   CallId last_id_ = 0;
   bool sweeping_ = false;
   CounterHandle requests_;
--- a/src/mesh/paced_sender.h
+++ b/src/mesh/paced_sender.h
@@ -1,5 +1,4 @@
-// Sends large answers at the pace of the machine's link and of those of their
-// receivers, the oldest first.
+// Sends large answers at the pace of the machine's link, one after the other.
 #ifndef MESH_PACED_SENDER_H_
 #define MESH_PACED_SENDER_H_
 
@@ -8,7 +7,6 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
-#include <memory>
 #include <string>
 
 #include "base/time.h"
@@ -28,10 +26,7 @@
   PacedSender(const PacedSender&) = delete;
   PacedSender& operator=(const PacedSender&) = delete;
 
-  // `receiver` paces what goes to one machine; null: nothing does.
-  void Queue(std::string bytes,
-             std::shared_ptr<LinkPacer> receiver,
-             Write write);
+  void Queue(std::string bytes, Write write);
   // Bytes that left without being queued.
   void OnSent(std::size_t bytes);
   // How long bytes that are queued now wait.
@@ -41,12 +36,9 @@
   struct Item {
     std::string bytes;
     std::size_t sent = 0;
-    std::shared_ptr<LinkPacer> receiver;
     Write write;
   };
 
-  // Sends what may leave of the item. Returns whether it is done with.
-  bool SendSome(Item& item, Time now);
   void SendQueued();
 
   asio::steady_timer timer_;
--- a/src/mesh/sidecar.cc
+++ b/src/mesh/sidecar.cc
@@ -145,7 +145,6 @@
   init.gate = &gate_;
   init.seed = FreshSeed();
   init.sender = &sender_;
-  init.link_bytes_per_second = settings_.link_bytes_per_second;
   init.self = [this] { return Self(); };
   init.generation = [this] { return applier_.generation(); };
   init.configuration = [this] { return configuration_text_; };
@@ -179,7 +178,6 @@
   init.headers = platform::kCallHeaders;
   init.allowance = AllowanceLimits();
   init.seed = FreshSeed();
-  init.link_bytes_per_second = settings_.link_bytes_per_second;
   init.caller_service = [this] { return settings_.service; };
   init.configuration_age = [this] { return ConfigurationAge(); };
   return init;
--- a/src/wire/link.capnp
+++ b/src/wire/link.capnp
@@ -53,7 +53,6 @@
 struct Hello {
   member @0 :Member;
   generation @1 :UInt64;
-  linkBytesPerSecond @2 :Int64;
 }
 
 struct Call {
--- a/src/wire/link.capnp.h
+++ b/src/wire/link.capnp.h
@@ -116,7 +116,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(dbaf62b7d0b2972f, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(dbaf62b7d0b2972f, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -764,8 +764,6 @@
 
   inline  ::uint64_t getGeneration() const;
 
-  inline  ::int64_t getLinkBytesPerSecond() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -804,9 +802,6 @@
   inline  ::uint64_t getGeneration();
   inline void setGeneration( ::uint64_t value);
 
-  inline  ::int64_t getLinkBytesPerSecond();
-  inline void setLinkBytesPerSecond( ::int64_t value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2434,20 +2429,6 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t Hello::Reader::getLinkBytesPerSecond() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t Hello::Builder::getLinkBytesPerSecond() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void Hello::Builder::setLinkBytesPerSecond( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
 inline bool Call::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/tests/link_pacer_test.cc
+++ b/tests/link_pacer_test.cc
@@ -48,14 +48,6 @@
   CHECK(pacer.TimeFor(112'500) == 100 * kMs);
 }
 
-SCENARIO("a receiver's small link is known before anything is sent") {
-  LinkPacer pacer(SmallLink(), kStart);
-  CHECK(pacer.Available(kStart) == 8'192);
-  pacer.OnSent(8'192, kStart);
-  CHECK(pacer.Available(kStart) == 0);
-  CHECK(pacer.Available(kStart + 4 * kMs) > 4'000);
-}
-
 SCENARIO("a wide link is hardly paced") {
   LinkPacer pacer({}, kStart);
   CHECK(pacer.Take(200'000, kStart) == 200'000);
