--- a/src/cli/sidecar_command.cc
+++ b/src/cli/sidecar_command.cc
@@ -15,7 +15,7 @@
     return leaf::new_error(ConfigError{
         {{path, {}, fmt::format("platform.bounds: {}", error->reason)}}});
   }
-  BOOST_LEAF_AUTO(charts, LoadSidecarCharts());
+  BOOST_LEAF_AUTO(charts, LoadNodeCharts());
   SetLogLevel(settings.log_level);
   StartBufferedLog();
   Sidecar sidecar(settings, std::get<platform::Bounds>(bounds),
--- a/src/io/http1_server.cc
+++ b/src/io/http1_server.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "base/log.h"
+#include "io/listen.h"
 #include "io/shared_read.h"
 
 namespace verbenastile {
@@ -20,7 +21,6 @@
 // reset.
 constexpr Duration kLingerTime = std::chrono::seconds(1);
 constexpr Duration kAcceptPause = std::chrono::milliseconds(20);
-constexpr int kBacklog = 1'024;
 
 constexpr int kBadRequest = 400;
 constexpr int kRequestTimeout = 408;
@@ -388,24 +388,9 @@
 }
 
 std::string Http1Server::Open(const SocketAddress& address) {
-  asio::error_code error;
-  const auto ip = asio::ip::make_address(address.ip, error);
-  if (error) {
-    return error.message();
-  }
-  const Tcp::endpoint endpoint(ip, address.port);
-  acceptor_.open(endpoint.protocol(), error);
-  if (!error) {
-    acceptor_.set_option(Tcp::acceptor::reuse_address(true), error);
-  }
-  if (!error) {
-    acceptor_.bind(endpoint, error);
-  }
-  if (!error) {
-    acceptor_.listen(kBacklog, error);
-  }
-  if (error) {
-    return error.message();
+  std::string error = Listen(acceptor_, address);
+  if (!error.empty()) {
+    return error;
   }
   Accept();
   ScheduleSweep();
--- a/src/mesh/link_hub.cc
+++ b/src/mesh/link_hub.cc
@@ -4,13 +4,13 @@
 #include <utility>
 
 #include "base/log.h"
+#include "io/listen.h"
 
 namespace verbenastile {
 namespace {
 
 constexpr std::string_view kPart = "links";
 
-constexpr int kBacklog = 1'024;
 constexpr Duration kConnectTimeout = std::chrono::seconds(1);
 // Links that broke are opened again after this, doubled up to the longest.
 constexpr Duration kFirstRedial = std::chrono::milliseconds(100);
@@ -59,23 +59,9 @@
 }
 
 std::string LinkHub::Open() {
-  asio::error_code error;
-  const auto ip = asio::ip::make_address(init_.address.ip, error);
-  const Tcp::endpoint endpoint(ip, init_.address.port);
-  if (!error) {
-    acceptor_.open(endpoint.protocol(), error);
-  }
-  if (!error) {
-    acceptor_.set_option(Tcp::acceptor::reuse_address(true), error);
-  }
-  if (!error) {
-    acceptor_.bind(endpoint, error);
-  }
-  if (!error) {
-    acceptor_.listen(kBacklog, error);
-  }
-  if (error) {
-    return error.message();
+  std::string error = Listen(acceptor_, init_.address);
+  if (!error.empty()) {
+    return error;
   }
   last_probe_ = SteadyNow();
   Accept();
--- a/src/mesh/sidecar.cc
+++ b/src/mesh/sidecar.cc
@@ -69,20 +69,9 @@
 
 }  // namespace
 
-leaf::result<SidecarCharts> LoadSidecarCharts() {
-  SidecarCharts charts;
-  BOOST_LEAF_ASSIGN(charts.lifecycle, LoadEmbeddedChart("node_lifecycle"));
-  BOOST_LEAF_ASSIGN(charts.config_apply, LoadEmbeddedChart("config_apply"));
-  BOOST_LEAF_ASSIGN(charts.platform_session,
-                    LoadEmbeddedChart("platform_session"));
-  BOOST_LEAF_ASSIGN(charts.upstream_health,
-                    LoadEmbeddedChart("upstream_health"));
-  return charts;
-}
-
 Sidecar::Sidecar(const SidecarSettings& settings,
                  const platform::Bounds& bounds,
-                 SidecarCharts charts,
+                 NodeCharts charts,
                  std::string path)
     : settings_(settings),
       bounds_(bounds),
--- a/src/mesh/sidecar.h
+++ b/src/mesh/sidecar.h
@@ -16,6 +16,7 @@
 #include "core/config_apply.h"
 #include "core/instance_tracker.h"
 #include "core/member_book.h"
+#include "core/node_charts.h"
 #include "core/state_chart.h"
 #include "io/http1_server.h"
 #include "mesh/gate.h"
@@ -30,23 +31,12 @@
 
 namespace verbenastile {
 
-// The charts that a sidecar runs by.
-struct SidecarCharts {
-  StateChart lifecycle;
-  StateChart config_apply;
-  StateChart platform_session;
-  StateChart upstream_health;
-};
-
-// Errors: `ConfigError` when an embedded chart is at fault.
-leaf::result<SidecarCharts> LoadSidecarCharts();
-
 class Sidecar {
  public:
   // `path` is the file that `settings` came from, which may change.
   Sidecar(const SidecarSettings& settings,
           const platform::Bounds& bounds,
-          SidecarCharts charts,
+          NodeCharts charts,
           std::string path);
   Sidecar(const Sidecar&) = delete;
   Sidecar& operator=(const Sidecar&) = delete;
@@ -102,7 +92,7 @@
 
   SidecarSettings settings_;
   platform::Bounds bounds_;
-  SidecarCharts charts_;
+  NodeCharts charts_;
   std::string settings_path_;
   std::string settings_text_;
   asio::io_context io_{1};
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -78,17 +78,6 @@
 
 }  // namespace
 
-leaf::result<NodeCharts> LoadNodeCharts() {
-  NodeCharts charts;
-  BOOST_LEAF_ASSIGN(charts.lifecycle, LoadEmbeddedChart("node_lifecycle"));
-  BOOST_LEAF_ASSIGN(charts.config_apply, LoadEmbeddedChart("config_apply"));
-  BOOST_LEAF_ASSIGN(charts.platform_session,
-                    LoadEmbeddedChart("platform_session"));
-  BOOST_LEAF_ASSIGN(charts.upstream_health,
-                    LoadEmbeddedChart("upstream_health"));
-  return charts;
-}
-
 Node::Node(const Settings& settings, NodeCharts charts, std::string admin_token)
     : settings_(settings),
       charts_(std::move(charts)),
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -12,6 +12,7 @@
 #include "config/settings.h"
 #include "core/config_apply.h"
 #include "core/member_directory.h"
+#include "core/node_charts.h"
 #include "core/state_chart.h"
 #include "io/http_client.h"
 #include "io/platform_client.h"
@@ -23,17 +24,6 @@
 
 namespace verbenastile {
 
-// The charts that a node runs by; read once at start.
-struct NodeCharts {
-  StateChart lifecycle;
-  StateChart config_apply;
-  StateChart platform_session;
-  StateChart upstream_health;
-};
-
-// Errors: `ConfigError` when an embedded chart is at fault.
-leaf::result<NodeCharts> LoadNodeCharts();
-
 class Node {
  public:
   // `admin_token` as `AdminHooks` has it.
