Large answers come from the own machine first; idle links cost a bounded rate

The balancer gave no credit for an answer that needs no link, sampled three of a domain, and gates refused and booked link time for calls of their own machine too. Change: the own machine is always compared, its answers take no link time; calls of it need no link; another domain takes large answers only on free links.

--- a/src/core/balancer.cc
+++ b/src/core/balancer.cc
@@ -172,6 +172,9 @@
     }
     Pool& pool = pools_[upstream.member.service];
     ++pool.members;
+    if (name == init_.self) {
+      pool.own = index;
+    }
     const bool aside = upstream.health == UpstreamHealth::kEjected ||
                        upstream.health == UpstreamHealth::kProbing;
     (aside ? pool.aside : pool.tiers[upstream.tier]).push_back(index);
@@ -368,8 +371,11 @@
     const std::size_t count =
         all ? members.size() : std::min(members.size(), kSamplesOfTier);
     for (std::size_t i = 0; i < count; ++i) {
-      const std::uint32_t index =
-          all ? members[i] : members[random() % members.size()];
+      // Among samples, the instance on this machine is always one.
+      const bool own = !all && i == 0 && tier == 0 && pool.own;
+      const std::uint32_t index = own   ? *pool.own
+                                  : all ? members[i]
+                                        : members[random() % members.size()];
       if (IsExcluded(index, query)) {
         continue;
       }
@@ -419,17 +425,24 @@
   if (upstream.health == UpstreamHealth::kCold) {
     penalty += kPermille;
   }
-  // The link has sent on since it was told of.
-  const std::int64_t link_wait =
-      query.large_answer
-          ? std::max<std::int64_t>(
-                (upstream.link_wait - (now - upstream.load_reported)).count(),
-                0)
-          : 0;
   const std::int64_t in_slot = mean * slowness / kPermille;
   const std::int64_t parts = kPermille + waiting * kPermille / slots +
                              load * kPermille / slots / kFreeSlotPart;
-  return (in_slot * parts / kPermille + link_wait) * penalty / kPermille;
+  return (in_slot * parts / kPermille + LinkTime(upstream, query, now)) *
+         penalty / kPermille;
+}
+
+// Links have sent on since their wait was told.
+std::int64_t Balancer::LinkTime(const Upstream& upstream,
+                                const ChooseQuery& query,
+                                Time now) const {
+  const bool none =
+      query.link_time == Duration::zero() || upstream.member.name == init_.self;
+  if (none) {
+    return 0;
+  }
+  const Duration wait = upstream.link_wait - (now - upstream.load_reported);
+  return (query.link_time + std::max(wait, Duration::zero())).count();
 }
 
 // With all others tried, one that is aside is better than none.
--- a/src/core/balancer.h
+++ b/src/core/balancer.h
@@ -86,9 +86,9 @@
   std::optional<Duration> away_cost = std::nullopt;
   // The mean time at an instance; with `away_cost`.
   Duration service_time{0};
-  // Whether the answer waits for the link of the instance's machine; with
-  // `away_cost`.
-  bool large_answer = false;
+  // How long a large answer takes on this machine's link; it waits for that of
+  // the instance's machine too. With `away_cost`; 0 for small answers.
+  Duration link_time{0};
   // The time after which an answer is late; with `away_cost`.
   Duration objective{0};
 };
@@ -108,6 +108,8 @@
     std::string failure_domain;
     std::string region;
     BalancerLimits limits;
+    // The member on this machine, if any: its answers need no link.
+    std::string self = {};
   };
 
   explicit Balancer(Init init);
@@ -179,6 +181,7 @@
   // The instances of one service that take calls, by tier, and the others.
   struct Pool {
     std::array<std::vector<std::uint32_t>, kTiers> tiers;
+    std::optional<std::uint32_t> own;  // On this machine.
     std::vector<std::uint32_t> aside;  // Ejected or probing.
     std::size_t members = 0;
   };
@@ -222,6 +225,9 @@
   std::int64_t ExpectedTime(const Upstream& upstream,
                             const ChooseQuery& query,
                             Time now) const;
+  std::int64_t LinkTime(const Upstream& upstream,
+                        const ChooseQuery& query,
+                        Time now) const;
   std::uint32_t LastResort(const Pool& pool, const ChooseQuery& query) const;
   std::int64_t Score(const Upstream& upstream, Time now) const;
   std::int64_t PressurePermille(const Upstream& upstream, Time now) const;
--- a/src/mesh/gate.cc
+++ b/src/mesh/gate.cc
@@ -78,11 +78,12 @@
   return leaves ? RefusalReason::kLeaving : RefusalReason::kNoInstance;
 }
 
-CallId Gate::Start(GateCall call, Reply reply) {
+CallId Gate::Start(GateCall call, AnswerPath path, Reply reply) {
   const CallId id = ++last_id_;
   const Time now = SteadyNow();
   Call& held = calls_[id];
   held.call = std::move(call);
+  held.path = path;
   held.reply = std::move(reply);
   held.arrived = now;
   held.deadline = now + held.call.remaining;
@@ -115,7 +116,8 @@
 // others wait for the machine's link.
 Duration Gate::LateByLink(const Call& call) const {
   const RuleProfile profile = profiles_.Find(call.call.rule);
-  if (profile.answer_bytes <= kLargeAnswerBytes) {
+  if (call.path == AnswerPath::kLocal ||
+      profile.answer_bytes <= kLargeAnswerBytes) {
     return Duration::zero();
   }
   const Duration objective = call.call.objective;
@@ -134,7 +136,8 @@
   offer.due = now + call.call.objective;
   offer.kind = call.call.rule;
   const AdmissionResult result = admission_.Offer(offer, now);
-  if (result.verdict != AdmissionVerdict::kRefused) {
+  if (result.verdict != AdmissionVerdict::kRefused &&
+      call.path == AnswerPath::kLink) {
     forecast_.OnTaken(id, profiles_.Find(call.call.rule));
   }
   Run(result.actions);
--- a/src/mesh/gate.h
+++ b/src/mesh/gate.h
@@ -24,6 +24,9 @@
 
 namespace verbenastile {
 
+// Whether an answer goes to another machine.
+enum class AnswerPath : std::uint8_t { kLink, kLocal };
+
 class Gate {
  public:
   struct Init {
@@ -50,7 +53,7 @@
   Gate(const Gate&) = delete;
   Gate& operator=(const Gate&) = delete;
 
-  CallId Start(GateCall call, Reply reply);
+  CallId Start(GateCall call, AnswerPath path, Reply reply);
   // The caller does not wait any more. What may be repeated is cancelled at
   // the instance; what may not is left to end there.
   void Cancel(CallId id);
@@ -67,6 +70,7 @@
  private:
   struct Call {
     GateCall call;
+    AnswerPath path = AnswerPath::kLink;
     Reply reply;
     Time arrived;
     Time started;
--- a/src/mesh/link_codec.cc
+++ b/src/mesh/link_codec.cc
@@ -191,6 +191,9 @@
   void operator()(const LinkMember& member) {
     WriteRecord(member.record, out.initMember());
   }
+  void operator()(const LinkSuspicion& suspicion) {
+    out.setSuspicion(TextOf(suspicion.member));
+  }
   void operator()(const LinkConfigurationWanted& wanted) {
     WriteHeld(wanted.held, out.initConfigurationWanted());
   }
@@ -276,6 +279,8 @@
       return LinkPong{ReadLoad(in.getPong())};
     case Which::MEMBER:
       return LinkMember{ReadRecord(in.getMember())};
+    case Which::SUSPICION:
+      return LinkSuspicion{StringOf(in.getSuspicion())};
     case Which::CONFIGURATION_WANTED:
       return LinkConfigurationWanted{ReadHeld(in.getConfigurationWanted())};
     case Which::CONFIGURATION: {
--- a/src/mesh/link_frames.h
+++ b/src/mesh/link_frames.h
@@ -101,6 +101,10 @@
 struct LinkMember {
   MemberRecord record;
 };
+// The sender's link to the member broke without a word.
+struct LinkSuspicion {
+  std::string member;
+};
 struct LinkConfigurationWanted {
   HeldConfiguration held;
 };
@@ -119,6 +123,7 @@
                               LinkPing,
                               LinkPong,
                               LinkMember,
+                              LinkSuspicion,
                               LinkConfigurationWanted,
                               LinkConfiguration>;
 
--- a/src/mesh/link_hub.cc
+++ b/src/mesh/link_hub.cc
@@ -17,14 +17,6 @@
 constexpr Duration kLongestRedial = std::chrono::seconds(1);
 constexpr unsigned kMaxRedialDoublings = 4;
 constexpr Duration kProbeInterval = std::chrono::milliseconds(150);
-// A silent link is probed after this, sooner when answers are due on it.
-constexpr Duration kIdleSilence = std::chrono::seconds(1);
-constexpr Duration kBusySilence = std::chrono::milliseconds(300);
-// A probe that is not answered within this breaks the link: the time of a few
-// lost packets' retransmissions.
-constexpr Duration kProbeTimeout = std::chrono::milliseconds(1'200);
-// Peers probe their links; one that is silent for longer has gone.
-constexpr Duration kIncomingSilence = std::chrono::seconds(5);
 // A tick that is late by this means that the process stood still: what others
 // sent meanwhile has not been read yet.
 constexpr Duration kStoodStill = std::chrono::milliseconds(600);
@@ -144,6 +136,12 @@
             peer->link->Send({0, LinkPong{init_.gate->load()}});
           },
           [&](const LinkMember& member) { init_.on_record(member.record); },
+          [&](const LinkSuspicion& suspicion) {
+            const auto found = outgoing_.find(suspicion.member);
+            if (found != outgoing_.end()) {
+              found->second->watch.OnSuspected();
+            }
+          },
           [&](const LinkConfigurationWanted& wanted) {
             if (const auto* delta = init_.configuration_delta(wanted.held)) {
               init_.sender->OnSent(
@@ -158,13 +156,13 @@
                              CallId id,
                              GateCall call) {
   const std::weak_ptr<Incoming> weak = peer;
-  peer->calls[id] =
-      init_.gate->Start(std::move(call), [this, weak, id](LinkBody body) {
-        const auto held = weak.lock();
-        if (held && held->calls.contains(id)) {
-          SendAnswer(held, id, std::move(body));
-        }
-      });
+  peer->calls[id] = init_.gate->Start(std::move(call), AnswerPath::kLink,
+                                      [this, weak, id](LinkBody body) {
+                                        const auto held = weak.lock();
+                                        if (held && held->calls.contains(id)) {
+                                          SendAnswer(held, id, std::move(body));
+                                        }
+                                      });
 }
 
 // Small frames leave at once; the bodies of large answers wait for the link.
@@ -292,7 +290,7 @@
   }
   peer->link = std::make_shared<Link>(std::move(peer->socket));
   peer->greeted = false;
-  peer->probed = SteadyNow();
+  peer->watch.OnOpened(SteadyNow());
   peer->link->Open(
       {[this, peer](LinkFrame frame) {
          OnOutgoingFrame(peer, std::move(frame));
@@ -306,7 +304,7 @@
 }
 
 void LinkHub::OnOutgoingFrame(const OutgoingPointer& peer, LinkFrame frame) {
-  peer->probed = Time();
+  peer->watch.OnFrame();
   if (frame.call != 0) {
     if (IsLast(frame.body)) {
       peer->calls.erase(frame.call);
@@ -429,32 +427,50 @@
   const bool stood_still = now - last_probe_ > kStoodStill;
   last_probe_ = now;
   for (const auto& [name, peer] : std::map(outgoing_)) {
-    if (!peer->link) {
-      continue;
+    if (stood_still) {
+      peer->watch.OnStoodStill(now);
     }
-    if (stood_still && peer->probed != Time()) {
-      peer->probed = now;
-    }
-    const Duration silence = now - peer->link->last_heard();
-    const Duration allowed = peer->calls.empty() ? kIdleSilence : kBusySilence;
-    if (peer->probed != Time()) {
-      if (now - peer->probed > kProbeTimeout) {
-        peer->link->Close();
-        OnOutgoingClosed(peer, "no answer to a probe");
-      }
-    } else if (silence > allowed) {
-      peer->probed = now;
-      peer->link->Send({0, LinkPing{}});
+    if (peer->link) {
+      ProbeOutgoing(peer, now);
     }
   }
+  const Duration longest = LongestSilence(outgoing_.size());
   for (const auto& peer : std::set(incoming_)) {
-    if (!stood_still && now - peer->link->last_heard() > kIncomingSilence) {
+    if (!stood_still && now - peer->link->last_heard() > longest) {
       peer->link->Close();
       DropIncoming(peer, "silent");
     }
   }
 }
 
+void LinkHub::ProbeOutgoing(const OutgoingPointer& peer, Time now) {
+  switch (peer->watch.Check(
+      {peer->link->last_heard(), !peer->calls.empty(), outgoing_.size()},
+      now)) {
+    case LinkVerdict::kFine:
+      break;
+    case LinkVerdict::kProbe:
+      peer->link->Send({0, LinkPing{}});
+      break;
+    case LinkVerdict::kBroken:
+      peer->link->Close();
+      OnOutgoingClosed(peer, "no answer to a probe");
+      TellSuspicion(peer->name);
+      break;
+  }
+}
+
+// Others may have calls under way there, or send some before their own probes
+// are due.
+void LinkHub::TellSuspicion(std::string_view member) {
+  const LinkFrame frame{0, LinkSuspicion{std::string(member)}};
+  for (const auto& [name, peer] : outgoing_) {
+    if (peer->greeted) {
+      peer->link->Send(frame);
+    }
+  }
+}
+
 void LinkHub::ScheduleProbe() {
   probe_timer_.expires_after(kProbeInterval);
   probe_timer_.async_wait([this](const asio::error_code& error) {
--- a/src/mesh/link_hub.h
+++ b/src/mesh/link_hub.h
@@ -15,6 +15,7 @@
 #include <string_view>
 
 #include "base/random.h"
+#include "core/link_watch.h"
 #include "core/member_book.h"
 #include "mesh/gate.h"
 #include "mesh/link.h"
@@ -83,7 +84,7 @@
     bool greeted = false;  // The member has said who it is.
     bool closed = false;
     unsigned failures = 0;
-    Time probed;  // When the unanswered ping was sent; none: `Time()`.
+    LinkWatch watch;
     std::set<CallId> calls;  // Without a whole answer.
   };
   using OutgoingPointer = std::shared_ptr<Outgoing>;
@@ -113,6 +114,8 @@
   void Shut(Outgoing& peer);
   LinkFrame Hello() const;
   void Probe(Time now);
+  void ProbeOutgoing(const OutgoingPointer& peer, Time now);
+  void TellSuspicion(std::string_view member);
   void ScheduleProbe();
 
   Init init_;
--- a/src/mesh/origin.cc
+++ b/src/mesh/origin.cc
@@ -55,6 +55,7 @@
 constexpr Duration kAwayTime = std::chrono::milliseconds(3);
 constexpr Duration kAwayTimePerKilobyte = std::chrono::milliseconds(12);
 constexpr std::int64_t kKilobyte = 1'000;
+constexpr std::int64_t kMicrosPerSecond = 1'000'000;
 
 BalancerLimits Limits() {
   BalancerLimits limits;
@@ -103,8 +104,8 @@
 Origin::Origin(const Init& init)
     : init_(init),
       timer_(*init.io),
-      balancer_(
-          {init.health_chart, init.failure_domain, init.region, Limits()}),
+      balancer_({init.health_chart, init.failure_domain, init.region, Limits(),
+                 init.node}),
       allowance_(init.allowance, SteadyNow()),
       random_(init.seed),
       requests_(init.metrics->Counter("requests_total")),
@@ -206,7 +207,7 @@
     call.tried.push_back(upstream);
     if (attempt.local) {
       attempt.at_gate = init_.gate->Start(
-          CallFor(call, now),
+          CallFor(call, *member, now), AnswerPath::kLocal,
           [this, id, serial = ++call.serial](LinkBody body) {
             const auto found = calls_.find(id);
             if (found != calls_.end() && found->second.attempt &&
@@ -214,7 +215,8 @@
               OnBody(id, std::move(body));
             }
           });
-    } else if (!init_.links->Send(attempt.member, {id, CallFor(call, now)})) {
+    } else if (!init_.links->Send(attempt.member,
+                                  {id, CallFor(call, *member, now)})) {
       continue;
     }
     balancer_.OnStarted(upstream, now);
@@ -241,7 +243,10 @@
   query.excluded = call.tried;
   query.may_probe = call.route->repeatable;
   query.service_time = profile.service_time;
-  query.large_answer = profile.answer_bytes > kLargeAnswerBytes;
+  if (profile.answer_bytes > kLargeAnswerBytes) {
+    query.link_time = Duration(profile.answer_bytes * kMicrosPerSecond /
+                               init_.link_bytes_per_second);
+  }
   query.objective = ObjectiveOf(call);
   query.away_cost =
       kAwayTime + kAwayTimePerKilobyte * profile.answer_bytes / kKilobyte;
@@ -253,7 +258,9 @@
                                                    : call.route->objective;
 }
 
-GateCall Origin::CallFor(const Call& call, Time now) const {
+GateCall Origin::CallFor(const Call& call,
+                         const Member& member,
+                         Time now) const {
   const Http1Head& head = call.exchange->head();
   GateCall gate;
   gate.service = call.service;
@@ -268,7 +275,12 @@
   gate.remaining = call.deadline - now;
   gate.objective = call.begin + ObjectiveOf(call) - now;
   gate.idempotent = call.route->repeatable;
-  gate.only_if_free = call.refusals < kFreeSlotTries;
+  // Another failure domain is to spend its links on its own large answers
+  // first.
+  const bool exported =
+      member.failure_domain != init_.failure_domain &&
+      profiles_.Find(call.rule->id).answer_bytes > kLargeAnswerBytes;
+  gate.only_if_free = exported || call.refusals < kFreeSlotTries;
   return gate;
 }
 
--- a/src/mesh/origin.h
+++ b/src/mesh/origin.h
@@ -36,6 +36,8 @@
   struct Init {
     asio::io_context* io = nullptr;
     std::string node;
+    // What the machine's link carries.
+    std::int64_t link_bytes_per_second = 125'000'000;
     std::string failure_domain;
     std::string region;
     const ConfigApplier* applier = nullptr;
@@ -125,7 +127,7 @@
   void AllowQueueing(Call& call);
   UpstreamHandle Choose(Call& call, Time now);
   Duration ObjectiveOf(const Call& call) const;
-  GateCall CallFor(const Call& call, Time now) const;
+  GateCall CallFor(const Call& call, const Member& member, Time now) const;
   void OnBody(CallId id, LinkBody body);
   void OnRefusal(CallId id, const GateRefusal& refusal);
   void OnBroken(CallId id, const GateBroken& broken);
--- a/src/mesh/sidecar.cc
+++ b/src/mesh/sidecar.cc
@@ -87,6 +87,7 @@
       tracker_(settings_.upstream),
       book_(settings_.name),
       store_(io_, settings_.platform),
+      source_({settings_.link_bytes_per_second, SteadyNow(), FreshSeed()}),
       sender_(io_, PacerInit()),
       gate_(GateInit()),
       links_(HubInit()),
@@ -104,10 +105,9 @@
           [this](const ExchangePointer& exchange) { OnControl(exchange); }),
       ready_(io_,
              [this](const ExchangePointer& exchange) { OnControl(exchange); }),
-      metrics_server_(
-          io_,
-          [this](const ExchangePointer& exchange) { OnMetrics(exchange); }),
-      source_({settings_.link_bytes_per_second, SteadyNow(), FreshSeed()}) {}
+      metrics_server_(io_, [this](const ExchangePointer& exchange) {
+        OnMetrics(exchange);
+      }) {}
 
 LinkPacerInit Sidecar::PacerInit() const {
   LinkPacerInit init;
@@ -164,6 +164,7 @@
   Origin::Init init;
   init.io = &io_;
   init.node = settings_.name;
+  init.link_bytes_per_second = settings_.link_bytes_per_second;
   init.failure_domain = settings_.failure_domain;
   init.region = settings_.region;
   init.applier = &applier_;
@@ -198,6 +199,9 @@
       OnConfigurationObject(event.object);
     }
   };
+  if (source_.reader()) {
+    init.on_quiet = [this] { links_.AnnounceConfiguration(); };
+  }
   return init;
 }
 
--- a/src/mesh/sidecar.h
+++ b/src/mesh/sidecar.h
@@ -114,6 +114,8 @@
   InstanceTracker tracker_;
   MemberBook book_;
   platform::StoreClient store_;
+  ConfigurationArchive archive_;
+  ConfigurationSource source_;
   PacedSender sender_;
   Gate gate_;
   LinkHub links_;
@@ -125,8 +127,6 @@
   Http1Server control_;
   Http1Server ready_;
   Http1Server metrics_server_;
-  ConfigurationArchive archive_;
-  ConfigurationSource source_;
   bool follows_store_ = false;  // For its configuration.
   // What the store was told last of the instance in the slot.
   std::string published_;
--- a/src/mesh/store_follower.cc
+++ b/src/mesh/store_follower.cc
@@ -126,6 +126,9 @@
   for (const StoreEvent& event : events.events) {
     init_.on_event(event);
   }
+  if (events.events.empty() && init_.on_quiet) {
+    init_.on_quiet();
+  }
   if (events.events.empty() || init_.rest == Duration::zero()) {
     Fire("watch_ended");
     return;
--- a/src/mesh/store_follower.h
+++ b/src/mesh/store_follower.h
@@ -35,6 +35,8 @@
     // All objects there are.
     std::function<void(const std::vector<StoreObject>&)> on_listed;
     std::function<void(const StoreEvent&)> on_event;
+    // A watch ended without an event: what is known is up to date.
+    std::function<void()> on_quiet;
   };
 
   explicit StoreFollower(Init init);
--- a/src/wire/link.capnp
+++ b/src/wire/link.capnp
@@ -22,6 +22,7 @@
     member @11 :Member;
     configurationWanted @12 :HeldConfiguration;
     configuration @13 :ConfigurationDelta;
+    suspicion @14 :Text;  # The name of the member.
   }
 }
 
--- a/src/wire/link.capnp.h
+++ b/src/wire/link.capnp.h
@@ -55,6 +55,7 @@
     MEMBER,
     CONFIGURATION_WANTED,
     CONFIGURATION,
+    SUSPICION,
   };
 
   struct _capnpPrivate {
@@ -301,6 +302,10 @@
   inline bool hasConfiguration() const;
   inline  ::verbenastile::wire::ConfigurationDelta::Reader getConfiguration() const;
 
+  inline bool isSuspicion() const;
+  inline bool hasSuspicion() const;
+  inline  ::capnp::Text::Reader getSuspicion() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -425,6 +430,14 @@
   inline void adoptConfiguration(::capnp::Orphan< ::verbenastile::wire::ConfigurationDelta>&& value);
   inline ::capnp::Orphan< ::verbenastile::wire::ConfigurationDelta> disownConfiguration();
 
+  inline bool isSuspicion();
+  inline bool hasSuspicion();
+  inline  ::capnp::Text::Builder getSuspicion();
+  inline void setSuspicion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initSuspicion(unsigned int size);
+  inline void adoptSuspicion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownSuspicion();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2281,6 +2294,60 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool LinkFrame::Reader::isSuspicion() const {
+  return which() == LinkFrame::SUSPICION;
+}
+inline bool LinkFrame::Builder::isSuspicion() {
+  return which() == LinkFrame::SUSPICION;
+}
+inline bool LinkFrame::Reader::hasSuspicion() const {
+  if (which() != LinkFrame::SUSPICION) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool LinkFrame::Builder::hasSuspicion() {
+  if (which() != LinkFrame::SUSPICION) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader LinkFrame::Reader::getSuspicion() const {
+  KJ_IREQUIRE((which() == LinkFrame::SUSPICION),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder LinkFrame::Builder::getSuspicion() {
+  KJ_IREQUIRE((which() == LinkFrame::SUSPICION),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LinkFrame::Builder::setSuspicion( ::capnp::Text::Reader value) {
+  _builder.setDataField<LinkFrame::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::SUSPICION);
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder LinkFrame::Builder::initSuspicion(unsigned int size) {
+  _builder.setDataField<LinkFrame::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::SUSPICION);
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void LinkFrame::Builder::adoptSuspicion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  _builder.setDataField<LinkFrame::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::SUSPICION);
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> LinkFrame::Builder::disownSuspicion() {
+  KJ_IREQUIRE((which() == LinkFrame::SUSPICION),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool Header::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/tests/gate_test.cc
+++ b/tests/gate_test.cc
@@ -69,9 +69,9 @@
     call.objective = std::chrono::seconds(5);
     call.idempotent = idempotent;
     last_call = loop.Call([&] {
-      return gate->Start(std::move(call), [replies](LinkBody body) {
-        replies->push_back(std::move(body));
-      });
+      return gate->Start(
+          std::move(call), AnswerPath::kLink,
+          [replies](LinkBody body) { replies->push_back(std::move(body)); });
     });
     return replies;
   }
--- a/tests/link_codec_test.cc
+++ b/tests/link_codec_test.cc
@@ -78,6 +78,29 @@
   CHECK(std::holds_alternative<LinkPing>(frames[3].body));
 }
 
+SCENARIO("what nodes say of members and configurations is read as written") {
+  std::string bytes;
+  const HeldConfiguration held{3, {1, 2}};
+  AppendFrame({0, LinkSuspicion{"node-7"}}, bytes);
+  AppendFrame({0, LinkConfigurationWanted{held}}, bytes);
+  AppendFrame({0, LinkConfiguration{{held, {4, {5, 6}}, "\x01z"}}}, bytes);
+  AppendFrame({0, LinkPong{{{1, 2, std::chrono::milliseconds(9)}, {}}}}, bytes);
+  AppendFrame({9, GateBroken{"reset", std::nullopt}}, bytes);
+
+  const auto frames = ReadIn(bytes, bytes.size());
+  REQUIRE(frames.size() == 5);
+  CHECK(std::get<LinkSuspicion>(frames[0].body).member == "node-7");
+  CHECK(std::get<LinkConfigurationWanted>(frames[1].body).held == held);
+  const auto& delta = std::get<LinkConfiguration>(frames[2].body).delta;
+  CHECK(delta.base == held);
+  CHECK(delta.to == HeldConfiguration{4, {5, 6}});
+  CHECK(delta.bytes == "\x01z");
+  const auto& pong = std::get<LinkPong>(frames[3].body);
+  CHECK(pong.load.upstream.link_wait == std::chrono::milliseconds(9));
+  CHECK_FALSE(pong.load.configuration.age.has_value());
+  CHECK_FALSE(std::get<GateBroken>(frames[4].body).load.has_value());
+}
+
 SCENARIO("bytes that are no frames are refused") {
   LinkReader reader;
   const std::string noise(64, '\xff');
--- a/tests/overload_test.cc
+++ b/tests/overload_test.cc
@@ -113,7 +113,8 @@
 
 // Instances 0 and 1 stand near, 2 and 3 in another failure domain.
 struct TwoDomains {
-  TwoDomains() : balancer({&chart, "near", "north", {}}) {
+  explicit TwoDomains(std::string self = {})
+      : balancer({&chart, "near", "north", {}, std::move(self)}) {
     for (int i = 0; i < 4; ++i) {
       Member member;
       member.name = "instance-" + std::to_string(i);
@@ -330,7 +331,7 @@
     return first;
   };
   CHECK(first_of_100() > 20);
-  query.large_answer = true;
+  query.link_time = 100 * kMs;
   CHECK(first_of_100() == 0);
   THEN("what was told of a link's queue is taken as sent with time") {
     fleet.now += 900 * kMs;
@@ -338,6 +339,38 @@
   }
 }
 
+SCENARIO("large answers come from the own machine before all links") {
+  TwoDomains fleet("instance-1");
+  for (int i = 0; i < 4; ++i) {
+    fleet.Report(i, {1, 0, 50 * kMs});
+  }
+  ChooseQuery query;
+  query.service = "booking";
+  query.away_cost = std::chrono::seconds(1);
+  query.service_time = 100 * kMs;
+  query.objective = 600 * kMs;
+  query.link_time = 70 * kMs;
+  const auto own_of_100 = [&] {
+    int own = 0;
+    for (int i = 0; i < 100; ++i) {
+      own += fleet.balancer.Choose(query, fleet.now, fleet.random) ==
+                     fleet.Handle(1)
+                 ? 1
+                 : 0;
+    }
+    return own;
+  };
+  CHECK(own_of_100() == 100);
+  GIVEN("an instance there whose slots are full") {
+    fleet.Report(1, {9, 18, Duration::zero()});
+    CHECK(own_of_100() == 0);
+  }
+  GIVEN("small answers") {
+    query.link_time = Duration::zero();
+    CHECK(own_of_100() < 100);
+  }
+}
+
 SCENARIO("a weighted rule splits its requests evenly at any time") {
   RouteAction route;
   route.targets = {{"a", 90}, {"b", 10}};
