--- a/src/mesh/gate.cc
+++ b/src/mesh/gate.cc
@@ -26,7 +26,7 @@
 // A large answer is taken on when it is expected to have left within this part
 // of its objective; the rest is for answers above the average before it, and
 // for the link of its receiver.
-constexpr int kLinkPermille = 800;
+constexpr int kLinkPermille = 650;
 constexpr int kPermille = 1'000;
 // How often queues and deadlines are looked at while there are calls.
 constexpr Duration kTickInterval = std::chrono::milliseconds(20);
--- a/src/mesh/sidecar.cc
+++ b/src/mesh/sidecar.cc
@@ -44,12 +44,22 @@
 // New members open links to all others, so that the store is only asked in case
 // that this failed.
 constexpr Duration kMembersPoll = std::chrono::milliseconds(2'500);
+// With more members they are listed less often, so that the fleet's calls do
+// not grow with it; up to a bound on how long one that went silently is kept.
+constexpr std::size_t kMembersPolledOften = 20;
+constexpr Duration kLongestMembersPoll = std::chrono::seconds(30);
 // Configurations come in bursts; a rest between watches makes them one call,
 // and one transfer on small links. With both well within the bound of two
 // seconds on a change.
 constexpr Duration kConfigurationRest = std::chrono::milliseconds(1'000);
 constexpr std::size_t kMaxControlBodyBytes = 65'536;
 
+Duration MembersPoll(std::size_t members) {
+  const Duration scaled = kMembersPoll * static_cast<std::int64_t>(members) /
+                          static_cast<std::int64_t>(kMembersPolledOften);
+  return std::clamp(scaled, kMembersPoll, kLongestMembersPoll);
+}
+
 std::uint64_t FreshSeed() {
   std::random_device device;
   return (std::uint64_t{device()} << 32U) | device();
@@ -211,7 +221,7 @@
   init.store = &store_;
   init.chart = &charts_.platform_session;
   init.kind = platform::kMemberKind;
-  init.poll = kMembersPoll;
+  init.poll = [this] { return MembersPoll(book_.entries().size()); };
   init.seed = FreshSeed();
   init.on_listed = [this](const std::vector<StoreObject>& items) {
     OnMembersListed(items);
--- a/src/mesh/store_follower.cc
+++ b/src/mesh/store_follower.cc
@@ -15,7 +15,8 @@
 constexpr Duration kFirstRetry = std::chrono::milliseconds(100);
 // Bounds how late a change is seen after the store has come back.
 constexpr Duration kLongestRetry = std::chrono::milliseconds(800);
-constexpr unsigned kMaxDoublings = 3;
+// Enough for `kLongestRetry` and for the times between two polls.
+constexpr unsigned kMaxDoublings = 8;
 
 }  // namespace
 
@@ -67,10 +68,7 @@
   } else if (action == "watch") {
     init_.poll ? ListAgainLater() : Watch();
   } else if (action == "schedule_retry") {
-    const unsigned doublings = std::min(failures_, kMaxDoublings);
-    ++failures_;
-    timer_.expires_after(random_.Around(
-        std::min(kFirstRetry * (1U << doublings), kLongestRetry)));
+    timer_.expires_after(random_.Around(RetryWait()));
     timer_.async_wait([this](const asio::error_code& error) {
       if (!error) {
         Fire("retry_due");
@@ -79,6 +77,14 @@
   }
 }
 
+// What is polled, and known already, is not asked for more often for failing.
+Duration StoreFollower::RetryWait() {
+  const unsigned doublings = std::min(failures_, kMaxDoublings);
+  ++failures_;
+  const Duration longest = init_.poll && listed_ ? init_.poll() : kLongestRetry;
+  return std::min(kFirstRetry * (1U << doublings), longest);
+}
+
 void StoreFollower::List() {
   // The first list is to know all that was written before this node started.
   const auto freshness = init_.poll && listed_
@@ -100,7 +106,7 @@
 }
 
 void StoreFollower::ListAgainLater() {
-  timer_.expires_after(random_.Around(*init_.poll));
+  timer_.expires_after(random_.Around(init_.poll()));
   timer_.async_wait([this](const asio::error_code& error) {
     if (!error) {
       Fire("watch_too_old");
--- a/src/mesh/store_follower.h
+++ b/src/mesh/store_follower.h
@@ -30,7 +30,7 @@
     // come together cost one call.
     Duration rest = std::chrono::milliseconds(0);
     // Set: objects are listed again after about this time, and not watched.
-    std::optional<Duration> poll;
+    std::function<Duration()> poll;
     std::uint64_t seed = 0;
     // All objects there are.
     std::function<void(const std::vector<StoreObject>&)> on_listed;
@@ -58,6 +58,7 @@
   void RunAction(std::string_view action);
   void List();
   void ListAgainLater();
+  Duration RetryWait();
   void Watch();
   void OnEvents(StoreResult<StoreEvents> result);
   void Confirm();
