An instance that was set aside is not chosen for standing on the own machine

Cause (found in reading): among samples of a large failure domain the instance on the own machine was compared always, also while it was ejected or probing, so that a failing one got its machine's calls on. The test fails without the change. Ruled out: small pools, which are compared whole and leave out what is aside.

--- a/src/core/balancer.cc
+++ b/src/core/balancer.cc
@@ -172,11 +172,11 @@
     }
     Pool& pool = pools_[upstream.member.service];
     ++pool.members;
-    if (name == init_.self) {
-      pool.own = index;
-    }
     const bool aside = upstream.health == UpstreamHealth::kEjected ||
                        upstream.health == UpstreamHealth::kProbing;
+    if (name == init_.self && !aside) {
+      pool.own = index;
+    }
     (aside ? pool.aside : pool.tiers[upstream.tier]).push_back(index);
   }
 }
@@ -371,11 +371,12 @@
     const std::size_t count =
         all ? members.size() : std::min(members.size(), kSamplesOfTier);
     for (std::size_t i = 0; i < count; ++i) {
-      // Among samples, the instance on this machine is always one.
-      const bool own = !all && i == 0 && tier == 0 && pool.own;
-      const std::uint32_t index = own   ? *pool.own
-                                  : all ? members[i]
-                                        : members[random() % members.size()];
+      std::uint32_t index = members[i];
+      if (!all) {
+        // The instance on this machine is always one of the samples.
+        const bool own = tier == 0 && i == 0 && pool.own;
+        index = own ? *pool.own : members[random() % members.size()];
+      }
       if (IsExcluded(index, query)) {
         continue;
       }
--- a/src/core/balancer.h
+++ b/src/core/balancer.h
@@ -181,7 +181,7 @@
   // The instances of one service that take calls, by tier, and the others.
   struct Pool {
     std::array<std::vector<std::uint32_t>, kTiers> tiers;
-    std::optional<std::uint32_t> own;  // On this machine.
+    std::optional<std::uint32_t> own;  // On this machine, not aside.
     std::vector<std::uint32_t> aside;  // Ejected or probing.
     std::size_t members = 0;
   };
--- a/src/mesh/link_hub.cc
+++ b/src/mesh/link_hub.cc
@@ -139,6 +139,8 @@
           [&](const LinkSuspicion& suspicion) {
             const auto found = outgoing_.find(suspicion.member);
             if (found != outgoing_.end()) {
+              Log(LogLevel::kInfo, kPart, "A peer is suspected by another.",
+                  {{"peer", suspicion.member}, {"by", peer->name}});
               found->second->watch.OnSuspected();
             }
           },
--- a/tests/overload_test.cc
+++ b/tests/overload_test.cc
@@ -113,9 +113,9 @@
 
 // Instances 0 and 1 stand near, 2 and 3 in another failure domain.
 struct TwoDomains {
-  explicit TwoDomains(std::string self = {})
+  explicit TwoDomains(std::string self = {}, int count = 4)
       : balancer({&chart, "near", "north", {}, std::move(self)}) {
-    for (int i = 0; i < 4; ++i) {
+    for (int i = 0; i < count; ++i) {
       Member member;
       member.name = "instance-" + std::to_string(i);
       member.incarnation = 1;
@@ -127,7 +127,7 @@
     }
     balancer.Sync(directory, now);
     now += std::chrono::seconds(60);
-    for (int i = 0; i < 4; ++i) {
+    for (int i = 0; i < count; ++i) {
       Report(i, {0, 0});
     }
   }
@@ -371,6 +371,27 @@
   }
 }
 
+SCENARIO("an instance that was set aside is not chosen for being near") {
+  TwoDomains fleet("instance-1", 12);  // More than are compared one by one.
+  for (int i = 0; i < 10; ++i) {
+    fleet.balancer.OnStarted(fleet.Handle(1), fleet.now);
+    fleet.balancer.OnEnded(fleet.Handle(1), AttemptOutcome::kFailed, kMs,
+                           fleet.now);
+  }
+  REQUIRE(fleet.balancer.HealthOf(fleet.Handle(1)) == UpstreamHealth::kEjected);
+  for (int i = 0; i < 100; ++i) {
+    ChooseQuery query;
+    query.service = "booking";
+    query.may_probe = false;
+    query.away_cost = std::chrono::seconds(1);
+    query.service_time = 100 * kMs;
+    query.objective = 600 * kMs;
+    query.link_time = 70 * kMs;
+    CHECK(fleet.balancer.Choose(query, fleet.now, fleet.random) !=
+          fleet.Handle(1));
+  }
+}
+
 SCENARIO("a weighted rule splits its requests evenly at any time") {
   RouteAction route;
   route.targets = {{"a", 90}, {"b", 10}};
