--- a/soak/broken_builds.sh
+++ b/soak/broken_builds.sh
@@ -10,16 +10,16 @@
 mkdir -p "$copy"
 git ls-files | grep -v '^journal/' | tar -cf - -T - | tar -xf - -C "$copy"
 
-# fault | file | sed expression | what the soak has to say
+# fault @ file @ sed expression @ what the soak has to say
 faults='
-unsafe repeated|src/mesh/origin.cc|s/!call.route->repeatable || !TakeRepeat/!TakeRepeat/|ran 2 times
-refused after a run|src/mesh/origin.cc|s/kUnavailable \&\& call.may_have_run/false/;s/Fail(id, kBadGateway, broken.detail)/Fail(id, kUnavailable, broken.detail)/|and has run
-cut answers passed on|src/mesh/gate.cc|s/if (end == Http1End::kWhole) {/if (end == Http1End::kWhole || !call.body.empty()) {/|or not whole
-changes not taken up|src/mesh/sidecar.cc|s/  const Generation offered = configuration.generation;/  if (applier_.generation() > 0) { return; }\n&/|got 404
-another service|src/mesh/origin.cc|s/query.service = call.service;/query.service = "library";/|wrong service
-work for leaving instances|src/core/member_book.cc|s/!member.serving \&\&/false \&\&/|after it left
-stop not heard|src/mesh/sidecar.cc|s/    Fire("leave_requested");/    return;/|did not stop
-never ready|src/mesh/sidecar.cc|s/const bool ready = .*/const bool ready = false;/|are ready
+unsafe repeated@src/mesh/origin.cc@s/!call.route->repeatable || !TakeRepeat/!TakeRepeat/@ran 2 times
+refused after a run@src/mesh/origin.cc@s/kUnavailable \&\& call.may_have_run/false/;s/Fail(id, kBadGateway, broken.detail)/Fail(id, kUnavailable, broken.detail)/@and has run
+cut answers passed on@src/mesh/gate.cc@s/if (end == Http1End::kWhole) {/if (end == Http1End::kWhole || !call.body.empty()) {/@or not whole
+changes not taken up@src/mesh/sidecar.cc@s/  const Generation offered = configuration.generation;/  if (applier_.generation() > 0) { return; }\n&/@got 404
+another service@src/mesh/origin.cc@s/query.service = call.service;/query.service = "library";/@wrong service
+work for leaving instances@src/core/member_book.cc@s/!member.serving \&\&/false \&\&/@after it left
+stop not heard@src/mesh/sidecar.cc@s/    Fire("leave_requested");/    return;/@did not stop
+never ready@src/mesh/sidecar.cc@s/const bool ready = .*/const bool ready = false;/@are ready
 '
 # Faults that one guard alone would hide have the second one taken away too.
 second_guard() {
@@ -38,7 +38,7 @@
 }
 
 unnoticed=0
-while IFS='|' read -r fault file expression says; do
+while IFS='@' read -r fault file expression says; do
   [ -n "$fault" ] || continue
   cp src/mesh/*.cc "$copy/src/mesh/"
   cp src/core/*.cc "$copy/src/core/"
@@ -52,9 +52,10 @@
   cmake --build "$copy/build" --target verbenastile >/dev/null
   noticed=no
   for seed in $(seq "$first" $((first + 5))); do
-    if python3 soak/faults.py --seed "$seed" --seconds 8 \
-        --port-offset $((seed % 500 * 20)) \
-        --binary "$copy/build/verbenastile" 2>&1 | grep -q "$says"; then
+    said=$(python3 soak/faults.py --seed "$seed" --seconds 8 \
+      --port-offset $((seed % 500 * 20)) \
+      --binary "$copy/build/verbenastile" 2>&1 || true)
+    if grep -q "$says" <<<"$said"; then
       noticed="seed $seed"
       break
     fi
--- a/src/core/link_forecast.cc
+++ b/src/core/link_forecast.cc
@@ -40,4 +40,13 @@
          TimeOf(profile.answer_bytes, link);
 }
 
+Duration LinkForecast::LateBy(const RuleProfile& profile,
+                              const LinkState& link,
+                              Duration objective) const {
+  if (Wait(link) <= profile.service_time) {
+    return Duration::zero();
+  }
+  return std::max(Until(profile, link) - objective, Duration::zero());
+}
+
 }  // namespace verbenastile
--- a/src/core/link_forecast.h
+++ b/src/core/link_forecast.h
@@ -35,6 +35,12 @@
   // Until the answer to a call that was taken now would have left.
   Duration Until(const RuleProfile& profile, const LinkState& link) const;
 
+  // By how much that is later than `objective` because of what is before it;
+  // zero when the instance takes longer than the link's queue.
+  Duration LateBy(const RuleProfile& profile,
+                  const LinkState& link,
+                  Duration objective) const;
+
  private:
   std::unordered_map<CallId, std::int64_t> expected_;  // Bytes of answers.
   std::int64_t expected_bytes_ = 0;
--- a/src/mesh/gate.cc
+++ b/src/mesh/gate.cc
@@ -123,7 +123,7 @@
   const Duration objective = call.call.objective;
   const LinkState link = init_.link();
   const Duration late =
-      forecast_.Until(profile, link) - objective * kLinkPermille / kPermille;
+      forecast_.LateBy(profile, link, objective * kLinkPermille / kPermille);
   const Duration not_free = forecast_.Wait(link) - objective / kFreeLinkDivisor;
   return call.call.only_if_free ? std::max(late, not_free) : late;
 }
