soak/broken_builds.sh: one fault can be named, build errors are shown

Cause: its third run ended without a word at a fault that does not build (an unused variable). Change: the fault keeps the variable; errors of the compiler are printed; a single fault can be asked for.

--- a/soak/broken_builds.sh
+++ b/soak/broken_builds.sh
@@ -2,10 +2,11 @@
 # Shows that the fault soak notices what it promises to check: for each promise
 # builds the program with a deliberate fault, in a copy of the sources, and runs
 # seeds until one breaks the promise. Fails when a fault goes unnoticed.
-# Usage: soak/broken_builds.sh [FIRST_SEED]
+# Usage: soak/broken_builds.sh [FIRST_SEED [FAULT]], one fault or all
 set -euo pipefail
 cd "$(dirname "$0")/.."
 first=${1:-1}
+only=${2:-}
 copy=build/broken
 mkdir -p "$copy"
 git ls-files | grep -v '^journal/' | tar -cf - -T - | tar -xf - -C "$copy"
@@ -29,7 +30,7 @@
         "$copy/src/mesh/gate.cc" ;;
     "work for leaving instances")
       sed -i 's/if (!init_.tracker->serves()) {/if (!init_.tracker->report()) {/
-              s/return tracker.serves() || still_starts;/return true;/' \
+              s/return tracker.serves() ||/return tracker.report() ||/' \
         "$copy/src/mesh/gate.cc" ;;
     "cut answers passed on")
       sed -i 's/if (call.length \&\& \*call.length != call.body_bytes)/if (false)/' \
@@ -40,6 +41,7 @@
 unnoticed=0
 while IFS='@' read -r fault file expression says; do
   [ -n "$fault" ] || continue
+  [ -z "$only" ] || [ "$only" = "$fault" ] || continue
   cp src/mesh/*.cc "$copy/src/mesh/"
   cp src/core/*.cc "$copy/src/core/"
   sed -i "$expression" "$copy/$file"
@@ -49,7 +51,11 @@
   fi
   second_guard "$fault"
   cmake -S "$copy" -B "$copy/build" -G Ninja >/dev/null
-  cmake --build "$copy/build" --target verbenastile >/dev/null
+  if ! cmake --build "$copy/build" --target verbenastile >"$copy/log"; then
+    echo "broken builds: the fault '$fault' does not build:" >&2
+    grep -m 5 "error" "$copy/log" >&2
+    exit 1
+  fi
   noticed=no
   for seed in $(seq "$first" $((first + 5))); do
     said=$(python3 soak/faults.py --seed "$seed" --seconds 8 \
