One copy of what the sidecar wrote again

Change: base/text.h, base/overload.h, UnixMilliseconds and FreshSeed beside the clock and the random numbers, io's RemoveConnectionHeaders, core/transfer_time.h, ParseSettingsArg, FollowerInit, platform/spoken.py; the sidecar uses nothing of src/node any more. Two edges change: headers of a second Connection header are not passed on by the sidecar either, and a link speed that rounds to zero bytes a second no longer divides by zero. The node's seeds have 64 bits. Ruled out: the reads of http1_client and http1_server (five lines around a different state), constants of the same shape, and the copies of the old node, which goes (docs/design/platform.md). Left: the store's own calls in soak/faults.py (watch, revision, items) are still spelled there.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -17,6 +17,9 @@
 import tempfile
 import time
 
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "platform"))
+import spoken  # noqa: E402
+
 GRACE = 6.0  # Seconds from SIGTERM to SIGKILL.
 DRAIN = 2.0  # Seconds in which a leaving instance may still get new work.
 APPLY = 2.0  # Seconds in which a configuration is in force, without faults.
@@ -136,7 +139,7 @@
 
     async def handle(self, method, target, body):
         path, _, query = target.partition("?")
-        parts = path.removeprefix("/api/objects/").split("/")
+        parts = path.removeprefix(spoken.OBJECTS).split("/")
         options = dict(pair.split("=", 1) for pair in query.split("&") if "=" in pair)
         if method == "GET" and "watch" in options:
             return await self.watch(parts[0], options)
@@ -245,7 +248,7 @@
         self.id = f"i-{self.node.index}-{self.number}"
         self.leaving_acked = None
         self.sequence = 0
-        self.state = "ready"
+        self.leaving = False
         self.server = await asyncio.start_server(self.serve, *self.node.app)
         self.task = asyncio.create_task(self.report())
 
@@ -256,21 +259,15 @@
 
     async def heartbeat(self):
         self.sequence += 1
-        body = {
-            "address": "%s:%d" % self.node.app,
-            "info": {
-                "service": self.node.service,
-                "version": "v1",
-                "zone": self.node.domain,
-                "slots": SLOTS,
-            },
-            "status": {
-                "state": self.state,
-                "sequence": self.sequence,
-                "warmup_left_ms": 0,
-            },
-        }
-        return await self.tell(f"/api/Instances.Heartbeat/{self.id}", body)
+        body = spoken.heartbeat(
+            self.node.app,
+            self.node.service,
+            self.node.domain,
+            SLOTS,
+            self.leaving,
+            self.sequence,
+        )
+        return await self.tell(spoken.heartbeat_target(self.id), body)
 
     async def tell(self, target, body):
         try:
@@ -294,8 +291,8 @@
     async def replace(self, says_leaving):
         self.changing = True
         self.task.cancel()
-        target = f"/api/Instances.Deregister/{self.id}"
-        self.state = "draining"
+        target = spoken.deregister_target(self.id)
+        self.leaving = True
         acked = await (self.heartbeat() if says_leaving else self.tell(target, {}))
         if acked:
             self.leaving_acked = time.monotonic()
@@ -322,10 +319,10 @@
             writer.close()
 
     async def answer(self, mine, line, headers, body, writer):
-        request = headers.get("x-attempt-id", "")
-        expected = headers.get("x-expect-instance")
+        request = spoken.header(headers, spoken.REQUEST_ID) or ""
+        expected = spoken.header(headers, spoken.EXPECTED_INSTANCE)
         if expected not in (None, mine) or mine != self.id:
-            writer.write(format_answer(421, {"X-Instance-Id": self.id}, b""))
+            writer.write(format_answer(421, {spoken.INSTANCE: self.id}, b""))
             return
         self.soak.on_run(self, request, line, headers)
         roll = self.soak.rng.random()
@@ -343,7 +340,7 @@
         await writer.drain()
 
     def echo(self, request):
-        return {"X-Attempt-Id": request, "X-Response-Signature": f"s.{request}"}
+        return {spoken.REQUEST_ID: request, spoken.SIGNATURE: f"s.{request}"}
 
 
 class Node:
@@ -390,12 +387,7 @@
                 "upstream": {"service": self.service, "address": "%s:%d" % self.app},
                 "platform": {
                     "address": "%s:%d" % self.store_proxy,
-                    "bounds": {
-                        "grace_s": GRACE,
-                        "retry_budget_ratio": 0.2,
-                        "budget_slack": 56,
-                        "budget_window_s": 10,
-                    },
+                    "bounds": spoken.bounds(GRACE, 0.2, 56, 10),
                 },
             },
             indent=1,
@@ -448,7 +440,7 @@
 
     async def is_ready(self):
         try:
-            status, _, _ = await call(self.ready, "GET", "/api/ready", timeout=1.0)
+            status, _, _ = await call(self.ready, "GET", spoken.READY, timeout=1.0)
             return status == 200
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
             return False  # It is down or stopped; so it is not ready.
@@ -490,22 +482,10 @@
         routes = {}
         for name in self.routes:
             for kind in ("safe", "unsafe"):
-                routes[f"{name}-{kind}"] = {
-                    "host": "a.example",
-                    "path_prefix": f"/{name}/{kind}/",
-                    "kind": kind,
-                    "timeout_ms": 1500,
-                    "target_latency_ms": 300,
-                    "priority": 1,
-                    "service": "booking",
-                    "max_attempts": 2,
-                }
-        return {
-            "version": f"{self.version:08x}",
-            "routes": routes,
-            "services": {"booking": {}, "library": {}},
-            "limits": {},
-        }
+                routes[f"{name}-{kind}"] = spoken.route(
+                    f"/{name}/{kind}/", kind, "booking"
+                )
+        return spoken.configuration(self.version, routes, ["booking", "library"])
 
     def on_run(self, instance, request, line, headers):
         self.runs[request] = self.runs.get(request, 0) + 1
@@ -541,7 +521,11 @@
                 node.callers,
                 "POST" if unsafe else "GET",
                 f"/{route}/{kind}/{request}",
-                {"Host": "a.example", "X-Attempt-Id": request, "X-Deadline-Ms": "1500"},
+                {
+                    "Host": "a.example",
+                    spoken.REQUEST_ID: request,
+                    spoken.DEADLINE_MS: "1500",
+                },
                 timeout=2.5,
             )
             self.check_answer(node, route, request, begin, status, headers, body)
@@ -552,7 +536,7 @@
 
     def check_answer(self, node, route, request, begin, status, headers, body):
         if status == 200:
-            if headers.get("x-response-signature") != f"s.{request}":
+            if spoken.header(headers, spoken.SIGNATURE) != f"s.{request}":
                 self.fail(f"{request} got the answer of another request")
             if body != self.content(request):
                 self.fail(f"{request} got a body that is not its own, or not whole")
@@ -624,7 +608,7 @@
         self.version += self.rng.randint(1, 3)
         name = f"p{self.version}"
         self.routes = self.routes[:1] + [name]
-        await self.store.change("config", "main", self.configuration())
+        await self.store.change(*spoken.CONFIGURATION, self.configuration())
         self.acked[name] = time.monotonic()
 
     async def inject(self):
@@ -668,7 +652,7 @@
 
     async def main(self):
         self.begin = time.monotonic()
-        await self.store.change("config", "main", self.configuration())
+        await self.store.change(*spoken.CONFIGURATION, self.configuration())
         servers = []
         for node, store_proxy, link_proxy in zip(
             self.nodes, self.store_proxies, self.link_proxies
--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -9,6 +9,8 @@
 #include <cstdio>
 #include <iterator>
 
+#include "base/time.h"
+
 namespace verbenastile {
 namespace {
 
@@ -154,11 +156,8 @@
   if (level < g_level) {
     return;
   }
-  const auto unix_ms = std::chrono::duration_cast<std::chrono::milliseconds>(
-                           std::chrono::system_clock::now().time_since_epoch())
-                           .count();
   std::string line = fmt::format("{}: {} level={} unix_ms={}", part, sentence,
-                                 LevelName(level), unix_ms);
+                                 LevelName(level), UnixMilliseconds());
   for (const LogField& field : fields) {
     const bool plain =
         !field.value.empty() &&
--- a/src/base/random.h
+++ b/src/base/random.h
@@ -50,6 +50,12 @@
   std::mt19937_64 engine_;
 };
 
+// A seed that differs from run to run. For adapters, not for decisions.
+inline std::uint64_t FreshSeed() {
+  std::random_device device;
+  return (std::uint64_t{device()} << 32U) | device();
+}
+
 }  // namespace verbenastile
 
 #endif  // BASE_RANDOM_H_
--- a/src/base/time.h
+++ b/src/base/time.h
@@ -34,6 +34,14 @@
   return Time(std::chrono::duration_cast<Duration>(elapsed));
 }
 
+// The wall clock, in milliseconds since 1970. Clocks of machines differ.
+inline std::uint64_t UnixMilliseconds() {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
+
 // Whole milliseconds in `duration`, rounded down.
 inline std::int64_t ToMilliseconds(Duration duration) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
--- a/src/cli/command_line.cc
+++ b/src/cli/command_line.cc
@@ -29,6 +29,18 @@
   return false;
 }
 
+std::optional<std::string> ParseSettingsArg(const std::string& description,
+                                            CommandArgs& args,
+                                            int& exit_code) {
+  TCLAP::CmdLine cmd(description, ' ', VERBENASTILE_VERSION);
+  TCLAP::ValueArg<std::string> file("", "settings", "settings file", true, "",
+                                    "FILE", cmd);
+  if (!ParseCommandLine(cmd, args, exit_code)) {
+    return std::nullopt;
+  }
+  return file.getValue();
+}
+
 PlatformArgs::PlatformArgs(TCLAP::CmdLine& cmd)
     : url_("",
            "platform",
--- a/src/cli/command_line.h
+++ b/src/cli/command_line.h
@@ -5,6 +5,7 @@
 #include <tclap/CmdLine.h>
 
 #include <boost/leaf/handle_errors.hpp>
+#include <optional>
 #include <string>
 
 #include "cli/commands.h"
@@ -40,6 +41,12 @@
   TCLAP::ValueArg<std::string> arg_;
 };
 
+// The settings file that `args` name, for a command that only takes one;
+// nothing when `exit_code` is set, as above.
+std::optional<std::string> ParseSettingsArg(const std::string& description,
+                                            CommandArgs& args,
+                                            int& exit_code);
+
 // Prints an error as one line on standard error.
 void PrintError(std::string_view text);
 
--- a/src/cli/explain_command.cc
+++ b/src/cli/explain_command.cc
@@ -2,9 +2,9 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <cctype>
 #include <nlohmann/json.hpp>
 
+#include "base/text.h"
 #include "cli/admin_call.h"
 #include "cli/rules_actions.h"
 #include "core/explain.h"
@@ -21,13 +21,6 @@
   std::vector<HeaderMatch> headers;
 };
 
-std::string Lower(std::string text) {
-  std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) {
-    return static_cast<char>(std::tolower(c));
-  });
-  return text;
-}
-
 // Options that describe a request.
 class RequestArgs {
  public:
@@ -46,9 +39,9 @@
 
   // Errors: `OperationError`.
   leaf::result<RequestText> request() {
-    RequestText request{group_.getValue(),       service_.getValue(),
-                        Lower(host_.getValue()), path_.getValue(),
-                        method_.getValue(),      {}};
+    RequestText request{group_.getValue(),         service_.getValue(),
+                        ToLower(host_.getValue()), path_.getValue(),
+                        method_.getValue(),        {}};
     request.path = request.path.substr(0, request.path.find('?'));
     for (const std::string& header : headers_.getValue()) {
       const auto colon = header.find(':');
@@ -59,7 +52,7 @@
       const auto value =
           std::min(header.find_first_not_of(' ', colon + 1), header.size());
       request.headers.push_back(
-          {Lower(header.substr(0, colon)), header.substr(value)});
+          {ToLower(header.substr(0, colon)), header.substr(value)});
     }
     return request;
   }
--- a/src/cli/node_command.cc
+++ b/src/cli/node_command.cc
@@ -35,16 +35,14 @@
 }  // namespace
 
 int RunNodeCommand(CommandArgs args) {
-  TCLAP::CmdLine cmd("Runs a node beside an upstream instance.", ' ',
-                     VERBENASTILE_VERSION);
-  TCLAP::ValueArg<std::string> file("", "settings", "settings file", true, "",
-                                    "FILE", cmd);
   int exit_code = kExitOk;
-  if (!ParseCommandLine(cmd, args, exit_code)) {
+  const auto file = ParseSettingsArg("Runs a node beside an upstream instance.",
+                                     args, exit_code);
+  if (!file) {
     return exit_code;
   }
   return RunReported([&]() -> leaf::result<int> {
-    BOOST_LEAF_AUTO(settings, LoadSettings(file.getValue()));
+    BOOST_LEAF_AUTO(settings, LoadSettings(*file));
     BOOST_LEAF_AUTO(charts, LoadNodeCharts());
     std::string token;
     if (!settings.admin_token_file.empty()) {
--- a/src/cli/sidecar_command.cc
+++ b/src/cli/sidecar_command.cc
@@ -26,15 +26,13 @@
 }  // namespace
 
 int RunSidecarCommand(CommandArgs args) {
-  TCLAP::CmdLine cmd("Runs a sidecar on the users' platform.", ' ',
-                     VERBENASTILE_VERSION);
-  TCLAP::ValueArg<std::string> file("", "settings", "settings file", true, "",
-                                    "FILE", cmd);
   int exit_code = kExitOk;
-  if (!ParseCommandLine(cmd, args, exit_code)) {
+  const auto file = ParseSettingsArg("Runs a sidecar on the users' platform.",
+                                     args, exit_code);
+  if (!file) {
     return exit_code;
   }
-  return RunReported([&] { return RunSidecar(file.getValue()); });
+  return RunReported([&] { return RunSidecar(*file); });
 }
 
 }  // namespace verbenastile
--- a/src/config/rules.cc
+++ b/src/config/rules.cc
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 #include <set>
 
+#include "base/text.h"
 #include "config/yaml_reader.h"
 
 namespace verbenastile {
@@ -24,13 +25,6 @@
 constexpr int kMaxRejectStatus = 599;
 constexpr std::int64_t kMaxQuota = 1'000'000'000;
 
-std::string Lower(std::string text) {
-  std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) {
-    return static_cast<char>(std::tolower(c));
-  });
-  return text;
-}
-
 std::string BoundedString(YamlReader& reader,
                           std::string_view key,
                           std::size_t max_bytes) {
@@ -79,7 +73,7 @@
   RuleMatch match;
   match.group = BoundedString(reader, "group", kMaxIdBytes);
   match.service = BoundedString(reader, "service", kMaxIdBytes);
-  match.host = Lower(BoundedString(reader, "host", kMaxMatchBytes));
+  match.host = ToLower(BoundedString(reader, "host", kMaxMatchBytes));
   match.path_prefix = BoundedString(reader, "path_prefix", kMaxMatchBytes);
   if (!match.path_prefix.empty() && match.path_prefix.front() != '/') {
     reader.AddFault("path_prefix", "path_prefix: it must begin with /");
@@ -87,7 +81,7 @@
   match.method = BoundedString(reader, "method", kMaxIdBytes);
   reader.EachPair("headers",
                   [&](const std::string& name, const std::string& value) {
-                    match.headers.push_back({Lower(name), value});
+                    match.headers.push_back({ToLower(name), value});
                   });
   std::sort(match.headers.begin(), match.headers.end(),
             [](const HeaderMatch& a, const HeaderMatch& b) {
--- a/src/core/link_forecast.cc
+++ b/src/core/link_forecast.cc
@@ -2,17 +2,9 @@
 
 #include <algorithm>
 
-namespace verbenastile {
-namespace {
-
-constexpr std::int64_t kMicrosPerSecond = 1'000'000;
+#include "core/transfer_time.h"
 
-Duration TimeOf(std::int64_t bytes, const LinkState& link) {
-  return Duration(bytes * kMicrosPerSecond /
-                  std::max<std::int64_t>(link.bytes_per_second, 1));
-}
-
-}  // namespace
+namespace verbenastile {
 
 void LinkForecast::OnTaken(CallId id, const RuleProfile& profile) {
   if (profile.answer_bytes > kLargeAnswerBytes &&
@@ -30,14 +22,15 @@
 }
 
 Duration LinkForecast::Wait(const LinkState& link) const {
-  return TimeOf(link.queued_bytes + expected_bytes_, link);
+  return TransferTime(link.queued_bytes + expected_bytes_,
+                      link.bytes_per_second);
 }
 
 // The link sends what is before it while the instance works on it.
 Duration LinkForecast::Until(const RuleProfile& profile,
                              const LinkState& link) const {
   return std::max(profile.service_time, Wait(link)) +
-         TimeOf(profile.answer_bytes, link);
+         TransferTime(profile.answer_bytes, link.bytes_per_second);
 }
 
 Duration LinkForecast::LateBy(const RuleProfile& profile,
--- a/src/core/link_pacer.cc
+++ b/src/core/link_pacer.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "core/transfer_time.h"
+
 namespace verbenastile {
 namespace {
 
@@ -67,8 +69,8 @@
 
 Duration LinkPacer::UntilNext(Time now) {
   Refill(now);
-  return Duration(std::max<std::int64_t>(burst_ - tokens_, 0) *
-                  kMicrosPerSecond / bytes_per_second_);
+  return TransferTime(std::max<std::int64_t>(burst_ - tokens_, 0),
+                      bytes_per_second_);
 }
 
 }  // namespace verbenastile
--- a/src/io/http_message.cc
+++ b/src/io/http_message.cc
@@ -12,6 +12,32 @@
     "proxy-connection",  "te",         "trailer",
     "transfer-encoding", "upgrade",    "proxy-authorization"};
 
+std::string_view TrimBlanks(std::string_view text) {
+  const auto first = text.find_first_not_of(" \t");
+  if (first == std::string_view::npos) {
+    return {};
+  }
+  const auto last = text.find_last_not_of(" \t");
+  return text.substr(first, last - first + 1);
+}
+
+// The names that "Connection" headers list.
+std::vector<std::string> NamedByConnection(const HttpHeaders& headers) {
+  std::vector<std::string> names;
+  for (const HttpHeader& header : headers) {
+    if (!SameHeaderName(header.name, "connection")) {
+      continue;
+    }
+    std::string_view rest = header.value;
+    while (!rest.empty()) {
+      const auto comma = std::min(rest.find(','), rest.size());
+      names.emplace_back(TrimBlanks(rest.substr(0, comma)));
+      rest.remove_prefix(std::min(comma + 1, rest.size()));
+    }
+  }
+  return names;
+}
+
 }  // namespace
 
 bool SameHeaderName(std::string_view a, std::string_view b) {
@@ -35,6 +61,16 @@
       [&](std::string_view hop) { return SameHeaderName(hop, name); });
 }
 
+void RemoveConnectionHeaders(HttpHeaders& headers) {
+  const std::vector<std::string> named = NamedByConnection(headers);
+  std::erase_if(headers, [&](const HttpHeader& header) {
+    return IsHopByHop(header.name) ||
+           std::any_of(named.begin(), named.end(), [&](const auto& name) {
+             return SameHeaderName(name, header.name);
+           });
+  });
+}
+
 std::string_view HttpRequest::path() const {
   return std::string_view(target).substr(0, target.find('?'));
 }
--- a/src/io/http_message.h
+++ b/src/io/http_message.h
@@ -26,6 +26,10 @@
 // Whether the header belongs to one connection and is not to be passed on.
 bool IsHopByHop(std::string_view name);
 
+// Removes what belongs to one connection: hop-by-hop headers, and those that
+// "Connection" headers name.
+void RemoveConnectionHeaders(HttpHeaders& headers);
+
 // A request that has arrived whole.
 struct HttpRequest {
   std::string method;
--- a/src/mesh/link_hub.cc
+++ b/src/mesh/link_hub.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "base/overload.h"
 #include "io/listen.h"
 
 namespace verbenastile {
@@ -21,13 +22,6 @@
 // sent meanwhile has not been read yet.
 constexpr Duration kStoodStill = std::chrono::milliseconds(600);
 
-template <class... Ts>
-struct Overload : Ts... {
-  using Ts::operator()...;
-};
-template <class... Ts>
-Overload(Ts...) -> Overload<Ts...>;
-
 bool IsLast(const LinkBody& body) {
   return std::visit(
       Overload{[](const GateRefusal&) { return true; },
--- a/src/mesh/origin.cc
+++ b/src/mesh/origin.cc
@@ -7,8 +7,9 @@
 #include <utility>
 
 #include "base/log.h"
+#include "base/text.h"
 #include "core/link_forecast.h"
-#include "node/call_headers.h"
+#include "core/transfer_time.h"
 
 namespace verbenastile {
 namespace {
@@ -55,7 +56,6 @@
 constexpr Duration kAwayTime = std::chrono::milliseconds(3);
 constexpr Duration kAwayTimePerKilobyte = std::chrono::milliseconds(12);
 constexpr std::int64_t kKilobyte = 1'000;
-constexpr std::int64_t kMicrosPerSecond = 1'000'000;
 
 BalancerLimits Limits() {
   BalancerLimits limits;
@@ -76,26 +76,13 @@
 
 // Removes what belongs to one connection, and what only the system may say.
 void CleanHeaders(HttpHeaders& headers, const CallHeaderNames& names) {
-  std::vector<std::string> named;
-  std::string_view connection = FindHeader(headers, "connection");
-  while (!connection.empty()) {
-    const auto end = std::min(connection.find(','), connection.size());
-    std::string_view name = connection.substr(0, end);
-    name.remove_prefix(std::min(name.find_first_not_of(" \t"), name.size()));
-    name = name.substr(0, name.find_last_not_of(" \t") + 1);
-    named.emplace_back(name);
-    connection.remove_prefix(std::min(end + 1, connection.size()));
-  }
+  RemoveConnectionHeaders(headers);
   std::erase_if(headers, [&](const HttpHeader& header) {
-    return IsHopByHop(header.name) ||
-           SameHeaderName(header.name, "content-length") ||
+    return SameHeaderName(header.name, "content-length") ||
            SameHeaderName(header.name, "expect") ||
            SameHeaderName(header.name, names.deadline_ms) ||
            SameHeaderName(header.name, names.expected_instance) ||
-           SameHeaderName(header.name, names.caller_service) ||
-           std::any_of(named.begin(), named.end(), [&](const auto& name) {
-             return SameHeaderName(name, header.name);
-           });
+           SameHeaderName(header.name, names.caller_service);
   });
 }
 
@@ -244,8 +231,8 @@
   query.may_probe = call.route->repeatable;
   query.service_time = profile.service_time;
   if (profile.answer_bytes > kLargeAnswerBytes) {
-    query.link_time = Duration(profile.answer_bytes * kMicrosPerSecond /
-                               init_.link_bytes_per_second);
+    query.link_time =
+        TransferTime(profile.answer_bytes, init_.link_bytes_per_second);
   }
   query.objective = ObjectiveOf(call);
   query.away_cost =
--- a/src/mesh/sidecar.cc
+++ b/src/mesh/sidecar.cc
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <boost/leaf/handle_errors.hpp>
 #include <csignal>
-#include <random>
 #include <set>
 #include <utility>
 
@@ -60,18 +59,6 @@
   return std::clamp(scaled, kMembersPoll, kLongestMembersPoll);
 }
 
-std::uint64_t FreshSeed() {
-  std::random_device device;
-  return (std::uint64_t{device()} << 32U) | device();
-}
-
-std::uint64_t UnixMilliseconds() {
-  return static_cast<std::uint64_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(
-          std::chrono::system_clock::now().time_since_epoch())
-          .count());
-}
-
 const HttpHeaders& JsonHeaders() {
   static const HttpHeaders headers = {{"Content-Type", "application/json"}};
   return headers;
@@ -191,14 +178,19 @@
   return init;
 }
 
-StoreFollower::Init Sidecar::ConfigurationInit() {
+StoreFollower::Init Sidecar::FollowerInit(std::string_view kind) {
   StoreFollower::Init init;
   init.io = &io_;
   init.store = &store_;
   init.chart = &charts_.platform_session;
-  init.kind = platform::kConfigurationKind;
-  init.rest = kConfigurationRest;
+  init.kind = kind;
   init.seed = FreshSeed();
+  return init;
+}
+
+StoreFollower::Init Sidecar::ConfigurationInit() {
+  StoreFollower::Init init = FollowerInit(platform::kConfigurationKind);
+  init.rest = kConfigurationRest;
   init.on_listed = [this](const std::vector<StoreObject>& items) {
     for (const StoreObject& object : items) {
       OnConfigurationObject(object);
@@ -216,13 +208,8 @@
 }
 
 StoreFollower::Init Sidecar::MembersInit() {
-  StoreFollower::Init init;
-  init.io = &io_;
-  init.store = &store_;
-  init.chart = &charts_.platform_session;
-  init.kind = platform::kMemberKind;
+  StoreFollower::Init init = FollowerInit(platform::kMemberKind);
   init.poll = [this] { return MembersPoll(book_.entries().size()); };
-  init.seed = FreshSeed();
   init.on_listed = [this](const std::vector<StoreObject>& items) {
     OnMembersListed(items);
   };
--- a/src/mesh/sidecar.h
+++ b/src/mesh/sidecar.h
@@ -52,6 +52,7 @@
   Gate::Init GateInit();
   LinkHub::Init HubInit();
   Origin::Init OriginInit();
+  StoreFollower::Init FollowerInit(std::string_view kind);
   StoreFollower::Init ConfigurationInit();
   StoreFollower::Init MembersInit();
 
--- a/src/node/call_headers.cc
+++ b/src/node/call_headers.cc
@@ -3,11 +3,10 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <cctype>
 #include <charconv>
 #include <span>
-#include <vector>
 
+#include "base/text.h"
 #include "verbenastile/http_headers.h"
 
 namespace verbenastile {
@@ -40,32 +39,6 @@
   });
 }
 
-std::string_view TrimBlanks(std::string_view text) {
-  const auto first = text.find_first_not_of(" \t");
-  if (first == std::string_view::npos) {
-    return {};
-  }
-  const auto last = text.find_last_not_of(" \t");
-  return text.substr(first, last - first + 1);
-}
-
-// The names that "Connection" headers list.
-std::vector<std::string> NamedByConnection(const HttpHeaders& headers) {
-  std::vector<std::string> names;
-  for (const HttpHeader& header : headers) {
-    if (!SameHeaderName(header.name, "connection")) {
-      continue;
-    }
-    std::string_view rest = header.value;
-    while (!rest.empty()) {
-      const auto comma = std::min(rest.find(','), rest.size());
-      names.emplace_back(TrimBlanks(rest.substr(0, comma)));
-      rest.remove_prefix(std::min(comma + 1, rest.size()));
-    }
-  }
-  return names;
-}
-
 std::size_t CountOf(const HttpHeaders& headers, std::string_view name) {
   return static_cast<std::size_t>(std::count_if(
       headers.begin(), headers.end(),
@@ -83,14 +56,6 @@
   headers.push_back({std::string(name), std::move(value)});
 }
 
-std::string ToLower(std::string_view text) {
-  std::string lower(text);
-  std::transform(
-      lower.begin(), lower.end(), lower.begin(),
-      [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-  return lower;
-}
-
 std::optional<std::uint64_t> ReadNumber(const HttpHeaders& headers,
                                         std::string_view name,
                                         std::uint64_t max) {
@@ -155,22 +120,14 @@
 }
 
 void CleanCallerHeaders(HttpHeaders& headers) {
-  for (const std::string& name : NamedByConnection(headers)) {
-    RemoveHeader(headers, name);
-  }
-  std::erase_if(headers,
-                [](const HttpHeader& h) { return IsHopByHop(h.name); });
+  RemoveConnectionHeaders(headers);
   RemoveAll(headers, kNodeHeaders);
   RemoveHeader(headers, "content-length");
   RemoveHeader(headers, "expect");
 }
 
 void CleanUpstreamHeaders(HttpHeaders& headers) {
-  for (const std::string& name : NamedByConnection(headers)) {
-    RemoveHeader(headers, name);
-  }
-  std::erase_if(headers,
-                [](const HttpHeader& h) { return IsHopByHop(h.name); });
+  RemoveConnectionHeaders(headers);
   RemoveAll(headers, kSystemAnswerHeaders);
 }
 
--- a/src/node/call_headers.h
+++ b/src/node/call_headers.h
@@ -18,9 +18,6 @@
 // Replaces all headers of that name.
 void SetHeader(HttpHeaders& headers, std::string_view name, std::string value);
 
-// `text` in lower case.
-std::string ToLower(std::string_view text);
-
 // The number in the header called `name`; nothing when there is none, or it is
 // malformed or above `max`.
 std::optional<std::uint64_t> ReadNumber(const HttpHeaders& headers,
--- a/src/node/caller_side.cc
+++ b/src/node/caller_side.cc
@@ -9,6 +9,8 @@
 #include <variant>
 #include <vector>
 
+#include "base/overload.h"
+#include "base/text.h"
 #include "node/answer_relay.h"
 #include "node/call_headers.h"
 #include "verbenastile/http_headers.h"
@@ -47,13 +49,6 @@
 
 using CurrentAttempt = std::variant<std::monostate, LocalAttempt, PeerAttempt>;
 
-template <typename... Visitors>
-struct Overload : Visitors... {
-  using Visitors::operator()...;
-};
-template <typename... Visitors>
-Overload(Visitors...) -> Overload<Visitors...>;
-
 }  // namespace
 
 // One request on its way.
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -8,10 +8,10 @@
 #include <csignal>
 #include <cstdlib>
 #include <nlohmann/json.hpp>
-#include <random>
 #include <string>
 
 #include "base/log.h"
+#include "base/random.h"
 #include "core/invariant.h"
 #include "io/file_limit.h"
 #include "verbenastile/http_headers.h"
@@ -40,19 +40,12 @@
   return init;
 }
 
-std::uint32_t FreshSeed() {
-  return std::random_device{}();
-}
-
 Member MakeSelf(const Settings& settings) {
   Member self;
   self.name = settings.name;
   // A node keeps nothing over a restart. Wall-clock milliseconds only raise
   // the first incarnation; the node goes above whatever the others remember.
-  self.incarnation = static_cast<std::uint64_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(
-          std::chrono::system_clock::now().time_since_epoch())
-          .count());
+  self.incarnation = UnixMilliseconds();
   self.failure_domain = settings.failure_domain;
   self.region = settings.region;
   self.service = settings.upstream.service;
