Watches that a silent store lost are noticed within seconds

A configuration change makes all followers send their next watch in the same moment; when the store is silent then (no reset, the kernel answers keep-alive probes), each watch is lost, and its end came 11.5 s later. Nobody was ahead, so no peer could help. Ruled out: the soak's bookkeeping of versions; a refused configuration; the history that was forgotten (410 is answered).

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -585,6 +585,15 @@
         await asyncio.sleep(self.rng.uniform(0.5, 4.0))
         self.store.fault = None
 
+    async def fault_swallowed_watches(self):
+        """The watches after a change reach a silent store; it is back, and the
+        configuration changes once more."""
+        self.store.fault = "silent"
+        await self.fault_configuration()
+        await asyncio.sleep(1.9)
+        self.store.fault = None
+        await self.fault_configuration()
+
     async def fault_history(self):
         self.store.oldest = self.store.revision + 1
         self.store.revision += 1
--- a/src/core/configuration_source.h
+++ b/src/core/configuration_source.h
@@ -40,6 +40,8 @@
 
   // Whether others rely on this node.
   bool reader() const { return !small_link_; }
+  // Peers that follow the store and reach it, as far as they said.
+  std::size_t Readers() const;
   // Whether this node is to follow the store by itself.
   bool FollowsStore(Time now) const;
   // When the store last confirmed a peer's configuration, as far as this node
@@ -54,8 +56,6 @@
     std::optional<Time> confirmed;
   };
 
-  std::size_t Readers() const;
-
   bool small_link_;
   Time started_;
   std::uint64_t turn_;  // Spreads the asks of many nodes over the readers.
--- a/src/mesh/sidecar.cc
+++ b/src/mesh/sidecar.cc
@@ -191,6 +191,7 @@
 StoreFollower::Init Sidecar::ConfigurationInit() {
   StoreFollower::Init init = FollowerInit(platform::kConfigurationKind);
   init.rest = kConfigurationRest;
+  init.followers = [this] { return source_.Readers() + 1; };
   init.on_listed = [this](const std::vector<StoreObject>& items) {
     for (const StoreObject& object : items) {
       OnConfigurationObject(object);
--- a/src/mesh/store_follower.cc
+++ b/src/mesh/store_follower.cc
@@ -4,14 +4,13 @@
 #include <utility>
 
 #include "base/log.h"
+#include "core/watch_wait.h"
 
 namespace verbenastile {
 namespace {
 
 constexpr std::string_view kPart = "store";
 
-// A watch without events ends after this, and shows that the store is there.
-constexpr Duration kWatchWait = std::chrono::seconds(10);
 constexpr Duration kFirstRetry = std::chrono::milliseconds(100);
 // Bounds how late a change is seen after the store has come back.
 constexpr Duration kLongestRetry = std::chrono::milliseconds(800);
@@ -116,7 +115,7 @@
 
 void StoreFollower::Watch() {
   call_ = init_.store->Watch(
-      init_.kind, revision_, kWatchWait,
+      init_.kind, revision_, WatchWait(init_.followers(), random_),
       [this](StoreResult<StoreEvents> result) { OnEvents(std::move(result)); });
 }
 
--- a/src/mesh/store_follower.h
+++ b/src/mesh/store_follower.h
@@ -31,6 +31,8 @@
     Duration rest = std::chrono::milliseconds(0);
     // Set: objects are listed again after about this time, and not watched.
     std::function<Duration()> poll;
+    // How many nodes watch these objects and tell each other of changes.
+    std::function<std::size_t()> followers = [] { return std::size_t{1}; };
     std::uint64_t seed = 0;
     // All objects there are.
     std::function<void(const std::vector<StoreObject>&)> on_listed;
