A slow instance is tried by one call at a time

Change: while one call of the kind runs, an old estimate stays, and grows with that call; what was learned before the silence is replaced by the first answer instead of averaged with it. A call that may wait for a slot is told too that the instance takes longer than it has time left.

--- a/src/core/admission.cc
+++ b/src/core/admission.cc
@@ -163,11 +163,17 @@
 std::optional<Duration> Admission::ExpectedService(std::string_view kind,
                                                    Time now) const {
   const auto found = kinds_.find(kind);
-  if (found == kinds_.end() || found->second.mean == Duration::zero() ||
-      now - found->second.learned > limits_.estimate_memory) {
+  if (found == kinds_.end() || found->second.mean == Duration::zero()) {
     return std::nullopt;
   }
-  return found->second.mean;
+  const ServiceTime& known = found->second;
+  if (now - known.learned <= limits_.estimate_memory) {
+    return known.mean;
+  }
+  if (known.running.empty()) {
+    return std::nullopt;
+  }
+  return std::max(known.mean, now - known.running.begin()->first);
 }
 
 Duration Admission::Estimate(const Group& group,
@@ -311,6 +317,9 @@
   call.started = now;
   call.charged = Estimate(group, call.kind);
   running_.insert(id);
+  if (call.kind != nullptr) {
+    call.kind->running.emplace(now, id);
+  }
   ++group.running;
   ++busy_;
   virtual_time_ = std::max(virtual_time_, group.tag);
@@ -420,6 +429,9 @@
   const Call call = found->second;
   calls_.erase(found);
   running_.erase(id);
+  if (call.kind != nullptr) {
+    call.kind->running.erase({call.started, id});
+  }
   --busy_;
   --call.group->running;
   ++stats_.ended;
@@ -489,6 +501,10 @@
   Learn(call.group->service_time, time);
   Learn(service_time_, time);
   if (call.kind != nullptr) {
+    if (now - call.kind->learned > limits_.estimate_memory) {
+      // What was known is of another time.
+      call.kind->mean = Duration::zero();
+    }
     Learn(*call.kind, time);
     call.kind->learned = now;
   }
--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -146,9 +146,9 @@
   // From now on all offers are refused; queued calls still run.
   void Drain() { draining_ = true; }
 
-  // The time that a call of the kind is expected to hold a slot; nothing when
-  // none has ended for `estimate_memory`, so that a slow upstream is tried
-  // again.
+  // The time that a call of the kind is expected to hold a slot. Nothing when
+  // none has ended for `estimate_memory` and none is running, so that a slow
+  // upstream is tried again by one call at a time.
   std::optional<Duration> ExpectedService(std::string_view kind,
                                           Time now) const;
 
@@ -171,6 +171,7 @@
     Duration mean{0};  // 0: not known.
     Duration deviation{0};
     Time learned;  // When the last call of the kind ended.
+    std::set<std::pair<Time, CallId>> running;  // Of the kind, by their start.
   };
 
   // Slot time over weight, in microseconds times `kTagScale`.
--- a/src/mesh/gate.cc
+++ b/src/mesh/gate.cc
@@ -93,7 +93,7 @@
     Refuse(id, RefusalReason::kOtherService, Duration::zero());
   } else if (held.call.only_if_free && !admission_.HasFreeSlot()) {
     Refuse(id, RefusalReason::kBusy, Duration::zero());
-  } else if (held.call.only_if_free && IsTooSlow(held, now)) {
+  } else if (IsTooSlow(held, now)) {
     Refuse(id, RefusalReason::kSlow, Duration::zero());
   } else if (const Duration late = LateByLink(held); late > Duration::zero()) {
     Refuse(id, RefusalReason::kBusy, late);
@@ -106,12 +106,15 @@
   return id;
 }
 
-// Whether the instance takes longer for such calls than their objective is.
+// Whether the instance takes longer for such calls than they can wait: their
+// objective while other instances may be asked, else the time they have left.
 // Those whose objective has passed are late at any instance.
 bool Gate::IsTooSlow(const Call& call, Time now) const {
+  const bool may_go_on =
+      call.call.only_if_free && call.call.objective > Duration::zero();
+  const Duration limit = may_go_on ? call.call.objective : call.call.remaining;
   const auto expected = admission_.ExpectedService(call.call.rule, now);
-  return call.call.objective > Duration::zero() && expected &&
-         *expected > call.call.objective;
+  return expected && *expected > limit;
 }
 
 // By how much a large answer would be late, or no link free for it, since
--- a/tests/overload_test.cc
+++ b/tests/overload_test.cc
@@ -269,6 +269,39 @@
   CHECK_FALSE(admission.ExpectedService("read", now + 1'100 * kMs).has_value());
 }
 
+// Pattern: an instance of nine slots takes twelve times as long for ten
+// seconds. Twenty calls a second come that go elsewhere when they are told that
+// it is slow; those that it takes are late, and hold all its slots.
+SCENARIO("an instance that has turned slow is tried by one call at a time") {
+  constexpr Duration kObjective = 500 * kMs;
+  BusyInstance instance(9);
+  int taken = 0;
+  const auto drive = [&](Duration time) {
+    taken = 0;
+    for (const Time end = instance.now + time; instance.now < end;) {
+      const auto expected =
+          instance.admission.ExpectedService("low", instance.now);
+      if (!expected || *expected <= kObjective) {
+        taken += instance.Offer(Priority::kLow, kObjective) ? 1 : 0;
+      }
+      instance.Advance(50 * kMs);
+    }
+  };
+  drive(3'000 * kMs);
+  CHECK(taken == 60);
+  instance.service = 1'800 * kMs;
+  drive(10'000 * kMs);
+  // Those of the first second, and one for each two.
+  CHECK(taken <= 25);
+  WHEN("it is well again") {
+    instance.service = 100 * kMs;
+    drive(5'000 * kMs);
+    THEN("the next try shows it") {
+      CHECK(taken > 30);
+    }
+  }
+}
+
 // A machine on a link of 5 Mbit/s whose instance has slots enough.
 struct FilmMachine {
   static constexpr std::int64_t kRate = 562'500;  // What films may use.
