An outage of the store does not turn all nodes to it

Cause: nodes on small links follow the store themselves when fewer than two readers are in touch with it. Change: a node that holds a configuration waits 4 s first, within the 5 s by which the bound is stretched while the store turns some machines away; one that holds none still asks at once.

--- a/src/core/configuration_source.cc
+++ b/src/core/configuration_source.cc
@@ -13,6 +13,10 @@
 constexpr std::size_t kLeastReaders = 2;
 // A node that starts is linked to the readers within this.
 constexpr Duration kStartWait = std::chrono::milliseconds(1'500);
+// A store that the readers have lost is most likely lost to all: only what it
+// may take longer while the store turns some machines away, 5 s, less the way
+// of a configuration.
+constexpr Duration kReadersLostWait = std::chrono::seconds(4);
 // A node that follows the store asks a peer when the store has not brought the
 // news for this long: a rest between two watches and a transfer.
 constexpr Duration kAskAfter = std::chrono::milliseconds(1'400);
@@ -25,6 +29,7 @@
 ConfigurationSource::ConfigurationSource(const Init& init)
     : small_link_(init.link_bytes_per_second < kReaderLinkBytesPerSecond),
       started_(init.started),
+      lacks_readers_since_(init.started),
       turn_(init.seed) {}
 
 void ConfigurationSource::OnPeer(std::string_view name,
@@ -43,12 +48,22 @@
   if (said.generation > held_ && behind_since_ == Time()) {
     behind_since_ = now;
   }
+  CountReaders(now);
 }
 
-void ConfigurationSource::OnPeerGone(std::string_view name) {
+void ConfigurationSource::OnPeerGone(std::string_view name, Time now) {
   const auto found = peers_.find(name);
   if (found != peers_.end()) {
     peers_.erase(found);
+    CountReaders(now);
+  }
+}
+
+void ConfigurationSource::CountReaders(Time now) {
+  if (Readers() >= kLeastReaders) {
+    lacks_readers_since_ = Time();
+  } else if (lacks_readers_since_ == Time()) {
+    lacks_readers_since_ = now;
   }
 }
 
@@ -68,7 +83,10 @@
   if (!small_link_) {
     return true;
   }
-  return Readers() < kLeastReaders && now - started_ >= kStartWait;
+  if (lacks_readers_since_ == Time() || now - started_ < kStartWait) {
+    return false;
+  }
+  return held_ == 0 || now - lacks_readers_since_ >= kReadersLostWait;
 }
 
 std::optional<Time> ConfigurationSource::confirmed() const {
--- a/src/core/configuration_source.h
+++ b/src/core/configuration_source.h
@@ -34,7 +34,7 @@
   explicit ConfigurationSource(const Init& init);
 
   void OnPeer(std::string_view name, const PeerConfiguration& said, Time now);
-  void OnPeerGone(std::string_view name);
+  void OnPeerGone(std::string_view name, Time now);
   // What this node has in force; an ask that was under way has been answered.
   void OnHeld(std::uint64_t generation);
 
@@ -56,8 +56,11 @@
     std::optional<Time> confirmed;
   };
 
+  void CountReaders(Time now);
+
   bool small_link_;
   Time started_;
+  Time lacks_readers_since_;  // `Time()`: there are enough.
   std::uint64_t turn_;  // Spreads the asks of many nodes over the readers.
   std::map<std::string, Peer, std::less<>> peers_;
   std::uint64_t held_ = 0;
--- a/src/mesh/sidecar.cc
+++ b/src/mesh/sidecar.cc
@@ -139,7 +139,7 @@
     origin_.OnAnswer(member, std::move(frame));
   };
   init.on_down = [this](std::string_view member) {
-    source_.OnPeerGone(member);
+    source_.OnPeerGone(member, SteadyNow());
     origin_.OnDown(member);
   };
   init.on_load = [this](std::string_view member, const GateLoad& load) {
