--- a/src/core/return_time.h
+++ b/src/core/return_time.h
@@ -26,8 +26,8 @@
   // A request that `rule` decided was refused, or has ended otherwise.
   void OnOutcome(std::string_view rule, bool refused, Time now);
 
-  // How long the refused caller should wait; between `kLeast` and a third of
-  // what it has left, which is as long as callers go by it.
+  // How long the refused caller should wait: at most a third of what it has
+  // left, which is as long as callers go by it.
   Duration For(const RefusedCaller& caller, Time now, Random& random) const;
 
  private:
--- a/src/mesh/gate.cc
+++ b/src/mesh/gate.cc
@@ -475,6 +475,7 @@
        {"queued", admission_.queued()},
        {"waited_ms", ToMilliseconds(waited)},
        {"ran_ms", ran ? ToMilliseconds(now - call.started) : 0},
+       {"objective_ms", ToMilliseconds(call.call.objective)},
        {"left_ms", ToMilliseconds(call.deadline - now)}});
 }
 
--- a/src/mesh/origin.cc
+++ b/src/mesh/origin.cc
@@ -565,8 +565,9 @@
   }
   HttpHeaders headers = {{"Content-Type", "text/plain"}};
   if (status == kUnavailable) {
+    call.retry_after = ComeBack(call);
     const double seconds =
-        std::chrono::duration<double>(ComeBack(call)).count();
+        std::chrono::duration<double>(call.retry_after).count();
     headers.push_back({std::string(init_.headers.retry_after),
                        fmt::format("{:.3f}", seconds)});
   }
@@ -613,6 +614,7 @@
        {"asked_before_ms", call.rule == nullptr
                                ? 0
                                : ToMilliseconds(call.begin - call.first_asked)},
+       {"retry_after_ms", ToMilliseconds(call.retry_after)},
        {"left_ms",
         call.deadline == Time() ? 0 : ToMilliseconds(call.deadline - now)}});
   calls_.erase(found);
--- a/src/mesh/origin.h
+++ b/src/mesh/origin.h
@@ -111,7 +111,8 @@
     std::uint32_t refusals = 0;  // By gates, with nothing sent.
     // Gates that had no free slot, and may be asked once more to queue it.
     std::vector<UpstreamHandle> full;
-    Duration come_back{0};  // The least that a gate asked for.
+    Duration come_back{0};    // The least that a gate asked for.
+    Duration retry_after{0};  // What the refused caller was asked to wait.
     bool may_have_run = false;
     // An instance's answer that says that it failed, kept until another
     // instance has answered.
