--- a/src/wire/link.capnp
+++ b/src/wire/link.capnp
@@ -1,6 +1,6 @@
 # What two nodes say to each other on the connection that carries calls from
-# one to the upstream instance beside the other. Each message stands in the
-# standard framing for streams. See src/mesh/link_frames.h for the fields.
+# one to the upstream instance beside the other. See src/mesh/link_frames.h for
+# the fields and src/mesh/link_codec.h for how messages follow each other.
 @0xb85a09c6e1f3d742;
 
 using Cxx = import "/capnp/c++.capnp";
--- a/tests/link_codec_test.cc
+++ b/tests/link_codec_test.cc
@@ -117,7 +117,7 @@
   GateCall call = CallOf(0);
   call.request_id = "9c41d07be2a35f68";
   call.headers = {{"Host", "ficu95.example"},
-                  {"X-Attempt-Id", "9c41d07be2a35f68"},
+                  {"X-Request-Id", "9c41d07be2a35f68"},
                   {"User-Agent", "client"},
                   {"Accept", "*/*"}};
   std::size_t own = call.service.size() + call.caller_service.size() +
