Bound answers that never end, and tell late copies from own answers

Cause: a call that may not be repeated stayed at the instance after its caller was gone, without a limit: an answer that never ended held its slot, connection and bandwidth for good. Interim responses without end were skipped without end. On a reused connection, a late copy of an earlier answer that did not name its request was delivered as the next request's own. A silent link was closed together with its calls that may not run again, although the peer may only be paused. Change: abandoned answers are read up to 1 MiB, calls of either kind are broken off after their deadline (2 s later if they may not be repeated), skipped responses are bounded by 4 MiB, an answer on a reused connection has to name its request, a not-executed head counts although its body breaks off. LinkMonitor tells a silent peer from a broken link.

--- a/src/core/link_monitor.cc
+++ b/src/core/link_monitor.cc
@@ -49,8 +49,11 @@
 
 LinkVerdict LinkMonitor::Check(const Query& query, Time now) {
   if (probe_sent_ != Time()) {
-    return now - probe_sent_ > kProbeTimeout ? LinkVerdict::kBroken
-                                             : LinkVerdict::kHealthy;
+    if (now - probe_sent_ <= kProbeTimeout) {
+      return LinkVerdict::kHealthy;
+    }
+    return query.has_non_idempotent ? LinkVerdict::kSilent
+                                    : LinkVerdict::kBroken;
   }
   const Duration allowed =
       query.busy || suspected_ ? kBusySilence : IdleProbeDelay(query.links);
--- a/src/core/link_monitor.h
+++ b/src/core/link_monitor.h
@@ -15,8 +15,11 @@
 
 enum class LinkVerdict : std::uint8_t {
   kHealthy,
-  kProbe,   // Send a probe now.
-  kBroken,  // A probe was not answered in time.
+  kProbe,  // Send a probe now.
+  // A probe was not answered in time. Calls that may run again are better sent
+  // elsewhere; the others wait, because the peer may only be slow or paused.
+  kSilent,
+  kBroken,  // Like `kSilent`, and no call waits for the peer.
 };
 
 // The silence after which an idle link is probed if this node has `links`
@@ -32,6 +35,8 @@
     Time last_heard;
     bool busy = false;      // Responses are outstanding.
     std::size_t links = 0;  // Number of links that this node probes.
+    // Responses to calls that may not run again are outstanding.
+    bool has_non_idempotent = false;
   };
 
   // The link was opened; the first frame of the peer is awaited like the
--- a/src/io/http1_client.cc
+++ b/src/io/http1_client.cc
@@ -22,6 +22,11 @@
 // announces.
 constexpr int kIdleTimeoutNumerator = 7;
 constexpr int kIdleTimeoutDenominator = 10;
+// Bytes of interim responses and of responses to earlier requests that are
+// skipped while a call waits for its response.
+constexpr std::size_t kMaxSkippedBytes = 4'194'304;
+
+constexpr int kFirstFinalStatus = 200;
 
 std::string FormatRequest(const Http1Call& call) {
   std::string text;
@@ -83,6 +88,7 @@
   void Read();
   void OnRead(const asio::error_code& error, std::string_view bytes);
   void Parse();
+  bool LacksRequestId() const;
   bool SkipUnrelatedResponse();
   void DeliverBody();
   void OnResponseComplete();
@@ -99,9 +105,11 @@
   Http1Call call_;
   std::string request_bytes_;
   std::string unparsed_;
+  std::size_t skipped_bytes_ = 0;
   Time idle_since_;
   Duration server_idle_timeout_{0};
   bool connected_ = false;
+  bool reused_ = false;
   bool reading_ = false;
   bool paused_ = false;
   bool writing_ = false;
@@ -190,6 +198,8 @@
   sent_ = false;
   head_delivered_ = false;
   skipping_response_ = false;
+  skipped_bytes_ = 0;
+  reused_ = reused;
   paused_ = false;
   request_bytes_ = FormatRequest(call_);
   if (reused) {
@@ -267,7 +277,19 @@
     if (!parser_.head_done()) {
       continue;
     }
+    if (LacksRequestId()) {
+      EndCall(Http1CallResult::kIncomplete,
+              "the answer on a reused connection does not name its request",
+              false);
+      return;
+    }
     if (SkipUnrelatedResponse()) {
+      skipped_bytes_ += used;
+      if (skipped_bytes_ > kMaxSkippedBytes) {
+        EndCall(Http1CallResult::kIncomplete,
+                "too many bytes that belong to no call", false);
+        return;
+      }
       continue;
     }
     if (!head_delivered_) {
@@ -284,6 +306,15 @@
   }
 }
 
+// Whether the current message may be a late copy of the response to an earlier
+// request, because it does not say which request it belongs to.
+bool Http1ClientConnection::LacksRequestId() const {
+  const Http1Head& head = parser_.head();
+  return reused_ && !head_delivered_ && !call_.echo.value.empty() &&
+         head.status >= kFirstFinalStatus &&
+         FindHeader(head.headers, call_.echo.header).empty();
+}
+
 // Returns whether the current message is an interim (1xx) response or the
 // response to an earlier request. Such a message is discarded, and the parser
 // is reset once it is complete.
@@ -293,7 +324,6 @@
     const auto id = FindHeader(head.headers, call_.echo.header);
     const bool is_other_request =
         !call_.echo.value.empty() && !id.empty() && id != call_.echo.value;
-    constexpr int kFirstFinalStatus = 200;
     skipping_response_ = is_other_request || head.status < kFirstFinalStatus;
   }
   if (!skipping_response_) {
--- a/src/io/http1_client.h
+++ b/src/io/http1_client.h
@@ -27,7 +27,8 @@
 };
 
 // A request header that the server echoes in its response. A response that
-// carries a different value belongs to an earlier request and is skipped.
+// carries a different value belongs to an earlier request and is skipped. On a
+// reused connection, a response without the header ends the call as incomplete.
 struct Http1EchoHeader {
   std::string_view header;
   std::string value;  // Expected value; if empty, no check is made.
--- a/src/mesh/inbound_proxy.cc
+++ b/src/mesh/inbound_proxy.cc
@@ -38,6 +38,12 @@
 // A call that the caller's node has not cancelled this long after its deadline
 // is cancelled here.
 constexpr Duration kOverdueGrace = std::chrono::milliseconds(200);
+// A call that may not be repeated is not broken off when its caller is gone,
+// but instances stop work at the deadline: after this time it is.
+constexpr Duration kNonIdempotentOverdueGrace = std::chrono::seconds(2);
+// Bytes of a response that are read only to reuse the connection. Beyond that
+// the connection is closed.
+constexpr std::size_t kMaxDiscardedBytes = 1'048'576;
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(500);
 // Idle connections are reused only this long after their last response, because
 // instances close idle connections, some of them without notice.
@@ -231,6 +237,11 @@
   }
   Call& call = found->second;
   if (call.abandoned || call.not_executed) {
+    call.discarded_bytes += part.size();
+    if (call.discarded_bytes > kMaxDiscardedBytes) {
+      http_client_.Cancel(call.http_call_id);
+      OnHttpEnd(id, Http1CallResult::kIncomplete, "the answer does not end");
+    }
     return;
   }
   call.unsent_body += part;
@@ -289,7 +300,8 @@
   init_.metrics->Observe(service_time_,
                          static_cast<double>((now - call.started).count()));
   const AdmissionActions actions = admission_.OnEnded(id, now);
-  if (end == Http1CallResult::kComplete) {
+  // The head alone says that the instance did not run the call.
+  if (end == Http1CallResult::kComplete || call.not_executed) {
     OnResponseComplete(id, call);
   } else if (end == Http1CallResult::kNotSent) {
     if (init_.tracker->OnConnectFailed(now)) {
@@ -389,10 +401,15 @@
     }
     return;
   }
-  LogCall(id, call, "cancelled");
+  BreakOff(id, "cancelled");
+}
+
+void InboundProxy::BreakOff(CallId id, std::string_view outcome) {
+  const Call& call = calls_.at(id);
+  LogCall(id, call, outcome);
   http_client_.Cancel(call.http_call_id);
   Remove(id);
-  held_slots_.push_back({now + kCancelledSlotTime, id});
+  held_slots_.push_back({SteadyNow() + kCancelledSlotTime, id});
 }
 
 void InboundProxy::GrantCredit(CallId id, std::uint32_t bytes) {
@@ -434,20 +451,23 @@
   }
 }
 
-// Cancels running idempotent calls that are past their deadline and that the
-// caller's node did not cancel.
+// Breaks off running calls that are past their deadline: idempotent ones that
+// the caller's node did not cancel, and others long after it.
 void InboundProxy::CancelOverdue(Time now) {
   std::vector<CallId> overdue;
   for (const auto& [id, call] : calls_) {
-    if (call.http_call_id != 0 && call.request.idempotent &&
-        call.deadline + kOverdueGrace <= now) {
+    const Duration grace =
+        call.request.idempotent ? kOverdueGrace : kNonIdempotentOverdueGrace;
+    if (call.http_call_id != 0 && call.deadline + grace <= now) {
       overdue.push_back(id);
     }
   }
   for (const CallId id : overdue) {
     const Call& call = calls_.at(id);
-    PostReply(call.reply, GateFailure{"the deadline has passed", load()});
-    Cancel(id);
+    if (!call.abandoned) {
+      PostReply(call.reply, GateFailure{"the deadline has passed", load()});
+    }
+    BreakOff(id, "overdue");
   }
 }
 
@@ -472,8 +492,8 @@
   tick_timer_.expires_after(kTickInterval);
   tick_timer_.async_wait([this](const asio::error_code& error) {
     if (!error) {
-      Tick();
       ScheduleTick();
+      Tick();
     }
   });
 }
--- a/src/mesh/inbound_proxy.h
+++ b/src/mesh/inbound_proxy.h
@@ -88,8 +88,9 @@
     bool head_sent = false;     // To the caller.
     bool not_executed = false;  // The instance says that it did not run it.
     bool abandoned = false;     // The caller no longer waits for the response.
-    bool paused = false;        // Reading from the instance is paused.
-    std::string unsent_body;    // Received and not yet sent to the caller.
+    std::size_t discarded_bytes = 0;  // Of the body, read but not sent on.
+    bool paused = false;              // Reading from the instance is paused.
+    std::string unsent_body;  // Received and not yet sent to the caller.
     // Sent to the caller and not yet credited.
     std::size_t uncredited_bytes = 0;
     std::size_t sent_bytes = 0;  // Of the body.
@@ -119,6 +120,9 @@
   void FailBroken(CallId id, std::string_view detail);
   void PostReply(const ReplyHandler& reply, LinkBody body);
   void Execute(const AdmissionActions& actions);
+  // Closes the connection of a running call; its slot stays occupied for a
+  // short time.
+  void BreakOff(CallId id, std::string_view outcome);
   void CancelOverdue(Time now);
   void Tick();
   void ScheduleTick();
--- a/tests/http1_test.cc
+++ b/tests/http1_test.cc
@@ -301,6 +301,63 @@
     CHECK(fixture.Wait(result) == Http1CallResult::kComplete);
     CHECK(result->body == "new");
   }
+  GIVEN("a connection in use again") {
+    Http1Call first;
+    first.echo = {"X-Id", "first"};
+    const auto earlier = fixture.Start(std::move(first));
+    RawConnection server = fixture.listener.Accept();
+    server.ReadRequest();
+    server.Write(
+        "HTTP/1.1 200 OK\r\nX-Id: first\r\nContent-Length: 2\r\n\r\nok");
+    REQUIRE(fixture.Wait(earlier) == Http1CallResult::kComplete);
+    Http1Call second;
+    second.echo = {"X-Id", "second"};
+    const auto result = fixture.Start(std::move(second));
+    server.ReadRequest();
+    WHEN("a late copy of the earlier response names its request") {
+      server.Write(
+          "HTTP/1.1 200 OK\r\nX-Id: first\r\nContent-Length: 2\r\n\r\nok"
+          "HTTP/1.1 200 OK\r\nX-Id: second\r\nContent-Length: 3\r\n\r\nown");
+      THEN("it is skipped") {
+        CHECK(fixture.Wait(result) == Http1CallResult::kComplete);
+        CHECK(result->body == "own");
+      }
+    }
+    WHEN("a late copy does not name its request") {
+      server.Write(kOkResponse);
+      THEN("it is not delivered, and the request may have run") {
+        CHECK(fixture.Wait(result) == Http1CallResult::kIncomplete);
+        CHECK(result->body.empty());
+        CHECK(server.AtEnd());
+      }
+    }
+  }
+  GIVEN("a server that sends interim responses without end") {
+    const auto result = fixture.Start({});
+    RawConnection server = fixture.listener.Accept();
+    server.ReadRequest();
+    std::string interim;
+    while (interim.size() < 1'000'000) {
+      interim += "HTTP/1.1 103 Early Hints\r\nLink: </style.css>\r\n\r\n";
+    }
+    THEN("the call ends after a bounded number of bytes") {
+      std::size_t sent = 0;
+      while (!fixture.loop.Call([&] { return result->end.has_value(); })) {
+        REQUIRE(sent < 100'000'000);
+        server.Write(interim);
+        sent += interim.size();
+      }
+      CHECK(fixture.Wait(result) == Http1CallResult::kIncomplete);
+    }
+  }
+  GIVEN("a server that sends a header without end") {
+    const auto result = fixture.Start({});
+    RawConnection server = fixture.listener.Accept();
+    server.ReadRequest();
+    server.Write("HTTP/1.1 200 OK\r\nX-Long: " + std::string(200'000, 'a'));
+    CHECK(fixture.Wait(result) == Http1CallResult::kIncomplete);
+    CHECK(server.AtEnd());
+  }
   GIVEN("a truncated response") {
     const auto result = fixture.Start({});
     RawConnection server = fixture.listener.Accept();
--- a/tests/inbound_proxy_test.cc
+++ b/tests/inbound_proxy_test.cc
@@ -66,7 +66,7 @@
     call.method = idempotent ? "GET" : "POST";
     call.target = "/p/x?y=z";
     call.headers = {{"Host", "a.example"}, {"X-Id", call.request_id}};
-    call.remaining = std::chrono::seconds(10);
+    call.remaining = remaining;
     call.objective = std::chrono::seconds(5);
     call.idempotent = idempotent;
     last_call_id = loop.Call([&] {
@@ -91,6 +91,7 @@
   std::unique_ptr<InboundProxy> proxy;
   int unreachable_events = 0;
   int request_count = 0;
+  Duration remaining = std::chrono::seconds(10);  // Of the calls started next.
   CallId last_call_id = 0;
 };
 
@@ -174,6 +175,64 @@
       CHECK(fixture.loop.Call([&] { return replies->empty(); }));
     }
   }
+  GIVEN("a cancelled call that is not idempotent and whose answer never ends") {
+    fixture.Start(false);
+    RawConnection instance = fixture.listener.Accept();
+    instance.ReadRequest();
+    fixture.loop.Call([&] {
+      fixture.proxy->Cancel(fixture.last_call_id);
+      return 0;
+    });
+    instance.Write("HTTP/1.1 200 OK\r\nX-Signature: s\r\nX-Id: r1\r\n\r\n");
+    const std::string part(65'536, 'x');
+    THEN("the connection is closed after a bounded number of bytes") {
+      std::size_t sent = 0;
+      while (fixture.loop.Call([&] { return fixture.proxy->active(); }) > 0) {
+        REQUIRE(sent < 64'000'000);
+        instance.Write(part);
+        sent += part.size();
+      }
+      AND_THEN("the slot is free again") {
+        const auto next = fixture.Start(true);
+        RawConnection second = fixture.listener.Accept();
+        second.ReadRequest();
+        second.Write(OkResponse("X-Signature: s\r\nX-Id: r2\r\n", "2"));
+        CHECK(std::get<GateResponse>(fixture.Reply(next)).body == "2");
+      }
+    }
+  }
+  GIVEN("a call that is not idempotent and whose answer trickles on") {
+    fixture.remaining = std::chrono::milliseconds(100);
+    const auto replies = fixture.Start(false);
+    RawConnection instance = fixture.listener.Accept();
+    instance.ReadRequest();
+    instance.Write("HTTP/1.1 200 OK\r\nX-Slow: ");
+    THEN("the call is broken off some time after its deadline") {
+      while (fixture.loop.Call([&] { return replies->empty(); })) {
+        instance.Write("x");
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+      }
+      CHECK(std::holds_alternative<GateFailure>(fixture.Reply(replies)));
+      CHECK(fixture.loop.Call([&] { return fixture.proxy->active(); }) == 0);
+    }
+  }
+  GIVEN("a refusal of the instance whose body never ends") {
+    const auto replies = fixture.Start(false);
+    RawConnection instance = fixture.listener.Accept();
+    instance.ReadRequest();
+    instance.Write("HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nX-Id: r1\r\n\r\n");
+    const std::string part(65'536, 'x');
+    THEN("the call is reported as not run after a bounded number of bytes") {
+      std::size_t sent = 0;
+      while (fixture.loop.Call([&] { return replies->empty(); })) {
+        REQUIRE(sent < 64'000'000);
+        instance.Write(part);
+        sent += part.size();
+      }
+      CHECK(std::get<GateRefusal>(fixture.Reply(replies)).reason ==
+            RefusalReason::kShed);
+    }
+  }
   GIVEN("more calls than slots") {
     const auto first = fixture.Start(true);
     RawConnection instance = fixture.listener.Accept();
--- a/tests/link_monitor_test.cc
+++ b/tests/link_monitor_test.cc
@@ -53,6 +53,22 @@
   CHECK(watch.Check(query, kStart + 1'502 * kMs) == LinkVerdict::kBroken);
 }
 
+SCENARIO("calls that may not run again outlast a silence of the peer") {
+  LinkMonitor watch;
+  LinkMonitor::Query query{kStart, true, 80, true};
+  CHECK(watch.Check(query, kStart + 301 * kMs) == LinkVerdict::kProbe);
+  CHECK(watch.Check(query, kStart + 1'502 * kMs) == LinkVerdict::kSilent);
+  WHEN("the peer answers after a pause") {
+    watch.OnFrameReceived();
+    query.last_heard = kStart + 2'000 * kMs;
+    CHECK(watch.Check(query, kStart + 2'100 * kMs) == LinkVerdict::kHealthy);
+  }
+  WHEN("the calls end without an answer") {
+    query.has_non_idempotent = false;
+    CHECK(watch.Check(query, kStart + 2'100 * kMs) == LinkVerdict::kBroken);
+  }
+}
+
 SCENARIO("a frame of the peer clears a suspicion") {
   LinkMonitor watch;
   watch.OnPeerSuspected();
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -160,6 +160,14 @@
     CHECK(std::holds_alternative<FormatError>(
         ParseControlCall("POST", "/api/Instances.Heartbeat/i-1", "\xff{")));
   }
+  GIVEN("ids with bytes that headers and JSON cannot carry") {
+    const auto* id = GENERATE("\xff\xfe", "i 1", "");
+    const std::string body = HeartbeatBody().dump();
+    CHECK(std::holds_alternative<FormatError>(ParseControlCall(
+        "POST", std::string("/api/Instances.Heartbeat/") + id, body)));
+    CHECK(std::holds_alternative<FormatError>(ParseControlCall(
+        "POST", std::string("/api/Instances.Deregister/") + id, "")));
+  }
   GIVEN("calls other than heartbeats") {
     CHECK(std::holds_alternative<ReadinessProbe>(
         ParseControlCall("GET", "/api/ready", "")));
