Survive a restore of the store, and find peers with fewer store calls

Cause: nothing read the era of the store. After a restore from a backup a watch went on from a revision that names another change by then, revisions were kept as their maximum, and a member record that was lost stayed lost. At the cold start of a fleet, nodes on small links listed and watched the configuration in the store after 1.5 s, since the members were listed again only after 2.5 s; each restart wrote its record twice. Change: StoreEraTracker drops responses of older eras and reports newer ones. StoreFollower lists again, RecordPublisher writes again within a second, readers tell the era over links (Load.storeEra, Hello.storeEra); peers' reports are a hint only. The version in force, links and the state of the instance are kept. A record that names another member is ignored. The soak plays the restore (fault_restore) and checks that records are back within two seconds; a build that does not write them again is listed in broken_builds.sh. Members are listed each second for the first three; a node without links waits 3.5 s before it follows the store; the first record is written after the first list. A silent peer keeps the calls that may not run again (LinkHub). Buffers of links at rest are 1 KiB at most; links are updated once for each list, and checked without copying the maps.

--- a/soak/broken_builds.sh
+++ b/soak/broken_builds.sh
@@ -15,11 +15,12 @@
 faults='
 unsafe repeated@src/mesh/outbound_proxy.cc@s/!call.route->repeatable || !TakeRetry/!TakeRetry/@ran 2 times
 refused after a run@src/mesh/outbound_proxy.cc@s/kUnavailable \&\& call.may_have_run/false/;s/Fail(id, kBadGateway, broken.detail)/Fail(id, kUnavailable, broken.detail)/@and has run
-cut answers passed on@src/mesh/inbound_proxy.cc@s/if (end == Http1CallResult::kComplete) {/if (end == Http1CallResult::kComplete || !call.unsent_body.empty()) {/@or not whole
+cut answers passed on@src/mesh/inbound_proxy.cc@s/if (end == Http1CallResult::kComplete || call.not_executed) {/if (end == Http1CallResult::kComplete || !call.unsent_body.empty()) {/@or not whole
 changes not taken up@src/mesh/sidecar.cc@s/  const Generation offered = configuration.generation;/  if (applier_.generation() > 0) { return; }\n&/@got 404
 another service@src/mesh/outbound_proxy.cc@s/query.service = call.service;/query.service = "library";/@wrong service
 work for leaving instances@src/core/member_registry.cc@s/!member.serving \&\&/false \&\&/@after it left
 stop not heard@src/mesh/sidecar.cc@s/    FireEvent("leave_requested");/    return;/@did not stop
+records not rewritten@src/mesh/sidecar.cc@s/  publisher_.OnStoreRestored(era);//@after a restore of the store
 never ready@src/mesh/sidecar.cc@s/const bool ready =$/& false \&\&/@are ready
 '
 # Faults that one guard alone would hide have the second one taken away too.
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -24,6 +24,7 @@
 DRAIN = 2.0  # Seconds in which a leaving instance may still get new work.
 APPLY = 2.0  # Seconds in which a configuration is in force, without faults.
 TOUCH = 3.0  # Seconds without faults after which bounds hold.
+REWRITE = 2.0  # Seconds from a restore of the store until records are back.
 RECOVERY = 15.0  # Seconds after the last fault until requests are served.
 SLACK = 0.5  # Seconds for the scheduling of this process.
 SLOTS = 6
@@ -87,7 +88,9 @@
         self.events = []  # (revision, kind, object, deleted)
         self.revision = 100
         self.oldest = 100  # Watches from before get 410.
-        self.fault = None  # None, "busy", "silent", "lost" or "slow".
+        self.fault = None  # None, "busy", "silent", "lost", "slow" or "down".
+        self.era = 1
+        self.backups = []  # (time, objects, revision), one for each change.
         self.changed = asyncio.Condition()
 
     async def change(self, kind, name, spec, deleted=False):
@@ -102,15 +105,44 @@
         else:
             self.objects[(kind, name)] = value
         self.events.append((self.revision, kind, value, deleted))
+        self.backups.append((time.monotonic(), dict(self.objects), self.revision))
         async with self.changed:
             self.changed.notify_all()
         return value
 
+    @property
+    def fault(self):
+        return self._fault
+
+    @fault.setter
+    def fault(self, fault):
+        self._fault = fault
+        self.last_disturbed = time.monotonic()
+
+    def disturbed_since(self, begin):
+        return self.fault is not None or self.last_disturbed > begin
+
+    async def restore(self, age):
+        """Comes back from a copy that is `age` seconds old."""
+        taken = time.monotonic() - age
+        copies = [copy for copy in self.backups if copy[0] <= taken]
+        if not copies:
+            return False
+        _, objects, self.revision = copies[-1]
+        self.objects = dict(objects)
+        self.events = [event for event in self.events if event[0] <= self.revision]
+        self.oldest = min(self.oldest, self.revision)
+        self.backups = copies
+        self.era += 1
+        return True
+
     async def serve(self, reader, writer):
         try:
             while True:
                 line, _, body = await read_message(reader)
                 method, target, _ = line.split(" ")
+                if self.fault == "down":
+                    return
                 if self.fault == "silent":
                     await asyncio.sleep(30)
                     return
@@ -119,13 +151,19 @@
                 if self.fault == "busy":
                     status, answer = 503, {}
                 else:
+                    era = self.era
                     status, answer = await self.handle(method, target, body)
+                    if self.fault == "down" or era != self.era:
+                        return
                 if self.fault == "lost" and self.rng.random() < 0.4:
                     return
                 writer.write(
                     format_answer(
                         status,
-                        {"Content-Type": "application/json"},
+                        {
+                            "Content-Type": "application/json",
+                            protocol.STORE_ERA: str(self.era),
+                        },
                         json.dumps(answer).encode(),
                     )
                 )
@@ -170,7 +208,7 @@
         since = int(options["watch"])
         end = time.monotonic() + int(options["wait_ms"]) / 1000
         while True:
-            if since < self.oldest:
+            if since < self.oldest or since > self.revision:
                 return 410, {}
             events = [
                 {"object": value, "deleted": deleted}
@@ -191,6 +229,7 @@
     """Passes bytes on to `target`, unless told to misbehave."""
 
     def __init__(self, target):
+        self.disturbed = 0.0  # When the mode changed last.
         self.target = target
         self.mode = "pass"  # "delay", "one_way", "silent" or "reset".
         self.writers = set()
@@ -226,6 +265,7 @@
 
     def set_mode(self, mode):
         self.mode = mode
+        self.disturbed = time.monotonic()
         if mode == "reset":
             for writer in list(self.writers):
                 writer.transport.abort()
@@ -242,9 +282,11 @@
         self.leaving_acked = None
         self.task = None
         self.changing = False  # A crash or a replacement is under way.
+        self.changed = 0.0  # When it last started.
 
     async def start(self):
         self.number += 1
+        self.changed = time.monotonic()
         self.id = f"i-{self.node.index}-{self.number}"
         self.leaving_acked = None
         self.sequence = 0
@@ -322,7 +364,8 @@
         request = protocol.header(headers, protocol.REQUEST_ID) or ""
         expected = protocol.header(headers, protocol.EXPECTED_INSTANCE)
         if expected not in (None, mine) or mine != self.id:
-            writer.write(format_answer(421, {protocol.INSTANCE: self.id}, b""))
+            named = {protocol.INSTANCE: self.id, protocol.REQUEST_ID: request}
+            writer.write(format_answer(421, named, b""))
             return
         self.soak.on_run(self, request, line, headers)
         roll = self.soak.rng.random()
@@ -594,6 +637,33 @@
         self.store.fault = None
         await self.fault_configuration()
 
+    async def fault_restore(self):
+        """The store goes away and comes back from a copy some seconds old. The
+        operator writes again what was lost; so do the nodes."""
+        self.store.fault = "down"
+        await asyncio.sleep(self.rng.uniform(0.2, 1.0))
+        restored = await self.store.restore(self.rng.uniform(0.5, 5.0))
+        self.store.fault = None
+        if not restored:
+            return
+        era, back = self.store.era, self.store.last_disturbed
+        await asyncio.sleep(self.rng.uniform(0.0, 0.5))
+        await self.store.change(*protocol.CONFIGURATION, self.configuration())
+        await asyncio.sleep(REWRITE + SLACK)
+        if self.store.era == era and not self.store.disturbed_since(back):
+            self.check_records(back)
+
+    def check_records(self, back):
+        for node, instance, proxy in zip(
+            self.nodes, self.instances, self.store_proxies
+        ):
+            calm = max(node.disturbed, instance.changed, proxy.disturbed) < back - TOUCH
+            if not calm or instance.changing or node.process.returncode is not None:
+                continue
+            record = self.store.objects.get((protocol.MEMBERS, f"node-{node.index}"))
+            if record is None or record["spec"]["instance"] != instance.id:
+                self.fail(f"no record of {instance.id} after a restore of the store")
+
     async def fault_history(self):
         self.store.oldest = self.store.revision + 1
         self.store.revision += 1
--- a/src/core/configuration_source.cc
+++ b/src/core/configuration_source.cc
@@ -13,6 +13,9 @@
 constexpr std::size_t kMinReaders = 2;
 // Time after start within which a node has links to the readers.
 constexpr Duration kStartupGrace = std::chrono::milliseconds(1'500);
+// The same for a node without any link: when all nodes start at once, it learns
+// of the others from its second or third list of the members.
+constexpr Duration kDiscoveryGrace = std::chrono::milliseconds(3'500);
 // How long a node waits for enough readers before it watches the store itself.
 // A store that the readers cannot reach is most likely unreachable for all
 // nodes, so watching it early would not help. The delay is bounded by the 5 s
@@ -86,7 +89,8 @@
   if (!slow_link_) {
     return true;
   }
-  if (reader_shortage_since_ == Time() || now - started_ < kStartupGrace) {
+  const Duration grace = peers_.empty() ? kDiscoveryGrace : kStartupGrace;
+  if (reader_shortage_since_ == Time() || now - started_ < grace) {
     return false;
   }
   return held_generation_ == 0 ||
--- a/src/core/configuration_source.h
+++ b/src/core/configuration_source.h
@@ -13,6 +13,7 @@
 #include <string_view>
 
 #include "base/time.h"
+#include "core/store_era.h"
 
 namespace verbenastile {
 
@@ -22,6 +23,7 @@
   // Time since the store last confirmed this generation; unset when the peer is
   // not a reader or cannot reach the store.
   std::optional<Duration> age;
+  StoreEra store_era = 0;  // As the store last reported it to the peer.
 };
 
 class ConfigurationSource {
--- a/src/mesh/link.cc
+++ b/src/mesh/link.cc
@@ -13,9 +13,10 @@
 // read. Larger than the largest call with its body.
 constexpr std::size_t kMaxUnsentBytes = 100'000'000;
 
-// Clears `buffer` for reuse and frees the memory that a large frame took.
+// Clears `buffer` for reuse and frees the memory of all but small frames: a
+// node has two links for each other node, most of them at rest.
 void ClearBuffer(std::string& buffer) {
-  constexpr std::size_t kMaxKeptBytes = 32'768;
+  constexpr std::size_t kMaxKeptBytes = 1'024;
   buffer.clear();
   if (buffer.capacity() > kMaxKeptBytes) {
     buffer.shrink_to_fit();
--- a/src/mesh/link_codec.cc
+++ b/src/mesh/link_codec.cc
@@ -17,6 +17,8 @@
 constexpr std::int64_t kNoLength = -1;
 constexpr std::int64_t kNoAge = -1;
 constexpr std::size_t kCompactThreshold = 65'536;
+// Buffers of links at rest are no larger.
+constexpr std::size_t kMaxIdleBufferBytes = 1'024;
 constexpr std::size_t kLengthBytes = 4;
 constexpr std::size_t kBitsPerByte = 8;
 // Flag in the length field of a frame that is sent as a delta.
@@ -49,11 +51,13 @@
   out.setGeneration(configuration.generation);
   out.setConfigurationAgeUs(configuration.age ? configuration.age->count()
                                               : kNoAge);
+  out.setStoreEra(configuration.store_era);
 }
 
 template <typename Reader>
 PeerConfiguration ReadConfiguration(Reader in) {
-  PeerConfiguration configuration{in.getGeneration(), std::nullopt};
+  PeerConfiguration configuration{in.getGeneration(), std::nullopt,
+                                  in.getStoreEra()};
   if (in.getConfigurationAgeUs() >= 0) {
     configuration.age = Duration(in.getConfigurationAgeUs());
   }
@@ -371,13 +375,17 @@
   }
 }
 
+void LinkReader::ReleaseBuffer() {
+  bytes_.clear();
+  read_offset_ = 0;
+  if (bytes_.capacity() > kMaxIdleBufferBytes) {
+    bytes_.shrink_to_fit();
+  }
+}
+
 void LinkReader::Append(const char* bytes, std::size_t count) {
   if (read_offset_ == bytes_.size()) {
-    bytes_.clear();
-    read_offset_ = 0;
-    if (bytes_.capacity() > kCompactThreshold) {
-      bytes_.shrink_to_fit();
-    }
+    ReleaseBuffer();
   } else if (read_offset_ > kCompactThreshold) {
     bytes_.erase(0, read_offset_);
     read_offset_ = 0;
@@ -389,6 +397,9 @@
   while (true) {
     const std::string_view unread =
         std::string_view(bytes_).substr(read_offset_);
+    if (unread.empty()) {
+      ReleaseBuffer();
+    }
     if (unread.size() < kLengthBytes) {
       return std::optional<LinkFrame>();
     }
--- a/src/mesh/link_codec.h
+++ b/src/mesh/link_codec.h
@@ -52,6 +52,8 @@
   std::variant<std::optional<LinkFrame>, LinkCodecError> Decode(
       std::string_view bytes,
       bool is_delta);
+  // Clears the buffer after all of it was decoded, and frees large ones.
+  void ReleaseBuffer();
 
   SmallTextDeltas* deltas_;
   std::string delta_base_;  // The last small frame.
--- a/src/mesh/link_hub.cc
+++ b/src/mesh/link_hub.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 #include "base/log.h"
 #include "base/overload.h"
@@ -314,9 +315,15 @@
 
 void LinkHub::OnOutgoingFrame(const OutgoingPointer& peer, LinkFrame frame) {
   peer->watch.OnFrameReceived();
+  if (std::exchange(peer->silent, false)) {
+    Log(LogLevel::kInfo, kLogComponent, "A silent peer answers again.",
+        {{"peer", peer->name}, {"calls", peer->calls.size()}});
+    init_.member_registry->SetLinked(peer->name, true, SteadyNow());
+  }
   if (frame.call != 0) {
     if (EndsCall(frame.body)) {
       peer->calls.erase(frame.call);
+      peer->non_idempotent_calls.erase(frame.call);
     }
     init_.on_response(peer->name, std::move(frame));
     return;
@@ -365,7 +372,9 @@
       {{"peer", peer->name}, {"error", reason}, {"calls", peer->calls.size()}});
   peer->link.reset();
   peer->handshake_done = false;
+  peer->silent = false;
   peer->calls.clear();
+  peer->non_idempotent_calls.clear();
   init_.member_registry->SetLinked(peer->name, false, SteadyNow());
   init_.on_link_down(peer->name);
   ScheduleReconnect(peer);
@@ -401,10 +410,17 @@
     return false;
   }
   Outgoing& peer = *found->second;
-  if (std::holds_alternative<GateCall>(frame.body)) {
+  if (peer.silent && std::holds_alternative<GateCall>(frame.body)) {
+    return false;
+  }
+  if (const auto* call = std::get_if<GateCall>(&frame.body)) {
     peer.calls.insert(frame.call);
+    if (!call->idempotent) {
+      peer.non_idempotent_calls.insert(frame.call);
+    }
   } else if (std::holds_alternative<LinkCancel>(frame.body)) {
     peer.calls.erase(frame.call);
+    peer.non_idempotent_calls.erase(frame.call);
   }
   init_.sender->OnSent(peer.link->Send(frame));
   return true;
@@ -438,7 +454,13 @@
 void LinkHub::CheckLinks(Time now) {
   const bool was_suspended = now - last_check_ > kMaxCheckGap;
   last_check_ = now;
-  for (const auto& [name, peer] : std::map(outgoing_)) {
+  // A check may remove links.
+  std::vector<OutgoingPointer> outgoing;
+  outgoing.reserve(outgoing_.size());
+  for (const auto& [name, peer] : outgoing_) {
+    outgoing.push_back(peer);
+  }
+  for (const OutgoingPointer& peer : outgoing) {
     if (was_suspended) {
       peer->watch.OnProcessPaused(now);
     }
@@ -447,31 +469,56 @@
     }
   }
   const Duration max_silence = PeerSilenceTimeout(outgoing_.size());
-  for (const auto& peer : std::set(incoming_)) {
+  std::vector<IncomingPointer> silent;
+  for (const auto& peer : incoming_) {
     if (!was_suspended && now - peer->link->last_received() > max_silence) {
-      peer->link->Close();
-      DropIncoming(peer, "silent");
+      silent.push_back(peer);
     }
   }
+  for (const IncomingPointer& peer : silent) {
+    peer->link->Close();
+    DropIncoming(peer, "silent");
+  }
 }
 
 void LinkHub::CheckOutgoing(const OutgoingPointer& peer, Time now) {
-  switch (peer->watch.Check(
-      {peer->link->last_received(), !peer->calls.empty(), outgoing_.size()},
-      now)) {
+  switch (
+      peer->watch.Check({peer->link->last_received(), !peer->calls.empty(),
+                         outgoing_.size(), !peer->non_idempotent_calls.empty()},
+                        now)) {
     case LinkVerdict::kHealthy:
       break;
     case LinkVerdict::kProbe:
       peer->link->Send({0, LinkPing{}});
       break;
+    case LinkVerdict::kSilent:
+      if (!std::exchange(peer->silent, true)) {
+        OnOutgoingSilent(peer);
+      }
+      break;
     case LinkVerdict::kBroken:
+      const bool was_silent = peer->silent;
       peer->link->Close();
       OnOutgoingClosed(peer, "no answer to a probe");
-      BroadcastSuspicion(peer->name);
+      if (!was_silent) {
+        BroadcastSuspicion(peer->name);
+      }
       break;
   }
 }
 
+// Keeps the link for the calls that may not run again, until they end or their
+// deadlines pass. The member gets no other calls meanwhile.
+void LinkHub::OnOutgoingSilent(const OutgoingPointer& peer) {
+  Log(LogLevel::kWarning, kLogComponent, "A peer does not answer a probe.",
+      {{"peer", peer->name},
+       {"calls", peer->calls.size()},
+       {"non_idempotent_calls", peer->non_idempotent_calls.size()}});
+  init_.member_registry->SetLinked(peer->name, false, SteadyNow());
+  init_.on_link_silent(peer->name);
+  BroadcastSuspicion(peer->name);
+}
+
 // Other nodes may have calls in progress on the member, or send new ones before
 // their own probes are due.
 void LinkHub::BroadcastSuspicion(std::string_view member) {
@@ -487,8 +534,8 @@
   check_timer_.expires_after(kCheckInterval);
   check_timer_.async_wait([this](const asio::error_code& error) {
     if (!error) {
-      CheckLinks(SteadyNow());
       ScheduleCheck();
+      CheckLinks(SteadyNow());
     }
   });
 }
--- a/src/mesh/link_hub.h
+++ b/src/mesh/link_hub.h
@@ -45,6 +45,8 @@
     std::function<void(std::string_view member, LinkFrame)> on_response;
     // The link to the member failed; no response to its calls will come.
     std::function<void(std::string_view member)> on_link_down;
+    // The member does not answer. Responses to its calls may still come.
+    std::function<void(std::string_view member)> on_link_silent;
     // The member connected, was reached, or reported its load and its active
     // configuration.
     std::function<void(std::string_view member, const GateLoad&)> on_load;
@@ -92,7 +94,9 @@
     bool closed = false;
     unsigned failures = 0;  // Since the last handshake.
     LinkMonitor watch;
-    std::set<CallId> calls;  // Without a complete response.
+    bool silent = false;                    // A probe was not answered in time.
+    std::set<CallId> calls;                 // Without a complete response.
+    std::set<CallId> non_idempotent_calls;  // Part of `calls`.
   };
   using OutgoingPointer = std::shared_ptr<Outgoing>;
 
@@ -122,6 +126,7 @@
   LinkFrame HelloFrame() const;
   void CheckLinks(Time now);
   void CheckOutgoing(const OutgoingPointer& peer, Time now);
+  void OnOutgoingSilent(const OutgoingPointer& peer);
   void BroadcastSuspicion(std::string_view member);
   void ScheduleCheck();
 
--- a/src/mesh/object_store.h
+++ b/src/mesh/object_store.h
@@ -12,11 +12,12 @@
 #include <vector>
 
 #include "base/time.h"
+#include "core/store_era.h"
 
 namespace verbenastile {
 
-// Increases with each change in the store. The revision of an object is that of
-// its last change.
+// Increases with each change in the store within one era. The revision of an
+// object is that of its last change.
 using StoreRevision = std::int64_t;
 
 struct StoreObject {
@@ -46,6 +47,7 @@
 struct StoreList {
   std::vector<StoreObject> items;
   StoreRevision revision = 0;  // The revision to watch from.
+  StoreEra era = 0;
 };
 
 struct StoreEvent {
@@ -101,6 +103,10 @@
 
   // The number of requests sent so far.
   virtual std::uint64_t calls() const = 0;
+  // The newest era that the store has reported. While a handler runs with a
+  // result, this is the era of the result: responses of older eras are reported
+  // as errors.
+  virtual StoreEra era() const = 0;
 };
 
 }  // namespace verbenastile
--- a/src/mesh/outbound_proxy.cc
+++ b/src/mesh/outbound_proxy.cc
@@ -536,21 +536,40 @@
   EndAttempt(call, outcome, true);
 }
 
-void OutboundProxy::OnLinkDown(std::string_view member) {
-  std::vector<CallId> cut;
+// The calls with an attempt in progress on a link to `member`.
+std::vector<CallId> OutboundProxy::CallsAt(std::string_view member) const {
+  std::vector<CallId> found;
   for (const auto& [id, call] : calls_) {
     if (call.attempt && !call.attempt->local &&
         call.attempt->member == member) {
-      cut.push_back(id);
+      found.push_back(id);
     }
   }
-  for (const CallId id : cut) {
+  return found;
+}
+
+void OutboundProxy::OnLinkDown(std::string_view member) {
+  for (const CallId id : CallsAt(member)) {
     if (calls_.contains(id)) {
       OnBroken(id, {"the link to the instance's node broke", std::nullopt});
     }
   }
 }
 
+void OutboundProxy::OnLinkSilent(std::string_view member) {
+  for (const CallId id : CallsAt(member)) {
+    const auto found = calls_.find(id);
+    if (found == calls_.end() || !found->second.route->repeatable) {
+      continue;
+    }
+    Call& call = found->second;
+    CancelAttempt(id, call, AttemptOutcome::kUnknown);
+    if (call.streaming || !RetryAfterRun(id, "the instance's node is silent")) {
+      Fail(id, kBadGateway, "the instance's node is silent");
+    }
+  }
+}
+
 void OutboundProxy::OnCallerDisconnected(CallId id) {
   const auto found = calls_.find(id);
   if (found == calls_.end()) {
@@ -679,8 +698,8 @@
   deadline_timer_.expires_after(kDeadlineCheckInterval);
   deadline_timer_.async_wait([this](const asio::error_code& error) {
     if (!error) {
-      FailOverdue();
       ScheduleDeadlineCheck();
+      FailOverdue();
     }
   });
 }
--- a/src/mesh/outbound_proxy.h
+++ b/src/mesh/outbound_proxy.h
@@ -70,6 +70,9 @@
   void OnLinkFrame(std::string_view member, LinkFrame frame);
   // The link to `member` broke: calls on it get no further frames.
   void OnLinkDown(std::string_view member);
+  // `member` does not answer. Sends the calls that may run again to other
+  // instances; the others wait for its response until their deadline.
+  void OnLinkSilent(std::string_view member);
   // Passes the load that `member` reported on to the load balancer.
   void OnLoad(std::string_view member, const GateLoad& load);
 
@@ -146,6 +149,7 @@
     std::size_t uncredited_bytes = 0;
   };
 
+  std::vector<CallId> CallsAt(std::string_view member) const;
   bool MatchRule(CallId id, Call& call);
   void SetDeadline(Call& call) const;
   void StartAttempt(CallId id);
--- a/src/mesh/record_publisher.cc
+++ b/src/mesh/record_publisher.cc
@@ -15,6 +15,9 @@
 // store has recovered.
 constexpr Duration kMaxRetryDelay = std::chrono::milliseconds(800);
 constexpr unsigned kMaxDoublings = 3;
+// After a restore of the store, all nodes write their records within this time,
+// well before the two seconds after which a missing record counts as gone.
+constexpr Duration kRewriteSpread = std::chrono::milliseconds(1'000);
 
 }  // namespace
 
@@ -28,7 +31,6 @@
   }
   spec_ = std::move(spec);
   ++version_;
-  dirty_ = true;
   if (!write_pending_) {
     Write();
   }
@@ -56,12 +58,16 @@
   }
   write_pending_ = false;
   failures_ = 0;
-  revision_ = std::max(revision_, std::get<StoreObject>(result).revision);
+  written_era_ = init_.store->era();
+  UpdateRevision(std::get<StoreObject>(result).revision);
   if (version != version_) {
     Write();
     return;
   }
-  dirty_ = false;
+  if (std::exchange(unconfirmed_era_, 0) > written_era_) {
+    ScheduleWrite(random_.UpTo(kRewriteSpread));
+    return;
+  }
   for (const auto& on_written : std::exchange(write_callbacks_, {})) {
     on_written();
   }
@@ -70,6 +76,7 @@
 void RecordPublisher::OnError(const StoreError& error) {
   if (error.kind == StoreError::Kind::kConflict && error.current) {
     revision_ = error.current->revision;
+    revision_era_ = init_.store->era();
   } else if (error.kind == StoreError::Kind::kNotFound) {
     revision_ = 0;
   }
@@ -81,8 +88,13 @@
        {"failures", failures_}});
   const unsigned doublings = std::min(failures_, kMaxDoublings);
   ++failures_;
-  timer_.expires_after(random_.Jitter50Percent(
+  ScheduleWrite(random_.Jitter50Percent(
       std::min(kFirstRetryDelay * (1U << doublings), kMaxRetryDelay)));
+}
+
+void RecordPublisher::ScheduleWrite(Duration delay) {
+  write_pending_ = true;
+  timer_.expires_after(delay);
   timer_.async_wait([this](const asio::error_code& cancelled) {
     if (!cancelled) {
       Write();
@@ -90,6 +102,23 @@
   });
 }
 
+void RecordPublisher::OnStoreRestored(StoreEra era) {
+  if (version_ == 0 || written_era_ >= era) {
+    return;
+  }
+  if (write_pending_) {
+    unconfirmed_era_ = era;
+    return;
+  }
+  Log(LogLevel::kInfo, kLogComponent,
+      "Writing the member record again because the store was restored.",
+      {{"name", init_.name},
+       {"written_era", written_era_},
+       {"era", era},
+       {"revision", revision_}});
+  ScheduleWrite(random_.UpTo(kRewriteSpread));
+}
+
 void RecordPublisher::Delete() {
   if (revision_ != 0) {
     init_.store->Delete(
@@ -105,7 +134,9 @@
 }
 
 void RecordPublisher::UpdateRevision(StoreRevision revision) {
-  revision_ = std::max(revision_, revision);
+  const StoreEra era = init_.store->era();
+  revision_ = era == revision_era_ ? std::max(revision_, revision) : revision;
+  revision_era_ = era;
 }
 
 }  // namespace verbenastile
--- a/src/mesh/record_publisher.h
+++ b/src/mesh/record_publisher.h
@@ -36,9 +36,13 @@
   void Delete();
   // Reports that the store holds the record at `revision`.
   void UpdateRevision(StoreRevision revision);
+  // The store was restored from a backup that may lack the record, and is in
+  // `era` now. Writes the record again soon, unless it was written since.
+  void OnStoreRestored(StoreEra era);
 
  private:
   void Write();
+  void ScheduleWrite(Duration delay);
   void OnDone(std::uint64_t version, const StoreResult<StoreObject>& result);
   void OnError(const StoreError& error);
 
@@ -48,7 +52,10 @@
   std::string spec_;
   std::uint64_t version_ = 0;   // Incremented by each `Publish`.
   StoreRevision revision_ = 0;  // 0: the store is assumed to have no record.
-  bool dirty_ = false;
+  StoreEra revision_era_ = 0;   // The era that `revision_` belongs to.
+  StoreEra written_era_ = 0;    // The era of the last successful write.
+  // A restore to this era was reported during a write that may precede it.
+  StoreEra unconfirmed_era_ = 0;
   bool write_pending_ = false;
   unsigned failures_ = 0;
   std::vector<std::function<void()>> write_callbacks_;
--- a/src/mesh/sidecar.cc
+++ b/src/mesh/sidecar.cc
@@ -11,6 +11,7 @@
 #include "base/log.h"
 #include "config/yaml_reader.h"
 #include "core/shutdown_schedule.h"
+#include "io/event_loop.h"
 #include "platform/configuration.h"
 #include "platform/member_object.h"
 #include "platform/wire_names.h"
@@ -19,6 +20,8 @@
 namespace {
 
 constexpr std::string_view kLogComponent = "sidecar";
+// The source of what the platform's store reported, in log lines.
+constexpr std::string_view kStoreSource = "store";
 
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
@@ -45,6 +48,10 @@
 // long a member that disappeared without notice is kept.
 constexpr std::size_t kMembersAtMinPoll = 20;
 constexpr Duration kMaxMembersPoll = std::chrono::seconds(30);
+// Nodes that start together list the members before the others have written
+// their records, so the first lists follow each other more closely.
+constexpr Duration kDiscoveryPeriod = std::chrono::seconds(3);
+constexpr Duration kDiscoveryPoll = std::chrono::seconds(1);
 // Configurations change in bursts. The pause between watches merges a burst
 // into one call, and into one transfer on small links. Both fit well within the
 // two seconds that a change may take.
@@ -104,7 +111,11 @@
           [this](const ExchangePointer& exchange) { OnControlCall(exchange); }),
       metrics_server_(io_, [this](const ExchangePointer& exchange) {
         OnMetrics(exchange);
-      }) {}
+      }) {
+  store_.OnRestored([this](StoreEra previous) {
+    OnStoreRestored(store_.era(), previous, kStoreSource);
+  });
+}
 
 LinkPacerOptions Sidecar::PacerInit() const {
   LinkPacerOptions init;
@@ -148,10 +159,17 @@
     configuration_source_.OnPeerGone(member, SteadyNow());
     outbound_.OnLinkDown(member);
   };
+  init.on_link_silent = [this](std::string_view member) {
+    configuration_source_.OnPeerGone(member, SteadyNow());
+    outbound_.OnLinkSilent(member);
+  };
   init.on_load = [this](std::string_view member, const GateLoad& load) {
     outbound_.OnLoad(member, load);
     configuration_source_.OnPeerConfiguration(member, load.configuration,
                                               SteadyNow());
+    if (store_.OnPeerEra(load.configuration.store_era)) {
+      OnStoreRestored(load.configuration.store_era, store_.era(), member);
+    }
   };
   init.on_member_record = [this](const MemberRecord& record) {
     MergeRecord(record);
@@ -218,6 +236,9 @@
 StoreFollower::Init Sidecar::MembersInit() {
   StoreFollower::Init init = FollowerInit(platform::kMemberKind);
   init.poll_interval = [this] {
+    if (SteadyNow() - started_ < kDiscoveryPeriod) {
+      return kDiscoveryPoll;
+    }
     return MembersPollInterval(member_registry_.entries().size());
   };
   init.on_listed = [this](const std::vector<StoreObject>& items) {
@@ -251,7 +272,12 @@
   UpdateConfigurationSource(SteadyNow());
   WatchSettingsFile();
   SchedulePeriodicWork();
-  io_.run();
+  const CounterHandle errors = metrics_.Counter("handler_errors_total");
+  RunEventLoop(io_, [&](std::string_view error) {
+    metrics_.Add(errors);
+    Log(LogLevel::kError, kLogComponent, "An event handler failed.",
+        {{"error", error}});
+  });
   Log(LogLevel::kInfo, kLogComponent, "Stopped.", {{"name", settings_.name}});
   FlushLog();
   return exit_code_;
@@ -571,13 +597,17 @@
     }
     return;
   }
+  if (!has_listed_members_) {
+    on_first_publish_ = std::move(on_written);
+    return;
+  }
   published_state_ = std::move(record_state);
   publisher_.Publish(platform::FormatMember(self), std::move(on_written));
 }
 
 void Sidecar::OnConfigurationObject(const StoreObject& object) {
   if (object.name == platform::kConfigurationName) {
-    ApplyConfiguration(object.spec, "store");
+    ApplyConfiguration(object.spec, kStoreSource);
   }
 }
 
@@ -653,7 +683,7 @@
 }
 
 PeerConfiguration Sidecar::ConfigurationInForce() const {
-  PeerConfiguration in_force{applier_.generation(), std::nullopt};
+  PeerConfiguration in_force{applier_.generation(), std::nullopt, store_.era()};
   if (configuration_source_.is_reader() &&
       configuration_follower_.is_connected()) {
     in_force.age =
@@ -662,12 +692,37 @@
   return in_force;
 }
 
+// The configuration in force, the members that are linked and the state of the
+// local instance are kept: they are newer than the backup. Readers tell the
+// nodes that do not watch the store.
+void Sidecar::OnStoreRestored(StoreEra era,
+                              StoreEra previous,
+                              std::string_view source) {
+  Log(LogLevel::kWarning, "store", "The store was restored from a backup.",
+      {{"era", era},
+       {"previous_era", previous},
+       {"source", source},
+       {"generation", applier_.generation()},
+       {"instance", ToString(tracker_.state())}});
+  configuration_follower_.OnStoreRestored(era);
+  publisher_.OnStoreRestored(era);
+  if (configuration_source_.is_reader() && source == kStoreSource) {
+    links_.AnnounceConfiguration();
+  }
+}
+
 void Sidecar::OnMembersListed(const std::vector<StoreObject>& items) {
   std::set<std::string_view> names;
   for (const StoreObject& object : items) {
     names.insert(object.name);
     OnMemberObject(object);
   }
+  if (!has_listed_members_) {
+    // The list brought the revision of the record that an earlier run of this
+    // node wrote, so that one write replaces it.
+    has_listed_members_ = true;
+    PublishOwnRecord(std::exchange(on_first_publish_, nullptr));
+  }
   std::vector<std::pair<std::string, std::uint64_t>> gone;
   for (const auto& [name, entry] : member_registry_.entries()) {
     if (!entry.linked && name != settings_.name && !names.contains(name)) {
@@ -693,8 +748,14 @@
     return;
   }
   const auto& record = std::get<MemberRecord>(parsed);
+  if (record.member.name != object.name) {
+    Log(LogLevel::kWarning, "members",
+        "Ignored a record that names another member.",
+        {{"name", object.name}, {"named", record.member.name}});
+    return;
+  }
   if (object.name != settings_.name) {
-    MergeRecord(record);
+    StoreRecord(record);
   } else if (record.member.incarnation < incarnation_ &&
              record.instance_leaving) {
     tracker_.RestoreDeparted(record.instance, record.instance_gone,
@@ -703,8 +764,14 @@
 }
 
 void Sidecar::MergeRecord(const MemberRecord& record) {
+  if (StoreRecord(record)) {
+    links_.UpdateLinks();
+  }
+}
+
+bool Sidecar::StoreRecord(const MemberRecord& record) {
   if (!member_registry_.Merge(record, SteadyNow())) {
-    return;
+    return false;
   }
   if (record.member.name != settings_.name) {
     Log(LogLevel::kInfo, "members", "A member's record changed.",
@@ -716,7 +783,7 @@
          {"serving", record.member.serving},
          {"slots", record.member.slots}});
   }
-  links_.UpdateLinks();
+  return true;
 }
 
 Duration Sidecar::ConfigurationAge() const {
@@ -742,11 +809,11 @@
   periodic_timer_.expires_after(kPeriodicInterval);
   periodic_timer_.async_wait([this, due](const asio::error_code& error) {
     if (!error) {
+      SchedulePeriodicWork();
       const Time now = SteadyNow();
       RecordLoopLag(now - due);
       UpdateConfigurationSource(now);
       FlushLog();
-      SchedulePeriodicWork();
     }
   });
 }
--- a/src/mesh/sidecar.h
+++ b/src/mesh/sidecar.h
@@ -93,9 +93,18 @@
   void UpdateConfigurationSource(Time now);
   // The configuration in force on this node, as peers are told.
   PeerConfiguration ConfigurationInForce() const;
+  // The store was restored from a backup and is in `era` now. `source` says
+  // who reported it: the store or the name of a peer.
+  void OnStoreRestored(StoreEra era,
+                       StoreEra previous,
+                       std::string_view source);
   void OnMemberObject(const StoreObject& object);
   void OnMembersListed(const std::vector<StoreObject>& items);
+  // Stores the record if it is newer than the known one, and updates the links.
   void MergeRecord(const MemberRecord& record);
+  // Like `MergeRecord`, but leaves the links as they are. Returns whether the
+  // record was stored.
+  bool StoreRecord(const MemberRecord& record);
   Duration ConfigurationAge() const;
   FleetRetryBudgetLimits AllowanceLimits() const;
   void RecordLoopLag(Duration lag);
@@ -112,6 +121,7 @@
   asio::steady_timer settings_timer_;
   asio::steady_timer periodic_timer_;
   Metrics metrics_;
+  const Time started_ = SteadyNow();
   std::uint64_t incarnation_;
   std::uint64_t sequence_ = 1;
   ConfigApplier applier_;
@@ -135,6 +145,9 @@
   bool follows_store_ = false;  // For the configuration.
   // State of the instance that was last written to the store.
   std::string published_state_;
+  bool has_listed_members_ = false;
+  // Runs when the first record is written, which awaits the first list.
+  std::function<void()> on_first_publish_;
   Time leaving_since_;
   bool leaving_ = false;  // Accepts no more calls for the instance.
   int exit_code_ = 0;
--- a/src/mesh/store_follower.cc
+++ b/src/mesh/store_follower.cc
@@ -16,6 +16,8 @@
 constexpr Duration kMaxRetryDelay = std::chrono::milliseconds(800);
 // Enough to reach `kMaxRetryDelay` and the intervals between polls.
 constexpr unsigned kMaxDoublings = 8;
+// After a restore of the store, all followers list within about this time.
+constexpr Duration kRelistSpread = std::chrono::milliseconds(500);
 
 }  // namespace
 
@@ -55,6 +57,14 @@
   machine_ = ChartMachine(init_.chart);
 }
 
+void StoreFollower::OnStoreRestored(StoreEra era) {
+  if (init_.poll_interval || machine_.state() != "watching" || era_ >= era) {
+    return;
+  }
+  init_.store->Cancel(call_);
+  ScheduleRelist(kRelistSpread);
+}
+
 void StoreFollower::HandleEvent(std::string_view event) {
   for (const std::string& action : machine_.Fire(event).actions) {
     RunAction(action);
@@ -65,7 +75,7 @@
   if (action == "list") {
     List();
   } else if (action == "watch") {
-    init_.poll_interval ? ScheduleList() : Watch();
+    init_.poll_interval ? ScheduleRelist(init_.poll_interval()) : Watch();
   } else if (action == "schedule_retry") {
     timer_.expires_after(random_.Jitter50Percent(NextRetryDelay()));
     timer_.async_wait([this](const asio::error_code& error) {
@@ -99,6 +109,7 @@
     }
     const auto& list = std::get<StoreList>(result);
     revision_ = list.revision;
+    era_ = list.era;
     listed_ = true;
     OnSuccess();
     init_.on_listed(list.items);
@@ -107,8 +118,8 @@
   call_ = init_.store->List(init_.kind, freshness, on_done);
 }
 
-void StoreFollower::ScheduleList() {
-  timer_.expires_after(random_.Jitter50Percent(init_.poll_interval()));
+void StoreFollower::ScheduleRelist(Duration delay) {
+  timer_.expires_after(random_.Jitter50Percent(delay));
   timer_.async_wait([this](const asio::error_code& error) {
     if (!error) {
       HandleEvent("watch_too_old");
@@ -130,6 +141,11 @@
     OnError(*error, history_gone ? "watch_too_old" : "watch_failed");
     return;
   }
+  if (init_.store->era() != era_) {
+    OnError({StoreError::Kind::kHistoryGone, "the store was restored", {}},
+            "watch_too_old");
+    return;
+  }
   const auto& events = std::get<StoreEvents>(result);
   revision_ = std::max(revision_, events.revision);
   OnSuccess();
--- a/src/mesh/store_follower.h
+++ b/src/mesh/store_follower.h
@@ -49,6 +49,10 @@
   // Starts with a list, also after `Stop`.
   void Start();
   void Stop();
+  // The store was restored from a backup and is in `era` now: the revision to
+  // watch from may name another change. Lists the objects again, unless they
+  // are polled or were listed in that era.
+  void OnStoreRestored(StoreEra era);
 
   // The time of the last successful request; empty before the first one.
   std::optional<Time> last_confirmed() const { return last_confirmed_; }
@@ -61,7 +65,8 @@
   void HandleEvent(std::string_view event);
   void RunAction(std::string_view action);
   void List();
-  void ScheduleList();
+  // Lists again after about `delay`.
+  void ScheduleRelist(Duration delay);
   Duration NextRetryDelay();
   void Watch();
   void OnWatchResult(StoreResult<StoreEvents> result);
@@ -74,6 +79,7 @@
   Random random_;
   StoreCallId call_ = 0;
   StoreRevision revision_ = 0;
+  StoreEra era_ = 0;  // The era that `revision_` belongs to.
   std::optional<Time> last_confirmed_;
   unsigned failures_ = 0;  // Since the last successful request.
   bool listed_ = false;
--- a/src/wire/link.capnp
+++ b/src/wire/link.capnp
@@ -37,6 +37,7 @@
   generation @2 :UInt64;
   configurationAgeUs @3 :Int64 = -1;
   linkWaitUs @4 :UInt32;
+  storeEra @5 :UInt64;
 }
 
 struct Member {
@@ -57,6 +58,7 @@
   member @0 :Member;
   generation @1 :UInt64;
   configurationAgeUs @2 :Int64 = -1;
+  storeEra @3 :UInt64;
 }
 
 struct HeldConfiguration {
--- a/src/wire/link.capnp.h
+++ b/src/wire/link.capnp.h
@@ -89,7 +89,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e59ba452baee4d07, 4, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(e59ba452baee4d07, 5, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -119,7 +119,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(dbaf62b7d0b2972f, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(dbaf62b7d0b2972f, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -582,6 +582,8 @@
 
   inline  ::uint32_t getLinkWaitUs() const;
 
+  inline  ::uint64_t getStoreEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -625,6 +627,9 @@
   inline  ::uint32_t getLinkWaitUs();
   inline void setLinkWaitUs( ::uint32_t value);
 
+  inline  ::uint64_t getStoreEra();
+  inline void setStoreEra( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -826,6 +831,8 @@
 
   inline  ::int64_t getConfigurationAgeUs() const;
 
+  inline  ::uint64_t getStoreEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -867,6 +874,9 @@
   inline  ::int64_t getConfigurationAgeUs();
   inline void setConfigurationAgeUs( ::int64_t value);
 
+  inline  ::uint64_t getStoreEra();
+  inline void setStoreEra( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2486,6 +2496,20 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Load::Reader::getStoreEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Load::Builder::getStoreEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setStoreEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Member::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2807,6 +2831,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value, -1ll);
 }
 
+inline  ::uint64_t Hello::Reader::getStoreEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Hello::Builder::getStoreEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Hello::Builder::setStoreEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t HeldConfiguration::Reader::getGeneration() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/tests/configuration_source_test.cc
+++ b/tests/configuration_source_test.cc
@@ -19,10 +19,15 @@
 
   GIVEN("no readers") {
     THEN("it waits for links to readers, then watches the store") {
+      source.OnPeerConfiguration("small", {0, std::nullopt}, kStart);
       CHECK_FALSE(source.ShouldWatchStore(kStart + 1'000 * kMs));
       CHECK(source.ShouldWatchStore(kStart + 1'500 * kMs));
       CHECK_FALSE(source.last_confirmed().has_value());
     }
+    THEN("it waits longer while it has no links at all") {
+      CHECK_FALSE(source.ShouldWatchStore(kStart + 3'400 * kMs));
+      CHECK(source.ShouldWatchStore(kStart + 3'500 * kMs));
+    }
     AND_WHEN("a peer that is not a reader has a newer generation") {
       source.OnPeerConfiguration("small", {3, std::nullopt},
                                  kStart + 2'000 * kMs);
--- a/tests/store_follower_test.cc
+++ b/tests/store_follower_test.cc
@@ -55,6 +55,7 @@
     watches_.erase(id);
   }
   std::uint64_t calls() const override { return calls_; }
+  StoreEra era() const override { return current_era; }
 
   std::size_t open_lists() const { return lists_.size(); }
   std::size_t open_watches() const { return watches_.size(); }
@@ -73,6 +74,7 @@
 
   StoreRevision watch_revision = 0;
   std::vector<Duration> waits;
+  StoreEra current_era = 0;
 
  private:
   std::uint64_t calls_ = 0;
@@ -166,6 +168,37 @@
   }
 }
 
+SCENARIO("a follower lists again after the store was restored") {
+  FollowerFixture f;
+  f.store.current_era = 4;
+  f.follower->Start();
+  f.store.CompleteList(StoreList{{{"main", 40, "{}"}}, 41, 4});
+  WHEN("the watched revision exists in the new era too") {
+    f.store.current_era = 5;
+    f.store.CompleteWatch(StoreEvents{{{{"main", 42, "{}"}, false}}, 42});
+    THEN("the events are dropped, and the objects are listed") {
+      CHECK(f.event_names.empty());
+      REQUIRE(f.store.open_lists() == 1);
+      f.store.CompleteList(StoreList{{{"main", 33, "{}"}}, 34, 5});
+      CHECK(f.store.watch_revision == 34);
+    }
+  }
+  WHEN("a peer reports the new era while a watch waits") {
+    f.follower->OnStoreRestored(5);
+    CHECK(f.store.open_watches() == 0);
+    f.RunTimers();
+    CHECK(f.store.open_lists() == 1);
+    THEN("a second restore in quick succession needs no further list") {
+      f.follower->OnStoreRestored(6);
+      f.store.current_era = 6;
+      f.store.CompleteList(StoreList{{{"main", 20, "{}"}}, 21, 6});
+      f.follower->OnStoreRestored(6);
+      CHECK(f.store.open_watches() == 1);
+      CHECK(f.store.watch_revision == 21);
+    }
+  }
+}
+
 SCENARIO("a stopped follower sends no requests and can be restarted") {
   FollowerFixture f;
   f.StartAndList();
