--- a/src/core/configuration_source.cc
+++ b/src/core/configuration_source.cc
@@ -41,15 +41,19 @@
 void ConfigurationSource::OnPeerConfiguration(std::string_view name,
                                               const PeerConfiguration& reported,
                                               Time now) {
-  auto found = peers_.find(name);
-  if (found == peers_.end()) {
-    found = peers_.emplace(std::string(name), Peer{}).first;
+  auto peer = peers_.find(name);
+  if (peer == peers_.end()) {
+    peer = peers_.emplace(std::string(name), 0).first;
   }
-  Peer& peer = found->second;
-  peer.generation = reported.generation;
-  peer.confirmed = std::nullopt;
-  if (reported.age) {
-    peer.confirmed = now - *reported.age;
+  peer->second = reported.generation;
+  if (const auto reader = readers_.find(name); reader == readers_.end()) {
+    if (reported.age) {
+      readers_.emplace(std::string(name), now - *reported.age);
+    }
+  } else if (reported.age) {
+    reader->second = now - *reported.age;
+  } else {
+    readers_.erase(reader);
   }
   if (reported.generation > held_generation_ && behind_since_ == Time()) {
     behind_since_ = now;
@@ -61,6 +65,9 @@
   const auto found = peers_.find(name);
   if (found != peers_.end()) {
     peers_.erase(found);
+    if (const auto reader = readers_.find(name); reader != readers_.end()) {
+      readers_.erase(reader);
+    }
     UpdateReaderShortage(now);
   }
 }
@@ -79,12 +86,6 @@
   requested_at_ = Time();
 }
 
-std::size_t ConfigurationSource::ReaderCount() const {
-  return static_cast<std::size_t>(std::count_if(
-      peers_.begin(), peers_.end(),
-      [](const auto& entry) { return entry.second.confirmed.has_value(); }));
-}
-
 bool ConfigurationSource::ShouldWatchStore(Time now) const {
   if (!slow_link_) {
     return true;
@@ -99,8 +100,8 @@
 
 std::optional<Time> ConfigurationSource::last_confirmed() const {
   std::optional<Time> newest;
-  for (const auto& [name, peer] : peers_) {
-    newest = std::max(newest, peer.confirmed);
+  for (const auto& [name, confirmed] : readers_) {
+    newest = std::max(newest, std::optional(confirmed));
   }
   return newest;
 }
@@ -114,9 +115,9 @@
   }
   std::vector<std::string_view> readers;
   std::vector<std::string_view> others;
-  for (const auto& [name, peer] : peers_) {
-    if (peer.generation > held_generation_) {
-      (peer.confirmed ? readers : others).push_back(name);
+  for (const auto& [name, generation] : peers_) {
+    if (generation > held_generation_) {
+      (readers_.contains(name) ? readers : others).push_back(name);
     }
   }
   // Other peers have slow links, so they are asked only when the readers have
--- a/src/core/configuration_source.h
+++ b/src/core/configuration_source.h
@@ -47,7 +47,7 @@
   // Whether this node watches the store on behalf of nodes with slow links.
   bool is_reader() const { return !slow_link_; }
   // The number of peers that last reported watching the store with success.
-  std::size_t ReaderCount() const;
+  std::size_t ReaderCount() const { return readers_.size(); }
   // Whether this node should watch the store itself.
   bool ShouldWatchStore(Time now) const;
   // The latest time, as reported by peers, at which the store confirmed a
@@ -58,11 +58,6 @@
   std::optional<std::string> SelectPeerToQuery(Time now);
 
  private:
-  struct Peer {
-    std::uint64_t generation = 0;
-    std::optional<Time> confirmed;
-  };
-
   void UpdateReaderShortage(Time now);
 
   bool slow_link_;
@@ -71,7 +66,11 @@
   // Round-robin position; seeded per node, so that the requests of many nodes
   // are spread over the readers.
   std::uint64_t next_peer_;
-  std::map<std::string, Peer, std::less<>> peers_;
+  // The generations of all peers.
+  std::map<std::string, std::uint64_t, std::less<>> peers_;
+  // When the store last confirmed the configuration of each peer that watches
+  // it. Few of the peers do on most fleets, and this is read for each request.
+  std::map<std::string, Time, std::less<>> readers_;
   std::uint64_t held_generation_ = 0;
   // When a peer was first seen to have a newer generation; `Time()` if none
   // has.
