Ask a peer soon when a restarted node has no configuration

Cause: a node that watches the store waited 1.4 s for it before it asked a peer for a newer generation, also when it had none and answered every request with 503. Ruled out: the links, which were open in time, and the store, which refused the node. Change: without a configuration the wait is 100 ms. The test of the 1.4 s holds a generation now, so that it checks the same wait. Measured: the new scenario of configuration_source_test failed before (the peer was asked after 1,400 ms); 11 scenarios of nodes pass.

--- a/src/core/configuration_source.cc
+++ b/src/core/configuration_source.cc
@@ -26,6 +26,9 @@
 // the store has not delivered it within this time, which covers the pause
 // between two watches and a transfer.
 constexpr Duration kPeerRequestDelay = std::chrono::milliseconds(1'400);
+// The same for a node without any configuration, which cannot serve until it
+// has one. Covers a response of the store that is not slow.
+constexpr Duration kFirstPeerRequestDelay = std::chrono::milliseconds(100);
 // Timeout of a request to a peer, after which another peer is asked. Covers the
 // round trip for a delta on a slow link that also carries queued responses.
 constexpr Duration kPeerRequestTimeout = std::chrono::milliseconds(500);
@@ -107,8 +110,10 @@
 }
 
 std::optional<std::string> ConfigurationSource::SelectPeerToQuery(Time now) {
+  const Duration store_delay =
+      held_generation_ == 0 ? kFirstPeerRequestDelay : kPeerRequestDelay;
   const bool awaits_store =
-      ShouldWatchStore(now) && now - behind_since_ < kPeerRequestDelay;
+      ShouldWatchStore(now) && now - behind_since_ < store_delay;
   if (behind_since_ == Time() || awaits_store ||
       (requested_at_ != Time() && now - requested_at_ < kPeerRequestTimeout)) {
     return std::nullopt;
--- a/tests/configuration_source_test.cc
+++ b/tests/configuration_source_test.cc
@@ -120,10 +120,22 @@
   }
 }
 
+SCENARIO("a node that restarts while the store rejects it asks a peer") {
+  ConfigurationSource source = MakeSource(125'000'000);
+  source.OnPeerConfiguration("r1", {18, 0 * kMs}, kStart);
+  CHECK_FALSE(source.SelectPeerToQuery(kStart + 99 * kMs).has_value());
+  CHECK(source.SelectPeerToQuery(kStart + 100 * kMs) == "r1");
+  THEN("another request follows if it is not answered") {
+    CHECK_FALSE(source.SelectPeerToQuery(kStart + 599 * kMs).has_value());
+    CHECK(source.SelectPeerToQuery(kStart + 600 * kMs) == "r1");
+  }
+}
+
 SCENARIO("a node on a fast link watches the store") {
   ConfigurationSource source = MakeSource(125'000'000);
   CHECK(source.is_reader());
   CHECK(source.ShouldWatchStore(kStart));
+  source.OnApplied(1);
   source.OnPeerConfiguration("r1", {2, 0 * kMs}, kStart);
 
   THEN("a peer is asked if the store does not deliver a newer generation") {
