Log what an instance says of itself, and the origin of each call

Cause: the gate's line for a call told slots and state, but neither the rate limit nor the leaving that the instance names in its responses, nor the node where the call began; no metric counted such responses. No decision changes.

--- a/src/mesh/call_header_names.h
+++ b/src/mesh/call_header_names.h
@@ -15,6 +15,10 @@
   std::string_view not_executed;       // On responses: the request was not run.
   std::string_view retry_after;        // In seconds, fractions allowed.
   std::string_view caller_service;  // The service that the caller belongs to.
+  // On responses: the requests per second that the instance takes from all
+  // nodes together, as a decimal number.
+  std::string_view rate_limit;
+  std::string_view leaving;  // On responses: "1" if the instance is leaving.
 };
 
 }  // namespace verbenastile
--- a/src/mesh/inbound_proxy.cc
+++ b/src/mesh/inbound_proxy.cc
@@ -64,6 +64,8 @@
       refused_(init.metrics->Counter("gate_refused_total")),
       shed_by_instance_(init.metrics->Counter("gate_shed_by_instance_total")),
       broken_(init.metrics->Counter("gate_broken_total")),
+      limited_answers_(init.metrics->Counter("gate_limited_answers_total")),
+      leaving_answers_(init.metrics->Counter("gate_leaving_answers_total")),
       queue_wait_(init.metrics->Summary("gate_wait_microseconds")),
       service_time_(init.metrics->Summary("gate_service_microseconds")) {}
 
@@ -228,6 +230,12 @@
   call.not_executed =
       head.status == kMisdirectedRequest ||
       !FindHeader(head.headers, init_.headers.not_executed).empty();
+  if (!FindHeader(head.headers, init_.headers.rate_limit).empty()) {
+    init_.metrics->Add(limited_answers_);
+  }
+  if (!FindHeader(head.headers, init_.headers.leaving).empty()) {
+    init_.metrics->Add(leaving_answers_);
+  }
 }
 
 void InboundProxy::OnResponseData(CallId id, std::string part) {
@@ -507,11 +515,16 @@
   Log(LogLevel::kInfo, kLogComponent, "Call.",
       {{"request", call.request.request_id},
        {"call", id},
+       {"origin", call.request.origin},
        {"rule", call.request.rule},
        {"priority", kPriorityNames[static_cast<int>(call.request.priority)]},
        {"outcome", outcome},
        {"status", call.response_head.status},
        {"instance", call.instance_id},
+       {"rate_limit",
+        FindHeader(call.response_head.headers, init_.headers.rate_limit)},
+       {"leaving",
+        FindHeader(call.response_head.headers, init_.headers.leaving)},
        {"state", ToString(init_.tracker->state())},
        {"state_age_ms", ToMilliseconds(now - init_.tracker->last_heard())},
        {"busy", admission_.busy()},
--- a/src/mesh/inbound_proxy.h
+++ b/src/mesh/inbound_proxy.h
@@ -142,6 +142,8 @@
   CounterHandle refused_;
   CounterHandle shed_by_instance_;
   CounterHandle broken_;
+  CounterHandle limited_answers_;
+  CounterHandle leaving_answers_;
   SummaryHandle queue_wait_;
   SummaryHandle service_time_;
 };
--- a/src/mesh/link_frames.h
+++ b/src/mesh/link_frames.h
@@ -34,6 +34,8 @@
 
 // A call to the receiving node's local instance.
 struct GateCall {
+  // The member that sent the call. The receiver sets it; it is not encoded.
+  std::string origin;
   std::string service;
   std::string caller_service;
   std::string request_id;
--- a/src/mesh/link_hub.cc
+++ b/src/mesh/link_hub.cc
@@ -158,6 +158,7 @@
 void LinkHub::OnIncomingCall(const IncomingPointer& peer,
                              CallId id,
                              GateCall call) {
+  call.origin = peer->name;
   const std::weak_ptr<Incoming> weak = peer;
   peer->calls[id] = init_.gate->Start(
       std::move(call), ResponsePath::kLink, [this, weak, id](LinkBody body) {
--- a/src/mesh/outbound_proxy.cc
+++ b/src/mesh/outbound_proxy.cc
@@ -264,6 +264,7 @@
                                   Time now) const {
   const Http1Head& head = call.exchange->head();
   GateCall request;
+  request.origin = init_.node_name;
   request.service = call.service;
   request.caller_service = init_.caller_service();
   request.request_id = call.request_id;
--- a/tests/inbound_proxy_test.cc
+++ b/tests/inbound_proxy_test.cc
@@ -16,6 +16,8 @@
     .not_executed = "X-Not-Run",
     .retry_after = "Retry-After",
     .caller_service = "X-Caller",
+    .rate_limit = "X-Rate-Limit",
+    .leaving = "X-Leaving",
 };
 
 struct InboundProxyFixture {
