Believe an instance that says in a response that it leaves

Cause: leaving was heard from heartbeats, deregistrations and the store only. An instance whose heartbeats are late or cut off went on getting calls, and a node that was restarted while the store was away believed whatever report came first. Change: a response, a report, a peer and the record of an earlier run lead to the same event in the instance tracker; after a response, reports that say otherwise are older. Peers hear it from load reports and member records, and return it with their calls. Why it works: the node beside the instance decides alone what reaches it, and hears it with the first response; what it forgets in a restart, the caller's node brings with the call that would break the promise.

--- a/src/core/instance_notice.h
+++ b/src/core/instance_notice.h
@@ -26,6 +26,7 @@
 // The notices of one response.
 struct ResponseNotice {
   RateLimitNotice rate_limit;
+  bool leaving = false;  // The instance takes no new calls soon.
   // Whether the response carries the instance's signature.
   bool is_signed = false;
 };
@@ -36,6 +37,8 @@
   std::string instance;  // The ID of the instance.
   // Calls per second from all nodes together; empty: no limit.
   std::optional<double> rate_limit;
+  // It said that it leaves, in a response or in a report.
+  bool leaving = false;
 
   bool operator==(const InstanceNotice&) const = default;
 };
--- a/src/core/instance_rate_limit.cc
+++ b/src/core/instance_rate_limit.cc
@@ -50,11 +50,4 @@
   return changed;
 }
 
-std::optional<InstanceNotice> InstanceRateLimit::notice() const {
-  if (!has_named_limit_) {
-    return std::nullopt;
-  }
-  return InstanceNotice{instance_, rate_};
-}
-
 }  // namespace verbenastile
--- a/src/core/instance_rate_limit.h
+++ b/src/core/instance_rate_limit.h
@@ -30,8 +30,8 @@
 
   // Empty: no limit.
   std::optional<double> calls_per_second() const { return rate_; }
-  // What peers should know; empty if the instance has named no limit.
-  std::optional<InstanceNotice> notice() const;
+  // Whether the instance has named a limit, which may have ended.
+  bool has_named_limit() const { return has_named_limit_; }
 
  private:
   bool SetRate(std::optional<double> rate);
--- a/src/core/instance_tracker.cc
+++ b/src/core/instance_tracker.cc
@@ -65,14 +65,21 @@
   }
   const bool same_run = report_ && report.id == report_->id &&
                         report.started_ms == report_->started_ms;
+  // A first report that the instance leaves is a change also if a response said
+  // so before: it has to be acknowledged.
   const bool changed = !same_run || report.service != report_->service ||
-                       report.slots != report_->slots;
+                       report.slots != report_->slots ||
+                       (report.leaving && !report_->leaving);
+  if (report_ && report_->id == report.id && !same_run) {
+    std::erase(left_by_response_, report.id);
+  }
   if (report_ && report_->id != report.id) {
     replaced_ids_.push_back(report_->id);
     if (replaced_ids_.size() > kMaxFormerInstances) {
       replaced_ids_.pop_front();
     }
   }
+  has_reported_leaving_ = report.leaving || (same_run && has_reported_leaving_);
   report_ = report;
   last_heard_ = now;
   const InstanceState next =
@@ -97,6 +104,37 @@
   return ReportVerdict::kChanged;
 }
 
+ReportVerdict InstanceTracker::OnLeavingResponse(std::string_view id,
+                                                 Time now) {
+  if (!SaidLeavingInResponse(id)) {
+    left_by_response_.emplace_back(id);
+    if (left_by_response_.size() > kMaxFormerInstances) {
+      left_by_response_.pop_front();
+    }
+  }
+  if (!report_ || report_->id != id) {
+    return ReportVerdict::kForeign;
+  }
+  if (is_leaving()) {
+    return ReportVerdict::kUnchanged;
+  }
+  SetState(InstanceState::kLeaving, now);
+  return ReportVerdict::kChanged;
+}
+
+ReportVerdict InstanceTracker::OnLeavingPeerNotice(std::string_view id,
+                                                   Time now) {
+  if (report_ && report_->id == id && has_reported_leaving_) {
+    return ReportVerdict::kUnchanged;
+  }
+  return OnLeavingResponse(id, now);
+}
+
+bool InstanceTracker::SaidLeavingInResponse(std::string_view id) const {
+  return std::find(left_by_response_.begin(), left_by_response_.end(), id) !=
+         left_by_response_.end();
+}
+
 void InstanceTracker::RestoreDeparted(std::string_view id,
                                       bool gone,
                                       std::uint64_t sequence) {
@@ -115,13 +153,18 @@
 bool InstanceTracker::HasLeft(const InstanceReport& report) const {
   const bool restarted = report.started_ms != 0 && report_ &&
                          report.started_ms > report_->started_ms;
-  return !restarted &&
-         std::any_of(
-             departed_.begin(), departed_.end(),
-             [&](const DepartedInstance& departed) {
-               return departed.id == report.id &&
-                      (departed.gone || report.sequence <= departed.sequence);
-             });
+  if (restarted) {
+    return false;
+  }
+  if (!report.leaving && SaidLeavingInResponse(report.id)) {
+    return true;
+  }
+  return std::any_of(
+      departed_.begin(), departed_.end(),
+      [&](const DepartedInstance& departed) {
+        return departed.id == report.id &&
+               (departed.gone || report.sequence <= departed.sequence);
+      });
 }
 
 bool InstanceTracker::OnConnectFailed(Time now) {
--- a/src/core/instance_tracker.h
+++ b/src/core/instance_tracker.h
@@ -58,6 +58,13 @@
   ReportVerdict OnReport(const InstanceReport& report, Time now);
   // The instance `id` has deregistered.
   ReportVerdict OnDeregistered(std::string_view id, Time now);
+  // The instance `id` said in a response that it leaves. It does not return:
+  // reports that say otherwise were sent earlier.
+  ReportVerdict OnLeavingResponse(std::string_view id, Time now);
+  // A peer returned that the instance `id` leaves. Counts only if this process
+  // has not heard it from the instance: it may have reported since that it
+  // stays.
+  ReportVerdict OnLeavingPeerNotice(std::string_view id, Time now);
   // Restores state from an earlier run of this node: the instance `id` had
   // deregistered (`gone`), or was leaving as of its report number `sequence`.
   void RestoreDeparted(std::string_view id, bool gone, std::uint64_t sequence);
@@ -71,6 +78,14 @@
   // Whether the instance accepts new work.
   bool serves() const { return state_ == InstanceState::kServing; }
   InstanceState state() const { return state_; }
+  // Whether the instance in the slot is leaving or has left, and whether it
+  // said so in a response.
+  bool is_leaving() const {
+    return state_ == InstanceState::kLeaving || state_ == InstanceState::kGone;
+  }
+  bool said_leaving_in_response() const {
+    return report_ && SaidLeavingInResponse(report_->id);
+  }
   // The last accepted report, if any.
   const std::optional<InstanceReport>& report() const { return report_; }
   // When the current state began, and when the instance last reported.
@@ -93,12 +108,16 @@
 
   bool HasLeft(const InstanceReport& report) const;
   void AddDeparted(const DepartedInstance& departed);
+  bool SaidLeavingInResponse(std::string_view id) const;
 
   SocketAddress slot_;
   std::deque<std::string> replaced_ids_;
   std::deque<DepartedInstance> departed_;
+  // Instances that said in a response that they leave.
+  std::deque<std::string> left_by_response_;
   std::optional<InstanceReport> report_;
   InstanceState state_ = InstanceState::kUnknown;
+  bool has_reported_leaving_ = false;  // The instance in the slot.
   Time state_since_;
   Time last_heard_;
 };
--- a/src/core/member_record.h
+++ b/src/core/member_record.h
@@ -21,6 +21,9 @@
   std::string instance;
   bool instance_leaving = false;
   bool instance_gone = false;
+  // The instance said in a response that it leaves, so that later reports that
+  // say otherwise are out of order.
+  bool instance_left_by_response = false;
   std::uint64_t instance_sequence = 0;  // Of the instance's last report.
 
   bool operator==(const MemberRecord&) const = default;
--- a/src/core/peer_notices.cc
+++ b/src/core/peer_notices.cc
@@ -1,14 +1,21 @@
 #include "core/peer_notices.h"
 
+#include <utility>
+
 namespace verbenastile {
 
 void PeerNotices::OnNotice(std::string_view name,
                            const InstanceNotice& notice) {
-  if (!notice.rate_limit) {
+  InstanceNotice next = notice;
+  const auto known = notices_.find(name);
+  if (known != notices_.end() && known->second.instance == next.instance) {
+    next.leaving = next.leaving || known->second.leaving;
+  }
+  if (!next.rate_limit && !next.leaving) {
     Forget(name);
     return;
   }
-  notices_.insert_or_assign(std::string(name), notice);
+  notices_.insert_or_assign(std::string(name), std::move(next));
 }
 
 void PeerNotices::Forget(std::string_view name) {
--- a/src/core/peer_notices.h
+++ b/src/core/peer_notices.h
@@ -14,7 +14,8 @@
 
 class PeerNotices {
  public:
-  // The member `name` reported what its instance said.
+  // The member `name` reported what its instance said. A notice that the
+  // instance leaves is kept until the member has another instance.
   void OnNotice(std::string_view name, const InstanceNotice& notice);
   // Forgets what is known about the member `name`.
   void Forget(std::string_view name);
--- a/src/mesh/inbound_proxy.cc
+++ b/src/mesh/inbound_proxy.cc
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr std::string_view kLogComponent = "gate";
+// The source of what the instance said itself, in log lines.
+constexpr std::string_view kInstanceSource = "instance";
 
 constexpr int kMisdirectedRequest = 421;
 constexpr int kFirstNonSuccess = 300;
@@ -266,14 +268,44 @@
   }
   if (rate_limit_.OnResponse(call.instance_id, notice, call.started,
                              SteadyNow())) {
-    ApplyRateLimit("instance");
+    ApplyRateLimit(kInstanceSource);
+  }
+  if (notice.leaving &&
+      init_.tracker->OnLeavingResponse(call.instance_id, SteadyNow()) ==
+          ReportVerdict::kChanged) {
+    OnLeaving(call.instance_id, kInstanceSource);
   }
 }
 
 void InboundProxy::OnPeerNotice(const GateCall& call) {
-  if (call.notice && rate_limit_.OnPeerNotice(*call.notice)) {
+  if (!call.notice) {
+    return;
+  }
+  if (rate_limit_.OnPeerNotice(*call.notice)) {
     ApplyRateLimit(call.origin);
   }
+  if (call.notice->leaving &&
+      init_.tracker->OnLeavingPeerNotice(call.notice->instance, SteadyNow()) ==
+          ReportVerdict::kChanged) {
+    OnLeaving(call.notice->instance, call.origin);
+  }
+}
+
+void InboundProxy::OnLeaving(std::string_view id, std::string_view source) {
+  Log(LogLevel::kInfo, kLogComponent, "The instance is leaving.",
+      {{"instance", id}, {"source", source}});
+  asio::post(*init_.io, init_.on_leaving);
+}
+
+// What peers should know about the instance; empty if it has said nothing.
+std::optional<InstanceNotice> InboundProxy::Notice() const {
+  const InstanceTracker& tracker = *init_.tracker;
+  if (!tracker.report() ||
+      !(rate_limit_.has_named_limit() || tracker.is_leaving())) {
+    return std::nullopt;
+  }
+  return InstanceNotice{tracker.report()->id, rate_limit_.calls_per_second(),
+                        tracker.is_leaving()};
 }
 
 // `source` is who reported the limit: the instance or the name of a peer.
@@ -499,7 +531,7 @@
        link_forecast_.QueueingDelay(init_.link()),
        admission_.RateLimitDelay(SteadyNow()), rate_limit_.calls_per_second()},
       init_.configuration(),
-      rate_limit_.notice()};
+      Notice()};
 }
 
 void InboundProxy::Execute(const AdmissionActions& actions) {
--- a/src/mesh/inbound_proxy.h
+++ b/src/mesh/inbound_proxy.h
@@ -45,6 +45,9 @@
     // Called when a connection to the instance failed, or when another instance
     // answered at its address.
     std::function<void()> on_unreachable;
+    // Called when the instance said in a response that it leaves, or a peer
+    // returned that it did.
+    std::function<void()> on_leaving;
     // State of the machine's network link, which large responses wait for.
     std::function<LinkState()> link;
   };
@@ -117,6 +120,8 @@
   void OnNotice(const Call& call, const ResponseNotice& notice);
   void OnPeerNotice(const GateCall& call);
   void ApplyRateLimit(std::string_view source);
+  void OnLeaving(std::string_view id, std::string_view source);
+  std::optional<InstanceNotice> Notice() const;
   std::string RateLimitText() const;
   void OnResponseData(CallId id, std::string part);
   void OnHttpEnd(CallId id, Http1CallResult end, std::string_view detail);
--- a/src/mesh/link_codec.cc
+++ b/src/mesh/link_codec.cc
@@ -75,10 +75,12 @@
                  wire::InstanceNotice::Builder out) {
   out.setInstance(ToTextReader(notice.instance));
   out.setRateLimit(notice.rate_limit.value_or(kNoRateLimit));
+  out.setLeaving(notice.leaving);
 }
 
 InstanceNotice ReadNotice(wire::InstanceNotice::Reader in) {
-  InstanceNotice notice{CopyToString(in.getInstance()), std::nullopt};
+  InstanceNotice notice{CopyToString(in.getInstance()), std::nullopt,
+                        in.getLeaving()};
   if (std::isfinite(in.getRateLimit()) && in.getRateLimit() >= 0) {
     notice.rate_limit = in.getRateLimit();
   }
@@ -152,6 +154,7 @@
   out.setLinkPort(member.peer_address.port);
   out.setSlots(member.slots);
   out.setInstance(ToTextReader(record.instance));
+  out.setInstanceLeaving(record.instance_leaving);
 }
 
 MemberRecord ReadRecord(wire::Member::Reader in) {
@@ -169,6 +172,7 @@
   member.peer_address = {CopyToString(in.getLinkIp()), in.getLinkPort()};
   member.slots = in.getSlots();
   record.instance = CopyToString(in.getInstance());
+  record.instance_leaving = in.getInstanceLeaving();
   return record;
 }
 
--- a/src/mesh/outbound_proxy.h
+++ b/src/mesh/outbound_proxy.h
@@ -76,6 +76,11 @@
   void OnLinkSilent(std::string_view member);
   // Passes the load that `member` reported on to the load balancer.
   void OnLoad(std::string_view member, const GateLoad& load);
+  // What is known about the instance of `member`, to be returned to it if it is
+  // restarted.
+  void OnPeerNotice(std::string_view member, const InstanceNotice& notice) {
+    peer_notices_.OnNotice(member, notice);
+  }
   // `member` was removed from the registry.
   void OnMemberRemoved(std::string_view member) {
     peer_notices_.Forget(member);
--- a/src/mesh/record_publisher.cc
+++ b/src/mesh/record_publisher.cc
@@ -36,6 +36,14 @@
   }
 }
 
+void RecordPublisher::WhenWritten(std::function<void()> on_written) {
+  if (write_pending_) {
+    write_callbacks_.push_back(std::move(on_written));
+  } else {
+    on_written();
+  }
+}
+
 void RecordPublisher::Write() {
   write_pending_ = true;
   const std::uint64_t version = version_;
--- a/src/mesh/record_publisher.h
+++ b/src/mesh/record_publisher.h
@@ -32,6 +32,9 @@
   // Writes `spec`, overwriting the record of an earlier run of this node.
   // `on_written` runs once the store holds `spec` or a later one.
   void Publish(std::string spec, std::function<void()> on_written);
+  // Runs `on_written` once the store holds the last published record: at once
+  // if no write is pending.
+  void WhenWritten(std::function<void()> on_written);
   // Deletes the record in a single attempt, without retries.
   void Delete();
   // Reports that the store holds the record at `revision`.
--- a/src/mesh/response_notice.cc
+++ b/src/mesh/response_notice.cc
@@ -10,6 +10,8 @@
 namespace verbenastile {
 namespace {
 
+constexpr std::string_view kLeavingValue = "1";
+
 std::optional<double> ParseRate(std::string_view text) {
   const bool is_decimal =
       !text.empty() && text.find_first_not_of("0123456789.") == text.npos;
@@ -51,6 +53,9 @@
   for (const HttpHeader& header : headers) {
     if (SameHeaderName(header.name, names.rate_limit)) {
       notice.rate_limit = AddValue(notice.rate_limit, header.value);
+    } else if (SameHeaderName(header.name, names.leaving)) {
+      notice.leaving =
+          notice.leaving || TrimWhitespace(header.value) == kLeavingValue;
     } else if (SameHeaderName(header.name, names.signature)) {
       notice.is_signed = notice.is_signed || !header.value.empty();
     }
--- a/src/mesh/sidecar.cc
+++ b/src/mesh/sidecar.cc
@@ -134,6 +134,7 @@
     return bounds_.drain_period / kDrainDivisor;
   };
   init.on_unreachable = [this] { OnInstanceChanged("unreachable"); };
+  init.on_leaving = [this] { OnInstanceChanged("leaving"); };
   init.link = [this] { return sender_.link_state(); };
   return init;
 }
@@ -580,20 +581,20 @@
     record.instance = tracker_.report()->id;
     record.instance_sequence = tracker_.report()->sequence;
   }
-  const InstanceState state = tracker_.state();
-  record.instance_gone = state == InstanceState::kGone;
-  record.instance_leaving =
-      record.instance_gone || state == InstanceState::kLeaving;
+  record.instance_gone = tracker_.state() == InstanceState::kGone;
+  record.instance_leaving = tracker_.is_leaving();
+  record.instance_left_by_response = tracker_.said_leaving_in_response();
   return record;
 }
 
 void Sidecar::PublishOwnRecord(std::function<void()> on_written) {
   const MemberRecord self = OwnRecord();
-  std::string record_state = fmt::format(
-      "{} {} {}", self.instance, self.instance_leaving, self.instance_gone);
+  std::string record_state =
+      fmt::format("{} {} {} {}", self.instance, self.instance_leaving,
+                  self.instance_gone, self.instance_left_by_response);
   if (self.instance.empty() || record_state == published_state_) {
     if (on_written) {
-      on_written();
+      publisher_.WhenWritten(std::move(on_written));
     }
     return;
   }
@@ -761,6 +762,11 @@
              record.instance_leaving) {
     tracker_.RestoreDeparted(record.instance, record.instance_gone,
                              record.instance_sequence);
+    if (record.instance_left_by_response &&
+        tracker_.OnLeavingResponse(record.instance, SteadyNow()) ==
+            ReportVerdict::kChanged) {
+      OnInstanceChanged("record of an earlier run");
+    }
   }
 }
 
@@ -782,8 +788,14 @@
          {"service", record.member.service},
          {"state", ToString(record.member.state)},
          {"serving", record.member.serving},
+         {"instance", record.instance},
+         {"instance_leaving", record.instance_leaving},
          {"slots", record.member.slots}});
   }
+  if (record.instance_leaving) {
+    outbound_.OnPeerNotice(record.member.name,
+                           {record.instance, std::nullopt, true});
+  }
   return true;
 }
 
--- a/src/wire/link.capnp
+++ b/src/wire/link.capnp
@@ -45,6 +45,7 @@
 struct InstanceNotice {
   instance @0 :Text;
   rateLimit @1 :Float64 = -1;  # Negative: no limit.
+  leaving @2 :Bool;
 }
 
 struct Member {
@@ -60,6 +61,7 @@
   linkPort @9 :UInt16;
   slots @10 :UInt32;
   instance @11 :Text;
+  instanceLeaving @12 :Bool;
 }
 
 struct Hello {
--- a/src/wire/link.capnp.h
+++ b/src/wire/link.capnp.h
@@ -105,7 +105,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e5d9023a0e6b8b26, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(e5d9023a0e6b8b26, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -710,6 +710,8 @@
 
   inline double getRateLimit() const;
 
+  inline bool getLeaving() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -748,6 +750,9 @@
   inline double getRateLimit();
   inline void setRateLimit(double value);
 
+  inline bool getLeaving();
+  inline void setLeaving(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -821,6 +826,8 @@
   inline bool hasInstance() const;
   inline  ::capnp::Text::Reader getInstance() const;
 
+  inline bool getInstanceLeaving() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -909,6 +916,9 @@
   inline void adoptInstance(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownInstance();
 
+  inline bool getInstanceLeaving();
+  inline void setInstanceLeaving(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2750,6 +2760,20 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value, 13830554455654793216ull);
 }
 
+inline bool InstanceNotice::Reader::getLeaving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool InstanceNotice::Builder::getLeaving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void InstanceNotice::Builder::setLeaving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Member::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3038,6 +3062,20 @@
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
+inline bool Member::Reader::getInstanceLeaving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<137>() * ::capnp::ELEMENTS);
+}
+
+inline bool Member::Builder::getInstanceLeaving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<137>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setInstanceLeaving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<137>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Hello::Reader::hasMember() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/tests/inbound_proxy_test.cc
+++ b/tests/inbound_proxy_test.cc
@@ -34,6 +34,7 @@
       init.configuration = [] { return PeerConfiguration{1, std::nullopt}; };
       init.leaving_start_period = [] { return std::chrono::milliseconds(800); };
       init.on_unreachable = [this] { ++unreachable_events; };
+      init.on_leaving = [this] { ++leaving_events; };
       init.link = [] { return LinkState{}; };
       proxy = std::make_unique<InboundProxy>(init);
       Report(1, false);
@@ -96,6 +97,7 @@
   InstanceTracker tracker;
   std::unique_ptr<InboundProxy> proxy;
   int unreachable_events = 0;
+  int leaving_events = 0;
   int request_count = 0;
   std::optional<std::string> request_id;          // Of the calls started next.
   Duration remaining = std::chrono::seconds(10);  // Of the calls started next.
@@ -341,8 +343,8 @@
 
 // Guards against calls to an instance that said in a response that it leaves,
 // while its heartbeats are late or cut off (DRAIN).
-SCENARIO("an instance that says in a response that it leaves gets no new calls",
-         "[known-red]") {
+SCENARIO(
+    "an instance that says in a response that it leaves gets no new calls") {
   InboundProxyFixture fixture;
   const auto first = fixture.Start(true);
   RawConnection instance = fixture.listener.Accept();
@@ -356,8 +358,36 @@
       const LinkBody reply = fixture.Reply(fixture.Start(true));
       REQUIRE(std::holds_alternative<GateRefusal>(reply));
       CHECK(std::get<GateRefusal>(reply).reason == RefusalReason::kLeaving);
+      CHECK(fixture.loop.Call([&] { return fixture.leaving_events; }) == 1);
+      AND_THEN("a heartbeat from before does not bring it back") {
+        fixture.loop.Call([&] {
+          fixture.Report(2, false);
+          return 0;
+        });
+        const LinkBody next = fixture.Reply(fixture.Start(true));
+        CHECK(std::get<GateRefusal>(next).reason == RefusalReason::kLeaving);
+      }
     }
   }
+  GIVEN("a response of another instance that says so") {
+    instance.Write(
+        "HTTP/1.1 421 X\r\nX-Id: r1\r\nX-Leaving: 1\r\n"
+        "Content-Length: 0\r\n\r\n");
+    fixture.Reply(first);
+    CHECK(fixture.loop.Call([&] { return fixture.leaving_events; }) == 0);
+  }
+}
+
+// Guards against a restarted node that sends calls to an instance whose leaving
+// only its peers remember (DRAIN, "in touch or not").
+SCENARIO("a restarted node hears from peers that its instance leaves") {
+  InboundProxyFixture fixture;
+  fixture.notice = InstanceNotice{"i-1", std::nullopt, true};
+  const LinkBody reply = fixture.Reply(fixture.Start(true));
+  REQUIRE(std::holds_alternative<GateRefusal>(reply));
+  const auto& refusal = std::get<GateRefusal>(reply);
+  CHECK(refusal.reason == RefusalReason::kLeaving);
+  CHECK(refusal.load.notice == fixture.notice);
 }
 
 }  // namespace
--- a/tests/instance_tracker_test.cc
+++ b/tests/instance_tracker_test.cc
@@ -117,6 +117,56 @@
     CHECK_FALSE(tracker.serves());
   }
 
+  // Guards against an instance that is in use again because a report from
+  // before it left arrives after its response.
+  GIVEN("an instance that says in a response that it leaves") {
+    REQUIRE(tracker.OnReport(ReportOf("i-1", 4), kNow) ==
+            ReportVerdict::kChanged);
+    REQUIRE(tracker.OnLeavingResponse("i-1", kNow) == ReportVerdict::kChanged);
+    CHECK(tracker.state() == InstanceState::kLeaving);
+    CHECK(tracker.said_leaving_in_response());
+    CHECK(tracker.OnLeavingResponse("i-1", kNow) == ReportVerdict::kUnchanged);
+    THEN("a later report that it serves is stale") {
+      CHECK(tracker.OnReport(ReportOf("i-1", 5), kNow) ==
+            ReportVerdict::kStale);
+      CHECK(tracker.state() == InstanceState::kLeaving);
+    }
+    THEN("its first report that it leaves is a change, the next one is not") {
+      CHECK(tracker.OnReport(LeavingReportOf("i-1", 5), kNow) ==
+            ReportVerdict::kChanged);
+      CHECK(tracker.OnReport(LeavingReportOf("i-1", 6), kNow) ==
+            ReportVerdict::kUnchanged);
+      CHECK(tracker.OnDeregistered("i-1", kNow) == ReportVerdict::kChanged);
+    }
+    THEN("another instance at the address serves") {
+      CHECK(tracker.OnReport(ReportOf("i-2", 1), kNow) ==
+            ReportVerdict::kChanged);
+      CHECK(tracker.serves());
+      CHECK_FALSE(tracker.said_leaving_in_response());
+      CHECK(tracker.OnLeavingResponse("i-1", kNow) == ReportVerdict::kForeign);
+      CHECK(tracker.serves());
+    }
+  }
+
+  GIVEN("a peer that returns that an instance leaves") {
+    WHEN("the node was restarted and has no report yet") {
+      tracker.OnLeavingPeerNotice("i-1", kNow);
+      THEN("reports that it serves are stale") {
+        CHECK(tracker.OnReport(ReportOf("i-1", 9), kNow) ==
+              ReportVerdict::kStale);
+      }
+    }
+    WHEN("the instance has reported to this process that it stays") {
+      tracker.OnReport(LeavingReportOf("i-1", 4), kNow);
+      tracker.OnReport(ReportOf("i-1", 5), kNow);
+      THEN("the peer's notice is older") {
+        CHECK(tracker.OnLeavingPeerNotice("i-1", kNow) ==
+              ReportVerdict::kUnchanged);
+        CHECK(tracker.serves());
+      }
+    }
+  }
+
   GIVEN("state restored from an earlier run of the node") {
     tracker.RestoreDeparted("i-1", false, 7);
     tracker.RestoreDeparted("i-2", true, 3);
--- a/tests/link_codec_test.cc
+++ b/tests/link_codec_test.cc
@@ -64,7 +64,7 @@
   response.last = true;
   response.load = {{3, 4, {}, std::chrono::milliseconds(6)},
                    {12, std::chrono::seconds(2)},
-                   InstanceNotice{"i-1", 0.0}};
+                   InstanceNotice{"i-1", 0.0, true}};
   response.queue_time = std::chrono::milliseconds(7);
   out.Append({8, response});
   out.Append({0, LinkPing{}});
@@ -90,7 +90,7 @@
   CHECK(decoded_response.load.upstream.rate_limit_delay ==
         std::chrono::milliseconds(6));
   CHECK(decoded_response.load.upstream.rate_limit == 0.0);
-  CHECK(decoded_response.load.notice == InstanceNotice{"i-1", 0.0});
+  CHECK(decoded_response.load.notice == InstanceNotice{"i-1", 0.0, true});
   CHECK(decoded_response.load.configuration.generation == 12);
   CHECK(decoded_response.load.configuration.age ==
         Duration(std::chrono::seconds(2)));
@@ -106,9 +106,13 @@
   out.Append({0, LinkConfiguration{{held, {4, {5, 6}}, "\x01z"}}});
   out.Append({0, LinkPong{{{1, 2, std::chrono::milliseconds(9)}, {}}}});
   out.Append({9, GateFailure{"reset", std::nullopt}});
+  MemberRecord record;
+  record.instance = "i-1";
+  record.instance_leaving = true;
+  out.Append({0, LinkMember{record}});
 
   const auto frames = Decode(out.bytes, out.bytes.size());
-  REQUIRE(frames.size() == 5);
+  REQUIRE(frames.size() == 6);
   CHECK(std::get<LinkSuspicion>(frames[0].body).member == "node-7");
   CHECK(std::get<LinkConfigurationRequest>(frames[1].body).held == held);
   const auto& delta = std::get<LinkConfiguration>(frames[2].body).delta;
@@ -119,6 +123,7 @@
   CHECK(pong.load.upstream.link_wait == std::chrono::milliseconds(9));
   CHECK_FALSE(pong.load.configuration.age.has_value());
   CHECK_FALSE(std::get<GateFailure>(frames[4].body).load.has_value());
+  CHECK(std::get<LinkMember>(frames[5].body).record == record);
 }
 
 // Guards against framing overhead that fills a link of 5 Mbit/s, when it
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -215,9 +215,16 @@
   record.instance = "i-1";
   record.instance_leaving = true;
   record.instance_sequence = 12;
+  record.instance_left_by_response = true;
   const std::string text = FormatMember(record);
   CHECK(std::get<MemberRecord>(ParseMember(text)) == record);
 
+  GIVEN("a record of a node that did not read responses") {
+    json older = json::parse(text);
+    older.erase("instance_left_by_response");
+    record.instance_left_by_response = false;
+    CHECK(std::get<MemberRecord>(ParseMember(older.dump())) == record);
+  }
   GIVEN("malformed records") {
     json malformed = json::parse(text);
     WHEN("a field is missing") {
--- a/tests/rate_limit_test.cc
+++ b/tests/rate_limit_test.cc
@@ -109,12 +109,28 @@
   }
 }
 
+SCENARIO("a response tells whether the instance leaves") {
+  CallHeaderNames names;
+  names.leaving = "X-Leaving";
+  const auto leaves = [&](const char* value) {
+    const HttpHeaders headers = {{"x-leaving", value}};
+    return ParseResponseNotice(headers, names).leaving;
+  };
+  CHECK(leaves("1"));
+  CHECK(leaves(" 1 "));
+  const char* other = GENERATE("", "0", "yes", "11");
+  CHECK_FALSE(leaves(other));
+}
+
 SCENARIO("a node believes the rate limit that its instance names") {
   InstanceRateLimit limit;
   limit.OnInstance("i-1");
-  const ResponseNotice five{NamedRateLimit{5}, true};
-  const ResponseNotice none{NoRateLimit{}, true};
-  CHECK_FALSE(limit.notice().has_value());
+  const auto named = [](RateLimitNotice rate_limit) {
+    return ResponseNotice{std::move(rate_limit), false, true};
+  };
+  const ResponseNotice five = named(NamedRateLimit{5});
+  const ResponseNotice none = named(NoRateLimit{});
+  CHECK_FALSE(limit.has_named_limit());
   REQUIRE(limit.OnResponse("i-1", five, kStart, kStart + 50 * kMs));
   REQUIRE(limit.calls_per_second() == 5);
 
@@ -124,24 +140,24 @@
   }
   WHEN("a response to a later call names none") {
     CHECK(limit.OnResponse("i-1", none, kStart + 70 * kMs, kStart + 90 * kMs));
-    THEN("the limit has ended, and peers are told") {
+    THEN("the limit has ended, which peers have to hear") {
       CHECK_FALSE(limit.calls_per_second().has_value());
-      CHECK(limit.notice() == InstanceNotice{"i-1", std::nullopt});
+      CHECK(limit.has_named_limit());
     }
   }
   WHEN("a response without a signature names none") {
-    const ResponseNotice unsigned_none{NoRateLimit{}, false};
+    const ResponseNotice unsigned_none{NoRateLimit{}, false, false};
     CHECK_FALSE(limit.OnResponse("i-1", unsigned_none, kStart + 70 * kMs,
                                  kStart + 90 * kMs));
   }
   WHEN("a later response has a limit that cannot be parsed") {
-    const ResponseNotice invalid{InvalidRateLimit{"nan"}, true};
+    const ResponseNotice invalid = named(InvalidRateLimit{"nan"});
     CHECK_FALSE(
         limit.OnResponse("i-1", invalid, kStart + 70 * kMs, kStart + 90 * kMs));
     CHECK(limit.calls_per_second() == 5);
   }
   WHEN("responses to concurrent calls name different limits") {
-    const ResponseNotice nine{NamedRateLimit{9}, true};
+    const ResponseNotice nine = named(NamedRateLimit{9});
     CHECK_FALSE(limit.OnResponse("i-1", nine, kStart, kStart + 60 * kMs));
     THEN("the lower one applies, until a later call names the higher one") {
       CHECK(limit.calls_per_second() == 5);
@@ -154,7 +170,7 @@
     THEN("it inherits nothing, and late responses do not count for it") {
       CHECK_FALSE(limit.calls_per_second().has_value());
       CHECK_FALSE(limit.OnResponse("i-1", five, kStart, kStart + 90 * kMs));
-      CHECK_FALSE(limit.notice().has_value());
+      CHECK_FALSE(limit.has_named_limit());
     }
   }
 }
@@ -169,7 +185,8 @@
   CHECK_FALSE(limit.OnPeerNotice({"i-1", 6.0}));
   CHECK(limit.calls_per_second() == 5);
   WHEN("the instance itself has responded") {
-    CHECK(limit.OnResponse("i-1", {NoRateLimit{}, true}, kStart, kStart));
+    CHECK(
+        limit.OnResponse("i-1", {NoRateLimit{}, false, true}, kStart, kStart));
     THEN("peers no longer count") {
       CHECK_FALSE(limit.OnPeerNotice({"i-1", 5.0}));
       CHECK_FALSE(limit.calls_per_second().has_value());
@@ -188,6 +205,15 @@
     notices.OnNotice("node-1", {"i-1", std::nullopt});
     CHECK(notices.size() == 0);
   }
+  WHEN("the instance leaves") {
+    notices.OnNotice("node-1", {"i-1", std::nullopt, true});
+    THEN("that is kept until the member has another instance") {
+      notices.OnNotice("node-1", {"i-1", std::nullopt});
+      CHECK(notices.Find("node-1", "i-1")->leaving);
+      notices.OnNotice("node-1", {"i-2", std::nullopt});
+      CHECK(notices.size() == 0);
+    }
+  }
   WHEN("the member is gone") {
     notices.Forget("node-1");
     CHECK(notices.size() == 0);
--- a/tests/record_publisher_test.cc
+++ b/tests/record_publisher_test.cc
@@ -144,6 +144,22 @@
   }
 }
 
+// Guards against an acknowledgement of a leaving instance that the store has
+// not recorded yet.
+SCENARIO("a caller waits for a record whose write is pending") {
+  PublisherFixture f;
+  int written = 0;
+  f.publisher.Publish("{1}", nullptr);
+  f.publisher.WhenWritten([&] { ++written; });
+  CHECK(written == 0);
+  f.store.Succeed(70);
+  CHECK(written == 1);
+  THEN("it does not wait when no write is pending") {
+    f.publisher.WhenWritten([&] { ++written; });
+    CHECK(written == 2);
+  }
+}
+
 SCENARIO("a node without a record writes none after a restore") {
   PublisherFixture f;
   f.publisher.OnStoreRestored(5);
