Keep what was heard of an instance when its member is removed

Cause: a node that is down and whose record the store lost is removed by the others, and with it went what they had heard of its instance. The instance may still run, and its node come back without knowing that it leaves or is limited. Change: notices are kept for the last 4,096 members heard from, whether they are members now or not; a notice of another instance is never returned.

--- a/src/core/peer_notices.cc
+++ b/src/core/peer_notices.cc
@@ -1,39 +1,42 @@
 #include "core/peer_notices.h"
 
-#include <utility>
+#include <algorithm>
 
 namespace verbenastile {
 
 void PeerNotices::OnNotice(std::string_view name,
-                           const InstanceNotice& notice) {
-  InstanceNotice next = notice;
-  const auto known = notices_.find(name);
-  if (known != notices_.end() && known->second.instance == next.instance) {
-    next.leaving = next.leaving || known->second.leaving;
-  }
-  if (!next.rate_limit && !next.leaving) {
-    Forget(name);
+                           const InstanceNotice& notice,
+                           Time now) {
+  const auto known = entries_.find(name);
+  const bool left_before = known != entries_.end() &&
+                           known->second.notice.instance == notice.instance &&
+                           known->second.notice.leaving;
+  Entry next{notice, now};
+  next.notice.leaving = notice.leaving || left_before;
+  if (!next.notice.rate_limit && !next.notice.leaving) {
+    if (known != entries_.end()) {
+      entries_.erase(known);
+    }
     return;
   }
-  notices_.insert_or_assign(std::string(name), std::move(next));
-}
-
-void PeerNotices::Forget(std::string_view name) {
-  const auto found = notices_.find(name);
-  if (found != notices_.end()) {
-    notices_.erase(found);
+  entries_.insert_or_assign(std::string(name), std::move(next));
+  if (entries_.size() > kMaxMembers) {
+    entries_.erase(std::min_element(
+        entries_.begin(), entries_.end(), [](const auto& a, const auto& b) {
+          return a.second.heard_at < b.second.heard_at;
+        }));
   }
 }
 
 std::optional<InstanceNotice> PeerNotices::Find(
     std::string_view name,
     std::string_view instance) const {
-  const auto found = notices_.find(name);
-  if (found == notices_.end() ||
-      (!instance.empty() && instance != found->second.instance)) {
+  const auto found = entries_.find(name);
+  if (found == entries_.end() ||
+      (!instance.empty() && instance != found->second.notice.instance)) {
     return std::nullopt;
   }
-  return found->second;
+  return found->second.notice;
 }
 
 }  // namespace verbenastile
--- a/src/core/peer_notices.h
+++ b/src/core/peer_notices.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 
+#include "base/time.h"
 #include "core/instance_notice.h"
 
 namespace verbenastile {
@@ -16,9 +17,7 @@
  public:
   // The member `name` reported what its instance said. A notice that the
   // instance leaves is kept until the member has another instance.
-  void OnNotice(std::string_view name, const InstanceNotice& notice);
-  // Forgets what is known about the member `name`.
-  void Forget(std::string_view name);
+  void OnNotice(std::string_view name, const InstanceNotice& notice, Time now);
 
   // What to return to the member `name`, beside which `instance` is known to
   // run. Empty if nothing is known or another instance said it. An empty
@@ -26,10 +25,19 @@
   std::optional<InstanceNotice> Find(std::string_view name,
                                      std::string_view instance) const;
 
-  std::size_t size() const { return notices_.size(); }
+  std::size_t size() const { return entries_.size(); }
+
+  // The member that was heard from the longest ago is forgotten first. Members
+  // that are removed are not: the instance may still run, and its node return.
+  static constexpr std::size_t kMaxMembers = 4'096;
 
  private:
-  std::map<std::string, InstanceNotice, std::less<>> notices_;
+  struct Entry {
+    InstanceNotice notice;
+    Time heard_at;
+  };
+
+  std::map<std::string, Entry, std::less<>> entries_;
 };
 
 }  // namespace verbenastile
--- a/src/mesh/outbound_proxy.cc
+++ b/src/mesh/outbound_proxy.cc
@@ -314,7 +314,7 @@
   balancer_.OnLoadReport(balancer_.HandleOf(member), load.upstream,
                          SteadyNow());
   if (load.notice) {
-    peer_notices_.OnNotice(member, *load.notice);
+    OnPeerNotice(member, *load.notice);
   }
 }
 
--- a/src/mesh/outbound_proxy.h
+++ b/src/mesh/outbound_proxy.h
@@ -79,11 +79,7 @@
   // What is known about the instance of `member`, to be returned to it if it is
   // restarted.
   void OnPeerNotice(std::string_view member, const InstanceNotice& notice) {
-    peer_notices_.OnNotice(member, notice);
-  }
-  // `member` was removed from the registry.
-  void OnMemberRemoved(std::string_view member) {
-    peer_notices_.Forget(member);
+    peer_notices_.OnNotice(member, notice, SteadyNow());
   }
 
   void SetRetryAllowance(const FleetRetryBudgetLimits& limits) {
--- a/src/mesh/sidecar.cc
+++ b/src/mesh/sidecar.cc
@@ -734,7 +734,6 @@
     Log(LogLevel::kInfo, "members",
         "Removed a member that is no longer in the store.", {{"name", name}});
     member_registry_.Forget(name, incarnation);
-    outbound_.OnMemberRemoved(name);
   }
   links_.UpdateLinks();
 }
