Soak: instances that name rate limits or leave by their responses

Cause: neither soak had an instance that says anything in its responses, so that both passed while the headers went unread.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -27,6 +27,8 @@
 REWRITE = 2.0  # Seconds from a restore of the store until records are back.
 RECOVERY = 15.0  # Seconds after the last fault until requests are served.
 SLACK = 0.5  # Seconds for the scheduling of this process.
+WINDOW = 4.0  # Seconds in which the requests to a limited instance are counted.
+TOLD = 0.5  # Seconds after which a node that passed on a limit is bound by it.
 SLOTS = 6
 WORK = 0.02  # Mean seconds that a request takes.
 
@@ -283,6 +285,7 @@
         self.task = None
         self.changing = False  # A crash or a replacement is under way.
         self.changed = 0.0  # When it last started.
+        self.limits = 0  # How often it has named a rate limit.
 
     async def start(self):
         self.number += 1
@@ -291,6 +294,9 @@
         self.leaving_acked = None
         self.sequence = 0
         self.leaving = False
+        self.rate_limit = None
+        self.says_leaving = False  # In its responses.
+        self.arrivals = []  # Times of requests from nodes bound by its limit.
         self.server = await asyncio.start_server(self.serve, *self.node.app)
         self.task = asyncio.create_task(self.report())
 
@@ -346,6 +352,30 @@
         await self.start()
         self.changing = False
 
+    async def limit(self, rate, seconds):
+        number = self.number
+        self.limits += 1
+        self.arrivals = []
+        self.rate_limit = round(rate, 2)
+        await asyncio.sleep(seconds)
+        if self.number == number:
+            self.rate_limit = None
+
+    async def leave_by_response(self, beats):
+        """Leaves, and only its responses say so. Its reports are cut off, or
+        still say what they said before."""
+        self.changing = True
+        self.says_leaving = True
+        if not beats:
+            self.task.cancel()
+        await asyncio.sleep(DRAIN + 2.0)
+        self.task.cancel()
+        await self.tell(protocol.deregister_target(self.id), {})
+        self.server.close()
+        await asyncio.sleep(0.2)
+        await self.start()
+        self.changing = False
+
     async def serve(self, reader, writer):
         mine = self.id
         busy = self.soak.busy.setdefault(mine, set())
@@ -383,7 +413,13 @@
         await writer.drain()
 
     def echo(self, request):
-        return {protocol.REQUEST_ID: request, protocol.SIGNATURE: f"s.{request}"}
+        headers = {protocol.REQUEST_ID: request, protocol.SIGNATURE: f"s.{request}"}
+        if self.rate_limit is not None:
+            headers[protocol.RATE_LIMIT] = f"{self.rate_limit:.2f}"
+        if self.says_leaving:
+            headers[protocol.LEAVING] = "1"
+        self.soak.answered_by[request] = (self.id, self.limits)
+        return headers
 
 
 class Node:
@@ -407,6 +443,7 @@
         self.process = None
         self.told_to_stop = False
         self.disturbed = time.monotonic()
+        self.interrupted = 0.0  # When it last started, stopped or froze.
         self.starts = 0
 
     def write_settings(self):
@@ -454,7 +491,7 @@
                     stderr=out,
                 )
                 code = await self.process.wait()
-            self.disturbed = time.monotonic()
+            self.disturbed = self.interrupted = time.monotonic()
             if code not in (0, -signal.SIGKILL):
                 self.soak.fail(f"node {self.index} ended with code {code}: {log}")
             if code == 0 and not self.told_to_stop:
@@ -463,6 +500,8 @@
 
     def signal(self, number):
         self.disturbed = time.monotonic()
+        if number != signal.SIGHUP:
+            self.interrupted = self.disturbed
         if self.process and self.process.returncode is None:
             # Not `send_signal`: it reaps a process that has just been killed,
             # whose exit code the event loop's watcher then never learns.
@@ -502,6 +541,13 @@
         self.busy = {}
         self.runs = {}  # Request id -> runs.
         self.sent = {}  # Request id -> (unsafe, outcome status or None).
+        self.origins = {}  # Request id -> (node, when the client sent it).
+        self.answered_by = {}  # Request id -> (instance id, number of its limit).
+        # What an instance said in responses that a node passed on, as (kind,
+        # instance id, node index) -> when it first did.
+        self.told = {}
+        # Separate, so that the notices do not change the schedule of a seed.
+        self.notice_rng = random.Random(options.seed + 1_000_000)
         self.lose_answers = 0.0
         self.version = 1
         self.routes = ["p1"]
@@ -543,6 +589,39 @@
         if acked and time.monotonic() - acked > DRAIN + SLACK:
             self.fail(f"{request} reached {instance.id} after it left")
 
+        self.check_notices(instance, request)
+
+    def note_told(self, node, kind, instance_id):
+        key = (kind, instance_id, node.index)
+        if self.told.get(key, 0.0) <= node.interrupted:
+            self.told[key] = time.monotonic()
+
+    def was_told(self, node, kind, instance_id):
+        """When the node passed it on; None if it did not, or was interrupted
+        since."""
+        at = self.told.get((kind, instance_id, node.index))
+        return at if at is not None and at > node.interrupted else None
+
+    def check_notices(self, instance, request):
+        if request not in self.origins:
+            return
+        node, sent = self.origins[request]
+        now = time.monotonic()
+        left = self.was_told(node, "leaving", instance.id)
+        if left is not None and sent > left + DRAIN:
+            self.fail(f"{request} reached {instance.id} after it said it leaves")
+        told = self.was_told(node, f"limit {instance.limits}", instance.id)
+        if instance.rate_limit is None or told is None or now < told + TOLD:
+            return
+        instance.arrivals = [at for at in instance.arrivals if at > now - WINDOW]
+        instance.arrivals.append(now)
+        allowed = 1.5 * WINDOW * instance.rate_limit + 5
+        if len(instance.arrivals) > allowed:
+            self.fail(
+                f"{instance.id} named a limit of {instance.rate_limit:.2f} and got "
+                f"{len(instance.arrivals)} requests in {WINDOW} s"
+            )
+
     async def client(self, number):
         sequence = 0
         while not self.over:
@@ -558,6 +637,7 @@
         self.sent[request] = (unsafe, None)
         kind = "unsafe" if unsafe else "safe"
         begin = time.monotonic()
+        self.origins[request] = (node, begin)
         status = None
         try:
             status, headers, body = await call(
@@ -583,6 +663,11 @@
                 self.fail(f"{request} got the answer of another request")
             if body != self.content(request):
                 self.fail(f"{request} got a body that is not its own, or not whole")
+            instance_id, limit = self.answered_by[request]
+            if protocol.header(headers, protocol.RATE_LIMIT):
+                self.note_told(node, f"limit {limit}", instance_id)
+            if protocol.header(headers, protocol.LEAVING):
+                self.note_told(node, "leaving", instance_id)
         calm = begin - max(self.last_fault, node.disturbed) > TOUCH + APPLY
         in_force = begin - self.acked.get(route, begin) > APPLY + SLACK
         if status == 404 and calm and in_force:
@@ -708,6 +793,35 @@
                 self.fail(f"the soak itself failed: {result!r}")
         self.last_fault = time.monotonic()
 
+    async def notice_once(self):
+        rng = self.notice_rng
+        instance = rng.choice([i for i in self.instances if i.node.service == "booking"])
+        leaves, beats = rng.random() < 0.4, rng.random() < 0.5
+        rate = rng.choice([0.0, rng.uniform(0.2, 3.0), rng.uniform(3.0, 15.0)])
+        seconds = rng.uniform(2.0, 7.0)
+        if instance.changing or instance.rate_limit is not None:
+            return
+        what = f"leaves, beats {beats}" if leaves else f"limit {rate:.2f}"
+        at = time.monotonic() - self.begin
+        self.schedule.append(f"{at:.3f} s: {instance.id} {what}")
+        await (
+            instance.leave_by_response(beats)
+            if leaves
+            else instance.limit(rate, seconds)
+        )
+
+    async def inject_notices(self):
+        """Instances that name limits, or that say that they leave."""
+        running = set()
+        end = self.begin + self.options.warm_up + self.options.seconds
+        while time.monotonic() < end:
+            running.add(asyncio.create_task(self.notice_once()))
+            await asyncio.sleep(self.notice_rng.uniform(0.3, 2.0))
+        for result in await asyncio.gather(*running, return_exceptions=True):
+            if isinstance(result, Exception):
+                self.fail(f"the soak itself failed: {result!r}")
+        self.last_fault = time.monotonic()
+
     async def check_recovery(self):
         deadline = self.last_fault + RECOVERY
         while time.monotonic() < deadline:
@@ -750,7 +864,7 @@
         clients = [
             asyncio.create_task(self.client(i)) for i in range(self.options.clients)
         ]
-        await self.inject()
+        await asyncio.gather(self.inject(), self.inject_notices())
         await self.check_recovery()
         self.over = True
         await asyncio.gather(*clients)
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -15,7 +15,8 @@
 
 std::vector<SoakTopic> SoakTopics() {
   return {ApplyTopic(),      CallsTopic(),     DistributionTopic(),
-          MembershipTopic(), OperatorsTopic(), ParsersTopic()};
+          MembershipTopic(), OperatorsTopic(), ParsersTopic(),
+          RateLimitTopic()};
 }
 
 namespace {
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -58,6 +58,7 @@
 SoakTopic CallsTopic();
 SoakTopic MembershipTopic();
 SoakTopic OperatorsTopic();
+SoakTopic RateLimitTopic();
 
 }  // namespace verbenastile
 
