Take back a delayed report once the record of an earlier run is read

Cause: a restarted node read its earlier record (the instance left) after a delayed report of that instance had made it serve. The record only kept later reports out, so that the instance stayed in use until its next report. Change: restoring the record also takes back an accepted report that is older than the leaving, or any of an instance that has deregistered. Why it works: order comes from the sequence of reports, not from which of the list and the report reaches the new process first.

--- a/src/core/instance_tracker.cc
+++ b/src/core/instance_tracker.cc
@@ -135,10 +135,18 @@
          left_by_response_.end();
 }
 
-void InstanceTracker::RestoreDeparted(std::string_view id,
+bool InstanceTracker::RestoreDeparted(std::string_view id,
                                       bool gone,
-                                      std::uint64_t sequence) {
+                                      std::uint64_t sequence,
+                                      Time now) {
   AddDeparted({std::string(id), gone, sequence});
+  const bool is_older =
+      report_ && report_->id == id && (gone || report_->sequence <= sequence);
+  if (!is_older || is_leaving()) {
+    return false;
+  }
+  SetState(gone ? InstanceState::kGone : InstanceState::kLeaving, now);
+  return true;
 }
 
 void InstanceTracker::AddDeparted(const DepartedInstance& departed) {
--- a/src/core/instance_tracker.h
+++ b/src/core/instance_tracker.h
@@ -67,7 +67,12 @@
   ReportVerdict OnLeavingPeerNotice(std::string_view id, Time now);
   // Restores state from an earlier run of this node: the instance `id` had
   // deregistered (`gone`), or was leaving as of its report number `sequence`.
-  void RestoreDeparted(std::string_view id, bool gone, std::uint64_t sequence);
+  // Returns whether the state changed: a delayed report of the instance may
+  // have been accepted before.
+  bool RestoreDeparted(std::string_view id,
+                       bool gone,
+                       std::uint64_t sequence,
+                       Time now);
   // A connection to the address of the slot was refused or timed out. Returns
   // whether the state changed.
   bool OnConnectFailed(Time now);
--- a/src/mesh/sidecar.cc
+++ b/src/mesh/sidecar.cc
@@ -759,11 +759,15 @@
     StoreRecord(record);
   } else if (record.member.incarnation < incarnation_ &&
              record.instance_leaving) {
-    tracker_.RestoreDeparted(record.instance, record.instance_gone,
-                             record.instance_sequence);
-    if (record.instance_left_by_response &&
-        tracker_.OnLeavingResponse(record.instance, SteadyNow()) ==
-            ReportVerdict::kChanged) {
+    const Time now = SteadyNow();
+    bool changed = tracker_.RestoreDeparted(
+        record.instance, record.instance_gone, record.instance_sequence, now);
+    if (record.instance_left_by_response) {
+      changed = tracker_.OnLeavingResponse(record.instance, now) ==
+                    ReportVerdict::kChanged ||
+                changed;
+    }
+    if (changed) {
       OnInstanceChanged("record of an earlier run");
     }
   }
--- a/tests/instance_tracker_test.cc
+++ b/tests/instance_tracker_test.cc
@@ -167,9 +167,29 @@
     }
   }
 
+  // Guards against an instance that is in use again after a restart of its
+  // node, because a delayed report arrived before the node's record was read.
+  GIVEN("a report that arrives before the record of an earlier run") {
+    tracker.OnReport(ReportOf("i-1", 6), kNow);
+    REQUIRE(tracker.serves());
+    WHEN("the record is from after that report") {
+      tracker.RestoreDeparted("i-1", false, 7, kNow);
+      CHECK(tracker.state() == InstanceState::kLeaving);
+    }
+    WHEN("the instance had deregistered") {
+      tracker.RestoreDeparted("i-1", true, 3, kNow);
+      CHECK(tracker.state() == InstanceState::kGone);
+    }
+    WHEN("the record is from before that report, or of another instance") {
+      tracker.RestoreDeparted("i-1", false, 5, kNow);
+      tracker.RestoreDeparted("i-2", true, 9, kNow);
+      CHECK(tracker.serves());
+    }
+  }
+
   GIVEN("state restored from an earlier run of the node") {
-    tracker.RestoreDeparted("i-1", false, 7);
-    tracker.RestoreDeparted("i-2", true, 3);
+    tracker.RestoreDeparted("i-1", false, 7, kNow);
+    tracker.RestoreDeparted("i-2", true, 3, kNow);
     THEN("reports from before the instance left are stale") {
       CHECK(tracker.OnReport(ReportOf("i-1", 7), kNow) ==
             ReportVerdict::kStale);
