Count notices where they are read, and give no hint from a limited instance

Cause: each response's headers were searched twice more for the counters, and a refusal by a limited instance told the time until its own next call (5 s at 0.2 a second), although another instance of the service may have room at once. Change: the counters follow the parsed notice; a refusal of a call that only asks for a free slot carries no time, as before the limit.

--- a/src/mesh/inbound_proxy.cc
+++ b/src/mesh/inbound_proxy.cc
@@ -114,7 +114,7 @@
   } else if (entry.request.service != init_.tracker->report()->service) {
     Refuse(id, RefusalReason::kOtherService, Duration::zero());
   } else if (entry.request.only_if_free && !admission_.CanStartNow(now)) {
-    Refuse(id, RefusalReason::kBusy, admission_.RateLimitDelay(now));
+    Refuse(id, RefusalReason::kBusy, Duration::zero());
   } else if (IsTooSlow(entry, now)) {
     Refuse(id, RefusalReason::kSlow, Duration::zero());
   } else if (const Duration delay = LinkDelay(entry);
@@ -240,9 +240,6 @@
   call.not_executed =
       head.status == kMisdirectedRequest ||
       !FindHeader(head.headers, init_.headers.not_executed).empty();
-  if (!FindHeader(head.headers, init_.headers.rate_limit).empty()) {
-    init_.metrics->Add(limited_answers_);
-  }
   const ResponseNotice notice =
       ParseResponseNotice(head.headers, init_.headers);
   // A misdirected request was answered by another instance, and a success
@@ -251,12 +248,15 @@
       (notice.is_signed || !IsSuccess(head.status))) {
     OnNotice(call, notice);
   }
-  if (!FindHeader(head.headers, init_.headers.leaving).empty()) {
-    init_.metrics->Add(leaving_answers_);
-  }
 }
 
 void InboundProxy::OnNotice(const Call& call, const ResponseNotice& notice) {
+  if (!std::holds_alternative<NoRateLimit>(notice.rate_limit)) {
+    init_.metrics->Add(limited_answers_);
+  }
+  if (notice.leaving) {
+    init_.metrics->Add(leaving_answers_);
+  }
   const auto* invalid = std::get_if<InvalidRateLimit>(&notice.rate_limit);
   if (invalid != nullptr && invalid->text != invalid_rate_limit_) {
     invalid_rate_limit_ = invalid->text;
