Log a rate limit that keeps changing once a second at most

Cause: an instance that names another limit in each response would write a line for each, of the 600 a second that a process may write. Change: the begin and the end are always logged, other changes once a second.

--- a/src/mesh/inbound_proxy.cc
+++ b/src/mesh/inbound_proxy.cc
@@ -57,6 +57,8 @@
 // recently.
 constexpr Duration kMaxIdleNonIdempotent = std::chrono::seconds(3);
 constexpr std::uint32_t kInitialSlots = 1;
+// Shortest interval at which changes of a rate limit that stays are logged.
+constexpr Duration kRateLimitLogInterval = std::chrono::seconds(1);
 
 bool IsSuccess(int status) {
   return status >= kFirstSuccess && status < kFirstNonSuccess;
@@ -310,7 +312,17 @@
 
 // `source` is who reported the limit: the instance or the name of a peer.
 void InboundProxy::ApplyRateLimit(std::string_view source) {
-  admission_.SetRateLimit(rate_limit_.calls_per_second(), SteadyNow());
+  const Time now = SteadyNow();
+  const auto rate = rate_limit_.calls_per_second();
+  admission_.SetRateLimit(rate, now);
+  // An instance may change its limit with each response.
+  const bool begins_or_ends =
+      rate.has_value() != logged_rate_limit_.has_value();
+  if (!begins_or_ends && now - rate_limit_logged_at_ < kRateLimitLogInterval) {
+    return;
+  }
+  logged_rate_limit_ = rate;
+  rate_limit_logged_at_ = now;
   Log(LogLevel::kInfo, kLogComponent, "The rate limit of the instance changed.",
       {{"instance", init_.tracker->report()->id},
        {"rate_limit", RateLimitText()},
--- a/src/mesh/inbound_proxy.h
+++ b/src/mesh/inbound_proxy.h
@@ -144,6 +144,9 @@
   Http1Client http_client_;
   Admission admission_;
   InstanceRateLimit rate_limit_;
+  // The rate limit that was logged last, and when.
+  std::optional<double> logged_rate_limit_;
+  Time rate_limit_logged_at_;
   // The last rate limit of the instance that could not be parsed.
   std::string invalid_rate_limit_;
   RuleProfiles rule_profiles_;
