Soak: restart the node of a leaving instance without the store

Cause: a node that forgets in a restart that its instance leaves, while the store is away and heartbeats still say that it serves, was in no run. Change: half of the instances that leave by their responses have their node killed after the platform's bound, with its way to the store silent. In broken_builds.sh the fault of the rate limit follows the code.

--- a/soak/broken_builds.sh
+++ b/soak/broken_builds.sh
@@ -21,8 +21,7 @@
 work for leaving instances@src/core/member_registry.cc@s/!member.serving \&\&/false \&\&/@after it left
 stop not heard@src/mesh/sidecar.cc@s/    FireEvent("leave_requested");/    return;/@did not stop
 records not rewritten@src/mesh/sidecar.cc@s/  publisher_.OnStoreRestored(era);//@after a restore of the store
-rate limit not kept@src/mesh/inbound_proxy.cc@s/admission_.SetRateLimit(rate_limit_.calls_per_second(), SteadyNow());//@named a limit of
-peers not believed@src/mesh/inbound_proxy.cc@s/  if (!call.notice) {/  if (call.origin != "") {/@named a limit of
+rate limit not kept@src/mesh/inbound_proxy.cc@s/admission_.SetRateLimit(rate, now);//@named a limit of
 leaving in responses not heard@src/mesh/inbound_proxy.cc@s/  if (notice.leaving \&\&/  if (false \&\&/@after it said it leaves
 never ready@src/mesh/sidecar.cc@s/const bool ready =$/& false \&\&/@are ready
 '
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -361,14 +361,23 @@
         if self.number == number:
             self.rate_limit = None
 
-    async def leave_by_response(self, beats):
+    async def leave_by_response(self, beats, forgets):
         """Leaves, and only its responses say so. Its reports are cut off, or
-        still say what they said before."""
+        still say what they said before. Its node may be killed, and start again
+        without the store."""
         self.changing = True
         self.says_leaving = True
         if not beats:
             self.task.cancel()
-        await asyncio.sleep(DRAIN + 2.0)
+        # The node is back once the platform's bound has passed.
+        await asyncio.sleep(DRAIN - 0.2)
+        store_proxy = self.soak.store_proxies[self.node.index]
+        if forgets:
+            store_proxy.set_mode("silent")
+            self.node.signal(signal.SIGKILL)
+        await asyncio.sleep(2.5)
+        if forgets:
+            store_proxy.set_mode("pass")
         self.task.cancel()
         await self.tell(protocol.deregister_target(self.id), {})
         self.server.close()
@@ -796,16 +805,16 @@
     async def notice_once(self):
         rng = self.notice_rng
         instance = rng.choice([i for i in self.instances if i.node.service == "booking"])
-        leaves, beats = rng.random() < 0.4, rng.random() < 0.5
+        leaves, beats, forgets = (rng.random() < share for share in (0.4, 0.6, 0.5))
         rate = rng.choice([0.0, rng.uniform(0.2, 3.0), rng.uniform(3.0, 15.0)])
         seconds = rng.uniform(2.0, 7.0)
         if instance.changing or instance.rate_limit is not None:
             return
-        what = f"leaves, beats {beats}" if leaves else f"limit {rate:.2f}"
+        what = f"leaves {beats} {forgets}" if leaves else f"limit {rate:.2f}"
         at = time.monotonic() - self.begin
         self.schedule.append(f"{at:.3f} s: {instance.id} {what}")
         await (
-            instance.leave_by_response(beats)
+            instance.leave_by_response(beats, forgets)
             if leaves
             else instance.limit(rate, seconds)
         )
