End a rate limit by a signed success only

Cause: any signed response without the limit ended it, failures too. An error page of an instance that writes the header with its content only would have lifted a limit that is in force, for as long as the next response takes. Change: failures name limits, but end none.

--- a/soak/rate_limit_topic.cc
+++ b/soak/rate_limit_topic.cc
@@ -229,6 +229,7 @@
   void OnResponse(CallId id, const Call& call) {
     ResponseNotice response;
     response.is_signed = true;
+    response.is_success = true;
     if (call.named) {
       response.rate_limit = NamedRateLimit{*call.named};
     }
--- a/src/core/instance_notice.h
+++ b/src/core/instance_notice.h
@@ -29,6 +29,9 @@
   bool leaving = false;  // The instance takes no new calls soon.
   // Whether the response carries the instance's signature.
   bool is_signed = false;
+  // Whether its status is a success. Failures may be written by a part of the
+  // instance that does not name the limit, so they do not end one.
+  bool is_success = false;
 };
 
 // What a node has heard about an instance. Nodes return it with their calls,
--- a/src/core/instance_rate_limit.cc
+++ b/src/core/instance_rate_limit.cc
@@ -30,7 +30,7 @@
   }
   const bool ends_limit =
       std::holds_alternative<NoRateLimit>(response.rate_limit) &&
-      response.is_signed && sent >= named_at_;
+      response.is_signed && response.is_success && sent >= named_at_;
   return ends_limit && SetRate(std::nullopt);
 }
 
--- a/src/mesh/inbound_proxy.cc
+++ b/src/mesh/inbound_proxy.cc
@@ -242,12 +242,12 @@
   call.not_executed =
       head.status == kMisdirectedRequest ||
       !FindHeader(head.headers, init_.headers.not_executed).empty();
-  const ResponseNotice notice =
-      ParseResponseNotice(head.headers, init_.headers);
+  ResponseNotice notice = ParseResponseNotice(head.headers, init_.headers);
+  notice.is_success = IsSuccess(head.status);
   // A misdirected request was answered by another instance, and a success
   // without a signature by none.
   if (head.status != kMisdirectedRequest &&
-      (notice.is_signed || !IsSuccess(head.status))) {
+      (notice.is_signed || !notice.is_success)) {
     OnNotice(call, notice);
   }
 }
--- a/src/mesh/inbound_proxy.h
+++ b/src/mesh/inbound_proxy.h
@@ -1,7 +1,8 @@
 // Inbound half of the sidecar: the last hop to the upstream instance on this
 // node. All calls to the instance pass through it, so that admission control
-// here is sufficient: the instance never gets more calls than it has slots, and
-// no new calls once it is leaving.
+// here is sufficient: the instance never gets more calls than it has slots or
+// than the rate limit that it names allows, and no new calls once it is
+// leaving.
 #ifndef MESH_INBOUND_PROXY_H_
 #define MESH_INBOUND_PROXY_H_
 
--- a/src/mesh/response_notice.h
+++ b/src/mesh/response_notice.h
@@ -10,7 +10,7 @@
 
 namespace verbenastile {
 
-// Reads the notices of a response of the instance. A rate limit is a decimal
+// Reads the notices in the headers of a response. A rate limit is a decimal
 // number without sign or exponent. Of several in one response the lowest
 // applies, and one that cannot be parsed makes all of them invalid.
 ResponseNotice ParseResponseNotice(std::span<const HttpHeader> headers,
--- a/tests/rate_limit_test.cc
+++ b/tests/rate_limit_test.cc
@@ -126,7 +126,7 @@
   InstanceRateLimit limit;
   limit.OnInstance("i-1");
   const auto named = [](RateLimitNotice rate_limit) {
-    return ResponseNotice{std::move(rate_limit), false, true};
+    return ResponseNotice{std::move(rate_limit), false, true, true};
   };
   const ResponseNotice five = named(NamedRateLimit{5});
   const ResponseNotice none = named(NoRateLimit{});
@@ -146,10 +146,16 @@
     }
   }
   WHEN("a response without a signature names none") {
-    const ResponseNotice unsigned_none{NoRateLimit{}, false, false};
+    const ResponseNotice unsigned_none{NoRateLimit{}, false, false, true};
     CHECK_FALSE(limit.OnResponse("i-1", unsigned_none, kStart + 70 * kMs,
                                  kStart + 90 * kMs));
   }
+  WHEN("a failure of the instance names none") {
+    const ResponseNotice failure{NoRateLimit{}, false, true, false};
+    CHECK_FALSE(
+        limit.OnResponse("i-1", failure, kStart + 70 * kMs, kStart + 90 * kMs));
+    CHECK(limit.calls_per_second() == 5);
+  }
   WHEN("a later response has a limit that cannot be parsed") {
     const ResponseNotice invalid = named(InvalidRateLimit{"nan"});
     CHECK_FALSE(
@@ -185,8 +191,8 @@
   CHECK_FALSE(limit.OnPeerNotice({"i-1", 6.0}));
   CHECK(limit.calls_per_second() == 5);
   WHEN("the instance itself has responded") {
-    CHECK(
-        limit.OnResponse("i-1", {NoRateLimit{}, false, true}, kStart, kStart));
+    CHECK(limit.OnResponse("i-1", {NoRateLimit{}, false, true, true}, kStart,
+                           kStart));
     THEN("peers no longer count") {
       CHECK_FALSE(limit.OnPeerNotice({"i-1", 5.0}));
       CHECK_FALSE(limit.calls_per_second().has_value());
