Log the end of an instance with the calls that ran there

Callers saw: requests broken off again and again while instances ended; the logs named neither the end nor what ran. Cause: a broken call's line has no target and no caller, and the origin's line that has them is rate-limited. Change: the inbound proxy notes calls that end without a whole response (core/broken_calls.h) and, 10 ms after one broke and with no older call running, tries a connection (io/connect_probe.h). Refused: the instance has ended, and one line tells it with its calls, each with the digest of its content (core/request_digest.h). gate_instance_ends_total counts them. Calls are handled as before.

--- a/src/mesh/inbound_proxy.cc
+++ b/src/mesh/inbound_proxy.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "core/request_digest.h"
 #include "mesh/response_notice.h"
 
 namespace verbenastile {
@@ -57,6 +58,13 @@
 // recently.
 constexpr Duration kMaxIdleNonIdempotent = std::chrono::seconds(3);
 constexpr std::uint32_t kInitialSlots = 1;
+// How long after a call broke off the instance is checked: the other
+// connections of an instance that ended break within this time.
+constexpr Duration kBreakSettleTime = std::chrono::milliseconds(10);
+constexpr Duration kInstanceProbeTimeout = std::chrono::milliseconds(500);
+// Calls and bytes of each target in the log line of an instance's end.
+constexpr std::size_t kMaxLoggedCalls = 12;
+constexpr std::size_t kMaxLoggedTargetBytes = 120;
 // Shortest interval at which changes of a rate limit that stays are logged.
 constexpr Duration kRateLimitLogInterval = std::chrono::seconds(1);
 
@@ -64,12 +72,26 @@
   return status >= kFirstSuccess && status < kFirstNonSuccess;
 }
 
+std::string DescribeCalls(std::span<const BrokenCall> calls) {
+  std::string text;
+  for (const BrokenCall& call :
+       calls.subspan(0, std::min(calls.size(), kMaxLoggedCalls))) {
+    text += fmt::format("{}{} digest={} caller={} target={}",
+                        text.empty() ? "" : "; ", call.request_id,
+                        ToString(call.digest), call.caller_service,
+                        call.target.substr(0, kMaxLoggedTargetBytes));
+  }
+  return text;
+}
+
 }  // namespace
 
 InboundProxy::InboundProxy(const Init& init)
     : init_(init),
       tick_timer_(*init.io),
+      instance_check_timer_(*init.io),
       http_client_(*init.io, {}),
+      instance_probe_(*init.io),
       admission_(kInitialSlots),
       started_(init.metrics->Counter("gate_started_total")),
       refused_(init.metrics->Counter("gate_refused_total")),
@@ -77,11 +99,13 @@
       broken_(init.metrics->Counter("gate_broken_total")),
       limited_answers_(init.metrics->Counter("gate_limited_answers_total")),
       leaving_answers_(init.metrics->Counter("gate_leaving_answers_total")),
+      instance_ends_(init.metrics->Counter("gate_instance_ends_total")),
       queue_wait_(init.metrics->Summary("gate_wait_microseconds")),
       service_time_(init.metrics->Summary("gate_service_microseconds")) {}
 
 InboundProxy::~InboundProxy() {
   tick_timer_.cancel();
+  instance_check_timer_.cancel();
 }
 
 bool InboundProxy::CanStartCalls(Time now) const {
@@ -411,9 +435,12 @@
       Log(LogLevel::kWarning, kLogComponent, "Cannot connect to the instance.",
           {{"instance", call.instance_id}, {"error", detail}});
       init_.on_unreachable();
+      ScheduleInstanceCheck();
     }
     Refuse(id, RefusalReason::kNoInstance, Duration::zero());
   } else {
+    AddBroken(call, false);
+    ScheduleInstanceCheck();
     FailBroken(id, detail);
   }
   Execute(actions);
@@ -508,11 +535,77 @@
 void InboundProxy::BreakOff(CallId id, std::string_view outcome) {
   const Call& call = calls_.at(id);
   LogCall(id, call, outcome);
+  AddBroken(call, true);
   http_client_.Cancel(call.http_call_id);
   Remove(id);
   held_slots_.push_back({SteadyNow() + kCancelledSlotTime, id});
 }
 
+void InboundProxy::AddBroken(const Call& call, bool cancelled) {
+  const GateCall& request = call.request;
+  if (call.instance_id != broken_instance_) {
+    broken_calls_.Clear();
+    broken_instance_ = call.instance_id;
+  }
+  broken_calls_.Add(
+      {DigestOf({request.caller_service, FindHeader(request.headers, "host"),
+                 request.method, request.target, request.body}),
+       request.request_id, request.caller_service, request.target, SteadyNow(),
+       cancelled});
+}
+
+void InboundProxy::ScheduleInstanceCheck() {
+  if (broken_calls_.empty() || instance_check_scheduled_ ||
+      instance_probe_.active()) {
+    return;
+  }
+  instance_check_scheduled_ = true;
+  instance_check_timer_.expires_after(kBreakSettleTime);
+  instance_check_timer_.async_wait(
+      [this, broken_since = SteadyNow()](const asio::error_code& error) {
+        if (!error) {
+          instance_check_scheduled_ = false;
+          CheckInstance(broken_since);
+        }
+      });
+}
+
+void InboundProxy::CheckInstance(Time broken_since) {
+  const InstanceTracker& tracker = *init_.tracker;
+  const bool others_run =
+      std::any_of(calls_.begin(), calls_.end(), [&](const auto& entry) {
+        const Call& call = entry.second;
+        return call.http_call_id != 0 && call.started < broken_since;
+      });
+  // The end of a leaving instance is planned, and no request's doing.
+  if (others_run || tracker.is_leaving() || !tracker.report()) {
+    broken_calls_.Clear();
+    return;
+  }
+  if (tracker.report()->id != broken_instance_) {
+    OnInstanceEnded();
+    return;
+  }
+  instance_probe_.Start(tracker.report()->address, kInstanceProbeTimeout,
+                        [this](ConnectResult result) {
+                          if (result == ConnectResult::kRefused) {
+                            OnInstanceEnded();
+                          } else {
+                            broken_calls_.Clear();
+                          }
+                        });
+}
+
+void InboundProxy::OnInstanceEnded() {
+  const std::vector<BrokenCall> running =
+      broken_calls_.TakeOnInstanceEnd(SteadyNow());
+  init_.metrics->Add(instance_ends_);
+  Log(LogLevel::kWarning, kLogComponent, "The instance ended without notice.",
+      {{"instance", broken_instance_},
+       {"calls", running.size()},
+       {"requests", DescribeCalls(running)}});
+}
+
 void InboundProxy::GrantCredit(CallId id, std::uint32_t bytes) {
   const auto found = calls_.find(id);
   if (found == calls_.end()) {
--- a/src/mesh/inbound_proxy.h
+++ b/src/mesh/inbound_proxy.h
@@ -17,11 +17,13 @@
 
 #include "base/metrics.h"
 #include "core/admission.h"
+#include "core/broken_calls.h"
 #include "core/instance_notice.h"
 #include "core/instance_rate_limit.h"
 #include "core/instance_tracker.h"
 #include "core/link_forecast.h"
 #include "core/rule_profile.h"
+#include "io/connect_probe.h"
 #include "io/http1_client.h"
 #include "mesh/call_header_names.h"
 #include "mesh/link_frames.h"
@@ -132,6 +134,13 @@
   void FailBroken(CallId id, std::string_view detail);
   void PostReply(const ReplyHandler& reply, LinkBody body);
   void Execute(const AdmissionActions& actions);
+  // Notes a running call that ended without a complete response.
+  void AddBroken(const Call& call, bool cancelled);
+  // Finds out, once the calls that broke together were all noted, whether the
+  // instance has ended.
+  void ScheduleInstanceCheck();
+  void CheckInstance(Time broken_since);
+  void OnInstanceEnded();
   // Closes the connection of a running call; its slot stays occupied for a
   // short time.
   void BreakOff(CallId id, std::string_view outcome);
@@ -142,7 +151,9 @@
 
   Init init_;
   asio::steady_timer tick_timer_;
+  asio::steady_timer instance_check_timer_;
   Http1Client http_client_;
+  ConnectProbe instance_probe_;
   Admission admission_;
   InstanceRateLimit rate_limit_;
   // The rate limit that was logged last, and when.
@@ -154,6 +165,9 @@
   LinkForecast link_forecast_;
   std::map<CallId, Call> calls_;
   std::vector<HeldSlot> held_slots_;
+  BrokenCalls broken_calls_;
+  std::string broken_instance_;  // The instance at which they ran.
+  bool instance_check_scheduled_ = false;
   CallId last_id_ = 0;
   bool tick_scheduled_ = false;
   CounterHandle started_;
@@ -162,6 +176,7 @@
   CounterHandle broken_;
   CounterHandle limited_answers_;
   CounterHandle leaving_answers_;
+  CounterHandle instance_ends_;
   SummaryHandle queue_wait_;
   SummaryHandle service_time_;
 };
