Failing tests: a request that ends the instances that run it

Change: a test at one inbound proxy, and requests in the fault soak that end each instance that runs them (--ending-requests N, off by default until the fix). The soak counts sends by nodes in touch 3 s after the third end, and asks again for what ran beside, and for the same path by another caller.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -16,6 +16,7 @@
 import sys
 import tempfile
 import time
+import typing
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "platform"))
 import protocol  # noqa: E402
@@ -29,6 +30,7 @@
 SLACK = 0.5  # Seconds for the scheduling of this process.
 WINDOW = 4.0  # Seconds in which the requests to a limited instance are counted.
 TOLD = 0.5  # Seconds after which a node that passed on a limit is bound by it.
+MAX_RESENDS = 3  # Sends of a request under which three instances have ended.
 SLOTS = 6
 WORK = 0.02  # Mean seconds that a request takes.
 
@@ -273,6 +275,13 @@
                 writer.transport.abort()
 
 
+class EndingRequest(typing.NamedTuple):
+    """A request that ends the instance that runs it."""
+
+    target: str
+    instance_id: str
+
+
 class Instance:
     """The upstream instance beside one node."""
 
@@ -326,16 +335,23 @@
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
             return False  # The node is down; the next report is due soon.
 
-    async def crash(self):
+    async def crash(self, down=0.3):
         self.changing = True
         self.task.cancel()
         self.server.close()
         for writer in list(self.soak.busy.get(self.id, ())):
             writer.transport.abort()
-        await asyncio.sleep(0.3)
+        await asyncio.sleep(down)
         await self.start()
         self.changing = False
 
+    async def end_under(self, request):
+        """Ends while it works on `request`, unless it is ending anyway."""
+        await asyncio.sleep(WORK * self.soak.crash_rng.uniform(0.5, 1.5))
+        if self.id == request.instance_id and not self.changing:
+            self.soak.on_end_under(self, request)
+            await self.crash(self.soak.crash_rng.uniform(0.5, 2.0))
+
     async def replace(self, says_leaving):
         self.changing = True
         self.task.cancel()
@@ -395,6 +411,8 @@
                 await self.answer(mine, line, headers, body, writer)
         except (asyncio.IncompleteReadError, ConnectionError, OSError):
             pass  # The node closed its connection.
+        except asyncio.CancelledError:
+            pass  # The soak is over.
         finally:
             busy.discard(writer)
             writer.close()
@@ -407,6 +425,21 @@
             writer.write(format_answer(421, named, b""))
             return
         self.soak.on_run(self, request, line, headers)
+        target = line.split(" ")[1]
+        running = self.soak.running.setdefault(mine, set())
+        running.add(target)
+        try:
+            await self.run(mine, request, line, headers, writer)
+        finally:
+            running.discard(target)
+
+    async def run(self, mine, request, line, headers, writer):
+        if self.soak.ends_instances(line, headers):
+            target = line.split(" ")[1]
+            task = asyncio.create_task(self.end_under(EndingRequest(target, mine)))
+            self.soak.tasks.add(task)
+            await asyncio.shield(task)
+            raise ConnectionError("the instance has ended")
         roll = self.soak.rng.random()
         await asyncio.sleep(WORK * self.soak.rng.uniform(0.5, 1.5))
         if roll < self.soak.lose_answers:
@@ -557,6 +590,16 @@
         self.told = {}
         # Separate, so that the notices do not change the schedule of a seed.
         self.notice_rng = random.Random(options.seed + 1_000_000)
+        self.tasks = set()
+        self.crash_rng = random.Random(options.seed + 2_000_000)
+        self.ends = {}  # Target -> times at which an instance ended under it.
+        self.resends = {}  # Target -> sends that a node in touch made after it.
+        # Requests that ran on an instance when it ended, and did not end it.
+        self.bystanders = set()
+        # Whether those were served that share their path, in the calm at the end.
+        self.innocent = []
+        self.quiet_since = None
+        self.running = {}  # Instance id -> targets of its safe requests.
         self.lose_answers = 0.0
         self.version = 1
         self.routes = ["p1"]
@@ -599,6 +642,42 @@
             self.fail(f"{request} reached {instance.id} after it left")
 
         self.check_notices(instance, request)
+        self.check_resend(instance, line, headers)
+
+    def ends_instances(self, line, headers):
+        """Only with this path and by a caller of one service."""
+        caller = protocol.header(headers, protocol.CALLER_SERVICE)
+        return "/safe/ends-" in line and caller == "booking"
+
+    def on_end_under(self, instance, request):
+        self.ends.setdefault(request.target, []).append(time.monotonic())
+        running = self.running.get(instance.id, set())
+        self.bystanders |= {
+            target
+            for target in running
+            if "/safe/" in target and "/ends-" not in target
+        }
+
+    def in_touch(self, node):
+        """Whether no fault has touched the node, a link or the store lately."""
+        since = time.monotonic() - TOUCH
+        proxies = self.store_proxies + self.link_proxies
+        calm = all(p.mode == "pass" and p.disturbed < since for p in proxies)
+        return calm and node.disturbed < since and not self.store.disturbed_since(since)
+
+    def check_resend(self, instance, line, headers):
+        target = line.split(" ")[1]
+        ends = self.ends.get(target, [])
+        if not self.ends_instances(line, headers) or len(ends) < 3:
+            return
+        if time.monotonic() < ends[2] + TOUCH or not self.in_touch(instance.node):
+            return
+        self.resends[target] = self.resends.get(target, 0) + 1
+        if self.resends[target] > MAX_RESENDS:
+            self.fail(
+                f"{target} was sent {self.resends[target]} times after three "
+                f"instances had ended under it; {len(ends)} ended in all"
+            )
 
     def note_told(self, node, kind, instance_id):
         key = (kind, instance_id, node.index)
@@ -642,7 +721,8 @@
             await self.one_request(node, route, unsafe, request)
             await asyncio.sleep(self.rng.uniform(0.0, 0.06))
 
-    async def one_request(self, node, route, unsafe, request):
+    async def one_request(self, node, route, unsafe, request, path=None):
+        """Returns whether it was served. `path`: the last part of the target."""
         self.sent[request] = (unsafe, None)
         kind = "unsafe" if unsafe else "safe"
         begin = time.monotonic()
@@ -652,7 +732,7 @@
             status, headers, body = await call(
                 node.callers,
                 "POST" if unsafe else "GET",
-                f"/{route}/{kind}/{request}",
+                f"/{route}/{kind}/{path or request}",
                 {
                     "Host": "a.example",
                     protocol.REQUEST_ID: request,
@@ -664,7 +744,9 @@
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
             pass  # No answer promises nothing.
         self.sent[request] = (unsafe, status)
-        self.served.append((begin, status == 200))
+        if path is None:
+            self.served.append((begin, status == 200))
+        return status == 200
 
     def check_answer(self, node, route, request, begin, status, headers, body):
         if status == 200:
@@ -682,6 +764,44 @@
         if status == 404 and calm and in_force:
             self.fail(f"{request} got 404 on {route}, in force since long")
 
+    async def ending_client(self, number):
+        """Repeats a request that ends instances, and asks for the same path as
+        a caller for whom it does not."""
+        rng = self.crash_rng
+        sequence = 0
+        while not self.over:
+            for service in ("booking", "library"):
+                sequence += 1
+                node = rng.choice([n for n in self.nodes if n.service == service])
+                request = f"e{number:x}x{sequence:x}"
+                path = f"ends-{number}"
+                task = self.one_request(node, self.routes[0], False, request, path)
+                served = await task
+                if service == "library" and self.quiet_since:
+                    self.innocent.append(served)
+            await asyncio.sleep(rng.uniform(0.02, 0.3))
+
+    async def check_bystanders(self):
+        """Requests that ran beside one that ends instances are served."""
+        for index, target in enumerate(sorted(self.bystanders)[:40]):
+            route, _, path = target.removeprefix("/").split("/")
+            if route not in self.routes:
+                continue
+            node = self.nodes[1]  # Its callers are those of "booking".
+            for attempt in range(3):
+                request = f"b{index:x}x{attempt:x}"
+                if await self.one_request(node, route, False, request, path):
+                    break
+                await asyncio.sleep(0.3)
+            else:
+                self.fail(f"{target}, which ran beside a request that ends "
+                          "instances, is not served any more")
+        if self.innocent and sum(self.innocent) < 0.9 * len(self.innocent):
+            self.fail(
+                f"{sum(self.innocent)} of {len(self.innocent)} requests are served "
+                "that share the path of one that ends instances"
+            )
+
     # Faults: each is a coroutine that begins and ends one.
 
     async def fault_kill(self):
@@ -842,10 +962,12 @@
             self.fail(f"not all nodes are ready {RECOVERY} s after the last fault")
         await asyncio.sleep(TOUCH)
         begin = time.monotonic()
+        self.quiet_since = begin
         await asyncio.sleep(2.0)
         recent = [ok for at, ok in self.served if at >= begin]
         if not recent or sum(recent) < 0.9 * len(recent):
             self.fail(f"{sum(recent)} of {len(recent)} are served after recovery")
+        await self.check_bystanders()
 
     def check_refusals(self):
         for request, (unsafe, status) in self.sent.items():
@@ -873,10 +995,16 @@
         clients = [
             asyncio.create_task(self.client(i)) for i in range(self.options.clients)
         ]
+        clients += [
+            asyncio.create_task(self.ending_client(i))
+            for i in range(self.options.ending_requests)
+        ]
         await asyncio.gather(self.inject(), self.inject_notices())
         await self.check_recovery()
         self.over = True
         await asyncio.gather(*clients)
+        for task in self.tasks:
+            task.cancel()
         for instance in self.instances:
             instance.task.cancel()
         await asyncio.gather(*(node.stop() for node in self.nodes))
@@ -894,6 +1022,7 @@
     parser.add_argument("--clients", type=int, default=12)
     parser.add_argument("--seconds", type=float, default=15.0)
     parser.add_argument("--warm-up", type=float, default=2.0)
+    parser.add_argument("--ending-requests", type=int, default=0)
     parser.add_argument("--port-offset", type=int, default=0)
     options = parser.parse_args()
     soak = Soak(options)
--- a/tests/inbound_proxy_test.cc
+++ b/tests/inbound_proxy_test.cc
@@ -48,9 +48,11 @@
     });
   }
 
-  void Report(std::uint64_t sequence, bool leaving) {
+  void Report(std::uint64_t sequence,
+              bool leaving,
+              std::string_view id = "i-1") {
     InstanceReport report;
-    report.id = "i-1";
+    report.id = id;
     report.service = "booking";
     report.address = listener.address();
     report.slots = 1;
@@ -270,6 +272,44 @@
   }
 }
 
+// The instance ends while it works on the request that it accepted; another one
+// takes its place after the node has noticed.
+void EndInstance(InboundProxyFixture& fixture,
+                 RawConnection& instance,
+                 std::string_view next_id) {
+  instance.ReadRequest();
+  fixture.listener.Close();
+  instance.Close();
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  fixture.listener.Reopen();
+  fixture.loop.Call([&] {
+    fixture.Report(1, false, next_id);
+    return 0;
+  });
+}
+
+// Guards against a request that ends each instance that runs it and that is
+// handed to the next one again and again (incident BUDGET).
+SCENARIO("a request under which three instances ended is not run again",
+         "[known-red]") {
+  InboundProxyFixture fixture;
+  for (const std::string_view next_id : {"i-2", "i-3", "i-4"}) {
+    const auto replies = fixture.Start(true);
+    RawConnection instance = fixture.listener.Accept();
+    EndInstance(fixture, instance, next_id);
+    REQUIRE(std::holds_alternative<GateFailure>(fixture.Reply(replies)));
+  }
+
+  WHEN("it comes once more") {
+    const auto replies = fixture.Start(true);
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    THEN("it is refused as not run") {
+      REQUIRE_FALSE(fixture.listener.TryAccept().has_value());
+      REQUIRE(std::holds_alternative<GateRefusal>(fixture.Reply(replies)));
+    }
+  }
+}
+
 // Guards against an instance that gets the calls of all nodes although it
 // named the rate that it takes from them together (incident LIMIT).
 SCENARIO("an instance gets no more calls than the rate limit that it named") {
--- a/tests/net_support.h
+++ b/tests/net_support.h
@@ -166,14 +166,17 @@
     return RawConnection(std::move(socket));
   }
 
-  SocketAddress address() const {
-    return {kTestIp, acceptor_.local_endpoint().port()};
-  }
+  // Refuses connections until `Reopen`, which listens on the same port again.
+  void Close() { acceptor_.close(); }
+  void Reopen() { acceptor_ = asio::ip::tcp::acceptor(io_, endpoint_, true); }
+
+  SocketAddress address() const { return {kTestIp, endpoint_.port()}; }
   std::string url() const { return "http://" + ToString(address()) + "/"; }
 
  private:
   asio::io_context io_;
   asio::ip::tcp::acceptor acceptor_;
+  asio::ip::tcp::endpoint endpoint_ = acceptor_.local_endpoint();
 };
 
 }  // namespace verbenastile
