Suspects: no block before a trial, and clearances that reach every node

Callers would have seen: popular requests refused for good after a failure domain with five instances lost power, and requests held at one instance by a node whose evidence the others had cleared (found by the new soak topic). Cause: five crashes blocked without a trial; a node that had missed a clearance while it was restarted kept its evidence, and told nobody who knew better. Change: crashes alone block nothing, only the end of an instance during a trial does. Who knows of a later clearance answers outdated evidence with it; the origin of a request clears it too when it gets the response; what a node reads of itself in the store is told to peers that cannot read it. Calls are digested once, and a call that broke is checked by a connection only if none to the instance is idle.

--- a/soak/main.cc
+++ b/soak/main.cc
@@ -14,9 +14,9 @@
 namespace verbenastile {
 
 std::vector<SoakTopic> SoakTopics() {
-  return {ApplyTopic(),      CallsTopic(),     DistributionTopic(),
-          MembershipTopic(), OperatorsTopic(), ParsersTopic(),
-          RateLimitTopic()};
+  return {ApplyTopic(),        CallsTopic(),      CrashSuspectsTopic(),
+          DistributionTopic(), MembershipTopic(), OperatorsTopic(),
+          ParsersTopic(),      RateLimitTopic()};
 }
 
 namespace {
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -59,6 +59,7 @@
 SoakTopic MembershipTopic();
 SoakTopic OperatorsTopic();
 SoakTopic RateLimitTopic();
+SoakTopic CrashSuspectsTopic();
 
 }  // namespace verbenastile
 
--- a/src/core/broken_calls.h
+++ b/src/core/broken_calls.h
@@ -16,7 +16,7 @@
   Digest digest;  // Of the request's content.
   std::string request_id;
   std::string caller_service;
-  std::string target;
+  std::string target;  // Its beginning.
   Time broken_at;
   // The node broke it off. The instance may have worked on it for a while more.
   bool cancelled = false;
--- a/src/core/crash_suspects.cc
+++ b/src/core/crash_suspects.cc
@@ -46,29 +46,27 @@
   std::vector<CrashEvidence> known;
   for (const CrashedCall& call : running) {
     const Suspect& suspect = suspects_[call.request];
-    if (Add({call.request, suspect.evidence.clearances, call.on_trial, {crash}},
-            now)) {
-      known.push_back(suspect.evidence);
-    }
+    Add({call.request, suspect.evidence.clearances, call.on_trial, {crash}},
+        now);
+    known.push_back(suspect.evidence);
   }
   EvictExcess();
   return known;
 }
 
-bool CrashSuspects::Merge(const CrashEvidence& evidence, Time now) {
-  const bool added = Add(evidence, now);
+MergeResult CrashSuspects::Merge(const CrashEvidence& evidence, Time now) {
+  const MergeResult result = Add(evidence, now);
   EvictExcess();
-  return added;
+  return result;
 }
 
-// Returns whether the evidence contained something new.
-bool CrashSuspects::Add(const CrashEvidence& evidence, Time now) {
+MergeResult CrashSuspects::Add(const CrashEvidence& evidence, Time now) {
   Suspect& suspect = suspects_[evidence.request];
   CrashEvidence& known = suspect.evidence;
   suspect.heard_at = now;
   known.request = evidence.request;
   if (evidence.clearances < known.clearances) {
-    return false;
+    return MergeResult::kOutdated;
   }
   const bool newly_cleared = evidence.clearances > known.clearances;
   if (newly_cleared) {
@@ -78,8 +76,9 @@
   }
   const bool newly_convicted = evidence.convicted && !known.convicted;
   known.convicted = known.convicted || evidence.convicted;
-  return Unite(known.crashes, evidence.crashes) || newly_cleared ||
-         newly_convicted;
+  const bool added = Unite(known.crashes, evidence.crashes) || newly_cleared ||
+                     newly_convicted;
+  return added ? MergeResult::kAdded : MergeResult::kUnchanged;
 }
 
 std::optional<CrashEvidence> CrashSuspects::OnCompleted(const Digest& request,
@@ -92,7 +91,7 @@
 }
 
 CrashEvidence CrashSuspects::Clear(const Digest& request, Time now) {
-  const CrashEvidence cleared{
+  CrashEvidence cleared{
       request, suspects_[request].evidence.clearances + 1, false, {}};
   Merge(cleared, now);
   return cleared;
@@ -115,7 +114,7 @@
   }
   const CrashEvidence& evidence = found->second.evidence;
   const std::size_t crashes = evidence.crashes.size();
-  if (crashes >= (evidence.convicted ? kCrashesToBlock : kMaxCrashes)) {
+  if (evidence.convicted && crashes >= kCrashesToBlock) {
     return SuspectVerdict::kBlocked;
   }
   return crashes >= kCrashesToTrial ? SuspectVerdict::kOnTrial
--- a/src/core/crash_suspects.h
+++ b/src/core/crash_suspects.h
@@ -9,9 +9,9 @@
 //
 // A request with one crash runs as any other. With two it is on trial: only one
 // node, `TrialMember`, may pass it to its instance, one such request at a time.
-// Its completion clears it; the end of the instance convicts it. So what merely
-// ran on instances that ended together is told apart from their cause, and no
-// request is blocked for crashes alone unless there are `kMaxCrashes`.
+// Its completion clears it; the end of the instance convicts it. Crashes alone
+// block nothing, however many: a request that many callers send may have run on
+// all instances of a failure domain that lost power.
 #ifndef CORE_CRASH_SUSPECTS_H_
 #define CORE_CRASH_SUSPECTS_H_
 
@@ -43,6 +43,7 @@
   std::string node;          // The node beside the instance.
   std::uint64_t number = 0;  // Random, since a restarted node cannot count on.
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): the check misreads the default.
   auto operator<=>(const CrashId&) const = default;
 };
 
@@ -58,6 +59,12 @@
   bool operator==(const CrashEvidence&) const = default;
 };
 
+enum class MergeResult : std::uint8_t {
+  kUnchanged = 0,
+  kAdded,     // It contained something new.
+  kOutdated,  // The request was cleared since.
+};
+
 enum class SuspectVerdict : std::uint8_t {
   kUnsuspected = 0,
   kSuspect,  // Runs as any other request.
@@ -70,12 +77,10 @@
 
 class CrashSuspects {
  public:
-  // Crashes after which a request is on trial, after which it is blocked if it
-  // is convicted, and after which it is blocked in any case. Platforms allow
-  // three more runs after the third crash.
+  // Crashes after which a request is on trial, and after which it is blocked if
+  // it is convicted.
   static constexpr std::size_t kCrashesToTrial = 2;
   static constexpr std::size_t kCrashesToBlock = 3;
-  static constexpr std::size_t kMaxCrashes = 5;
   // Bounds of what is kept and of what a new peer is told. The suspect with the
   // fewest crashes is dropped first, of several the one heard of the longest
   // ago.
@@ -89,8 +94,13 @@
   std::vector<CrashEvidence> OnCrash(const CrashId& crash,
                                      std::span<const CrashedCall> running,
                                      Time now);
-  // Adds the evidence of a peer. Returns whether it contained something new.
-  bool Merge(const CrashEvidence& evidence, Time now);
+  // Adds the evidence of a peer. A peer whose evidence is outdated should hear
+  // what is `Known`: it may be the only one for which the request is suspect.
+  MergeResult Merge(const CrashEvidence& evidence, Time now);
+  // What is known of a request that there was evidence against.
+  const CrashEvidence& Known(const Digest& request) const {
+    return suspects_.at(request).evidence;
+  }
   // The request got a complete response. Returns what peers should hear; empty
   // if it was not suspected.
   std::optional<CrashEvidence> OnCompleted(const Digest& request, Time now);
@@ -119,7 +129,7 @@
     Time heard_at;
   };
 
-  bool Add(const CrashEvidence& evidence, Time now);
+  MergeResult Add(const CrashEvidence& evidence, Time now);
   void EvictExcess();
 
   std::map<Digest, Suspect> suspects_;
--- a/src/io/http1_client.cc
+++ b/src/io/http1_client.cc
@@ -495,6 +495,11 @@
   }
 }
 
+bool Http1Client::HasIdle(const SocketAddress& address) const {
+  const auto found = idle_.find(ToString(address));
+  return found != idle_.end() && !found->second.empty();
+}
+
 void Http1Client::CloseIdle(const SocketAddress& address) {
   const auto found = idle_.find(ToString(address));
   if (found != idle_.end()) {
--- a/src/io/http1_client.h
+++ b/src/io/http1_client.h
@@ -84,6 +84,10 @@
   void CloseIdle(const SocketAddress& address);
   void CloseIdle() { idle_.clear(); }
 
+  // Whether a connection to the address is open and idle. Those that the server
+  // closes are removed at once.
+  bool HasIdle(const SocketAddress& address) const;
+
   std::size_t active() const { return calls_.size(); }
   std::uint64_t connects() const { return connects_; }
 
--- a/src/mesh/inbound_proxy.cc
+++ b/src/mesh/inbound_proxy.cc
@@ -75,19 +75,14 @@
   return status >= kFirstSuccess && status < kFirstNonSuccess;
 }
 
-Digest ContentDigest(const GateCall& request) {
-  return DigestOf({request.caller_service, FindHeader(request.headers, "host"),
-                   request.method, request.target, request.body});
-}
-
 std::string DescribeCalls(std::span<const BrokenCall> calls) {
   std::string text;
   for (const BrokenCall& call :
        calls.subspan(0, std::min(calls.size(), kMaxLoggedCalls))) {
-    text += fmt::format("{}{} digest={} caller={} target={}",
-                        text.empty() ? "" : "; ", call.request_id,
-                        ToString(call.digest), call.caller_service,
-                        call.target.substr(0, kMaxLoggedTargetBytes));
+    text +=
+        fmt::format("{}{} digest={} caller={} target={}",
+                    text.empty() ? "" : "; ", call.request_id,
+                    ToString(call.digest), call.caller_service, call.target);
   }
   return text;
 }
@@ -148,7 +143,7 @@
     Refuse(id, UnavailableReason(), Duration::zero());
   } else if (entry.request.service != init_.tracker->report()->service) {
     Refuse(id, RefusalReason::kOtherService, Duration::zero());
-  } else if (!MayRun(entry.request, Judge(entry.request))) {
+  } else if (!MayRun(entry, Judge(entry))) {
     Refuse(id, RefusalReason::kCrashSuspect, Duration::zero());
   } else if (entry.request.only_if_free && !admission_.CanStartNow(now)) {
     Refuse(id, RefusalReason::kBusy, Duration::zero());
@@ -166,17 +161,25 @@
   return id;
 }
 
-SuspectVerdict InboundProxy::Judge(const GateCall& request) const {
-  return init_.suspects->empty()
-             ? SuspectVerdict::kUnsuspected
-             : init_.suspects->Judge(ContentDigest(request));
+const Digest& InboundProxy::ContentDigest(Call& call) {
+  if (!call.digest) {
+    const GateCall& request = call.request;
+    call.digest =
+        DigestOf({request.caller_service, FindHeader(request.headers, "host"),
+                  request.method, request.target, request.body});
+  }
+  return *call.digest;
 }
 
-bool InboundProxy::MayRun(const GateCall& request,
-                          SuspectVerdict verdict) const {
+SuspectVerdict InboundProxy::Judge(Call& call) const {
+  return init_.suspects->empty() ? SuspectVerdict::kUnsuspected
+                                 : init_.suspects->Judge(ContentDigest(call));
+}
+
+bool InboundProxy::MayRun(Call& call, SuspectVerdict verdict) const {
   if (verdict == SuspectVerdict::kOnTrial) {
     return trial_call_id_ == 0 &&
-           init_.may_try(request.service, ContentDigest(request));
+           init_.may_try(call.request.service, ContentDigest(call));
   }
   return verdict != SuspectVerdict::kBlocked;
 }
@@ -243,8 +246,8 @@
     return;
   }
   // The evidence may have arrived while the call waited.
-  const SuspectVerdict verdict = Judge(call.request);
-  if (!MayRun(call.request, verdict)) {
+  const SuspectVerdict verdict = Judge(call);
+  if (!MayRun(call, verdict)) {
     Execute(admission_.OnEnded(id, now));
     Refuse(id, RefusalReason::kCrashSuspect, Duration::zero());
     return;
@@ -506,7 +509,7 @@
     return;
   }
   if (is_signed) {
-    ClearSuspect(call.request);
+    ClearSuspect(call);
   }
   if (!call.abandoned) {
     SendPart(id, call, true);
@@ -585,15 +588,16 @@
 }
 
 void InboundProxy::AddBroken(CallId id, bool cancelled) {
-  const Call& call = calls_.at(id);
+  Call& call = calls_.at(id);
   const GateCall& request = call.request;
   if (call.instance_id != broken_instance_) {
     broken_calls_.Clear();
     broken_instance_ = call.instance_id;
   }
-  broken_calls_.Add({ContentDigest(request), request.request_id,
-                     request.caller_service, request.target, SteadyNow(),
-                     cancelled, id == trial_call_id_});
+  broken_calls_.Add({ContentDigest(call), request.request_id,
+                     request.caller_service,
+                     request.target.substr(0, kMaxLoggedTargetBytes),
+                     SteadyNow(), cancelled, id == trial_call_id_});
 }
 
 void InboundProxy::ScheduleInstanceCheck() {
@@ -620,7 +624,8 @@
         return call.http_call_id != 0 && call.started < broken_since;
       });
   // The end of a leaving instance is planned, and no request's doing.
-  if (others_run || tracker.is_leaving() || !tracker.report()) {
+  if (others_run || tracker.is_leaving() || !tracker.report() ||
+      http_client_.HasIdle(tracker.report()->address)) {
     broken_calls_.Clear();
     return;
   }
@@ -659,12 +664,12 @@
   }
 }
 
-void InboundProxy::ClearSuspect(const GateCall& request) {
+void InboundProxy::ClearSuspect(Call& call) {
   if (init_.suspects->empty()) {
     return;
   }
   if (auto evidence =
-          init_.suspects->OnCompleted(ContentDigest(request), SteadyNow())) {
+          init_.suspects->OnCompleted(ContentDigest(call), SteadyNow())) {
     init_.on_crash_evidence({std::move(*evidence)});
   }
 }
--- a/src/mesh/inbound_proxy.h
+++ b/src/mesh/inbound_proxy.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -101,6 +102,7 @@
     Time arrived;
     Time started;  // Sent to the instance; `Time()` while it is queued.
     Time deadline;
+    std::optional<Digest> digest;  // Of the request's content, once needed.
     Http1CallId http_call_id = 0;
     std::string instance_id;  // The instance that it was sent to.
     Http1Head response_head;
@@ -123,8 +125,9 @@
   };
 
   bool CanStartCalls(Time now) const;
-  SuspectVerdict Judge(const GateCall& request) const;
-  bool MayRun(const GateCall& request, SuspectVerdict verdict) const;
+  static const Digest& ContentDigest(Call& call);
+  SuspectVerdict Judge(Call& call) const;
+  bool MayRun(Call& call, SuspectVerdict verdict) const;
   RefusalReason UnavailableReason() const;
   bool IsTooSlow(const Call& call, Time now) const;
   Duration LinkDelay(const Call& call) const;
@@ -150,7 +153,7 @@
   // Notes a running call that ended without a complete response.
   void AddBroken(CallId id, bool cancelled);
   // The request ran to its end, so it does not end instances.
-  void ClearSuspect(const GateCall& request);
+  void ClearSuspect(Call& call);
   // Finds out, once the calls that broke together were all noted, whether the
   // instance has ended.
   void ScheduleInstanceCheck();
--- a/src/mesh/outbound_proxy.cc
+++ b/src/mesh/outbound_proxy.cc
@@ -198,6 +198,17 @@
   return init_.suspects->Judge(*call.digest);
 }
 
+// The node beside the instance does the same; it may lack the evidence.
+void OutboundProxy::ClearSuspect(Call& call) {
+  if (Judge(call) == SuspectVerdict::kUnsuspected ||
+      FindHeader(call.headers, init_.headers.signature).empty()) {
+    return;
+  }
+  if (auto evidence = init_.suspects->OnCompleted(*call.digest, SteadyNow())) {
+    init_.on_crash_evidence({std::move(*evidence)});
+  }
+}
+
 // Chooses an upstream and sends the request to it; chooses again when the link
 // to its node is down.
 void OutboundProxy::StartAttempt(CallId id) {
@@ -541,6 +552,7 @@
   if (!failed) {
     RecordServiceTime(call, SteadyNow());
   }
+  ClearSuspect(call);
   EndAttempt(call, failed ? AttemptOutcome::kFailed : AttemptOutcome::kAnswered,
              true);
   if (failed && !call.streaming) {
--- a/src/mesh/outbound_proxy.h
+++ b/src/mesh/outbound_proxy.h
@@ -52,7 +52,9 @@
     const StateChart* health_chart = nullptr;
     InboundProxy* inbound_proxy = nullptr;
     LinkHub* links = nullptr;
-    const CrashSuspects* suspects = nullptr;
+    CrashSuspects* suspects = nullptr;
+    // Peers should hear this evidence.
+    std::function<void(std::vector<CrashEvidence>)> on_crash_evidence;
     Metrics* metrics = nullptr;
     CallHeaderNames headers;
     FleetRetryBudgetLimits allowance;
@@ -163,6 +165,8 @@
   bool MatchRule(CallId id, Call& call);
   void SetDeadline(Call& call) const;
   SuspectVerdict Judge(Call& call) const;
+  // The request got a complete response of an instance.
+  void ClearSuspect(Call& call);
   void StartAttempt(CallId id);
   void AllowQueueing(Call& call);
   UpstreamHandle ChooseUpstream(Call& call, Time now);
--- a/src/mesh/sidecar.cc
+++ b/src/mesh/sidecar.cc
@@ -210,6 +210,9 @@
   init.inbound_proxy = &inbound_;
   init.links = &links_;
   init.suspects = &suspects_;
+  init.on_crash_evidence = [this](std::vector<CrashEvidence> evidence) {
+    OnCrashEvidence(std::move(evidence));
+  };
   init.metrics = &metrics_;
   init.headers = platform::kCallHeaders;
   init.allowance = AllowanceLimits();
@@ -779,15 +782,34 @@
 void Sidecar::MergeCrashEvidence(std::string_view source,
                                  std::span<const CrashEvidence> evidence) {
   bool changed = false;
+  std::vector<CrashEvidence> newer;
   for (const CrashEvidence& item : evidence) {
-    if (suspects_.Merge(item, SteadyNow())) {
-      changed = true;
-      LogVerdict(source, item);
+    switch (suspects_.Merge(item, SteadyNow())) {
+      case MergeResult::kAdded:
+        changed = true;
+        LogVerdict(source, item);
+        break;
+      case MergeResult::kOutdated:
+        newer.push_back(suspects_.Known(item.request));
+        break;
+      case MergeResult::kUnchanged:
+        break;
     }
   }
   if (changed) {
     PublishCrashEvidence();
   }
+  if (changed && source == kStoreSource) {
+    // Peers that started together with this node, and cannot read the store,
+    // have this part from nobody else.
+    std::vector<CrashEvidence> own = suspects_.SeenBy(settings_.name);
+    if (!own.empty()) {
+      links_.AnnounceCrashEvidence(std::move(own));
+    }
+  }
+  if (!newer.empty() && source != kStoreSource) {
+    links_.Send(source, {0, LinkCrashEvidence{std::move(newer)}});
+  }
 }
 
 void Sidecar::OnCrashEvidence(std::vector<CrashEvidence> evidence) {
@@ -822,11 +844,12 @@
   }
 }
 
-// One crash is logged by the node that saw it only.
+// One crash, or a clearance, is logged by the node that saw it only.
 void Sidecar::LogVerdict(std::string_view source,
                          const CrashEvidence& evidence) const {
   const SuspectVerdict verdict = suspects_.Judge(evidence.request);
-  if (verdict == SuspectVerdict::kSuspect) {
+  if (verdict == SuspectVerdict::kSuspect ||
+      (verdict == SuspectVerdict::kUnsuspected && source != settings_.name)) {
     return;
   }
   std::string nodes;
@@ -835,7 +858,7 @@
   }
   Log(verdict == SuspectVerdict::kUnsuspected ? LogLevel::kInfo
                                               : LogLevel::kWarning,
-      "suspects", "The verdict on a request changed.",
+      "suspects", "New evidence on a request that may end instances.",
       {{"digest", ToString(evidence.request)},
        {"verdict", ToString(verdict)},
        {"crashes_at", nodes},
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -249,5 +249,22 @@
   }
 }
 
+// Guards against one object or report that ends each node that reads it.
+SCENARIO("deeply nested bytes end no reader") {
+  constexpr std::size_t kDepth = 500'000;
+  std::string objects;
+  for (std::size_t i = 0; i < kDepth; ++i) {
+    objects += "{\"a\":";
+  }
+  const std::string text = GENERATE_COPY(
+      std::string(kDepth, '['), objects,
+      std::string(kDepth, '[') + std::string(kDepth, ']'),
+      "{\"name\":" + std::string(kDepth, '[') + std::string(kDepth, ']') + "}");
+  CHECK(std::holds_alternative<FormatError>(ParseMember(text)));
+  CHECK(std::holds_alternative<FormatError>(ParseConfiguration(text)));
+  CHECK(std::holds_alternative<FormatError>(
+      ParseControlCall("POST", "/api/Instances.Heartbeat/i-1", text)));
+}
+
 }  // namespace
 }  // namespace verbenastile::platform
