Suspects: tell a peer that is behind, and each member once

Callers would have seen: one more instance lost where a node had missed a crash while its link was broken, as it would count from one again. Cause: evidence of one crash is not shared when a link opens, and only evidence older than a clearance was answered. Change: who hears less than it knows answers with all of it. News goes over one of the two links of a pair, since an opened link shares what was missed. Two deliberate faults for the fault soak: requests that are tried for ever, and bystanders that are blocked.

--- a/soak/broken_builds.sh
+++ b/soak/broken_builds.sh
@@ -23,6 +23,8 @@
 records not rewritten@src/mesh/sidecar.cc@s/  publisher_.OnStoreRestored(era);//@after a restore of the store
 rate limit not kept@src/mesh/inbound_proxy.cc@s/admission_.SetRateLimit(rate, now);//@named a limit of
 leaving in responses not heard@src/mesh/inbound_proxy.cc@s/  if (notice.leaving \&\&/  if (false \&\&/@after it said it leaves
+instances ended again@src/core/crash_suspects.cc@s/if (evidence.convicted \&\& crashes >= kCrashesToBlock)/if (false)/@after three
+bystanders blocked@src/core/crash_suspects.cc@s/if (evidence.convicted \&\& crashes >= kCrashesToBlock)/if (crashes > 0)/@which ran beside
 never ready@src/mesh/sidecar.cc@s/const bool ready =$/& false \&\&/@are ready
 '
 # Faults that one guard alone would hide have the second one taken away too.
--- a/soak/crash_suspects_topic.cc
+++ b/soak/crash_suspects_topic.cc
@@ -300,7 +300,7 @@
 
   // Links open in both directions, and each end shares what it knows.
   void Introduce(std::size_t index) {
-    if (options_.mutation == "no_introduction") {
+    if (options_.mutation == "no_exchange") {
       return;
     }
     for (std::size_t peer = 0; peer < kNodes; ++peer) {
@@ -326,7 +326,8 @@
       }
       for (const CrashEvidence& evidence : message.evidence) {
         const MergeResult result = node.suspects.Merge(evidence, now_);
-        if (result == MergeResult::kOutdated && message.from != message.to) {
+        if (result.sender_is_behind && message.from != message.to &&
+            options_.mutation != "no_exchange") {
           Post(message.to, message.from,
                {node.suspects.Known(evidence.request)});
         }
@@ -428,7 +429,7 @@
 SoakTopic CrashSuspectsTopic() {
   return {"crash_suspects",
           RunCrashSuspects,
-          {"tell_nobody", "no_introduction", "no_conviction", "no_clearance",
+          {"tell_nobody", "no_exchange", "no_conviction", "no_clearance",
            "block_without_trial"}};
 }
 
--- a/src/core/crash_suspects.cc
+++ b/src/core/crash_suspects.cc
@@ -66,7 +66,7 @@
   suspect.heard_at = now;
   known.request = evidence.request;
   if (evidence.clearances < known.clearances) {
-    return MergeResult::kOutdated;
+    return {false, true};
   }
   const bool newly_cleared = evidence.clearances > known.clearances;
   if (newly_cleared) {
@@ -78,7 +78,9 @@
   known.convicted = known.convicted || evidence.convicted;
   const bool added = Unite(known.crashes, evidence.crashes) || newly_cleared ||
                      newly_convicted;
-  return added ? MergeResult::kAdded : MergeResult::kUnchanged;
+  const bool sender_is_behind = known.convicted != evidence.convicted ||
+                                known.crashes.size() > evidence.crashes.size();
+  return {added, sender_is_behind};
 }
 
 std::optional<CrashEvidence> CrashSuspects::OnCompleted(const Digest& request,
--- a/src/core/crash_suspects.h
+++ b/src/core/crash_suspects.h
@@ -59,10 +59,10 @@
   bool operator==(const CrashEvidence&) const = default;
 };
 
-enum class MergeResult : std::uint8_t {
-  kUnchanged = 0,
-  kAdded,     // It contained something new.
-  kOutdated,  // The request was cleared since.
+struct MergeResult {
+  bool added = false;  // The evidence contained something new.
+  // It lacked something that is known here: a clearance or a crash.
+  bool sender_is_behind = false;
 };
 
 enum class SuspectVerdict : std::uint8_t {
@@ -94,8 +94,8 @@
   std::vector<CrashEvidence> OnCrash(const CrashId& crash,
                                      std::span<const CrashedCall> running,
                                      Time now);
-  // Adds the evidence of a peer. A peer whose evidence is outdated should hear
-  // what is `Known`: it may be the only one for which the request is suspect.
+  // Adds the evidence of a peer. A peer that is behind should hear what is
+  // `Known`: others may have it from this node only.
   MergeResult Merge(const CrashEvidence& evidence, Time now);
   // What is known of a request that there was evidence against.
   const CrashEvidence& Known(const Digest& request) const {
--- a/src/mesh/link_hub.cc
+++ b/src/mesh/link_hub.cc
@@ -435,12 +435,19 @@
   return true;
 }
 
-void LinkHub::AnnounceSelf() {
-  SendToAll({0, LinkMember{init_.self()}});
-}
-
 void LinkHub::AnnounceCrashEvidence(std::vector<CrashEvidence> evidence) {
-  SendToAll({0, LinkCrashEvidence{std::move(evidence)}});
+  const LinkFrame frame{0, LinkCrashEvidence{std::move(evidence)}};
+  for (const auto& [name, peer] : outgoing_) {
+    if (peer->handshake_done) {
+      peer->link->Send(frame);
+    }
+  }
+  for (const auto& peer : incoming_) {
+    const auto found = outgoing_.find(peer->name);
+    if (found == outgoing_.end() || !found->second->handshake_done) {
+      peer->link->Send(frame);
+    }
+  }
 }
 
 void LinkHub::ShareCrashEvidence(Link& link) const {
@@ -450,7 +457,8 @@
   }
 }
 
-void LinkHub::SendToAll(const LinkFrame& frame) {
+void LinkHub::AnnounceSelf() {
+  const LinkFrame frame{0, LinkMember{init_.self()}};
   for (const auto& [name, peer] : outgoing_) {
     if (peer->handshake_done) {
       peer->link->Send(frame);
--- a/src/mesh/link_hub.h
+++ b/src/mesh/link_hub.h
@@ -81,7 +81,8 @@
   // Sends the load and the active configuration of this node on all incoming
   // links.
   void AnnounceConfiguration();
-  // Sends the evidence on all links: one direction of a pair may be broken.
+  // Sends the evidence to each linked member. One whose link is broken gets
+  // what is shared with new links.
   void AnnounceCrashEvidence(std::vector<CrashEvidence> evidence);
   void Close();
 
@@ -134,7 +135,6 @@
   void ScheduleReconnect(const OutgoingPointer& peer);
   void Discard(Outgoing& peer);
   LinkFrame HelloFrame() const;
-  void SendToAll(const LinkFrame& frame);
   void ShareCrashEvidence(Link& link) const;
   void CheckLinks(Time now);
   void CheckOutgoing(const OutgoingPointer& peer, Time now);
--- a/src/mesh/sidecar.cc
+++ b/src/mesh/sidecar.cc
@@ -784,16 +784,13 @@
   bool changed = false;
   std::vector<CrashEvidence> newer;
   for (const CrashEvidence& item : evidence) {
-    switch (suspects_.Merge(item, SteadyNow())) {
-      case MergeResult::kAdded:
-        changed = true;
-        LogVerdict(source, item);
-        break;
-      case MergeResult::kOutdated:
-        newer.push_back(suspects_.Known(item.request));
-        break;
-      case MergeResult::kUnchanged:
-        break;
+    const MergeResult result = suspects_.Merge(item, SteadyNow());
+    if (result.added) {
+      changed = true;
+      LogVerdict(source, item);
+    }
+    if (result.sender_is_behind) {
+      newer.push_back(suspects_.Known(item.request));
     }
   }
   if (changed) {
--- a/tests/crash_suspects_test.cc
+++ b/tests/crash_suspects_test.cc
@@ -37,15 +37,21 @@
   auto evidence = SeparateCrashes(kGuilty, 5);
 
   GIVEN("one crash, told twice") {
-    CHECK(suspects.Merge(evidence[0], Time()) == MergeResult::kAdded);
-    CHECK(suspects.Merge(evidence[0], Time()) == MergeResult::kUnchanged);
+    CHECK(suspects.Merge(evidence[0], Time()).added);
+    CHECK_FALSE(suspects.Merge(evidence[0], Time()).added);
     THEN("the request runs as any other") {
       CHECK(suspects.Judge(kGuilty) == SuspectVerdict::kSuspect);
     }
   }
   GIVEN("two crashes") {
     suspects.Merge(evidence[1], Time());
-    suspects.Merge(evidence[0], Time());
+    const MergeResult second = suspects.Merge(evidence[0], Time());
+    THEN("the node that knows of one should hear of the other") {
+      CHECK(second.sender_is_behind);
+      CHECK(suspects.Known(kGuilty).crashes.size() == 2);
+      CHECK_FALSE(
+          suspects.Merge(suspects.Known(kGuilty), Time()).sender_is_behind);
+    }
     THEN("it is on trial, and other requests are not") {
       CHECK(suspects.Judge(kGuilty) == SuspectVerdict::kOnTrial);
       CHECK(suspects.Judge(kInnocent) == SuspectVerdict::kUnsuspected);
@@ -63,7 +69,8 @@
       REQUIRE(cleared.has_value());
       THEN("it is clear, also for a node that hears of old crashes later") {
         CHECK(suspects.Judge(kGuilty) == SuspectVerdict::kUnsuspected);
-        CHECK(suspects.Merge(evidence[0], Time()) == MergeResult::kOutdated);
+        CHECK_FALSE(suspects.Merge(evidence[0], Time()).added);
+        CHECK(suspects.Merge(evidence[0], Time()).sender_is_behind);
         CHECK(suspects.Known(kGuilty) == *cleared);
         CHECK(suspects.Judge(kGuilty) == SuspectVerdict::kUnsuspected);
         CrashSuspects other;
