--- a/soak/faults.py
+++ b/soak/faults.py
@@ -11,6 +11,7 @@
 import os
 import pathlib
 import random
+import re
 import shutil
 import signal
 import sys
@@ -26,6 +27,7 @@
 APPLY = 2.0  # Seconds in which a configuration is in force, without faults.
 TOUCH = 3.0  # Seconds without faults after which bounds hold.
 REWRITE = 2.0  # Seconds from a restore of the store until records are back.
+RELOAD = 2.0  # Seconds until a changed settings file is read.
 RECOVERY = 15.0  # Seconds after the last fault until requests are served.
 SLACK = 0.5  # Seconds for the scheduling of this process.
 WINDOW = 4.0  # Seconds in which the requests to a limited instance are counted.
@@ -488,7 +490,7 @@
         self.interrupted = 0.0  # When it last started, stopped or froze.
         self.starts = 0
 
-    def write_settings(self):
+    def write_settings(self, requests=None):
         text = json.dumps(
             {
                 "node": {
@@ -511,6 +513,7 @@
                     "address": "%s:%d" % self.store_proxy,
                     "bounds": protocol.bounds(GRACE, 0.2, 56, 10),
                 },
+                "requests": requests or {},
             },
             indent=1,
         )
@@ -802,6 +805,40 @@
                 "that share the path of one that ends instances"
             )
 
+    def blocked_request(self):
+        """Digest and target of a blocked request, from the nodes' logs."""
+        lines = [
+            line
+            for log in self.folder.glob("node-*.log")
+            for line in log.read_text(errors="replace").splitlines()
+        ]
+        blocked = {
+            re.search(r"digest=(\w+)", line)[1]
+            for line in lines
+            if "verdict=blocked" in line
+        }
+        for line in lines:
+            for digest, target in re.findall(r"digest=(\w+) .*?target=([^;\"]+)", line):
+                if digest in blocked and "ended without notice" in line:
+                    return digest, target
+        return None
+
+    async def check_clearance(self):
+        """An operator lifts a block at one node, and the request runs again."""
+        found = self.blocked_request()
+        if not found:
+            return
+        digest, target = found
+        self.ends[target] = []
+        self.resends.pop(target, None)
+        self.nodes[0].write_settings({digest: "cleared"})
+        deadline = time.monotonic() + RELOAD + TOUCH
+        while not self.ends[target]:
+            if time.monotonic() > deadline:
+                self.fail(f"{target} is not run after its block was lifted")
+                return
+            await asyncio.sleep(0.1)
+
     # Faults: each is a coroutine that begins and ends one.
 
     async def fault_kill(self):
@@ -968,6 +1005,7 @@
         if not recent or sum(recent) < 0.9 * len(recent):
             self.fail(f"{sum(recent)} of {len(recent)} are served after recovery")
         await self.check_bystanders()
+        await self.check_clearance()
 
     def check_refusals(self):
         for request, (unsafe, status) in self.sent.items():
