Probe: hold nothing of a probe that is gone

Cause (by reading): the handlers of a connection attempt held the probe, which a stopping node destroys first; and evidence that was dropped for room at once was looked up as if it were still there. Change: handlers hold the attempt alone; a lookup may find nothing. A trial keeps the count of refusals.

--- a/soak/crash_suspects_topic.cc
+++ b/soak/crash_suspects_topic.cc
@@ -329,7 +329,7 @@
         if (result.sender_is_behind && message.from != message.to &&
             options_.mutation != "no_exchange") {
           Post(message.to, message.from,
-               {node.suspects.Known(evidence.request)});
+               {*node.suspects.Known(evidence.request)});
         }
       }
       if (message.from == message.to) {
--- a/src/core/crash_suspects.cc
+++ b/src/core/crash_suspects.cc
@@ -131,6 +131,12 @@
   return found->second.evidence.crashes;
 }
 
+std::optional<CrashEvidence> CrashSuspects::Known(const Digest& request) const {
+  const auto found = suspects_.find(request);
+  return found == suspects_.end() ? std::nullopt
+                                  : std::optional(found->second.evidence);
+}
+
 std::vector<CrashEvidence> CrashSuspects::Shared() const {
   std::vector<CrashEvidence> shared;
   for (const auto& [request, suspect] : suspects_) {
--- a/src/core/crash_suspects.h
+++ b/src/core/crash_suspects.h
@@ -97,10 +97,8 @@
   // Adds the evidence of a peer. A peer that is behind should hear what is
   // `Known`: others may have it from this node only.
   MergeResult Merge(const CrashEvidence& evidence, Time now);
-  // What is known of a request that there was evidence against.
-  const CrashEvidence& Known(const Digest& request) const {
-    return suspects_.at(request).evidence;
-  }
+  // What is known of the request, also if it was cleared.
+  std::optional<CrashEvidence> Known(const Digest& request) const;
   // The request got a complete response. Returns what peers should hear; empty
   // if it was not suspected.
   std::optional<CrashEvidence> OnCompleted(const Digest& request, Time now);
--- a/src/io/connect_probe.cc
+++ b/src/io/connect_probe.cc
@@ -20,12 +20,25 @@
 
 }  // namespace
 
+// Handlers hold the attempt, not the probe, which may be gone when they run.
 struct ConnectProbe::Attempt {
   explicit Attempt(asio::io_context& io) : socket(io), timer(io) {}
 
+  void Finish(ConnectResult result) {
+    if (const auto done = Close()) {
+      done(result);
+    }
+  }
+  std::function<void(ConnectResult)> Close() {
+    timer.cancel();
+    asio::error_code ignored;  // The connection is not used.
+    socket.close(ignored);
+    return std::exchange(on_done, nullptr);
+  }
+
   tcp::socket socket;
   asio::steady_timer timer;
-  std::function<void(ConnectResult)> on_done;
+  std::function<void(ConnectResult)> on_done;  // Null once it has ended.
 };
 
 void ConnectProbe::Start(const SocketAddress& address,
@@ -34,38 +47,33 @@
   const auto attempt = std::make_shared<Attempt>(io_);
   attempt_ = attempt;
   attempt->on_done = std::move(on_done);
-  const auto finish = [this, attempt](ConnectResult result) {
-    if (attempt != attempt_) {
-      return;
-    }
-    const auto done = std::move(attempt->on_done);
-    Cancel();
-    done(result);
-  };
   asio::error_code error;
   const tcp::endpoint endpoint(asio::ip::make_address(address.ip, error),
                                address.port);
   if (error) {
-    asio::post(io_, [finish] { finish(ConnectResult::kNoAnswer); });
+    asio::post(io_, [attempt] { attempt->Finish(ConnectResult::kNoAnswer); });
     return;
   }
   attempt->timer.expires_after(timeout);
-  attempt->timer.async_wait([finish](const asio::error_code& cancelled) {
+  attempt->timer.async_wait([attempt](const asio::error_code& cancelled) {
     if (!cancelled) {
-      finish(ConnectResult::kNoAnswer);
+      attempt->Finish(ConnectResult::kNoAnswer);
     }
   });
-  attempt->socket.async_connect(
-      endpoint,
-      [finish](const asio::error_code& failed) { finish(ToResult(failed)); });
+  attempt->socket.async_connect(endpoint,
+                                [attempt](const asio::error_code& failed) {
+                                  attempt->Finish(ToResult(failed));
+                                });
 }
 
 void ConnectProbe::Cancel() {
   if (const auto attempt = std::exchange(attempt_, nullptr)) {
-    attempt->timer.cancel();
-    asio::error_code ignored;  // The connection is not used.
-    attempt->socket.close(ignored);
+    attempt->Close();
   }
 }
 
+bool ConnectProbe::active() const {
+  return attempt_ != nullptr && attempt_->on_done != nullptr;
+}
+
 }  // namespace verbenastile
--- a/src/io/connect_probe.h
+++ b/src/io/connect_probe.h
@@ -34,7 +34,7 @@
              std::function<void(ConnectResult)> on_done);
   // Ends a probe that is under way without a result.
   void Cancel();
-  bool active() const { return attempt_ != nullptr; }
+  bool active() const;
 
  private:
   struct Attempt;
--- a/src/mesh/outbound_proxy.cc
+++ b/src/mesh/outbound_proxy.cc
@@ -44,8 +44,8 @@
 constexpr std::uint32_t kMaxRefusals = 4;
 // Requests with less than 1/8 of their time left are not retried.
 constexpr int kMinRetryTimeDivisor = 8;
-// Retry-After of a request that ended the instances that ran it: it is refused
-// until an operator or another release of the service changes that.
+// Retry-After of a blocked request, which is refused until an operator clears
+// it.
 constexpr Duration kBlockedRetryAfter = std::chrono::minutes(1);
 // When the store has not confirmed the configuration for this long, a request
 // that matches no rule gets 503 and not 404: its rule may have been added
@@ -227,14 +227,10 @@
       return;
     }
     balancer_.Sync(init_.member_registry->directory(), now);
-    const bool on_trial = verdict == SuspectVerdict::kOnTrial;
-    if (on_trial) {
-      // There is no other instance to look for a free slot at.
-      call.refusals = std::max(call.refusals, kFreeSlotAttempts);
-    }
+    call.on_trial = verdict == SuspectVerdict::kOnTrial;
     UpstreamHandle upstream =
-        on_trial ? TrialUpstream(call) : ChooseUpstream(call, now);
-    if (!upstream.valid() && !on_trial && !call.busy_upstreams.empty()) {
+        call.on_trial ? TrialUpstream(call) : ChooseUpstream(call, now);
+    if (!upstream.valid() && !call.on_trial && !call.busy_upstreams.empty()) {
       AllowQueueing(call);
       upstream = ChooseUpstream(call, now);
     }
@@ -340,7 +336,9 @@
   const bool large_from_remote =
       member.failure_domain != init_.failure_domain &&
       rule_profiles_.Find(call.rule->id).response_bytes > kLargeResponseBytes;
-  request.only_if_free = large_from_remote || call.refusals < kFreeSlotAttempts;
+  // A request that is on trial has no other instance to find a free slot at.
+  request.only_if_free = !call.on_trial && (large_from_remote ||
+                                            call.refusals < kFreeSlotAttempts);
   if (const auto* entry = init_.member_registry->Find(member.name)) {
     request.notice = peer_notices_.Find(member.name, entry->record.instance);
   }
--- a/src/mesh/outbound_proxy.h
+++ b/src/mesh/outbound_proxy.h
@@ -143,6 +143,7 @@
     Duration retry_after{0};  // As sent to the caller; 0: not sent.
     // Of the request's content; computed when there are suspects.
     std::optional<Digest> digest;
+    bool on_trial = false;  // In the current attempt.
     bool may_have_run = false;
     // Server error of an instance, sent to the caller unless a retry gets a
     // response.
--- a/src/mesh/sidecar.cc
+++ b/src/mesh/sidecar.cc
@@ -789,8 +789,9 @@
       changed = true;
       LogVerdict(source, item);
     }
-    if (result.sender_is_behind) {
-      newer.push_back(suspects_.Known(item.request));
+    if (const auto known = suspects_.Known(item.request);
+        known && result.sender_is_behind) {
+      newer.push_back(*known);
     }
   }
   if (changed) {
--- a/tests/crash_suspects_test.cc
+++ b/tests/crash_suspects_test.cc
@@ -48,9 +48,9 @@
     const MergeResult second = suspects.Merge(evidence[0], Time());
     THEN("the node that knows of one should hear of the other") {
       CHECK(second.sender_is_behind);
-      CHECK(suspects.Known(kGuilty).crashes.size() == 2);
+      CHECK(suspects.Known(kGuilty)->crashes.size() == 2);
       CHECK_FALSE(
-          suspects.Merge(suspects.Known(kGuilty), Time()).sender_is_behind);
+          suspects.Merge(*suspects.Known(kGuilty), Time()).sender_is_behind);
     }
     THEN("it is on trial, and other requests are not") {
       CHECK(suspects.Judge(kGuilty) == SuspectVerdict::kOnTrial);
@@ -71,7 +71,7 @@
         CHECK(suspects.Judge(kGuilty) == SuspectVerdict::kUnsuspected);
         CHECK_FALSE(suspects.Merge(evidence[0], Time()).added);
         CHECK(suspects.Merge(evidence[0], Time()).sender_is_behind);
-        CHECK(suspects.Known(kGuilty) == *cleared);
+        CHECK(suspects.Known(kGuilty) == cleared);
         CHECK(suspects.Judge(kGuilty) == SuspectVerdict::kUnsuspected);
         CrashSuspects other;
         other.Merge(*cleared, Time());
