--- a/src/config/rules.h
+++ b/src/config/rules.h
@@ -6,6 +6,7 @@
 
 #include <boost/leaf/result.hpp>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -39,12 +40,12 @@
   std::uint32_t changes_per_minute = 60;
 };
 
-// A group of callers and its fair-share weight for the slots of each upstream.
-struct Group {
-  std::string name;
-  std::uint32_t weight = 1;
-  GroupQuota quota;
-  SourceMark mark;
+// Limit on the requests of a group over all nodes together: a token bucket.
+struct RequestQuota {
+  double per_second = 0;  // 0: no limit.
+  double burst = 0;       // Requests beyond the rate that may come at once.
+
+  bool operator==(const RequestQuota&) const = default;
 };
 
 struct HeaderMatch {
@@ -70,6 +71,19 @@
 // Names of the priorities in rules, in the order of the enumeration.
 constexpr const char* kPriorityNames[] = {"high", "normal", "low"};
 
+// A group of callers and its fair-share weight for the slots of each upstream.
+struct Group {
+  std::string name;
+  std::uint32_t weight = 1;
+  GroupQuota quota;
+  // Secrets by which callers prove that they belong to the group.
+  std::vector<std::string> keys;
+  // Precedes the priorities of rules; empty: the group has none.
+  std::optional<Priority> priority;
+  RequestQuota requests;
+  SourceMark mark;
+};
+
 struct RouteTarget {
   std::string service;
   std::uint32_t weight = 1;
@@ -84,6 +98,7 @@
   bool repeatable = false;  // Idempotent: may be executed more than once.
   std::uint32_t retries = 0;
   Priority priority = Priority::kNormal;
+  bool needs_key = true;  // Where the document has groups with keys.
 };
 
 // Responds to the request without forwarding it to an upstream.
@@ -110,6 +125,8 @@
   std::vector<Service> services;
   std::vector<Group> groups;
   std::vector<Rule> rules;
+  // Callers have to present the key of a group, except on rules that need none.
+  bool callers_need_keys = false;
 };
 
 // A valid document and warnings about it.
--- a/src/core/member_directory.h
+++ b/src/core/member_directory.h
@@ -35,6 +35,7 @@
   std::string failure_domain;
   std::string region;
   std::string service;
+  std::string software;  // Version of the upstream's software; may be empty.
   SocketAddress peer_address;
   SocketAddress control_address;
   std::uint32_t slots = 0;
--- a/src/core/route_table.cc
+++ b/src/core/route_table.cc
@@ -32,6 +32,7 @@
     return leaf::new_error(ConfigError{std::move(faults)});
   }
   table.index_ = RouteIndex(table.document_.rules);
+  table.group_keys_ = GroupKeys(table.document_.groups);
   for (const Group& group : table.document_.groups) {
     table.group_weights_[group.name] = group.weight;
   }
@@ -55,6 +56,11 @@
   return found == group_weights_.end() ? 1 : found->second;
 }
 
+const Group* RouteTable::FindGroupByKey(std::string_view key) const {
+  const auto found = group_keys_.Find(key);
+  return found ? &document_.groups[*found] : nullptr;
+}
+
 bool RouteTable::HasService(std::string_view name) const {
   return services_.contains(name);
 }
--- a/src/core/route_table.h
+++ b/src/core/route_table.h
@@ -12,6 +12,7 @@
 #include <string_view>
 
 #include "config/rules.h"
+#include "core/group_keys.h"
 #include "core/request_view.h"
 #include "core/route_index.h"
 #include "core/snapshot.h"
@@ -49,6 +50,10 @@
   // Returns the fair-share weight of `group`; 1 when it is not declared.
   std::uint32_t GroupWeight(std::string_view group) const;
 
+  // Returns the group that `key` belongs to, or null when no group has it. The
+  // pointer is valid for the lifetime of the table.
+  const Group* FindGroupByKey(std::string_view key) const;
+
   bool HasService(std::string_view name) const;
   bool HasGroup(std::string_view name) const;
 
@@ -59,6 +64,7 @@
   Generation generation_ = 0;
   RuleDocument document_;
   RouteIndex index_;
+  GroupKeys group_keys_;
   std::map<std::string, std::uint32_t, std::less<>> group_weights_;
   std::set<std::string, std::less<>> services_;
 };
--- a/src/mesh/call_header_names.h
+++ b/src/mesh/call_header_names.h
@@ -19,6 +19,10 @@
   // nodes together, as a decimal number.
   std::string_view rate_limit;
   std::string_view leaving;  // On responses: "1" if the instance is leaving.
+  // Holds the key of the caller's group, after `key_scheme` and a space.
+  std::string_view key;
+  std::string_view key_scheme;
+  std::string_view group;  // Of the caller; set by the system.
 };
 
 }  // namespace verbenastile
--- a/src/mesh/inbound_proxy.cc
+++ b/src/mesh/inbound_proxy.cc
@@ -1,32 +1,17 @@
 #include "mesh/inbound_proxy.h"
 
-#include <fmt/format.h>
-
 #include <algorithm>
 #include <asio/post.hpp>
-#include <limits>
 #include <utility>
 
 #include "base/log.h"
 #include "core/request_digest.h"
-#include "mesh/response_notice.h"
 
 namespace verbenastile {
 namespace {
 
 constexpr std::string_view kLogComponent = "gate";
-// The source of what the instance said itself, in log lines.
-constexpr std::string_view kInstanceSource = "instance";
-
-constexpr int kMisdirectedRequest = 421;
-constexpr int kFirstNonSuccess = 300;
-constexpr int kFirstSuccess = 200;
-
-// Responses up to this size are sent to the caller in a single frame.
-constexpr std::size_t kSingleFrameBytes = 65'536;
-// Flow control window: reading from the instance is paused while the caller has
-// more than this of the response body uncredited.
-constexpr std::size_t kWindowBytes = 1'048'576;
+
 // A link counts as free while a large response waits for it for at most 1/4 of
 // its latency objective.
 constexpr int kFreeLinkDivisor = 4;
@@ -48,9 +33,6 @@
 // A call that may not be repeated is not broken off when its caller is gone,
 // but instances stop work at the deadline: after this time it is.
 constexpr Duration kNonIdempotentOverdueGrace = std::chrono::seconds(2);
-// Bytes of a response that are read only to reuse the connection. Beyond that
-// the connection is closed.
-constexpr std::size_t kMaxDiscardedBytes = 1'048'576;
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(500);
 // Idle connections are reused only this long after their last response, because
 // instances close idle connections, some of them without notice.
@@ -59,33 +41,6 @@
 // recently.
 constexpr Duration kMaxIdleNonIdempotent = std::chrono::seconds(3);
 constexpr std::uint32_t kInitialSlots = 1;
-// How long after a call broke off the instance is checked: the other
-// connections of an instance that ended break within this time.
-constexpr Duration kBreakSettleTime = std::chrono::milliseconds(10);
-constexpr Duration kInstanceProbeTimeout = std::chrono::milliseconds(500);
-constexpr std::uint64_t kMaxCrashNumber =
-    std::numeric_limits<std::uint64_t>::max();
-// Calls and bytes of each target in the log line of an instance's end.
-constexpr std::size_t kMaxLoggedCalls = 12;
-constexpr std::size_t kMaxLoggedTargetBytes = 120;
-// Shortest interval at which changes of a rate limit that stays are logged.
-constexpr Duration kRateLimitLogInterval = std::chrono::seconds(1);
-
-bool IsSuccess(int status) {
-  return status >= kFirstSuccess && status < kFirstNonSuccess;
-}
-
-std::string DescribeCalls(std::span<const BrokenCall> calls) {
-  std::string text;
-  for (const BrokenCall& call :
-       calls.subspan(0, std::min(calls.size(), kMaxLoggedCalls))) {
-    text +=
-        fmt::format("{}{} digest={} caller={} target={}",
-                    text.empty() ? "" : "; ", call.request_id,
-                    ToString(call.digest), call.caller_service, call.target);
-  }
-  return text;
-}
 
 }  // namespace
 
@@ -292,231 +247,10 @@
       {std::string(init_.headers.expected_instance), call.instance_id});
   headers.push_back(
       {std::string(init_.headers.caller_service), call.request.caller_service});
-  return headers;
-}
-
-void InboundProxy::OnResponseHead(CallId id, const Http1Head& head) {
-  const auto found = calls_.find(id);
-  if (found == calls_.end()) {
-    return;
-  }
-  Call& call = found->second;
-  call.response_head = head;
-  call.not_executed =
-      head.status == kMisdirectedRequest ||
-      !FindHeader(head.headers, init_.headers.not_executed).empty();
-  ResponseNotice notice = ParseResponseNotice(head.headers, init_.headers);
-  notice.is_success = IsSuccess(head.status);
-  // A misdirected request was answered by another instance, and a success
-  // without a signature by none.
-  if (head.status != kMisdirectedRequest &&
-      (notice.is_signed || !notice.is_success)) {
-    OnNotice(call, notice);
-  }
-}
-
-void InboundProxy::OnNotice(const Call& call, const ResponseNotice& notice) {
-  if (!std::holds_alternative<NoRateLimit>(notice.rate_limit)) {
-    init_.metrics->Add(limited_answers_);
-  }
-  if (notice.leaving) {
-    init_.metrics->Add(leaving_answers_);
-  }
-  const auto* invalid = std::get_if<InvalidRateLimit>(&notice.rate_limit);
-  if (invalid != nullptr && invalid->text != invalid_rate_limit_) {
-    invalid_rate_limit_ = invalid->text;
-    Log(LogLevel::kWarning, kLogComponent,
-        "Cannot parse the rate limit of the instance; keeping the known one.",
-        {{"instance", call.instance_id},
-         {"rate_limit", invalid->text},
-         {"known", RateLimitText()}});
-  }
-  if (rate_limit_.OnResponse(call.instance_id, notice, call.started,
-                             SteadyNow())) {
-    ApplyRateLimit(kInstanceSource);
-  }
-  if (notice.leaving &&
-      init_.tracker->OnLeavingResponse(call.instance_id, SteadyNow()) ==
-          ReportVerdict::kChanged) {
-    OnLeaving(call.instance_id, kInstanceSource);
-  }
-}
-
-void InboundProxy::OnPeerNotice(const GateCall& call) {
-  if (!call.notice) {
-    return;
-  }
-  if (rate_limit_.OnPeerNotice(*call.notice)) {
-    ApplyRateLimit(call.origin);
-  }
-  if (call.notice->leaving &&
-      init_.tracker->OnLeavingPeerNotice(call.notice->instance, SteadyNow()) ==
-          ReportVerdict::kChanged) {
-    OnLeaving(call.notice->instance, call.origin);
-  }
-}
-
-void InboundProxy::OnLeaving(std::string_view id, std::string_view source) {
-  Log(LogLevel::kInfo, kLogComponent, "The instance is leaving.",
-      {{"instance", id}, {"source", source}});
-  asio::post(*init_.io, init_.on_leaving);
-}
-
-// What peers should know about the instance; empty if it has said nothing.
-std::optional<InstanceNotice> InboundProxy::Notice() const {
-  const InstanceTracker& tracker = *init_.tracker;
-  if (!tracker.report() ||
-      !(rate_limit_.has_named_limit() || tracker.is_leaving())) {
-    return std::nullopt;
-  }
-  return InstanceNotice{tracker.report()->id, rate_limit_.calls_per_second(),
-                        tracker.is_leaving()};
-}
-
-// `source` is who reported the limit: the instance or the name of a peer.
-void InboundProxy::ApplyRateLimit(std::string_view source) {
-  const Time now = SteadyNow();
-  const auto rate = rate_limit_.calls_per_second();
-  admission_.SetRateLimit(rate, now);
-  // An instance may change its limit with each response.
-  const bool begins_or_ends =
-      rate.has_value() != logged_rate_limit_.has_value();
-  if (!begins_or_ends && now - rate_limit_logged_at_ < kRateLimitLogInterval) {
-    return;
-  }
-  logged_rate_limit_ = rate;
-  rate_limit_logged_at_ = now;
-  Log(LogLevel::kInfo, kLogComponent, "The rate limit of the instance changed.",
-      {{"instance", init_.tracker->report()->id},
-       {"rate_limit", RateLimitText()},
-       {"source", source}});
-}
-
-std::string InboundProxy::RateLimitText() const {
-  const auto rate = rate_limit_.calls_per_second();
-  return rate ? fmt::format("{}", *rate) : "none";
-}
-
-void InboundProxy::OnResponseData(CallId id, std::string part) {
-  const auto found = calls_.find(id);
-  if (found == calls_.end()) {
-    return;
-  }
-  Call& call = found->second;
-  if (call.abandoned || call.not_executed) {
-    call.discarded_bytes += part.size();
-    if (call.discarded_bytes > kMaxDiscardedBytes) {
-      http_client_.Cancel(call.http_call_id);
-      OnHttpEnd(id, Http1CallResult::kIncomplete, "the answer does not end");
-    }
-    return;
-  }
-  call.unsent_body += part;
-  const bool success = IsSuccess(call.response_head.status);
-  const bool signed_answer =
-      !FindHeader(call.response_head.headers, init_.headers.signature).empty();
-  // A successful response without a signature did not come from the instance.
-  if ((call.head_sent || call.unsent_body.size() > kSingleFrameBytes) &&
-      (signed_answer || !success)) {
-    SendPart(id, call, false);
-  }
-}
-
-// Sends the caller the part of the response that was received since the
-// previous part.
-void InboundProxy::SendPart(CallId id, Call& call, bool last) {
-  std::string body = std::exchange(call.unsent_body, {});
-  call.uncredited_bytes += body.size();
-  call.sent_bytes += body.size();
-  if (call.uncredited_bytes > kWindowBytes && !call.paused && !last) {
-    call.paused = true;
-    http_client_.Pause(call.http_call_id);
-  }
-  if (call.head_sent) {
-    PostReply(call.reply, GateResponseChunk{std::move(body), last});
-    return;
-  }
-  call.head_sent = true;
-  GateResponse answer;
-  answer.status = call.response_head.status;
-  for (const HttpHeader& header : call.response_head.headers) {
-    if (!IsHopByHop(header.name)) {
-      answer.headers.push_back(header);
-    }
-  }
-  answer.length = last ? body.size() : call.response_head.length;
-  answer.body = std::move(body);
-  answer.last = last;
-  answer.load = load();
-  answer.queue_time = call.started - call.arrived;
-  LogCall(id, call, last ? "answered" : "answer_begun");
-  PostReply(call.reply, std::move(answer));
-}
-
-void InboundProxy::OnHttpEnd(CallId id,
-                             Http1CallResult end,
-                             std::string_view detail) {
-  const auto found = calls_.find(id);
-  if (found == calls_.end()) {
-    return;
-  }
-  Call& call = found->second;
-  const Time now = SteadyNow();
-  call.http_call_id = 0;
-  init_.metrics->Observe(service_time_,
-                         static_cast<double>((now - call.started).count()));
-  const AdmissionActions actions = admission_.OnEnded(id, now);
-  // The head alone says that the instance did not run the call.
-  if (end == Http1CallResult::kComplete || call.not_executed) {
-    OnResponseComplete(id, call);
-  } else if (end == Http1CallResult::kNotSent) {
-    if (init_.tracker->OnConnectFailed(now)) {
-      Log(LogLevel::kWarning, kLogComponent, "Cannot connect to the instance.",
-          {{"instance", call.instance_id}, {"error", detail}});
-      init_.on_unreachable();
-      ScheduleInstanceCheck();
-    }
-    Refuse(id, RefusalReason::kNoInstance, Duration::zero());
-  } else {
-    AddBroken(id, false);
-    ScheduleInstanceCheck();
-    FailBroken(id, detail);
-  }
-  Execute(actions);
-}
-
-void InboundProxy::OnResponseComplete(CallId id, Call& call) {
-  if (call.not_executed) {
-    if (call.response_head.status == kMisdirectedRequest &&
-        init_.tracker->OnIdentityMismatch(call.instance_id, SteadyNow())) {
-      Log(LogLevel::kWarning, kLogComponent,
-          "Another instance answered at the instance's address.",
-          {{"expected", call.instance_id}});
-      init_.on_unreachable();
-    }
-    init_.metrics->Add(shed_by_instance_);
-    Refuse(id,
-           call.response_head.status == kMisdirectedRequest
-               ? RefusalReason::kNoInstance
-               : RefusalReason::kShed,
-           Duration::zero());
-    return;
-  }
-  const bool is_signed =
-      !FindHeader(call.response_head.headers, init_.headers.signature).empty();
-  if (IsSuccess(call.response_head.status) && !is_signed) {
-    FailBroken(id, "a success without a signature");
-    return;
-  }
-  if (is_signed) {
-    ClearSuspect(call);
-  }
-  if (!call.abandoned) {
-    SendPart(id, call, true);
+  if (!call.request.group.empty()) {
+    headers.push_back({std::string(init_.headers.group), call.request.group});
   }
-  const Duration ran = SteadyNow() - call.started;
-  rule_profiles_.AddSample(call.request.rule, ran, call.sent_bytes);
-  Remove(id);
+  return headers;
 }
 
 void InboundProxy::Refuse(CallId id, RefusalReason reason, Duration come_back) {
@@ -587,93 +321,6 @@
   held_slots_.push_back({SteadyNow() + kCancelledSlotTime, id});
 }
 
-void InboundProxy::AddBroken(CallId id, bool cancelled) {
-  Call& call = calls_.at(id);
-  const GateCall& request = call.request;
-  if (call.instance_id != broken_instance_) {
-    broken_calls_.Clear();
-    broken_instance_ = call.instance_id;
-  }
-  broken_calls_.Add({ContentDigest(call), request.request_id,
-                     request.caller_service,
-                     request.target.substr(0, kMaxLoggedTargetBytes),
-                     SteadyNow(), cancelled, id == trial_call_id_});
-}
-
-void InboundProxy::ScheduleInstanceCheck() {
-  if (broken_calls_.empty() || instance_check_scheduled_ ||
-      instance_probe_.active()) {
-    return;
-  }
-  instance_check_scheduled_ = true;
-  instance_check_timer_.expires_after(kBreakSettleTime);
-  instance_check_timer_.async_wait(
-      [this, broken_since = SteadyNow()](const asio::error_code& error) {
-        if (!error) {
-          instance_check_scheduled_ = false;
-          CheckInstance(broken_since);
-        }
-      });
-}
-
-void InboundProxy::CheckInstance(Time broken_since) {
-  const InstanceTracker& tracker = *init_.tracker;
-  const bool others_run =
-      std::any_of(calls_.begin(), calls_.end(), [&](const auto& entry) {
-        const Call& call = entry.second;
-        return call.http_call_id != 0 && call.started < broken_since;
-      });
-  // The end of a leaving instance is planned, and no request's doing.
-  if (others_run || tracker.is_leaving() || !tracker.report() ||
-      http_client_.HasIdle(tracker.report()->address)) {
-    broken_calls_.Clear();
-    return;
-  }
-  if (tracker.report()->id != broken_instance_) {
-    OnInstanceEnded();
-    return;
-  }
-  instance_probe_.Start(tracker.report()->address, kInstanceProbeTimeout,
-                        [this](ConnectResult result) {
-                          if (result == ConnectResult::kRefused) {
-                            OnInstanceEnded();
-                          } else {
-                            broken_calls_.Clear();
-                          }
-                        });
-}
-
-void InboundProxy::OnInstanceEnded() {
-  const std::vector<BrokenCall> running =
-      broken_calls_.TakeOnInstanceEnd(SteadyNow());
-  init_.metrics->Add(instance_ends_);
-  Log(LogLevel::kWarning, kLogComponent, "The instance ended without notice.",
-      {{"instance", broken_instance_},
-       {"calls", running.size()},
-       {"requests", DescribeCalls(running)}});
-  std::vector<CrashedCall> requests;
-  requests.reserve(running.size());
-  for (const BrokenCall& call : running) {
-    requests.push_back({call.digest, call.on_trial});
-  }
-  auto evidence = init_.suspects->OnCrash(
-      {init_.node_name, crash_numbers_.Below(kMaxCrashNumber)}, requests,
-      SteadyNow());
-  if (!evidence.empty()) {
-    init_.on_crash_evidence(std::move(evidence));
-  }
-}
-
-void InboundProxy::ClearSuspect(Call& call) {
-  if (init_.suspects->empty()) {
-    return;
-  }
-  if (auto evidence =
-          init_.suspects->OnCompleted(ContentDigest(call), SteadyNow())) {
-    init_.on_crash_evidence({std::move(*evidence)});
-  }
-}
-
 void InboundProxy::GrantCredit(CallId id, std::uint32_t bytes) {
   const auto found = calls_.find(id);
   if (found == calls_.end()) {
--- a/src/mesh/inbound_proxy.h
+++ b/src/mesh/inbound_proxy.h
@@ -95,6 +95,10 @@
   std::size_t active() const { return calls_.size(); }
 
  private:
+  // Flow control window: reading from the instance is paused while the caller
+  // has more than this of the response body uncredited.
+  static constexpr std::size_t kWindowBytes = 1'048'576;
+
   struct Call {
     GateCall request;
     ResponsePath path = ResponsePath::kLink;
--- a/src/mesh/link_codec.cc
+++ b/src/mesh/link_codec.cc
@@ -170,6 +170,7 @@
   out.setSlots(member.slots);
   out.setInstance(ToTextReader(record.instance));
   out.setInstanceLeaving(record.instance_leaving);
+  out.setSoftware(ToTextReader(member.software));
 }
 
 MemberRecord ReadRecord(wire::Member::Reader in) {
@@ -188,9 +189,51 @@
   member.slots = in.getSlots();
   record.instance = CopyToString(in.getInstance());
   record.instance_leaving = in.getInstanceLeaving();
+  member.software = CopyToString(in.getSoftware());
   return record;
 }
 
+void WriteRollout(const RolloutReport& report,
+                  wire::RolloutReport::Builder out) {
+  out.setService(ToTextReader(report.order.service));
+  out.setTargetVersion(ToTextReader(report.order.target_version));
+  out.setDurationUs(report.order.duration.count());
+  out.setRevision(report.order.revision);
+  out.setRemainingUs(report.remaining.count());
+  out.setState(static_cast<std::uint8_t>(report.state));
+  out.setNode(ToTextReader(report.node));
+  out.setIncarnation(report.incarnation);
+  auto list = out.initOutcomes(static_cast<unsigned>(report.outcomes.size()));
+  for (unsigned i = 0; i < list.size(); ++i) {
+    const VersionOutcomes& outcomes = report.outcomes[i];
+    list[i].setRule(ToTextReader(outcomes.rule));
+    list[i].setTarget(outcomes.target);
+    list[i].setResponses(outcomes.responses);
+    list[i].setFailures(outcomes.failures);
+    list[i].setSlow(outcomes.slow);
+    list[i].setTimeUs(outcomes.time_us);
+  }
+}
+
+RolloutReport ReadRollout(wire::RolloutReport::Reader in) {
+  RolloutReport report;
+  report.order = {CopyToString(in.getService()),
+                  CopyToString(in.getTargetVersion()),
+                  Duration(in.getDurationUs()), in.getRevision()};
+  report.remaining = Duration(in.getRemainingUs());
+  report.state = static_cast<RolloutState>(std::min<int>(
+      in.getState(), static_cast<int>(RolloutState::kRolledBack)));
+  report.node = CopyToString(in.getNode());
+  report.incarnation = in.getIncarnation();
+  for (const auto outcomes : in.getOutcomes()) {
+    report.outcomes.push_back({CopyToString(outcomes.getRule()),
+                               outcomes.getTarget(), outcomes.getResponses(),
+                               outcomes.getFailures(), outcomes.getSlow(),
+                               outcomes.getTimeUs()});
+  }
+  return report;
+}
+
 // Encodes each type of frame.
 struct FrameWriter {
   wire::LinkFrame::Builder out;
@@ -215,6 +258,11 @@
     body.setObjectiveUs(call.objective.count());
     body.setIdempotent(call.idempotent);
     body.setOnlyIfFree(call.only_if_free);
+    body.setGroup(ToTextReader(call.group));
+    if (call.group_priority) {
+      body.setGroupPriority(static_cast<std::uint8_t>(*call.group_priority));
+    }
+    body.setCopy(call.is_copy);
     if (call.notice) {
       WriteNotice(*call.notice, body.initNotice());
     }
@@ -277,6 +325,32 @@
       }
     }
   }
+  void operator()(const LinkQuotaNeeds& message) {
+    auto list = out.initQuotaNeeds(static_cast<unsigned>(message.needs.size()));
+    for (unsigned i = 0; i < list.size(); ++i) {
+      const QuotaNeed& need = message.needs[i];
+      list[i].setGroup(ToTextReader(need.group));
+      list[i].setAdmitted(need.admitted);
+      list[i].setWanted(need.wanted);
+      list[i].setHeld(need.held);
+    }
+  }
+  void operator()(const LinkQuotaLoans& message) {
+    auto list = out.initQuotaLoans(static_cast<unsigned>(message.loans.size()));
+    for (unsigned i = 0; i < list.size(); ++i) {
+      const QuotaLoan& loan = message.loans[i];
+      list[i].setGroup(ToTextReader(loan.group));
+      list[i].setTokens(loan.tokens);
+      list[i].setValidForUs(loan.valid_for.count());
+      list[i].setNextTokenInUs(loan.next_token_in.count());
+    }
+  }
+  void operator()(const LinkRollouts& message) {
+    auto list = out.initRollouts(static_cast<unsigned>(message.reports.size()));
+    for (unsigned i = 0; i < list.size(); ++i) {
+      WriteRollout(message.reports[i], list[i]);
+    }
+  }
   void operator()(const LinkConfigurationRequest& request) {
     WriteHeldConfiguration(request.held, out.initConfigurationWanted());
   }
@@ -304,6 +378,11 @@
   call.objective = Duration(in.getObjectiveUs());
   call.idempotent = in.getIdempotent();
   call.only_if_free = in.getOnlyIfFree();
+  call.group = CopyToString(in.getGroup());
+  if (in.getGroupPriority() <= static_cast<int>(Priority::kLow)) {
+    call.group_priority = static_cast<Priority>(in.getGroupPriority());
+  }
+  call.is_copy = in.getCopy();
   if (in.hasNotice()) {
     call.notice = ReadNotice(in.getNotice());
   }
@@ -375,6 +454,32 @@
       }
       return known;
     }
+    case Which::QUOTA_NEEDS: {
+      LinkQuotaNeeds message;
+      for (const auto need : in.getQuotaNeeds()) {
+        message.needs.push_back({CopyToString(need.getGroup()),
+                                 need.getAdmitted(), need.getWanted(),
+                                 need.getHeld()});
+      }
+      return message;
+    }
+    case Which::QUOTA_LOANS: {
+      LinkQuotaLoans message;
+      for (const auto loan : in.getQuotaLoans()) {
+        message.loans.push_back({CopyToString(loan.getGroup()),
+                                 loan.getTokens(),
+                                 Duration(loan.getValidForUs()),
+                                 Duration(loan.getNextTokenInUs())});
+      }
+      return message;
+    }
+    case Which::ROLLOUTS: {
+      LinkRollouts message;
+      for (const auto report : in.getRollouts()) {
+        message.reports.push_back(ReadRollout(report));
+      }
+      return message;
+    }
     case Which::CONFIGURATION_WANTED:
       return LinkConfigurationRequest{
           ReadHeldConfiguration(in.getConfigurationWanted())};
--- a/src/mesh/link_frames.h
+++ b/src/mesh/link_frames.h
@@ -18,6 +18,8 @@
 #include "core/crash_suspects.h"
 #include "core/instance_notice.h"
 #include "core/member_record.h"
+#include "core/quota_messages.h"
+#include "core/rollout_messages.h"
 #include "io/http_message.h"
 
 namespace verbenastile {
@@ -51,6 +53,11 @@
   std::string rule;  // The ID of the routing rule that matched. Calls that
                      // match the same rule take similar time.
   Priority priority = Priority::kNormal;
+  std::string group;  // Of the caller; empty: none.
+  // Precedes `priority`; empty: the group has none.
+  std::optional<Priority> group_priority;
+  // Another instance is already running the request.
+  bool is_copy = false;
   Duration remaining{0};  // Until the caller gets an error instead.
   Duration objective{0};  // Until the response is late; <= 0: already late.
   bool idempotent = false;
@@ -134,6 +141,21 @@
   std::vector<CrashEvidence> evidence;
 };
 
+// Asks the coordinators of groups for tokens.
+struct LinkQuotaNeeds {
+  std::vector<QuotaNeed> needs;
+};
+
+// The response to `LinkQuotaNeeds`.
+struct LinkQuotaLoans {
+  std::vector<QuotaLoan> loans;
+};
+
+// What the sender knows of roll-outs.
+struct LinkRollouts {
+  std::vector<RolloutReport> reports;
+};
+
 using LinkBody = std::variant<LinkHello,
                               GateCall,
                               LinkCancel,
@@ -148,7 +170,10 @@
                               LinkSuspicion,
                               LinkConfigurationRequest,
                               LinkConfiguration,
-                              LinkCrashEvidence>;
+                              LinkCrashEvidence,
+                              LinkQuotaNeeds,
+                              LinkQuotaLoans,
+                              LinkRollouts>;
 
 struct LinkFrame {
   CallId call = 0;  // 0: the frame belongs to no call.
--- a/src/mesh/link_hub.cc
+++ b/src/mesh/link_hub.cc
@@ -149,6 +149,17 @@
           [&](const LinkCrashEvidence& known) {
             init_.on_crash_evidence(peer->name, known.evidence);
           },
+          [&](const LinkQuotaNeeds& message) {
+            if (init_.on_quota_needs) {
+              peer->link->Send({0, LinkQuotaLoans{init_.on_quota_needs(
+                                       peer->name, message.needs)}});
+            }
+          },
+          [&](const LinkRollouts& message) {
+            if (init_.on_rollouts) {
+              init_.on_rollouts(peer->name, message.reports);
+            }
+          },
           [&](const LinkConfigurationRequest& request) {
             if (const auto* delta = init_.configuration_delta(request.held)) {
               init_.sender->OnSent(
@@ -346,6 +357,16 @@
           [&](const LinkCrashEvidence& known) {
             init_.on_crash_evidence(peer->name, known.evidence);
           },
+          [&](const LinkQuotaLoans& message) {
+            if (init_.on_quota_loans) {
+              init_.on_quota_loans(peer->name, message.loans);
+            }
+          },
+          [&](const LinkRollouts& message) {
+            if (init_.on_rollouts) {
+              init_.on_rollouts(peer->name, message.reports);
+            }
+          },
           [](const auto&) {}},
       frame.body);
 }
--- a/src/mesh/link_hub.h
+++ b/src/mesh/link_hub.h
@@ -60,6 +60,17 @@
     std::function<void(std::string_view member,
                        const std::vector<CrashEvidence>&)>
         on_crash_evidence;
+    // The member asks for tokens of the groups that this node coordinates.
+    std::function<std::vector<QuotaLoan>(std::string_view member,
+                                         const std::vector<QuotaNeed>&)>
+        on_quota_needs;
+    // A coordinator lent tokens.
+    std::function<void(std::string_view member, const std::vector<QuotaLoan>&)>
+        on_quota_loans;
+    // What the member knows of roll-outs.
+    std::function<void(std::string_view member,
+                       const std::vector<RolloutReport>&)>
+        on_rollouts;
     // A peer answered a request for its configuration.
     std::function<void(const ConfigurationDelta&)> on_configuration;
   };
--- a/src/mesh/outbound_proxy.h
+++ b/src/mesh/outbound_proxy.h
@@ -94,6 +94,11 @@
   std::size_t active() const { return calls_.size(); }
 
  private:
+  // The first attempts accept only a free slot; after this many refusals the
+  // request may be queued. A refusal is more recent than the load reports that
+  // the choice was based on, so another upstream may still have a free slot.
+  static constexpr std::uint32_t kFreeSlotAttempts = 2;
+
   // An attempt to get a response from one instance.
   struct Attempt {
     UpstreamHandle upstream;
@@ -115,6 +120,7 @@
     std::shared_ptr<const RouteTable> table;
     const Rule* rule = nullptr;
     const RouteAction* route = nullptr;
+    const Group* group = nullptr;  // Of the caller; null: none.
     std::string service;
     Time begin;
     Time deadline;
@@ -164,6 +170,7 @@
 
   std::vector<CallId> CallsAt(std::string_view member) const;
   bool MatchRule(CallId id, Call& call);
+  bool FindGroup(CallId id, Call& call);
   void SetDeadline(Call& call) const;
   SuspectVerdict Judge(Call& call) const;
   // The request got a complete response of an instance.
--- a/src/mesh/sidecar.h
+++ b/src/mesh/sidecar.h
@@ -53,6 +53,9 @@
   int Run();
 
  private:
+  // The source of what the platform's store reported, in log lines.
+  static constexpr std::string_view kStoreSource = "store";
+
   LinkPacerOptions PacerInit() const;
   InboundProxy::Init InboundProxyInit();
   LinkHub::Init HubInit();
--- /dev/null
+++ b/src/mesh/sidecar_configuration.cc
@@ -0,0 +1,124 @@
+#include "mesh/sidecar.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/log.h"
+#include "platform/configuration.h"
+#include "platform/wire_names.h"
+
+namespace verbenastile {
+
+void Sidecar::OnConfigurationObject(const StoreObject& object) {
+  if (object.name == platform::kConfigurationName) {
+    ApplyConfiguration(object.spec, kStoreSource);
+  }
+}
+
+void Sidecar::ApplyConfiguration(std::string text, std::string_view source) {
+  auto parsed = platform::ParseConfiguration(text);
+  if (const auto* error = std::get_if<platform::FormatError>(&parsed)) {
+    Log(LogLevel::kError, "config", "Cannot parse a configuration.",
+        {{"source", source}, {"error", error->reason}});
+    return;
+  }
+  auto& configuration = std::get<platform::Configuration>(parsed);
+  const Generation offered = configuration.generation;
+  const Generation before = applier_.generation();
+  const ApplyOutcome outcome =
+      applier_.Offer(offered, std::move(configuration.document));
+  if (outcome == ApplyOutcome::kUnchanged) {
+    return;
+  }
+  if (outcome != ApplyOutcome::kInForce) {
+    Log(LogLevel::kError, "config", "Rejected a configuration.",
+        {{"source", source},
+         {"offered", offered},
+         {"in_force", before},
+         {"reason", applier_.refusal().reason}});
+    return;
+  }
+  const std::size_t bytes = text.size();
+  configuration_archive_.Add(offered, std::move(text));
+  configuration_source_.OnApplied(offered);
+  caller_server_.SetLimits(configuration.limits);
+  Log(LogLevel::kInfo, "config", "Applied a configuration.",
+      {{"generation", offered},
+       {"before", before},
+       {"source", source},
+       {"bytes", bytes},
+       {"rules", applier_.table()->document().rules.size()}});
+  if (configuration_source_.is_reader()) {
+    links_.AnnounceConfiguration();
+  }
+  FireEvent("config_in_force");
+}
+
+void Sidecar::OnConfigurationDelta(const ConfigurationDelta& delta) {
+  auto applied = configuration_archive_.Apply(delta);
+  if (const auto* error = std::get_if<ArchiveError>(&applied)) {
+    Log(LogLevel::kWarning, "config",
+        "Cannot apply a peer's configuration delta.",
+        {{"base", delta.base.generation},
+         {"generation", delta.to.generation},
+         {"in_force", applier_.generation()},
+         {"error", error->reason}});
+    return;
+  }
+  ApplyConfiguration(std::move(std::get<std::string>(applied)), "peer");
+}
+
+void Sidecar::UpdateConfigurationSource(Time now) {
+  const bool follow_store = configuration_source_.ShouldWatchStore(now);
+  if (follow_store != std::exchange(follows_store_, follow_store)) {
+    Log(LogLevel::kInfo, "config",
+        follow_store ? "Following the store for the configuration."
+                     : "Following peers for the configuration.",
+        {{"in_force", applier_.generation()}});
+    follow_store ? configuration_follower_.Start()
+                 : configuration_follower_.Stop();
+  }
+  if (const auto peer = configuration_source_.SelectPeerToQuery(now)) {
+    const HeldConfiguration held = configuration_archive_.newest();
+    Log(LogLevel::kInfo, "config", "Requesting the configuration from a peer.",
+        {{"peer", *peer}, {"in_force", held.generation}});
+    links_.Send(*peer, {0, LinkConfigurationRequest{held}});
+  }
+}
+
+PeerConfiguration Sidecar::ConfigurationInForce() const {
+  PeerConfiguration in_force{applier_.generation(), std::nullopt, store_.era()};
+  if (configuration_source_.is_reader() &&
+      configuration_follower_.is_connected()) {
+    in_force.age =
+        SteadyNow() - configuration_follower_.last_confirmed().value_or(Time());
+  }
+  return in_force;
+}
+
+// The configuration in force, the members that are linked and the state of the
+// local instance are kept: they are newer than the backup. Readers tell the
+// nodes that do not watch the store.
+void Sidecar::OnStoreRestored(StoreEra era,
+                              StoreEra previous,
+                              std::string_view source) {
+  Log(LogLevel::kWarning, "store", "The store was restored from a backup.",
+      {{"era", era},
+       {"previous_era", previous},
+       {"source", source},
+       {"generation", applier_.generation()},
+       {"instance", ToString(tracker_.state())}});
+  configuration_follower_.OnStoreRestored(era);
+  publisher_.OnStoreRestored(era);
+  if (configuration_source_.is_reader() && source == kStoreSource) {
+    links_.AnnounceConfiguration();
+  }
+}
+
+Duration Sidecar::ConfigurationAge() const {
+  const auto confirmed = std::max(configuration_follower_.last_confirmed(),
+                                  configuration_source_.last_confirmed());
+  return confirmed ? SteadyNow() - *confirmed : Duration::max();
+}
+
+}  // namespace verbenastile
--- /dev/null
+++ b/src/mesh/sidecar_members.cc
@@ -0,0 +1,260 @@
+#include "mesh/sidecar.h"
+
+#include <fmt/format.h>
+
+#include <set>
+#include <utility>
+
+#include "base/log.h"
+#include "platform/configuration.h"
+#include "platform/member_object.h"
+
+namespace verbenastile {
+namespace {
+
+constexpr std::string_view kLogComponent = "sidecar";
+
+}  // namespace
+
+void Sidecar::OnInstanceChanged(std::string_view why) {
+  ++sequence_;
+  inbound_.OnInstanceChanged();
+  MergeRecord(OwnRecord());
+  links_.AnnounceSelf();
+  const MemberRecord self = OwnRecord();
+  Log(LogLevel::kInfo, kLogComponent, "The node's record changed.",
+      {{"why", why},
+       {"sequence", sequence_},
+       {"instance", ToString(tracker_.state())},
+       {"serving", self.member.serving}});
+  PublishOwnRecord(nullptr);
+}
+
+MemberRecord Sidecar::OwnRecord() const {
+  MemberRecord record;
+  Member& member = record.member;
+  member.name = settings_.name;
+  member.incarnation = incarnation_;
+  record.sequence = sequence_;
+  member.state = leaving_ ? MemberState::kLeaving : MemberState::kAlive;
+  member.failure_domain = settings_.failure_domain;
+  member.region = settings_.region;
+  member.service = settings_.service;
+  member.peer_address = settings_.listen.links_from_outside;
+  member.serving = tracker_.serves();
+  if (tracker_.report()) {
+    member.service = tracker_.report()->service;
+    member.slots = tracker_.report()->slots;
+    member.software = tracker_.report()->software;
+    record.instance = tracker_.report()->id;
+    record.instance_sequence = tracker_.report()->sequence;
+  }
+  record.instance_gone = tracker_.state() == InstanceState::kGone;
+  record.instance_leaving = tracker_.is_leaving();
+  record.instance_left_by_response = tracker_.said_leaving_in_response();
+  record.crash_evidence = suspects_.SeenBy(settings_.name);
+  return record;
+}
+
+void Sidecar::PublishOwnRecord(std::function<void()> on_written) {
+  const MemberRecord self = OwnRecord();
+  std::string record_state =
+      fmt::format("{} {} {} {}", self.instance, self.instance_leaving,
+                  self.instance_gone, self.instance_left_by_response);
+  for (const CrashEvidence& evidence : self.crash_evidence) {
+    record_state += fmt::format(" {} {} {}", ToString(evidence.request),
+                                evidence.clearances, evidence.crashes.size());
+  }
+  if (self.instance.empty() || record_state == published_state_) {
+    if (on_written) {
+      publisher_.WhenWritten(std::move(on_written));
+    }
+    return;
+  }
+  if (!has_listed_members_) {
+    if (on_written) {
+      on_first_publish_ = std::move(on_written);
+    }
+    return;
+  }
+  published_state_ = std::move(record_state);
+  publisher_.Publish(platform::FormatMember(self), std::move(on_written));
+}
+
+void Sidecar::OnMembersListed(const std::vector<StoreObject>& items) {
+  std::set<std::string_view> names;
+  for (const StoreObject& object : items) {
+    names.insert(object.name);
+    OnMemberObject(object);
+  }
+  if (!has_listed_members_) {
+    // The list brought the revision of the record that an earlier run of this
+    // node wrote, so that one write replaces it.
+    has_listed_members_ = true;
+    PublishOwnRecord(std::exchange(on_first_publish_, nullptr));
+  }
+  std::vector<std::pair<std::string, std::uint64_t>> gone;
+  for (const auto& [name, entry] : member_registry_.entries()) {
+    if (!entry.linked && name != settings_.name && !names.contains(name)) {
+      gone.emplace_back(name, entry.record.member.incarnation);
+    }
+  }
+  for (const auto& [name, incarnation] : gone) {
+    Log(LogLevel::kInfo, "members",
+        "Removed a member that is no longer in the store.", {{"name", name}});
+    member_registry_.Forget(name, incarnation);
+  }
+  links_.UpdateLinks();
+}
+
+void Sidecar::MergeCrashEvidence(std::string_view source,
+                                 std::span<const CrashEvidence> evidence) {
+  bool changed = false;
+  std::vector<CrashEvidence> newer;
+  for (const CrashEvidence& item : evidence) {
+    const MergeResult result = suspects_.Merge(item, SteadyNow());
+    if (result.added) {
+      changed = true;
+      LogVerdict(source, item);
+    }
+    if (const auto known = suspects_.Known(item.request);
+        known && result.sender_is_behind) {
+      newer.push_back(*known);
+    }
+  }
+  if (changed) {
+    PublishCrashEvidence();
+  }
+  if (changed && source == kStoreSource) {
+    // Peers that started together with this node, and cannot read the store,
+    // have this part from nobody else.
+    std::vector<CrashEvidence> own = suspects_.SeenBy(settings_.name);
+    if (!own.empty()) {
+      links_.AnnounceCrashEvidence(std::move(own));
+    }
+  }
+  if (!newer.empty() && source != kStoreSource) {
+    links_.Send(source, {0, LinkCrashEvidence{std::move(newer)}});
+  }
+}
+
+void Sidecar::OnCrashEvidence(std::vector<CrashEvidence> evidence) {
+  for (const CrashEvidence& item : evidence) {
+    LogVerdict(settings_.name, item);
+  }
+  links_.AnnounceCrashEvidence(std::move(evidence));
+  PublishCrashEvidence();
+}
+
+void Sidecar::ApplyRequestOverrides(
+    const std::map<Digest, RequestOverride>& before) {
+  std::vector<CrashEvidence> evidence;
+  for (const auto& [request, decision] : settings_.requests) {
+    const auto known = before.find(request);
+    if (known != before.end() && known->second == decision) {
+      continue;
+    }
+    evidence.push_back(decision == RequestOverride::kCleared
+                           ? suspects_.Clear(request, SteadyNow())
+                           : suspects_.Convict(request, SteadyNow()));
+  }
+  if (!evidence.empty()) {
+    OnCrashEvidence(std::move(evidence));
+  }
+}
+
+// A node that stops may delete its record; its peers keep the evidence.
+void Sidecar::PublishCrashEvidence() {
+  if (!leaving_) {
+    PublishOwnRecord(nullptr);
+  }
+}
+
+// One crash, or a clearance, is logged by the node that saw it only.
+void Sidecar::LogVerdict(std::string_view source,
+                         const CrashEvidence& evidence) const {
+  const SuspectVerdict verdict = suspects_.Judge(evidence.request);
+  if (verdict == SuspectVerdict::kSuspect ||
+      (verdict == SuspectVerdict::kUnsuspected && source != settings_.name)) {
+    return;
+  }
+  std::string nodes;
+  for (const CrashId& crash : suspects_.CrashesOf(evidence.request)) {
+    nodes += (nodes.empty() ? "" : ",") + crash.node;
+  }
+  Log(verdict == SuspectVerdict::kUnsuspected ? LogLevel::kInfo
+                                              : LogLevel::kWarning,
+      "suspects", "New evidence on a request that may end instances.",
+      {{"digest", ToString(evidence.request)},
+       {"verdict", ToString(verdict)},
+       {"crashes_at", nodes},
+       {"clearances", evidence.clearances},
+       {"source", source}});
+}
+
+void Sidecar::OnMemberObject(const StoreObject& object) {
+  if (object.name == settings_.name) {
+    publisher_.UpdateRevision(object.revision);
+  }
+  const auto parsed = platform::ParseMember(object.spec);
+  if (const auto* error = std::get_if<platform::FormatError>(&parsed)) {
+    Log(LogLevel::kWarning, "members", "Cannot parse a member's record.",
+        {{"name", object.name}, {"error", error->reason}});
+    return;
+  }
+  const auto& record = std::get<MemberRecord>(parsed);
+  if (record.member.name != object.name) {
+    Log(LogLevel::kWarning, "members",
+        "Ignored a record that names another member.",
+        {{"name", object.name}, {"named", record.member.name}});
+    return;
+  }
+  MergeCrashEvidence(kStoreSource, record.crash_evidence);
+  if (object.name != settings_.name) {
+    StoreRecord(record);
+  } else if (record.member.incarnation < incarnation_ &&
+             record.instance_leaving) {
+    const Time now = SteadyNow();
+    bool changed = tracker_.RestoreDeparted(
+        record.instance, record.instance_gone, record.instance_sequence, now);
+    if (record.instance_left_by_response) {
+      changed = tracker_.OnLeavingResponse(record.instance, now) ==
+                    ReportVerdict::kChanged ||
+                changed;
+    }
+    if (changed) {
+      OnInstanceChanged("record of an earlier run");
+    }
+  }
+}
+
+void Sidecar::MergeRecord(const MemberRecord& record) {
+  if (StoreRecord(record)) {
+    links_.UpdateLinks();
+  }
+}
+
+bool Sidecar::StoreRecord(const MemberRecord& record) {
+  if (!member_registry_.Merge(record, SteadyNow())) {
+    return false;
+  }
+  if (record.member.name != settings_.name) {
+    Log(LogLevel::kInfo, "members", "A member's record changed.",
+        {{"name", record.member.name},
+         {"incarnation", record.member.incarnation},
+         {"sequence", record.sequence},
+         {"service", record.member.service},
+         {"state", ToString(record.member.state)},
+         {"serving", record.member.serving},
+         {"instance", record.instance},
+         {"instance_leaving", record.instance_leaving},
+         {"slots", record.member.slots}});
+  }
+  if (record.instance_leaving) {
+    outbound_.OnPeerNotice(record.member.name,
+                           {record.instance, std::nullopt, true});
+  }
+  return true;
+}
+
+}  // namespace verbenastile
--- a/src/wire/link.capnp
+++ b/src/wire/link.capnp
@@ -24,6 +24,9 @@
     configuration @13 :ConfigurationDelta;
     suspicion @14 :Text;  # The name of the member.
     crashEvidence @15 :List(CrashEvidence);
+    quotaNeeds @16 :List(QuotaNeed);
+    quotaLoans @17 :List(QuotaLoan);
+    rollouts @18 :List(RolloutReport);
   }
 }
 
@@ -62,6 +65,41 @@
   number @1 :UInt64;
 }
 
+struct QuotaNeed {
+  group @0 :Text;
+  admitted @1 :UInt64;
+  wanted @2 :UInt32;
+  held @3 :UInt32;
+}
+
+struct QuotaLoan {
+  group @0 :Text;
+  tokens @1 :UInt32;
+  validForUs @2 :Int64;
+  nextTokenInUs @3 :Int64;
+}
+
+struct RolloutReport {
+  service @0 :Text;
+  targetVersion @1 :Text;
+  durationUs @2 :Int64;
+  revision @3 :Int64;
+  remainingUs @4 :Int64;
+  state @5 :UInt8;
+  node @6 :Text;
+  incarnation @7 :UInt64;
+  outcomes @8 :List(VersionOutcomes);
+}
+
+struct VersionOutcomes {
+  rule @0 :Text;
+  target @1 :Bool;
+  responses @2 :UInt64;
+  failures @3 :UInt64;
+  slow @4 :UInt64;
+  timeUs @5 :UInt64;
+}
+
 struct Member {
   name @0 :Text;
   incarnation @1 :UInt64;
@@ -76,6 +114,7 @@
   slots @10 :UInt32;
   instance @11 :Text;
   instanceLeaving @12 :Bool;
+  software @13 :Text;
 }
 
 struct Hello {
@@ -112,6 +151,9 @@
   rule @11 :Text;
   onlyIfFree @12 :Bool;
   notice @13 :InstanceNotice;
+  group @14 :Text;
+  groupPriority @15 :UInt8 = 255;  # 255: the group has none.
+  copy @16 :Bool;
 }
 
 struct Refusal {
--- a/src/wire/link.capnp.h
+++ b/src/wire/link.capnp.h
@@ -22,6 +22,10 @@
 CAPNP_DECLARE_SCHEMA(e5d9023a0e6b8b26);
 CAPNP_DECLARE_SCHEMA(ef5918a96a744bf1);
 CAPNP_DECLARE_SCHEMA(8a7be04c75f36ddc);
+CAPNP_DECLARE_SCHEMA(8f93c18c9ad4f8e2);
+CAPNP_DECLARE_SCHEMA(f60d281961282b72);
+CAPNP_DECLARE_SCHEMA(912ec23d49323b6f);
+CAPNP_DECLARE_SCHEMA(8efcecb9d7ab7f9c);
 CAPNP_DECLARE_SCHEMA(9affee385b0a4f72);
 CAPNP_DECLARE_SCHEMA(dbaf62b7d0b2972f);
 CAPNP_DECLARE_SCHEMA(f1085aa461e1ac80);
@@ -60,6 +64,9 @@
     CONFIGURATION,
     SUSPICION,
     CRASH_EVIDENCE,
+    QUOTA_NEEDS,
+    QUOTA_LOANS,
+    ROLLOUTS,
   };
 
   struct _capnpPrivate {
@@ -145,6 +152,66 @@
   };
 };
 
+struct QuotaNeed {
+  QuotaNeed() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8f93c18c9ad4f8e2, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct QuotaLoan {
+  QuotaLoan() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f60d281961282b72, 3, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RolloutReport {
+  RolloutReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(912ec23d49323b6f, 5, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct VersionOutcomes {
+  VersionOutcomes() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8efcecb9d7ab7f9c, 5, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Member {
   Member() = delete;
 
@@ -153,7 +220,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9affee385b0a4f72, 3, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(9affee385b0a4f72, 3, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -213,7 +280,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8aa339ba54180145, 3, 9)
+    CAPNP_DECLARE_STRUCT_HEADER(8aa339ba54180145, 3, 10)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -359,6 +426,18 @@
   inline bool hasCrashEvidence() const;
   inline  ::capnp::List< ::verbenastile::wire::CrashEvidence,  ::capnp::Kind::STRUCT>::Reader getCrashEvidence() const;
 
+  inline bool isQuotaNeeds() const;
+  inline bool hasQuotaNeeds() const;
+  inline  ::capnp::List< ::verbenastile::wire::QuotaNeed,  ::capnp::Kind::STRUCT>::Reader getQuotaNeeds() const;
+
+  inline bool isQuotaLoans() const;
+  inline bool hasQuotaLoans() const;
+  inline  ::capnp::List< ::verbenastile::wire::QuotaLoan,  ::capnp::Kind::STRUCT>::Reader getQuotaLoans() const;
+
+  inline bool isRollouts() const;
+  inline bool hasRollouts() const;
+  inline  ::capnp::List< ::verbenastile::wire::RolloutReport,  ::capnp::Kind::STRUCT>::Reader getRollouts() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -499,6 +578,30 @@
   inline void adoptCrashEvidence(::capnp::Orphan< ::capnp::List< ::verbenastile::wire::CrashEvidence,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::verbenastile::wire::CrashEvidence,  ::capnp::Kind::STRUCT>> disownCrashEvidence();
 
+  inline bool isQuotaNeeds();
+  inline bool hasQuotaNeeds();
+  inline  ::capnp::List< ::verbenastile::wire::QuotaNeed,  ::capnp::Kind::STRUCT>::Builder getQuotaNeeds();
+  inline void setQuotaNeeds( ::capnp::List< ::verbenastile::wire::QuotaNeed,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::verbenastile::wire::QuotaNeed,  ::capnp::Kind::STRUCT>::Builder initQuotaNeeds(unsigned int size);
+  inline void adoptQuotaNeeds(::capnp::Orphan< ::capnp::List< ::verbenastile::wire::QuotaNeed,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::verbenastile::wire::QuotaNeed,  ::capnp::Kind::STRUCT>> disownQuotaNeeds();
+
+  inline bool isQuotaLoans();
+  inline bool hasQuotaLoans();
+  inline  ::capnp::List< ::verbenastile::wire::QuotaLoan,  ::capnp::Kind::STRUCT>::Builder getQuotaLoans();
+  inline void setQuotaLoans( ::capnp::List< ::verbenastile::wire::QuotaLoan,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::verbenastile::wire::QuotaLoan,  ::capnp::Kind::STRUCT>::Builder initQuotaLoans(unsigned int size);
+  inline void adoptQuotaLoans(::capnp::Orphan< ::capnp::List< ::verbenastile::wire::QuotaLoan,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::verbenastile::wire::QuotaLoan,  ::capnp::Kind::STRUCT>> disownQuotaLoans();
+
+  inline bool isRollouts();
+  inline bool hasRollouts();
+  inline  ::capnp::List< ::verbenastile::wire::RolloutReport,  ::capnp::Kind::STRUCT>::Builder getRollouts();
+  inline void setRollouts( ::capnp::List< ::verbenastile::wire::RolloutReport,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::verbenastile::wire::RolloutReport,  ::capnp::Kind::STRUCT>::Builder initRollouts(unsigned int size);
+  inline void adoptRollouts(::capnp::Orphan< ::capnp::List< ::verbenastile::wire::RolloutReport,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::verbenastile::wire::RolloutReport,  ::capnp::Kind::STRUCT>> disownRollouts();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1011,9 +1114,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Member::Reader {
+class QuotaNeed::Reader {
 public:
-  typedef Member Reads;
+  typedef QuotaNeed Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1028,37 +1131,14 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasName() const;
-  inline  ::capnp::Text::Reader getName() const;
-
-  inline  ::uint64_t getIncarnation() const;
-
-  inline  ::uint64_t getSequence() const;
-
-  inline  ::uint8_t getState() const;
-
-  inline bool getServing() const;
-
-  inline bool hasFailureDomain() const;
-  inline  ::capnp::Text::Reader getFailureDomain() const;
-
-  inline bool hasRegion() const;
-  inline  ::capnp::Text::Reader getRegion() const;
-
-  inline bool hasService() const;
-  inline  ::capnp::Text::Reader getService() const;
-
-  inline bool hasLinkIp() const;
-  inline  ::capnp::Text::Reader getLinkIp() const;
-
-  inline  ::uint16_t getLinkPort() const;
+  inline bool hasGroup() const;
+  inline  ::capnp::Text::Reader getGroup() const;
 
-  inline  ::uint32_t getSlots() const;
+  inline  ::uint64_t getAdmitted() const;
 
-  inline bool hasInstance() const;
-  inline  ::capnp::Text::Reader getInstance() const;
+  inline  ::uint32_t getWanted() const;
 
-  inline bool getInstanceLeaving() const;
+  inline  ::uint32_t getHeld() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1072,9 +1152,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Member::Builder {
+class QuotaNeed::Builder {
 public:
-  typedef Member Builds;
+  typedef QuotaNeed Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1088,68 +1168,21 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasName();
-  inline  ::capnp::Text::Builder getName();
-  inline void setName( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initName(unsigned int size);
-  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownName();
-
-  inline  ::uint64_t getIncarnation();
-  inline void setIncarnation( ::uint64_t value);
-
-  inline  ::uint64_t getSequence();
-  inline void setSequence( ::uint64_t value);
-
-  inline  ::uint8_t getState();
-  inline void setState( ::uint8_t value);
-
-  inline bool getServing();
-  inline void setServing(bool value);
-
-  inline bool hasFailureDomain();
-  inline  ::capnp::Text::Builder getFailureDomain();
-  inline void setFailureDomain( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initFailureDomain(unsigned int size);
-  inline void adoptFailureDomain(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownFailureDomain();
-
-  inline bool hasRegion();
-  inline  ::capnp::Text::Builder getRegion();
-  inline void setRegion( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initRegion(unsigned int size);
-  inline void adoptRegion(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownRegion();
-
-  inline bool hasService();
-  inline  ::capnp::Text::Builder getService();
-  inline void setService( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initService(unsigned int size);
-  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownService();
-
-  inline bool hasLinkIp();
-  inline  ::capnp::Text::Builder getLinkIp();
-  inline void setLinkIp( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initLinkIp(unsigned int size);
-  inline void adoptLinkIp(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownLinkIp();
-
-  inline  ::uint16_t getLinkPort();
-  inline void setLinkPort( ::uint16_t value);
+  inline bool hasGroup();
+  inline  ::capnp::Text::Builder getGroup();
+  inline void setGroup( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initGroup(unsigned int size);
+  inline void adoptGroup(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownGroup();
 
-  inline  ::uint32_t getSlots();
-  inline void setSlots( ::uint32_t value);
+  inline  ::uint64_t getAdmitted();
+  inline void setAdmitted( ::uint64_t value);
 
-  inline bool hasInstance();
-  inline  ::capnp::Text::Builder getInstance();
-  inline void setInstance( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initInstance(unsigned int size);
-  inline void adoptInstance(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownInstance();
+  inline  ::uint32_t getWanted();
+  inline void setWanted( ::uint32_t value);
 
-  inline bool getInstanceLeaving();
-  inline void setInstanceLeaving(bool value);
+  inline  ::uint32_t getHeld();
+  inline void setHeld( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1161,9 +1194,9 @@
 };
 
 #if !CAPNP_LITE
-class Member::Pipeline {
+class QuotaNeed::Pipeline {
 public:
-  typedef Member Pipelines;
+  typedef QuotaNeed Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1177,9 +1210,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Hello::Reader {
+class QuotaLoan::Reader {
 public:
-  typedef Hello Reads;
+  typedef QuotaLoan Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1194,14 +1227,14 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasMember() const;
-  inline  ::verbenastile::wire::Member::Reader getMember() const;
+  inline bool hasGroup() const;
+  inline  ::capnp::Text::Reader getGroup() const;
 
-  inline  ::uint64_t getGeneration() const;
+  inline  ::uint32_t getTokens() const;
 
-  inline  ::int64_t getConfigurationAgeUs() const;
+  inline  ::int64_t getValidForUs() const;
 
-  inline  ::uint64_t getStoreEra() const;
+  inline  ::int64_t getNextTokenInUs() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1215,9 +1248,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Hello::Builder {
+class QuotaLoan::Builder {
 public:
-  typedef Hello Builds;
+  typedef QuotaLoan Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1231,21 +1264,21 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasMember();
-  inline  ::verbenastile::wire::Member::Builder getMember();
-  inline void setMember( ::verbenastile::wire::Member::Reader value);
-  inline  ::verbenastile::wire::Member::Builder initMember();
-  inline void adoptMember(::capnp::Orphan< ::verbenastile::wire::Member>&& value);
-  inline ::capnp::Orphan< ::verbenastile::wire::Member> disownMember();
+  inline bool hasGroup();
+  inline  ::capnp::Text::Builder getGroup();
+  inline void setGroup( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initGroup(unsigned int size);
+  inline void adoptGroup(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownGroup();
 
-  inline  ::uint64_t getGeneration();
-  inline void setGeneration( ::uint64_t value);
+  inline  ::uint32_t getTokens();
+  inline void setTokens( ::uint32_t value);
 
-  inline  ::int64_t getConfigurationAgeUs();
-  inline void setConfigurationAgeUs( ::int64_t value);
+  inline  ::int64_t getValidForUs();
+  inline void setValidForUs( ::int64_t value);
 
-  inline  ::uint64_t getStoreEra();
-  inline void setStoreEra( ::uint64_t value);
+  inline  ::int64_t getNextTokenInUs();
+  inline void setNextTokenInUs( ::int64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1257,15 +1290,14 @@
 };
 
 #if !CAPNP_LITE
-class Hello::Pipeline {
+class QuotaLoan::Pipeline {
 public:
-  typedef Hello Pipelines;
+  typedef QuotaLoan Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::verbenastile::wire::Member::Pipeline getMember();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1274,9 +1306,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class HeldConfiguration::Reader {
+class RolloutReport::Reader {
 public:
-  typedef HeldConfiguration Reads;
+  typedef RolloutReport Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1291,11 +1323,27 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getGeneration() const;
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
 
-  inline  ::uint64_t getDigestHigh() const;
+  inline bool hasTargetVersion() const;
+  inline  ::capnp::Text::Reader getTargetVersion() const;
 
-  inline  ::uint64_t getDigestLow() const;
+  inline  ::int64_t getDurationUs() const;
+
+  inline  ::int64_t getRevision() const;
+
+  inline  ::int64_t getRemainingUs() const;
+
+  inline  ::uint8_t getState() const;
+
+  inline bool hasNode() const;
+  inline  ::capnp::Text::Reader getNode() const;
+
+  inline  ::uint64_t getIncarnation() const;
+
+  inline bool hasOutcomes() const;
+  inline  ::capnp::List< ::verbenastile::wire::VersionOutcomes,  ::capnp::Kind::STRUCT>::Reader getOutcomes() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1309,9 +1357,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class HeldConfiguration::Builder {
+class RolloutReport::Builder {
 public:
-  typedef HeldConfiguration Builds;
+  typedef RolloutReport Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1325,14 +1373,48 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getGeneration();
-  inline void setGeneration( ::uint64_t value);
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
 
-  inline  ::uint64_t getDigestHigh();
-  inline void setDigestHigh( ::uint64_t value);
+  inline bool hasTargetVersion();
+  inline  ::capnp::Text::Builder getTargetVersion();
+  inline void setTargetVersion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTargetVersion(unsigned int size);
+  inline void adoptTargetVersion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTargetVersion();
 
-  inline  ::uint64_t getDigestLow();
-  inline void setDigestLow( ::uint64_t value);
+  inline  ::int64_t getDurationUs();
+  inline void setDurationUs( ::int64_t value);
+
+  inline  ::int64_t getRevision();
+  inline void setRevision( ::int64_t value);
+
+  inline  ::int64_t getRemainingUs();
+  inline void setRemainingUs( ::int64_t value);
+
+  inline  ::uint8_t getState();
+  inline void setState( ::uint8_t value);
+
+  inline bool hasNode();
+  inline  ::capnp::Text::Builder getNode();
+  inline void setNode( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initNode(unsigned int size);
+  inline void adoptNode(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownNode();
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+  inline bool hasOutcomes();
+  inline  ::capnp::List< ::verbenastile::wire::VersionOutcomes,  ::capnp::Kind::STRUCT>::Builder getOutcomes();
+  inline void setOutcomes( ::capnp::List< ::verbenastile::wire::VersionOutcomes,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::verbenastile::wire::VersionOutcomes,  ::capnp::Kind::STRUCT>::Builder initOutcomes(unsigned int size);
+  inline void adoptOutcomes(::capnp::Orphan< ::capnp::List< ::verbenastile::wire::VersionOutcomes,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::verbenastile::wire::VersionOutcomes,  ::capnp::Kind::STRUCT>> disownOutcomes();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1344,9 +1426,9 @@
 };
 
 #if !CAPNP_LITE
-class HeldConfiguration::Pipeline {
+class RolloutReport::Pipeline {
 public:
-  typedef HeldConfiguration Pipelines;
+  typedef RolloutReport Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1360,9 +1442,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ConfigurationDelta::Reader {
+class VersionOutcomes::Reader {
 public:
-  typedef ConfigurationDelta Reads;
+  typedef VersionOutcomes Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1377,14 +1459,18 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasBase() const;
-  inline  ::verbenastile::wire::HeldConfiguration::Reader getBase() const;
+  inline bool hasRule() const;
+  inline  ::capnp::Text::Reader getRule() const;
 
-  inline bool hasTo() const;
-  inline  ::verbenastile::wire::HeldConfiguration::Reader getTo() const;
+  inline bool getTarget() const;
 
-  inline bool hasBytes() const;
-  inline  ::capnp::Data::Reader getBytes() const;
+  inline  ::uint64_t getResponses() const;
+
+  inline  ::uint64_t getFailures() const;
+
+  inline  ::uint64_t getSlow() const;
+
+  inline  ::uint64_t getTimeUs() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1398,9 +1484,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ConfigurationDelta::Builder {
+class VersionOutcomes::Builder {
 public:
-  typedef ConfigurationDelta Builds;
+  typedef VersionOutcomes Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1414,26 +1500,27 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasBase();
-  inline  ::verbenastile::wire::HeldConfiguration::Builder getBase();
-  inline void setBase( ::verbenastile::wire::HeldConfiguration::Reader value);
-  inline  ::verbenastile::wire::HeldConfiguration::Builder initBase();
-  inline void adoptBase(::capnp::Orphan< ::verbenastile::wire::HeldConfiguration>&& value);
-  inline ::capnp::Orphan< ::verbenastile::wire::HeldConfiguration> disownBase();
+  inline bool hasRule();
+  inline  ::capnp::Text::Builder getRule();
+  inline void setRule( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRule(unsigned int size);
+  inline void adoptRule(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRule();
 
-  inline bool hasTo();
-  inline  ::verbenastile::wire::HeldConfiguration::Builder getTo();
-  inline void setTo( ::verbenastile::wire::HeldConfiguration::Reader value);
-  inline  ::verbenastile::wire::HeldConfiguration::Builder initTo();
-  inline void adoptTo(::capnp::Orphan< ::verbenastile::wire::HeldConfiguration>&& value);
-  inline ::capnp::Orphan< ::verbenastile::wire::HeldConfiguration> disownTo();
+  inline bool getTarget();
+  inline void setTarget(bool value);
 
-  inline bool hasBytes();
-  inline  ::capnp::Data::Builder getBytes();
-  inline void setBytes( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initBytes(unsigned int size);
-  inline void adoptBytes(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownBytes();
+  inline  ::uint64_t getResponses();
+  inline void setResponses( ::uint64_t value);
+
+  inline  ::uint64_t getFailures();
+  inline void setFailures( ::uint64_t value);
+
+  inline  ::uint64_t getSlow();
+  inline void setSlow( ::uint64_t value);
+
+  inline  ::uint64_t getTimeUs();
+  inline void setTimeUs( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1445,16 +1532,14 @@
 };
 
 #if !CAPNP_LITE
-class ConfigurationDelta::Pipeline {
+class VersionOutcomes::Pipeline {
 public:
-  typedef ConfigurationDelta Pipelines;
+  typedef VersionOutcomes Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::verbenastile::wire::HeldConfiguration::Pipeline getBase();
-  inline  ::verbenastile::wire::HeldConfiguration::Pipeline getTo();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1463,9 +1548,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Call::Reader {
+class Member::Reader {
 public:
-  typedef Call Reads;
+  typedef Member Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1480,42 +1565,40 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasService() const;
-  inline  ::capnp::Text::Reader getService() const;
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
 
-  inline bool hasCallerService() const;
-  inline  ::capnp::Text::Reader getCallerService() const;
+  inline  ::uint64_t getIncarnation() const;
 
-  inline bool hasRequestId() const;
-  inline  ::capnp::Text::Reader getRequestId() const;
+  inline  ::uint64_t getSequence() const;
 
-  inline bool hasMethod() const;
-  inline  ::capnp::Text::Reader getMethod() const;
+  inline  ::uint8_t getState() const;
 
-  inline bool hasTarget() const;
-  inline  ::capnp::Text::Reader getTarget() const;
+  inline bool getServing() const;
 
-  inline bool hasHeaders() const;
-  inline  ::capnp::List< ::verbenastile::wire::Header,  ::capnp::Kind::STRUCT>::Reader getHeaders() const;
+  inline bool hasFailureDomain() const;
+  inline  ::capnp::Text::Reader getFailureDomain() const;
 
-  inline bool hasBody() const;
-  inline  ::capnp::Data::Reader getBody() const;
+  inline bool hasRegion() const;
+  inline  ::capnp::Text::Reader getRegion() const;
 
-  inline  ::uint8_t getPriority() const;
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
 
-  inline  ::int64_t getRemainingUs() const;
+  inline bool hasLinkIp() const;
+  inline  ::capnp::Text::Reader getLinkIp() const;
 
-  inline  ::int64_t getObjectiveUs() const;
+  inline  ::uint16_t getLinkPort() const;
 
-  inline bool getIdempotent() const;
+  inline  ::uint32_t getSlots() const;
 
-  inline bool hasRule() const;
-  inline  ::capnp::Text::Reader getRule() const;
+  inline bool hasInstance() const;
+  inline  ::capnp::Text::Reader getInstance() const;
 
-  inline bool getOnlyIfFree() const;
+  inline bool getInstanceLeaving() const;
 
-  inline bool hasNotice() const;
-  inline  ::verbenastile::wire::InstanceNotice::Reader getNotice() const;
+  inline bool hasSoftware() const;
+  inline  ::capnp::Text::Reader getSoftware() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1529,9 +1612,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Call::Builder {
+class Member::Builder {
 public:
-  typedef Call Builds;
+  typedef Member Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1545,83 +1628,75 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasService();
-  inline  ::capnp::Text::Builder getService();
-  inline void setService( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initService(unsigned int size);
-  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownService();
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
 
-  inline bool hasCallerService();
-  inline  ::capnp::Text::Builder getCallerService();
-  inline void setCallerService( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initCallerService(unsigned int size);
-  inline void adoptCallerService(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownCallerService();
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
 
-  inline bool hasRequestId();
-  inline  ::capnp::Text::Builder getRequestId();
-  inline void setRequestId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initRequestId(unsigned int size);
-  inline void adoptRequestId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownRequestId();
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
 
-  inline bool hasMethod();
-  inline  ::capnp::Text::Builder getMethod();
-  inline void setMethod( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initMethod(unsigned int size);
-  inline void adoptMethod(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownMethod();
+  inline  ::uint8_t getState();
+  inline void setState( ::uint8_t value);
 
-  inline bool hasTarget();
-  inline  ::capnp::Text::Builder getTarget();
-  inline void setTarget( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initTarget(unsigned int size);
-  inline void adoptTarget(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownTarget();
+  inline bool getServing();
+  inline void setServing(bool value);
 
-  inline bool hasHeaders();
-  inline  ::capnp::List< ::verbenastile::wire::Header,  ::capnp::Kind::STRUCT>::Builder getHeaders();
-  inline void setHeaders( ::capnp::List< ::verbenastile::wire::Header,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::verbenastile::wire::Header,  ::capnp::Kind::STRUCT>::Builder initHeaders(unsigned int size);
-  inline void adoptHeaders(::capnp::Orphan< ::capnp::List< ::verbenastile::wire::Header,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::verbenastile::wire::Header,  ::capnp::Kind::STRUCT>> disownHeaders();
+  inline bool hasFailureDomain();
+  inline  ::capnp::Text::Builder getFailureDomain();
+  inline void setFailureDomain( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initFailureDomain(unsigned int size);
+  inline void adoptFailureDomain(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownFailureDomain();
 
-  inline bool hasBody();
-  inline  ::capnp::Data::Builder getBody();
-  inline void setBody( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initBody(unsigned int size);
-  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownBody();
+  inline bool hasRegion();
+  inline  ::capnp::Text::Builder getRegion();
+  inline void setRegion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRegion(unsigned int size);
+  inline void adoptRegion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRegion();
 
-  inline  ::uint8_t getPriority();
-  inline void setPriority( ::uint8_t value);
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
 
-  inline  ::int64_t getRemainingUs();
-  inline void setRemainingUs( ::int64_t value);
+  inline bool hasLinkIp();
+  inline  ::capnp::Text::Builder getLinkIp();
+  inline void setLinkIp( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initLinkIp(unsigned int size);
+  inline void adoptLinkIp(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownLinkIp();
 
-  inline  ::int64_t getObjectiveUs();
-  inline void setObjectiveUs( ::int64_t value);
+  inline  ::uint16_t getLinkPort();
+  inline void setLinkPort( ::uint16_t value);
 
-  inline bool getIdempotent();
-  inline void setIdempotent(bool value);
+  inline  ::uint32_t getSlots();
+  inline void setSlots( ::uint32_t value);
 
-  inline bool hasRule();
-  inline  ::capnp::Text::Builder getRule();
-  inline void setRule( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initRule(unsigned int size);
-  inline void adoptRule(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownRule();
+  inline bool hasInstance();
+  inline  ::capnp::Text::Builder getInstance();
+  inline void setInstance( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initInstance(unsigned int size);
+  inline void adoptInstance(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownInstance();
 
-  inline bool getOnlyIfFree();
-  inline void setOnlyIfFree(bool value);
+  inline bool getInstanceLeaving();
+  inline void setInstanceLeaving(bool value);
 
-  inline bool hasNotice();
-  inline  ::verbenastile::wire::InstanceNotice::Builder getNotice();
-  inline void setNotice( ::verbenastile::wire::InstanceNotice::Reader value);
-  inline  ::verbenastile::wire::InstanceNotice::Builder initNotice();
-  inline void adoptNotice(::capnp::Orphan< ::verbenastile::wire::InstanceNotice>&& value);
-  inline ::capnp::Orphan< ::verbenastile::wire::InstanceNotice> disownNotice();
+  inline bool hasSoftware();
+  inline  ::capnp::Text::Builder getSoftware();
+  inline void setSoftware( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initSoftware(unsigned int size);
+  inline void adoptSoftware(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownSoftware();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1633,15 +1708,14 @@
 };
 
 #if !CAPNP_LITE
-class Call::Pipeline {
+class Member::Pipeline {
 public:
-  typedef Call Pipelines;
+  typedef Member Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::verbenastile::wire::InstanceNotice::Pipeline getNotice();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1650,9 +1724,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Refusal::Reader {
+class Hello::Reader {
 public:
-  typedef Refusal Reads;
+  typedef Hello Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1667,12 +1741,14 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint8_t getReason() const;
+  inline bool hasMember() const;
+  inline  ::verbenastile::wire::Member::Reader getMember() const;
 
-  inline  ::int64_t getComeBackUs() const;
+  inline  ::uint64_t getGeneration() const;
 
-  inline bool hasLoad() const;
-  inline  ::verbenastile::wire::Load::Reader getLoad() const;
+  inline  ::int64_t getConfigurationAgeUs() const;
+
+  inline  ::uint64_t getStoreEra() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1686,9 +1762,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Refusal::Builder {
+class Hello::Builder {
 public:
-  typedef Refusal Builds;
+  typedef Hello Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1702,18 +1778,21 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint8_t getReason();
-  inline void setReason( ::uint8_t value);
+  inline bool hasMember();
+  inline  ::verbenastile::wire::Member::Builder getMember();
+  inline void setMember( ::verbenastile::wire::Member::Reader value);
+  inline  ::verbenastile::wire::Member::Builder initMember();
+  inline void adoptMember(::capnp::Orphan< ::verbenastile::wire::Member>&& value);
+  inline ::capnp::Orphan< ::verbenastile::wire::Member> disownMember();
 
-  inline  ::int64_t getComeBackUs();
-  inline void setComeBackUs( ::int64_t value);
+  inline  ::uint64_t getGeneration();
+  inline void setGeneration( ::uint64_t value);
 
-  inline bool hasLoad();
-  inline  ::verbenastile::wire::Load::Builder getLoad();
-  inline void setLoad( ::verbenastile::wire::Load::Reader value);
-  inline  ::verbenastile::wire::Load::Builder initLoad();
-  inline void adoptLoad(::capnp::Orphan< ::verbenastile::wire::Load>&& value);
-  inline ::capnp::Orphan< ::verbenastile::wire::Load> disownLoad();
+  inline  ::int64_t getConfigurationAgeUs();
+  inline void setConfigurationAgeUs( ::int64_t value);
+
+  inline  ::uint64_t getStoreEra();
+  inline void setStoreEra( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1725,15 +1804,15 @@
 };
 
 #if !CAPNP_LITE
-class Refusal::Pipeline {
+class Hello::Pipeline {
 public:
-  typedef Refusal Pipelines;
+  typedef Hello Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::verbenastile::wire::Load::Pipeline getLoad();
+  inline  ::verbenastile::wire::Member::Pipeline getMember();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1742,9 +1821,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Answer::Reader {
+class HeldConfiguration::Reader {
 public:
-  typedef Answer Reads;
+  typedef HeldConfiguration Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1759,22 +1838,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint16_t getStatus() const;
-
-  inline bool hasHeaders() const;
-  inline  ::capnp::List< ::verbenastile::wire::Header,  ::capnp::Kind::STRUCT>::Reader getHeaders() const;
-
-  inline  ::int64_t getLength() const;
-
-  inline bool hasBody() const;
-  inline  ::capnp::Data::Reader getBody() const;
-
-  inline bool getLast() const;
+  inline  ::uint64_t getGeneration() const;
 
-  inline bool hasLoad() const;
-  inline  ::verbenastile::wire::Load::Reader getLoad() const;
+  inline  ::uint64_t getDigestHigh() const;
 
-  inline  ::int64_t getWaitedUs() const;
+  inline  ::uint64_t getDigestLow() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1788,9 +1856,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Answer::Builder {
+class HeldConfiguration::Builder {
 public:
-  typedef Answer Builds;
+  typedef HeldConfiguration Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1804,38 +1872,14 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint16_t getStatus();
-  inline void setStatus( ::uint16_t value);
+  inline  ::uint64_t getGeneration();
+  inline void setGeneration( ::uint64_t value);
 
-  inline bool hasHeaders();
-  inline  ::capnp::List< ::verbenastile::wire::Header,  ::capnp::Kind::STRUCT>::Builder getHeaders();
-  inline void setHeaders( ::capnp::List< ::verbenastile::wire::Header,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::verbenastile::wire::Header,  ::capnp::Kind::STRUCT>::Builder initHeaders(unsigned int size);
-  inline void adoptHeaders(::capnp::Orphan< ::capnp::List< ::verbenastile::wire::Header,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::verbenastile::wire::Header,  ::capnp::Kind::STRUCT>> disownHeaders();
-
-  inline  ::int64_t getLength();
-  inline void setLength( ::int64_t value);
-
-  inline bool hasBody();
-  inline  ::capnp::Data::Builder getBody();
-  inline void setBody( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initBody(unsigned int size);
-  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownBody();
-
-  inline bool getLast();
-  inline void setLast(bool value);
-
-  inline bool hasLoad();
-  inline  ::verbenastile::wire::Load::Builder getLoad();
-  inline void setLoad( ::verbenastile::wire::Load::Reader value);
-  inline  ::verbenastile::wire::Load::Builder initLoad();
-  inline void adoptLoad(::capnp::Orphan< ::verbenastile::wire::Load>&& value);
-  inline ::capnp::Orphan< ::verbenastile::wire::Load> disownLoad();
+  inline  ::uint64_t getDigestHigh();
+  inline void setDigestHigh( ::uint64_t value);
 
-  inline  ::int64_t getWaitedUs();
-  inline void setWaitedUs( ::int64_t value);
+  inline  ::uint64_t getDigestLow();
+  inline void setDigestLow( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1847,15 +1891,14 @@
 };
 
 #if !CAPNP_LITE
-class Answer::Pipeline {
+class HeldConfiguration::Pipeline {
 public:
-  typedef Answer Pipelines;
+  typedef HeldConfiguration Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::verbenastile::wire::Load::Pipeline getLoad();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1864,9 +1907,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Part::Reader {
+class ConfigurationDelta::Reader {
 public:
-  typedef Part Reads;
+  typedef ConfigurationDelta Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1881,10 +1924,14 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasBody() const;
-  inline  ::capnp::Data::Reader getBody() const;
+  inline bool hasBase() const;
+  inline  ::verbenastile::wire::HeldConfiguration::Reader getBase() const;
 
-  inline bool getLast() const;
+  inline bool hasTo() const;
+  inline  ::verbenastile::wire::HeldConfiguration::Reader getTo() const;
+
+  inline bool hasBytes() const;
+  inline  ::capnp::Data::Reader getBytes() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1898,9 +1945,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Part::Builder {
+class ConfigurationDelta::Builder {
 public:
-  typedef Part Builds;
+  typedef ConfigurationDelta Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1914,15 +1961,26 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasBody();
-  inline  ::capnp::Data::Builder getBody();
-  inline void setBody( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initBody(unsigned int size);
-  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownBody();
+  inline bool hasBase();
+  inline  ::verbenastile::wire::HeldConfiguration::Builder getBase();
+  inline void setBase( ::verbenastile::wire::HeldConfiguration::Reader value);
+  inline  ::verbenastile::wire::HeldConfiguration::Builder initBase();
+  inline void adoptBase(::capnp::Orphan< ::verbenastile::wire::HeldConfiguration>&& value);
+  inline ::capnp::Orphan< ::verbenastile::wire::HeldConfiguration> disownBase();
 
-  inline bool getLast();
-  inline void setLast(bool value);
+  inline bool hasTo();
+  inline  ::verbenastile::wire::HeldConfiguration::Builder getTo();
+  inline void setTo( ::verbenastile::wire::HeldConfiguration::Reader value);
+  inline  ::verbenastile::wire::HeldConfiguration::Builder initTo();
+  inline void adoptTo(::capnp::Orphan< ::verbenastile::wire::HeldConfiguration>&& value);
+  inline ::capnp::Orphan< ::verbenastile::wire::HeldConfiguration> disownTo();
+
+  inline bool hasBytes();
+  inline  ::capnp::Data::Builder getBytes();
+  inline void setBytes( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initBytes(unsigned int size);
+  inline void adoptBytes(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownBytes();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1934,14 +1992,16 @@
 };
 
 #if !CAPNP_LITE
-class Part::Pipeline {
+class ConfigurationDelta::Pipeline {
 public:
-  typedef Part Pipelines;
+  typedef ConfigurationDelta Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::verbenastile::wire::HeldConfiguration::Pipeline getBase();
+  inline  ::verbenastile::wire::HeldConfiguration::Pipeline getTo();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1950,9 +2010,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Broken::Reader {
+class Call::Reader {
 public:
-  typedef Broken Reads;
+  typedef Call Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1967,11 +2027,49 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasDetail() const;
-  inline  ::capnp::Text::Reader getDetail() const;
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
 
-  inline bool hasLoad() const;
-  inline  ::verbenastile::wire::Load::Reader getLoad() const;
+  inline bool hasCallerService() const;
+  inline  ::capnp::Text::Reader getCallerService() const;
+
+  inline bool hasRequestId() const;
+  inline  ::capnp::Text::Reader getRequestId() const;
+
+  inline bool hasMethod() const;
+  inline  ::capnp::Text::Reader getMethod() const;
+
+  inline bool hasTarget() const;
+  inline  ::capnp::Text::Reader getTarget() const;
+
+  inline bool hasHeaders() const;
+  inline  ::capnp::List< ::verbenastile::wire::Header,  ::capnp::Kind::STRUCT>::Reader getHeaders() const;
+
+  inline bool hasBody() const;
+  inline  ::capnp::Data::Reader getBody() const;
+
+  inline  ::uint8_t getPriority() const;
+
+  inline  ::int64_t getRemainingUs() const;
+
+  inline  ::int64_t getObjectiveUs() const;
+
+  inline bool getIdempotent() const;
+
+  inline bool hasRule() const;
+  inline  ::capnp::Text::Reader getRule() const;
+
+  inline bool getOnlyIfFree() const;
+
+  inline bool hasNotice() const;
+  inline  ::verbenastile::wire::InstanceNotice::Reader getNotice() const;
+
+  inline bool hasGroup() const;
+  inline  ::capnp::Text::Reader getGroup() const;
+
+  inline  ::uint8_t getGroupPriority() const;
+
+  inline bool getCopy() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1985,9 +2083,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Broken::Builder {
+class Call::Builder {
 public:
-  typedef Broken Builds;
+  typedef Call Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2001,19 +2099,96 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasDetail();
-  inline  ::capnp::Text::Builder getDetail();
-  inline void setDetail( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initDetail(unsigned int size);
-  inline void adoptDetail(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownDetail();
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
 
-  inline bool hasLoad();
-  inline  ::verbenastile::wire::Load::Builder getLoad();
-  inline void setLoad( ::verbenastile::wire::Load::Reader value);
-  inline  ::verbenastile::wire::Load::Builder initLoad();
-  inline void adoptLoad(::capnp::Orphan< ::verbenastile::wire::Load>&& value);
-  inline ::capnp::Orphan< ::verbenastile::wire::Load> disownLoad();
+  inline bool hasCallerService();
+  inline  ::capnp::Text::Builder getCallerService();
+  inline void setCallerService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCallerService(unsigned int size);
+  inline void adoptCallerService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCallerService();
+
+  inline bool hasRequestId();
+  inline  ::capnp::Text::Builder getRequestId();
+  inline void setRequestId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRequestId(unsigned int size);
+  inline void adoptRequestId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRequestId();
+
+  inline bool hasMethod();
+  inline  ::capnp::Text::Builder getMethod();
+  inline void setMethod( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initMethod(unsigned int size);
+  inline void adoptMethod(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownMethod();
+
+  inline bool hasTarget();
+  inline  ::capnp::Text::Builder getTarget();
+  inline void setTarget( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTarget(unsigned int size);
+  inline void adoptTarget(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTarget();
+
+  inline bool hasHeaders();
+  inline  ::capnp::List< ::verbenastile::wire::Header,  ::capnp::Kind::STRUCT>::Builder getHeaders();
+  inline void setHeaders( ::capnp::List< ::verbenastile::wire::Header,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::verbenastile::wire::Header,  ::capnp::Kind::STRUCT>::Builder initHeaders(unsigned int size);
+  inline void adoptHeaders(::capnp::Orphan< ::capnp::List< ::verbenastile::wire::Header,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::verbenastile::wire::Header,  ::capnp::Kind::STRUCT>> disownHeaders();
+
+  inline bool hasBody();
+  inline  ::capnp::Data::Builder getBody();
+  inline void setBody( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initBody(unsigned int size);
+  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownBody();
+
+  inline  ::uint8_t getPriority();
+  inline void setPriority( ::uint8_t value);
+
+  inline  ::int64_t getRemainingUs();
+  inline void setRemainingUs( ::int64_t value);
+
+  inline  ::int64_t getObjectiveUs();
+  inline void setObjectiveUs( ::int64_t value);
+
+  inline bool getIdempotent();
+  inline void setIdempotent(bool value);
+
+  inline bool hasRule();
+  inline  ::capnp::Text::Builder getRule();
+  inline void setRule( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRule(unsigned int size);
+  inline void adoptRule(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRule();
+
+  inline bool getOnlyIfFree();
+  inline void setOnlyIfFree(bool value);
+
+  inline bool hasNotice();
+  inline  ::verbenastile::wire::InstanceNotice::Builder getNotice();
+  inline void setNotice( ::verbenastile::wire::InstanceNotice::Reader value);
+  inline  ::verbenastile::wire::InstanceNotice::Builder initNotice();
+  inline void adoptNotice(::capnp::Orphan< ::verbenastile::wire::InstanceNotice>&& value);
+  inline ::capnp::Orphan< ::verbenastile::wire::InstanceNotice> disownNotice();
+
+  inline bool hasGroup();
+  inline  ::capnp::Text::Builder getGroup();
+  inline void setGroup( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initGroup(unsigned int size);
+  inline void adoptGroup(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownGroup();
+
+  inline  ::uint8_t getGroupPriority();
+  inline void setGroupPriority( ::uint8_t value);
+
+  inline bool getCopy();
+  inline void setCopy(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2025,15 +2200,15 @@
 };
 
 #if !CAPNP_LITE
-class Broken::Pipeline {
+class Call::Pipeline {
 public:
-  typedef Broken Pipelines;
+  typedef Call Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::verbenastile::wire::Load::Pipeline getLoad();
+  inline  ::verbenastile::wire::InstanceNotice::Pipeline getNotice();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2042,1160 +2217,2176 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class Refusal::Reader {
+public:
+  typedef Refusal Reads;
 
-inline  ::verbenastile::wire::LinkFrame::Which LinkFrame::Reader::which() const {
-  return _reader.getDataField<Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-inline  ::verbenastile::wire::LinkFrame::Which LinkFrame::Builder::which() {
-  return _builder.getDataField<Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-inline  ::uint64_t LinkFrame::Reader::getCallId() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint8_t getReason() const;
+
+  inline  ::int64_t getComeBackUs() const;
+
+  inline bool hasLoad() const;
+  inline  ::verbenastile::wire::Load::Reader getLoad() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Refusal::Builder {
+public:
+  typedef Refusal Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint8_t getReason();
+  inline void setReason( ::uint8_t value);
+
+  inline  ::int64_t getComeBackUs();
+  inline void setComeBackUs( ::int64_t value);
+
+  inline bool hasLoad();
+  inline  ::verbenastile::wire::Load::Builder getLoad();
+  inline void setLoad( ::verbenastile::wire::Load::Reader value);
+  inline  ::verbenastile::wire::Load::Builder initLoad();
+  inline void adoptLoad(::capnp::Orphan< ::verbenastile::wire::Load>&& value);
+  inline ::capnp::Orphan< ::verbenastile::wire::Load> disownLoad();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Refusal::Pipeline {
+public:
+  typedef Refusal Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::verbenastile::wire::Load::Pipeline getLoad();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Answer::Reader {
+public:
+  typedef Answer Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint16_t getStatus() const;
+
+  inline bool hasHeaders() const;
+  inline  ::capnp::List< ::verbenastile::wire::Header,  ::capnp::Kind::STRUCT>::Reader getHeaders() const;
+
+  inline  ::int64_t getLength() const;
+
+  inline bool hasBody() const;
+  inline  ::capnp::Data::Reader getBody() const;
+
+  inline bool getLast() const;
+
+  inline bool hasLoad() const;
+  inline  ::verbenastile::wire::Load::Reader getLoad() const;
+
+  inline  ::int64_t getWaitedUs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Answer::Builder {
+public:
+  typedef Answer Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint16_t getStatus();
+  inline void setStatus( ::uint16_t value);
+
+  inline bool hasHeaders();
+  inline  ::capnp::List< ::verbenastile::wire::Header,  ::capnp::Kind::STRUCT>::Builder getHeaders();
+  inline void setHeaders( ::capnp::List< ::verbenastile::wire::Header,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::verbenastile::wire::Header,  ::capnp::Kind::STRUCT>::Builder initHeaders(unsigned int size);
+  inline void adoptHeaders(::capnp::Orphan< ::capnp::List< ::verbenastile::wire::Header,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::verbenastile::wire::Header,  ::capnp::Kind::STRUCT>> disownHeaders();
+
+  inline  ::int64_t getLength();
+  inline void setLength( ::int64_t value);
+
+  inline bool hasBody();
+  inline  ::capnp::Data::Builder getBody();
+  inline void setBody( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initBody(unsigned int size);
+  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownBody();
+
+  inline bool getLast();
+  inline void setLast(bool value);
+
+  inline bool hasLoad();
+  inline  ::verbenastile::wire::Load::Builder getLoad();
+  inline void setLoad( ::verbenastile::wire::Load::Reader value);
+  inline  ::verbenastile::wire::Load::Builder initLoad();
+  inline void adoptLoad(::capnp::Orphan< ::verbenastile::wire::Load>&& value);
+  inline ::capnp::Orphan< ::verbenastile::wire::Load> disownLoad();
+
+  inline  ::int64_t getWaitedUs();
+  inline void setWaitedUs( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Answer::Pipeline {
+public:
+  typedef Answer Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::verbenastile::wire::Load::Pipeline getLoad();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Part::Reader {
+public:
+  typedef Part Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasBody() const;
+  inline  ::capnp::Data::Reader getBody() const;
+
+  inline bool getLast() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Part::Builder {
+public:
+  typedef Part Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasBody();
+  inline  ::capnp::Data::Builder getBody();
+  inline void setBody( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initBody(unsigned int size);
+  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownBody();
+
+  inline bool getLast();
+  inline void setLast(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Part::Pipeline {
+public:
+  typedef Part Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Broken::Reader {
+public:
+  typedef Broken Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasDetail() const;
+  inline  ::capnp::Text::Reader getDetail() const;
+
+  inline bool hasLoad() const;
+  inline  ::verbenastile::wire::Load::Reader getLoad() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Broken::Builder {
+public:
+  typedef Broken Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasDetail();
+  inline  ::capnp::Text::Builder getDetail();
+  inline void setDetail( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDetail(unsigned int size);
+  inline void adoptDetail(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDetail();
+
+  inline bool hasLoad();
+  inline  ::verbenastile::wire::Load::Builder getLoad();
+  inline void setLoad( ::verbenastile::wire::Load::Reader value);
+  inline  ::verbenastile::wire::Load::Builder initLoad();
+  inline void adoptLoad(::capnp::Orphan< ::verbenastile::wire::Load>&& value);
+  inline ::capnp::Orphan< ::verbenastile::wire::Load> disownLoad();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Broken::Pipeline {
+public:
+  typedef Broken Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::verbenastile::wire::Load::Pipeline getLoad();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline  ::verbenastile::wire::LinkFrame::Which LinkFrame::Reader::which() const {
+  return _reader.getDataField<Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline  ::verbenastile::wire::LinkFrame::Which LinkFrame::Builder::which() {
+  return _builder.getDataField<Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LinkFrame::Reader::getCallId() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
 
 inline  ::uint64_t LinkFrame::Builder::getCallId() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void LinkFrame::Builder::setCallId( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void LinkFrame::Builder::setCallId( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool LinkFrame::Reader::isHello() const {
+  return which() == LinkFrame::HELLO;
+}
+inline bool LinkFrame::Builder::isHello() {
+  return which() == LinkFrame::HELLO;
+}
+inline bool LinkFrame::Reader::hasHello() const {
+  if (which() != LinkFrame::HELLO) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool LinkFrame::Builder::hasHello() {
+  if (which() != LinkFrame::HELLO) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::verbenastile::wire::Hello::Reader LinkFrame::Reader::getHello() const {
+  KJ_IREQUIRE((which() == LinkFrame::HELLO),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Hello>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::verbenastile::wire::Hello::Builder LinkFrame::Builder::getHello() {
+  KJ_IREQUIRE((which() == LinkFrame::HELLO),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Hello>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LinkFrame::Builder::setHello( ::verbenastile::wire::Hello::Reader value) {
+  _builder.setDataField<LinkFrame::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::HELLO);
+  ::capnp::_::PointerHelpers< ::verbenastile::wire::Hello>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::verbenastile::wire::Hello::Builder LinkFrame::Builder::initHello() {
+  _builder.setDataField<LinkFrame::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::HELLO);
+  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Hello>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LinkFrame::Builder::adoptHello(
+    ::capnp::Orphan< ::verbenastile::wire::Hello>&& value) {
+  _builder.setDataField<LinkFrame::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::HELLO);
+  ::capnp::_::PointerHelpers< ::verbenastile::wire::Hello>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::verbenastile::wire::Hello> LinkFrame::Builder::disownHello() {
+  KJ_IREQUIRE((which() == LinkFrame::HELLO),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Hello>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool LinkFrame::Reader::isCall() const {
+  return which() == LinkFrame::CALL;
+}
+inline bool LinkFrame::Builder::isCall() {
+  return which() == LinkFrame::CALL;
+}
+inline bool LinkFrame::Reader::hasCall() const {
+  if (which() != LinkFrame::CALL) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool LinkFrame::Builder::hasCall() {
+  if (which() != LinkFrame::CALL) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::verbenastile::wire::Call::Reader LinkFrame::Reader::getCall() const {
+  KJ_IREQUIRE((which() == LinkFrame::CALL),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Call>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::verbenastile::wire::Call::Builder LinkFrame::Builder::getCall() {
+  KJ_IREQUIRE((which() == LinkFrame::CALL),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Call>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LinkFrame::Builder::setCall( ::verbenastile::wire::Call::Reader value) {
+  _builder.setDataField<LinkFrame::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::CALL);
+  ::capnp::_::PointerHelpers< ::verbenastile::wire::Call>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::verbenastile::wire::Call::Builder LinkFrame::Builder::initCall() {
+  _builder.setDataField<LinkFrame::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::CALL);
+  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Call>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LinkFrame::Builder::adoptCall(
+    ::capnp::Orphan< ::verbenastile::wire::Call>&& value) {
+  _builder.setDataField<LinkFrame::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::CALL);
+  ::capnp::_::PointerHelpers< ::verbenastile::wire::Call>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::verbenastile::wire::Call> LinkFrame::Builder::disownCall() {
+  KJ_IREQUIRE((which() == LinkFrame::CALL),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Call>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool LinkFrame::Reader::isCancel() const {
+  return which() == LinkFrame::CANCEL;
+}
+inline bool LinkFrame::Builder::isCancel() {
+  return which() == LinkFrame::CANCEL;
+}
+inline  ::capnp::Void LinkFrame::Reader::getCancel() const {
+  KJ_IREQUIRE((which() == LinkFrame::CANCEL),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::capnp::Void LinkFrame::Builder::getCancel() {
+  KJ_IREQUIRE((which() == LinkFrame::CANCEL),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void LinkFrame::Builder::setCancel( ::capnp::Void value) {
+  _builder.setDataField<LinkFrame::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::CANCEL);
+  _builder.setDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool LinkFrame::Reader::isRefusal() const {
+  return which() == LinkFrame::REFUSAL;
+}
+inline bool LinkFrame::Builder::isRefusal() {
+  return which() == LinkFrame::REFUSAL;
+}
+inline bool LinkFrame::Reader::hasRefusal() const {
+  if (which() != LinkFrame::REFUSAL) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool LinkFrame::Builder::hasRefusal() {
+  if (which() != LinkFrame::REFUSAL) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::verbenastile::wire::Refusal::Reader LinkFrame::Reader::getRefusal() const {
+  KJ_IREQUIRE((which() == LinkFrame::REFUSAL),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Refusal>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::verbenastile::wire::Refusal::Builder LinkFrame::Builder::getRefusal() {
+  KJ_IREQUIRE((which() == LinkFrame::REFUSAL),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Refusal>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LinkFrame::Builder::setRefusal( ::verbenastile::wire::Refusal::Reader value) {
+  _builder.setDataField<LinkFrame::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::REFUSAL);
+  ::capnp::_::PointerHelpers< ::verbenastile::wire::Refusal>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::verbenastile::wire::Refusal::Builder LinkFrame::Builder::initRefusal() {
+  _builder.setDataField<LinkFrame::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::REFUSAL);
+  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Refusal>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LinkFrame::Builder::adoptRefusal(
+    ::capnp::Orphan< ::verbenastile::wire::Refusal>&& value) {
+  _builder.setDataField<LinkFrame::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::REFUSAL);
+  ::capnp::_::PointerHelpers< ::verbenastile::wire::Refusal>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::verbenastile::wire::Refusal> LinkFrame::Builder::disownRefusal() {
+  KJ_IREQUIRE((which() == LinkFrame::REFUSAL),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Refusal>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool LinkFrame::Reader::isAnswer() const {
+  return which() == LinkFrame::ANSWER;
+}
+inline bool LinkFrame::Builder::isAnswer() {
+  return which() == LinkFrame::ANSWER;
+}
+inline bool LinkFrame::Reader::hasAnswer() const {
+  if (which() != LinkFrame::ANSWER) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool LinkFrame::Builder::hasAnswer() {
+  if (which() != LinkFrame::ANSWER) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::verbenastile::wire::Answer::Reader LinkFrame::Reader::getAnswer() const {
+  KJ_IREQUIRE((which() == LinkFrame::ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Answer>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::verbenastile::wire::Answer::Builder LinkFrame::Builder::getAnswer() {
+  KJ_IREQUIRE((which() == LinkFrame::ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Answer>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LinkFrame::Builder::setAnswer( ::verbenastile::wire::Answer::Reader value) {
+  _builder.setDataField<LinkFrame::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::ANSWER);
+  ::capnp::_::PointerHelpers< ::verbenastile::wire::Answer>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::verbenastile::wire::Answer::Builder LinkFrame::Builder::initAnswer() {
+  _builder.setDataField<LinkFrame::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::ANSWER);
+  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Answer>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LinkFrame::Builder::adoptAnswer(
+    ::capnp::Orphan< ::verbenastile::wire::Answer>&& value) {
+  _builder.setDataField<LinkFrame::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::ANSWER);
+  ::capnp::_::PointerHelpers< ::verbenastile::wire::Answer>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::verbenastile::wire::Answer> LinkFrame::Builder::disownAnswer() {
+  KJ_IREQUIRE((which() == LinkFrame::ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Answer>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool LinkFrame::Reader::isPart() const {
+  return which() == LinkFrame::PART;
+}
+inline bool LinkFrame::Builder::isPart() {
+  return which() == LinkFrame::PART;
+}
+inline bool LinkFrame::Reader::hasPart() const {
+  if (which() != LinkFrame::PART) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool LinkFrame::Builder::hasPart() {
+  if (which() != LinkFrame::PART) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::verbenastile::wire::Part::Reader LinkFrame::Reader::getPart() const {
+  KJ_IREQUIRE((which() == LinkFrame::PART),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Part>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::verbenastile::wire::Part::Builder LinkFrame::Builder::getPart() {
+  KJ_IREQUIRE((which() == LinkFrame::PART),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Part>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LinkFrame::Builder::setPart( ::verbenastile::wire::Part::Reader value) {
+  _builder.setDataField<LinkFrame::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::PART);
+  ::capnp::_::PointerHelpers< ::verbenastile::wire::Part>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::verbenastile::wire::Part::Builder LinkFrame::Builder::initPart() {
+  _builder.setDataField<LinkFrame::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::PART);
+  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Part>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LinkFrame::Builder::adoptPart(
+    ::capnp::Orphan< ::verbenastile::wire::Part>&& value) {
+  _builder.setDataField<LinkFrame::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::PART);
+  ::capnp::_::PointerHelpers< ::verbenastile::wire::Part>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::verbenastile::wire::Part> LinkFrame::Builder::disownPart() {
+  KJ_IREQUIRE((which() == LinkFrame::PART),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Part>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool LinkFrame::Reader::isBroken() const {
+  return which() == LinkFrame::BROKEN;
+}
+inline bool LinkFrame::Builder::isBroken() {
+  return which() == LinkFrame::BROKEN;
+}
+inline bool LinkFrame::Reader::hasBroken() const {
+  if (which() != LinkFrame::BROKEN) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool LinkFrame::Builder::hasBroken() {
+  if (which() != LinkFrame::BROKEN) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::verbenastile::wire::Broken::Reader LinkFrame::Reader::getBroken() const {
+  KJ_IREQUIRE((which() == LinkFrame::BROKEN),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Broken>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::verbenastile::wire::Broken::Builder LinkFrame::Builder::getBroken() {
+  KJ_IREQUIRE((which() == LinkFrame::BROKEN),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Broken>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LinkFrame::Builder::setBroken( ::verbenastile::wire::Broken::Reader value) {
+  _builder.setDataField<LinkFrame::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::BROKEN);
+  ::capnp::_::PointerHelpers< ::verbenastile::wire::Broken>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::verbenastile::wire::Broken::Builder LinkFrame::Builder::initBroken() {
+  _builder.setDataField<LinkFrame::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::BROKEN);
+  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Broken>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LinkFrame::Builder::adoptBroken(
+    ::capnp::Orphan< ::verbenastile::wire::Broken>&& value) {
+  _builder.setDataField<LinkFrame::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::BROKEN);
+  ::capnp::_::PointerHelpers< ::verbenastile::wire::Broken>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::verbenastile::wire::Broken> LinkFrame::Builder::disownBroken() {
+  KJ_IREQUIRE((which() == LinkFrame::BROKEN),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Broken>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool LinkFrame::Reader::isCredit() const {
+  return which() == LinkFrame::CREDIT;
+}
+inline bool LinkFrame::Builder::isCredit() {
+  return which() == LinkFrame::CREDIT;
+}
+inline  ::uint32_t LinkFrame::Reader::getCredit() const {
+  KJ_IREQUIRE((which() == LinkFrame::CREDIT),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t LinkFrame::Builder::getCredit() {
+  KJ_IREQUIRE((which() == LinkFrame::CREDIT),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void LinkFrame::Builder::setCredit( ::uint32_t value) {
+  _builder.setDataField<LinkFrame::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::CREDIT);
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool LinkFrame::Reader::isPing() const {
+  return which() == LinkFrame::PING;
+}
+inline bool LinkFrame::Builder::isPing() {
+  return which() == LinkFrame::PING;
+}
+inline  ::capnp::Void LinkFrame::Reader::getPing() const {
+  KJ_IREQUIRE((which() == LinkFrame::PING),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::capnp::Void LinkFrame::Builder::getPing() {
+  KJ_IREQUIRE((which() == LinkFrame::PING),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void LinkFrame::Builder::setPing( ::capnp::Void value) {
+  _builder.setDataField<LinkFrame::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::PING);
+  _builder.setDataField< ::capnp::Void>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool LinkFrame::Reader::isHello() const {
-  return which() == LinkFrame::HELLO;
+inline bool LinkFrame::Reader::isPong() const {
+  return which() == LinkFrame::PONG;
+}
+inline bool LinkFrame::Builder::isPong() {
+  return which() == LinkFrame::PONG;
+}
+inline bool LinkFrame::Reader::hasPong() const {
+  if (which() != LinkFrame::PONG) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool LinkFrame::Builder::hasPong() {
+  if (which() != LinkFrame::PONG) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::verbenastile::wire::Load::Reader LinkFrame::Reader::getPong() const {
+  KJ_IREQUIRE((which() == LinkFrame::PONG),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Load>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::verbenastile::wire::Load::Builder LinkFrame::Builder::getPong() {
+  KJ_IREQUIRE((which() == LinkFrame::PONG),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Load>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LinkFrame::Builder::setPong( ::verbenastile::wire::Load::Reader value) {
+  _builder.setDataField<LinkFrame::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::PONG);
+  ::capnp::_::PointerHelpers< ::verbenastile::wire::Load>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::verbenastile::wire::Load::Builder LinkFrame::Builder::initPong() {
+  _builder.setDataField<LinkFrame::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::PONG);
+  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Load>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LinkFrame::Builder::adoptPong(
+    ::capnp::Orphan< ::verbenastile::wire::Load>&& value) {
+  _builder.setDataField<LinkFrame::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::PONG);
+  ::capnp::_::PointerHelpers< ::verbenastile::wire::Load>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::verbenastile::wire::Load> LinkFrame::Builder::disownPong() {
+  KJ_IREQUIRE((which() == LinkFrame::PONG),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Load>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool LinkFrame::Reader::isMember() const {
+  return which() == LinkFrame::MEMBER;
+}
+inline bool LinkFrame::Builder::isMember() {
+  return which() == LinkFrame::MEMBER;
+}
+inline bool LinkFrame::Reader::hasMember() const {
+  if (which() != LinkFrame::MEMBER) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool LinkFrame::Builder::hasMember() {
+  if (which() != LinkFrame::MEMBER) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::verbenastile::wire::Member::Reader LinkFrame::Reader::getMember() const {
+  KJ_IREQUIRE((which() == LinkFrame::MEMBER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Member>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::verbenastile::wire::Member::Builder LinkFrame::Builder::getMember() {
+  KJ_IREQUIRE((which() == LinkFrame::MEMBER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Member>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LinkFrame::Builder::setMember( ::verbenastile::wire::Member::Reader value) {
+  _builder.setDataField<LinkFrame::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::MEMBER);
+  ::capnp::_::PointerHelpers< ::verbenastile::wire::Member>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::verbenastile::wire::Member::Builder LinkFrame::Builder::initMember() {
+  _builder.setDataField<LinkFrame::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::MEMBER);
+  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Member>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LinkFrame::Builder::adoptMember(
+    ::capnp::Orphan< ::verbenastile::wire::Member>&& value) {
+  _builder.setDataField<LinkFrame::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::MEMBER);
+  ::capnp::_::PointerHelpers< ::verbenastile::wire::Member>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::verbenastile::wire::Member> LinkFrame::Builder::disownMember() {
+  KJ_IREQUIRE((which() == LinkFrame::MEMBER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Member>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool LinkFrame::Reader::isConfigurationWanted() const {
+  return which() == LinkFrame::CONFIGURATION_WANTED;
 }
-inline bool LinkFrame::Builder::isHello() {
-  return which() == LinkFrame::HELLO;
+inline bool LinkFrame::Builder::isConfigurationWanted() {
+  return which() == LinkFrame::CONFIGURATION_WANTED;
 }
-inline bool LinkFrame::Reader::hasHello() const {
-  if (which() != LinkFrame::HELLO) return false;
+inline bool LinkFrame::Reader::hasConfigurationWanted() const {
+  if (which() != LinkFrame::CONFIGURATION_WANTED) return false;
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool LinkFrame::Builder::hasHello() {
-  if (which() != LinkFrame::HELLO) return false;
+inline bool LinkFrame::Builder::hasConfigurationWanted() {
+  if (which() != LinkFrame::CONFIGURATION_WANTED) return false;
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::verbenastile::wire::Hello::Reader LinkFrame::Reader::getHello() const {
-  KJ_IREQUIRE((which() == LinkFrame::HELLO),
+inline  ::verbenastile::wire::HeldConfiguration::Reader LinkFrame::Reader::getConfigurationWanted() const {
+  KJ_IREQUIRE((which() == LinkFrame::CONFIGURATION_WANTED),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Hello>::get(_reader.getPointerField(
+  return ::capnp::_::PointerHelpers< ::verbenastile::wire::HeldConfiguration>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::verbenastile::wire::Hello::Builder LinkFrame::Builder::getHello() {
-  KJ_IREQUIRE((which() == LinkFrame::HELLO),
+inline  ::verbenastile::wire::HeldConfiguration::Builder LinkFrame::Builder::getConfigurationWanted() {
+  KJ_IREQUIRE((which() == LinkFrame::CONFIGURATION_WANTED),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Hello>::get(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::verbenastile::wire::HeldConfiguration>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void LinkFrame::Builder::setHello( ::verbenastile::wire::Hello::Reader value) {
+inline void LinkFrame::Builder::setConfigurationWanted( ::verbenastile::wire::HeldConfiguration::Reader value) {
   _builder.setDataField<LinkFrame::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::HELLO);
-  ::capnp::_::PointerHelpers< ::verbenastile::wire::Hello>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::CONFIGURATION_WANTED);
+  ::capnp::_::PointerHelpers< ::verbenastile::wire::HeldConfiguration>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::verbenastile::wire::Hello::Builder LinkFrame::Builder::initHello() {
+inline  ::verbenastile::wire::HeldConfiguration::Builder LinkFrame::Builder::initConfigurationWanted() {
   _builder.setDataField<LinkFrame::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::HELLO);
-  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Hello>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::CONFIGURATION_WANTED);
+  return ::capnp::_::PointerHelpers< ::verbenastile::wire::HeldConfiguration>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void LinkFrame::Builder::adoptHello(
-    ::capnp::Orphan< ::verbenastile::wire::Hello>&& value) {
+inline void LinkFrame::Builder::adoptConfigurationWanted(
+    ::capnp::Orphan< ::verbenastile::wire::HeldConfiguration>&& value) {
   _builder.setDataField<LinkFrame::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::HELLO);
-  ::capnp::_::PointerHelpers< ::verbenastile::wire::Hello>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::CONFIGURATION_WANTED);
+  ::capnp::_::PointerHelpers< ::verbenastile::wire::HeldConfiguration>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::verbenastile::wire::Hello> LinkFrame::Builder::disownHello() {
-  KJ_IREQUIRE((which() == LinkFrame::HELLO),
+inline ::capnp::Orphan< ::verbenastile::wire::HeldConfiguration> LinkFrame::Builder::disownConfigurationWanted() {
+  KJ_IREQUIRE((which() == LinkFrame::CONFIGURATION_WANTED),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Hello>::disown(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::verbenastile::wire::HeldConfiguration>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool LinkFrame::Reader::isCall() const {
-  return which() == LinkFrame::CALL;
+inline bool LinkFrame::Reader::isConfiguration() const {
+  return which() == LinkFrame::CONFIGURATION;
 }
-inline bool LinkFrame::Builder::isCall() {
-  return which() == LinkFrame::CALL;
+inline bool LinkFrame::Builder::isConfiguration() {
+  return which() == LinkFrame::CONFIGURATION;
 }
-inline bool LinkFrame::Reader::hasCall() const {
-  if (which() != LinkFrame::CALL) return false;
+inline bool LinkFrame::Reader::hasConfiguration() const {
+  if (which() != LinkFrame::CONFIGURATION) return false;
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool LinkFrame::Builder::hasCall() {
-  if (which() != LinkFrame::CALL) return false;
+inline bool LinkFrame::Builder::hasConfiguration() {
+  if (which() != LinkFrame::CONFIGURATION) return false;
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::verbenastile::wire::Call::Reader LinkFrame::Reader::getCall() const {
-  KJ_IREQUIRE((which() == LinkFrame::CALL),
+inline  ::verbenastile::wire::ConfigurationDelta::Reader LinkFrame::Reader::getConfiguration() const {
+  KJ_IREQUIRE((which() == LinkFrame::CONFIGURATION),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Call>::get(_reader.getPointerField(
+  return ::capnp::_::PointerHelpers< ::verbenastile::wire::ConfigurationDelta>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::verbenastile::wire::Call::Builder LinkFrame::Builder::getCall() {
-  KJ_IREQUIRE((which() == LinkFrame::CALL),
+inline  ::verbenastile::wire::ConfigurationDelta::Builder LinkFrame::Builder::getConfiguration() {
+  KJ_IREQUIRE((which() == LinkFrame::CONFIGURATION),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Call>::get(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::verbenastile::wire::ConfigurationDelta>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void LinkFrame::Builder::setCall( ::verbenastile::wire::Call::Reader value) {
+inline void LinkFrame::Builder::setConfiguration( ::verbenastile::wire::ConfigurationDelta::Reader value) {
   _builder.setDataField<LinkFrame::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::CALL);
-  ::capnp::_::PointerHelpers< ::verbenastile::wire::Call>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::CONFIGURATION);
+  ::capnp::_::PointerHelpers< ::verbenastile::wire::ConfigurationDelta>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::verbenastile::wire::Call::Builder LinkFrame::Builder::initCall() {
+inline  ::verbenastile::wire::ConfigurationDelta::Builder LinkFrame::Builder::initConfiguration() {
   _builder.setDataField<LinkFrame::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::CALL);
-  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Call>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::CONFIGURATION);
+  return ::capnp::_::PointerHelpers< ::verbenastile::wire::ConfigurationDelta>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void LinkFrame::Builder::adoptCall(
-    ::capnp::Orphan< ::verbenastile::wire::Call>&& value) {
+inline void LinkFrame::Builder::adoptConfiguration(
+    ::capnp::Orphan< ::verbenastile::wire::ConfigurationDelta>&& value) {
   _builder.setDataField<LinkFrame::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::CALL);
-  ::capnp::_::PointerHelpers< ::verbenastile::wire::Call>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::CONFIGURATION);
+  ::capnp::_::PointerHelpers< ::verbenastile::wire::ConfigurationDelta>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::verbenastile::wire::Call> LinkFrame::Builder::disownCall() {
-  KJ_IREQUIRE((which() == LinkFrame::CALL),
+inline ::capnp::Orphan< ::verbenastile::wire::ConfigurationDelta> LinkFrame::Builder::disownConfiguration() {
+  KJ_IREQUIRE((which() == LinkFrame::CONFIGURATION),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Call>::disown(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::verbenastile::wire::ConfigurationDelta>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool LinkFrame::Reader::isCancel() const {
-  return which() == LinkFrame::CANCEL;
+inline bool LinkFrame::Reader::isSuspicion() const {
+  return which() == LinkFrame::SUSPICION;
 }
-inline bool LinkFrame::Builder::isCancel() {
-  return which() == LinkFrame::CANCEL;
+inline bool LinkFrame::Builder::isSuspicion() {
+  return which() == LinkFrame::SUSPICION;
 }
-inline  ::capnp::Void LinkFrame::Reader::getCancel() const {
-  KJ_IREQUIRE((which() == LinkFrame::CANCEL),
+inline bool LinkFrame::Reader::hasSuspicion() const {
+  if (which() != LinkFrame::SUSPICION) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool LinkFrame::Builder::hasSuspicion() {
+  if (which() != LinkFrame::SUSPICION) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader LinkFrame::Reader::getSuspicion() const {
+  KJ_IREQUIRE((which() == LinkFrame::SUSPICION),
               "Must check which() before get()ing a union member.");
-  return _reader.getDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::capnp::Void LinkFrame::Builder::getCancel() {
-  KJ_IREQUIRE((which() == LinkFrame::CANCEL),
+inline  ::capnp::Text::Builder LinkFrame::Builder::getSuspicion() {
+  KJ_IREQUIRE((which() == LinkFrame::SUSPICION),
               "Must check which() before get()ing a union member.");
-  return _builder.getDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void LinkFrame::Builder::setCancel( ::capnp::Void value) {
+inline void LinkFrame::Builder::setSuspicion( ::capnp::Text::Reader value) {
   _builder.setDataField<LinkFrame::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::CANCEL);
-  _builder.setDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::SUSPICION);
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder LinkFrame::Builder::initSuspicion(unsigned int size) {
+  _builder.setDataField<LinkFrame::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::SUSPICION);
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void LinkFrame::Builder::adoptSuspicion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  _builder.setDataField<LinkFrame::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::SUSPICION);
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> LinkFrame::Builder::disownSuspicion() {
+  KJ_IREQUIRE((which() == LinkFrame::SUSPICION),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool LinkFrame::Reader::isRefusal() const {
-  return which() == LinkFrame::REFUSAL;
+inline bool LinkFrame::Reader::isCrashEvidence() const {
+  return which() == LinkFrame::CRASH_EVIDENCE;
 }
-inline bool LinkFrame::Builder::isRefusal() {
-  return which() == LinkFrame::REFUSAL;
+inline bool LinkFrame::Builder::isCrashEvidence() {
+  return which() == LinkFrame::CRASH_EVIDENCE;
 }
-inline bool LinkFrame::Reader::hasRefusal() const {
-  if (which() != LinkFrame::REFUSAL) return false;
+inline bool LinkFrame::Reader::hasCrashEvidence() const {
+  if (which() != LinkFrame::CRASH_EVIDENCE) return false;
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool LinkFrame::Builder::hasRefusal() {
-  if (which() != LinkFrame::REFUSAL) return false;
+inline bool LinkFrame::Builder::hasCrashEvidence() {
+  if (which() != LinkFrame::CRASH_EVIDENCE) return false;
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::verbenastile::wire::Refusal::Reader LinkFrame::Reader::getRefusal() const {
-  KJ_IREQUIRE((which() == LinkFrame::REFUSAL),
+inline  ::capnp::List< ::verbenastile::wire::CrashEvidence,  ::capnp::Kind::STRUCT>::Reader LinkFrame::Reader::getCrashEvidence() const {
+  KJ_IREQUIRE((which() == LinkFrame::CRASH_EVIDENCE),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Refusal>::get(_reader.getPointerField(
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::verbenastile::wire::CrashEvidence,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::verbenastile::wire::Refusal::Builder LinkFrame::Builder::getRefusal() {
-  KJ_IREQUIRE((which() == LinkFrame::REFUSAL),
+inline  ::capnp::List< ::verbenastile::wire::CrashEvidence,  ::capnp::Kind::STRUCT>::Builder LinkFrame::Builder::getCrashEvidence() {
+  KJ_IREQUIRE((which() == LinkFrame::CRASH_EVIDENCE),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Refusal>::get(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::verbenastile::wire::CrashEvidence,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void LinkFrame::Builder::setRefusal( ::verbenastile::wire::Refusal::Reader value) {
+inline void LinkFrame::Builder::setCrashEvidence( ::capnp::List< ::verbenastile::wire::CrashEvidence,  ::capnp::Kind::STRUCT>::Reader value) {
   _builder.setDataField<LinkFrame::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::REFUSAL);
-  ::capnp::_::PointerHelpers< ::verbenastile::wire::Refusal>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::CRASH_EVIDENCE);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::verbenastile::wire::CrashEvidence,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::verbenastile::wire::Refusal::Builder LinkFrame::Builder::initRefusal() {
+inline  ::capnp::List< ::verbenastile::wire::CrashEvidence,  ::capnp::Kind::STRUCT>::Builder LinkFrame::Builder::initCrashEvidence(unsigned int size) {
   _builder.setDataField<LinkFrame::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::REFUSAL);
-  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Refusal>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::CRASH_EVIDENCE);
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::verbenastile::wire::CrashEvidence,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void LinkFrame::Builder::adoptRefusal(
-    ::capnp::Orphan< ::verbenastile::wire::Refusal>&& value) {
+inline void LinkFrame::Builder::adoptCrashEvidence(
+    ::capnp::Orphan< ::capnp::List< ::verbenastile::wire::CrashEvidence,  ::capnp::Kind::STRUCT>>&& value) {
   _builder.setDataField<LinkFrame::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::REFUSAL);
-  ::capnp::_::PointerHelpers< ::verbenastile::wire::Refusal>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::CRASH_EVIDENCE);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::verbenastile::wire::CrashEvidence,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::verbenastile::wire::Refusal> LinkFrame::Builder::disownRefusal() {
-  KJ_IREQUIRE((which() == LinkFrame::REFUSAL),
+inline ::capnp::Orphan< ::capnp::List< ::verbenastile::wire::CrashEvidence,  ::capnp::Kind::STRUCT>> LinkFrame::Builder::disownCrashEvidence() {
+  KJ_IREQUIRE((which() == LinkFrame::CRASH_EVIDENCE),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Refusal>::disown(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::verbenastile::wire::CrashEvidence,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool LinkFrame::Reader::isAnswer() const {
-  return which() == LinkFrame::ANSWER;
+inline bool LinkFrame::Reader::isQuotaNeeds() const {
+  return which() == LinkFrame::QUOTA_NEEDS;
 }
-inline bool LinkFrame::Builder::isAnswer() {
-  return which() == LinkFrame::ANSWER;
+inline bool LinkFrame::Builder::isQuotaNeeds() {
+  return which() == LinkFrame::QUOTA_NEEDS;
 }
-inline bool LinkFrame::Reader::hasAnswer() const {
-  if (which() != LinkFrame::ANSWER) return false;
+inline bool LinkFrame::Reader::hasQuotaNeeds() const {
+  if (which() != LinkFrame::QUOTA_NEEDS) return false;
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool LinkFrame::Builder::hasAnswer() {
-  if (which() != LinkFrame::ANSWER) return false;
+inline bool LinkFrame::Builder::hasQuotaNeeds() {
+  if (which() != LinkFrame::QUOTA_NEEDS) return false;
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::verbenastile::wire::Answer::Reader LinkFrame::Reader::getAnswer() const {
-  KJ_IREQUIRE((which() == LinkFrame::ANSWER),
+inline  ::capnp::List< ::verbenastile::wire::QuotaNeed,  ::capnp::Kind::STRUCT>::Reader LinkFrame::Reader::getQuotaNeeds() const {
+  KJ_IREQUIRE((which() == LinkFrame::QUOTA_NEEDS),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Answer>::get(_reader.getPointerField(
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::verbenastile::wire::QuotaNeed,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::verbenastile::wire::Answer::Builder LinkFrame::Builder::getAnswer() {
-  KJ_IREQUIRE((which() == LinkFrame::ANSWER),
+inline  ::capnp::List< ::verbenastile::wire::QuotaNeed,  ::capnp::Kind::STRUCT>::Builder LinkFrame::Builder::getQuotaNeeds() {
+  KJ_IREQUIRE((which() == LinkFrame::QUOTA_NEEDS),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Answer>::get(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::verbenastile::wire::QuotaNeed,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void LinkFrame::Builder::setAnswer( ::verbenastile::wire::Answer::Reader value) {
+inline void LinkFrame::Builder::setQuotaNeeds( ::capnp::List< ::verbenastile::wire::QuotaNeed,  ::capnp::Kind::STRUCT>::Reader value) {
   _builder.setDataField<LinkFrame::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::ANSWER);
-  ::capnp::_::PointerHelpers< ::verbenastile::wire::Answer>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::QUOTA_NEEDS);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::verbenastile::wire::QuotaNeed,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::verbenastile::wire::Answer::Builder LinkFrame::Builder::initAnswer() {
+inline  ::capnp::List< ::verbenastile::wire::QuotaNeed,  ::capnp::Kind::STRUCT>::Builder LinkFrame::Builder::initQuotaNeeds(unsigned int size) {
   _builder.setDataField<LinkFrame::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::ANSWER);
-  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Answer>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void LinkFrame::Builder::adoptAnswer(
-    ::capnp::Orphan< ::verbenastile::wire::Answer>&& value) {
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::QUOTA_NEEDS);
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::verbenastile::wire::QuotaNeed,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void LinkFrame::Builder::adoptQuotaNeeds(
+    ::capnp::Orphan< ::capnp::List< ::verbenastile::wire::QuotaNeed,  ::capnp::Kind::STRUCT>>&& value) {
   _builder.setDataField<LinkFrame::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::ANSWER);
-  ::capnp::_::PointerHelpers< ::verbenastile::wire::Answer>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::QUOTA_NEEDS);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::verbenastile::wire::QuotaNeed,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::verbenastile::wire::Answer> LinkFrame::Builder::disownAnswer() {
-  KJ_IREQUIRE((which() == LinkFrame::ANSWER),
+inline ::capnp::Orphan< ::capnp::List< ::verbenastile::wire::QuotaNeed,  ::capnp::Kind::STRUCT>> LinkFrame::Builder::disownQuotaNeeds() {
+  KJ_IREQUIRE((which() == LinkFrame::QUOTA_NEEDS),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Answer>::disown(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::verbenastile::wire::QuotaNeed,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool LinkFrame::Reader::isPart() const {
-  return which() == LinkFrame::PART;
+inline bool LinkFrame::Reader::isQuotaLoans() const {
+  return which() == LinkFrame::QUOTA_LOANS;
 }
-inline bool LinkFrame::Builder::isPart() {
-  return which() == LinkFrame::PART;
+inline bool LinkFrame::Builder::isQuotaLoans() {
+  return which() == LinkFrame::QUOTA_LOANS;
 }
-inline bool LinkFrame::Reader::hasPart() const {
-  if (which() != LinkFrame::PART) return false;
+inline bool LinkFrame::Reader::hasQuotaLoans() const {
+  if (which() != LinkFrame::QUOTA_LOANS) return false;
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool LinkFrame::Builder::hasPart() {
-  if (which() != LinkFrame::PART) return false;
+inline bool LinkFrame::Builder::hasQuotaLoans() {
+  if (which() != LinkFrame::QUOTA_LOANS) return false;
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::verbenastile::wire::Part::Reader LinkFrame::Reader::getPart() const {
-  KJ_IREQUIRE((which() == LinkFrame::PART),
+inline  ::capnp::List< ::verbenastile::wire::QuotaLoan,  ::capnp::Kind::STRUCT>::Reader LinkFrame::Reader::getQuotaLoans() const {
+  KJ_IREQUIRE((which() == LinkFrame::QUOTA_LOANS),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Part>::get(_reader.getPointerField(
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::verbenastile::wire::QuotaLoan,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::verbenastile::wire::Part::Builder LinkFrame::Builder::getPart() {
-  KJ_IREQUIRE((which() == LinkFrame::PART),
+inline  ::capnp::List< ::verbenastile::wire::QuotaLoan,  ::capnp::Kind::STRUCT>::Builder LinkFrame::Builder::getQuotaLoans() {
+  KJ_IREQUIRE((which() == LinkFrame::QUOTA_LOANS),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Part>::get(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::verbenastile::wire::QuotaLoan,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void LinkFrame::Builder::setPart( ::verbenastile::wire::Part::Reader value) {
+inline void LinkFrame::Builder::setQuotaLoans( ::capnp::List< ::verbenastile::wire::QuotaLoan,  ::capnp::Kind::STRUCT>::Reader value) {
   _builder.setDataField<LinkFrame::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::PART);
-  ::capnp::_::PointerHelpers< ::verbenastile::wire::Part>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::QUOTA_LOANS);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::verbenastile::wire::QuotaLoan,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::verbenastile::wire::Part::Builder LinkFrame::Builder::initPart() {
+inline  ::capnp::List< ::verbenastile::wire::QuotaLoan,  ::capnp::Kind::STRUCT>::Builder LinkFrame::Builder::initQuotaLoans(unsigned int size) {
   _builder.setDataField<LinkFrame::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::PART);
-  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Part>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::QUOTA_LOANS);
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::verbenastile::wire::QuotaLoan,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void LinkFrame::Builder::adoptPart(
-    ::capnp::Orphan< ::verbenastile::wire::Part>&& value) {
+inline void LinkFrame::Builder::adoptQuotaLoans(
+    ::capnp::Orphan< ::capnp::List< ::verbenastile::wire::QuotaLoan,  ::capnp::Kind::STRUCT>>&& value) {
   _builder.setDataField<LinkFrame::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::PART);
-  ::capnp::_::PointerHelpers< ::verbenastile::wire::Part>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::QUOTA_LOANS);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::verbenastile::wire::QuotaLoan,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::verbenastile::wire::Part> LinkFrame::Builder::disownPart() {
-  KJ_IREQUIRE((which() == LinkFrame::PART),
+inline ::capnp::Orphan< ::capnp::List< ::verbenastile::wire::QuotaLoan,  ::capnp::Kind::STRUCT>> LinkFrame::Builder::disownQuotaLoans() {
+  KJ_IREQUIRE((which() == LinkFrame::QUOTA_LOANS),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Part>::disown(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::verbenastile::wire::QuotaLoan,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool LinkFrame::Reader::isBroken() const {
-  return which() == LinkFrame::BROKEN;
+inline bool LinkFrame::Reader::isRollouts() const {
+  return which() == LinkFrame::ROLLOUTS;
 }
-inline bool LinkFrame::Builder::isBroken() {
-  return which() == LinkFrame::BROKEN;
+inline bool LinkFrame::Builder::isRollouts() {
+  return which() == LinkFrame::ROLLOUTS;
 }
-inline bool LinkFrame::Reader::hasBroken() const {
-  if (which() != LinkFrame::BROKEN) return false;
+inline bool LinkFrame::Reader::hasRollouts() const {
+  if (which() != LinkFrame::ROLLOUTS) return false;
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool LinkFrame::Builder::hasBroken() {
-  if (which() != LinkFrame::BROKEN) return false;
+inline bool LinkFrame::Builder::hasRollouts() {
+  if (which() != LinkFrame::ROLLOUTS) return false;
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::verbenastile::wire::Broken::Reader LinkFrame::Reader::getBroken() const {
-  KJ_IREQUIRE((which() == LinkFrame::BROKEN),
+inline  ::capnp::List< ::verbenastile::wire::RolloutReport,  ::capnp::Kind::STRUCT>::Reader LinkFrame::Reader::getRollouts() const {
+  KJ_IREQUIRE((which() == LinkFrame::ROLLOUTS),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Broken>::get(_reader.getPointerField(
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::verbenastile::wire::RolloutReport,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::verbenastile::wire::Broken::Builder LinkFrame::Builder::getBroken() {
-  KJ_IREQUIRE((which() == LinkFrame::BROKEN),
+inline  ::capnp::List< ::verbenastile::wire::RolloutReport,  ::capnp::Kind::STRUCT>::Builder LinkFrame::Builder::getRollouts() {
+  KJ_IREQUIRE((which() == LinkFrame::ROLLOUTS),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Broken>::get(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::verbenastile::wire::RolloutReport,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void LinkFrame::Builder::setBroken( ::verbenastile::wire::Broken::Reader value) {
+inline void LinkFrame::Builder::setRollouts( ::capnp::List< ::verbenastile::wire::RolloutReport,  ::capnp::Kind::STRUCT>::Reader value) {
   _builder.setDataField<LinkFrame::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::BROKEN);
-  ::capnp::_::PointerHelpers< ::verbenastile::wire::Broken>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::ROLLOUTS);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::verbenastile::wire::RolloutReport,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::verbenastile::wire::Broken::Builder LinkFrame::Builder::initBroken() {
+inline  ::capnp::List< ::verbenastile::wire::RolloutReport,  ::capnp::Kind::STRUCT>::Builder LinkFrame::Builder::initRollouts(unsigned int size) {
   _builder.setDataField<LinkFrame::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::BROKEN);
-  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Broken>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::ROLLOUTS);
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::verbenastile::wire::RolloutReport,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void LinkFrame::Builder::adoptBroken(
-    ::capnp::Orphan< ::verbenastile::wire::Broken>&& value) {
+inline void LinkFrame::Builder::adoptRollouts(
+    ::capnp::Orphan< ::capnp::List< ::verbenastile::wire::RolloutReport,  ::capnp::Kind::STRUCT>>&& value) {
   _builder.setDataField<LinkFrame::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::BROKEN);
-  ::capnp::_::PointerHelpers< ::verbenastile::wire::Broken>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::ROLLOUTS);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::verbenastile::wire::RolloutReport,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::verbenastile::wire::Broken> LinkFrame::Builder::disownBroken() {
-  KJ_IREQUIRE((which() == LinkFrame::BROKEN),
+inline ::capnp::Orphan< ::capnp::List< ::verbenastile::wire::RolloutReport,  ::capnp::Kind::STRUCT>> LinkFrame::Builder::disownRollouts() {
+  KJ_IREQUIRE((which() == LinkFrame::ROLLOUTS),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Broken>::disown(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::verbenastile::wire::RolloutReport,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool LinkFrame::Reader::isCredit() const {
-  return which() == LinkFrame::CREDIT;
+inline bool Header::Reader::hasName() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool LinkFrame::Builder::isCredit() {
-  return which() == LinkFrame::CREDIT;
+inline bool Header::Builder::hasName() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::uint32_t LinkFrame::Reader::getCredit() const {
-  KJ_IREQUIRE((which() == LinkFrame::CREDIT),
-              "Must check which() before get()ing a union member.");
+inline  ::capnp::Text::Reader Header::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Header::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Header::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Header::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Header::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Header::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Header::Reader::hasValue() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Header::Builder::hasValue() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Header::Reader::getValue() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Header::Builder::getValue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Header::Builder::setValue( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Header::Builder::initValue(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Header::Builder::adoptValue(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Header::Builder::disownValue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t Load::Reader::getBusy() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t LinkFrame::Builder::getCredit() {
-  KJ_IREQUIRE((which() == LinkFrame::CREDIT),
-              "Must check which() before get()ing a union member.");
+inline  ::uint32_t Load::Builder::getBusy() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void LinkFrame::Builder::setCredit( ::uint32_t value) {
-  _builder.setDataField<LinkFrame::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::CREDIT);
+inline void Load::Builder::setBusy( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool LinkFrame::Reader::isPing() const {
-  return which() == LinkFrame::PING;
+inline  ::uint32_t Load::Reader::getQueued() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline bool LinkFrame::Builder::isPing() {
-  return which() == LinkFrame::PING;
+
+inline  ::uint32_t Load::Builder::getQueued() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::Void LinkFrame::Reader::getPing() const {
-  KJ_IREQUIRE((which() == LinkFrame::PING),
-              "Must check which() before get()ing a union member.");
-  return _reader.getDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline void Load::Builder::setQueued( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::capnp::Void LinkFrame::Builder::getPing() {
-  KJ_IREQUIRE((which() == LinkFrame::PING),
-              "Must check which() before get()ing a union member.");
-  return _builder.getDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Load::Reader::getGeneration() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void LinkFrame::Builder::setPing( ::capnp::Void value) {
-  _builder.setDataField<LinkFrame::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::PING);
-  _builder.setDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+
+inline  ::uint64_t Load::Builder::getGeneration() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setGeneration( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool LinkFrame::Reader::isPong() const {
-  return which() == LinkFrame::PONG;
+inline  ::int64_t Load::Reader::getConfigurationAgeUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, -1ll);
 }
-inline bool LinkFrame::Builder::isPong() {
-  return which() == LinkFrame::PONG;
+
+inline  ::int64_t Load::Builder::getConfigurationAgeUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, -1ll);
 }
-inline bool LinkFrame::Reader::hasPong() const {
-  if (which() != LinkFrame::PONG) return false;
+inline void Load::Builder::setConfigurationAgeUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value, -1ll);
+}
+
+inline  ::uint32_t Load::Reader::getLinkWaitUs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Load::Builder::getLinkWaitUs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setLinkWaitUs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Load::Reader::getStoreEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Load::Builder::getStoreEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setStoreEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Load::Reader::getRateLimitDelayUs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Load::Builder::getRateLimitDelayUs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setRateLimitDelayUs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Load::Reader::hasNotice() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool LinkFrame::Builder::hasPong() {
-  if (which() != LinkFrame::PONG) return false;
+inline bool Load::Builder::hasNotice() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::verbenastile::wire::Load::Reader LinkFrame::Reader::getPong() const {
-  KJ_IREQUIRE((which() == LinkFrame::PONG),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Load>::get(_reader.getPointerField(
+inline  ::verbenastile::wire::InstanceNotice::Reader Load::Reader::getNotice() const {
+  return ::capnp::_::PointerHelpers< ::verbenastile::wire::InstanceNotice>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::verbenastile::wire::Load::Builder LinkFrame::Builder::getPong() {
-  KJ_IREQUIRE((which() == LinkFrame::PONG),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Load>::get(_builder.getPointerField(
+inline  ::verbenastile::wire::InstanceNotice::Builder Load::Builder::getNotice() {
+  return ::capnp::_::PointerHelpers< ::verbenastile::wire::InstanceNotice>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void LinkFrame::Builder::setPong( ::verbenastile::wire::Load::Reader value) {
-  _builder.setDataField<LinkFrame::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::PONG);
-  ::capnp::_::PointerHelpers< ::verbenastile::wire::Load>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::verbenastile::wire::InstanceNotice::Pipeline Load::Pipeline::getNotice() {
+  return  ::verbenastile::wire::InstanceNotice::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Load::Builder::setNotice( ::verbenastile::wire::InstanceNotice::Reader value) {
+  ::capnp::_::PointerHelpers< ::verbenastile::wire::InstanceNotice>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::verbenastile::wire::Load::Builder LinkFrame::Builder::initPong() {
-  _builder.setDataField<LinkFrame::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::PONG);
-  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Load>::init(_builder.getPointerField(
+inline  ::verbenastile::wire::InstanceNotice::Builder Load::Builder::initNotice() {
+  return ::capnp::_::PointerHelpers< ::verbenastile::wire::InstanceNotice>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void LinkFrame::Builder::adoptPong(
-    ::capnp::Orphan< ::verbenastile::wire::Load>&& value) {
-  _builder.setDataField<LinkFrame::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::PONG);
-  ::capnp::_::PointerHelpers< ::verbenastile::wire::Load>::adopt(_builder.getPointerField(
+inline void Load::Builder::adoptNotice(
+    ::capnp::Orphan< ::verbenastile::wire::InstanceNotice>&& value) {
+  ::capnp::_::PointerHelpers< ::verbenastile::wire::InstanceNotice>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::verbenastile::wire::Load> LinkFrame::Builder::disownPong() {
-  KJ_IREQUIRE((which() == LinkFrame::PONG),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Load>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::verbenastile::wire::InstanceNotice> Load::Builder::disownNotice() {
+  return ::capnp::_::PointerHelpers< ::verbenastile::wire::InstanceNotice>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool LinkFrame::Reader::isMember() const {
-  return which() == LinkFrame::MEMBER;
-}
-inline bool LinkFrame::Builder::isMember() {
-  return which() == LinkFrame::MEMBER;
-}
-inline bool LinkFrame::Reader::hasMember() const {
-  if (which() != LinkFrame::MEMBER) return false;
+inline bool InstanceNotice::Reader::hasInstance() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool LinkFrame::Builder::hasMember() {
-  if (which() != LinkFrame::MEMBER) return false;
+inline bool InstanceNotice::Builder::hasInstance() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::verbenastile::wire::Member::Reader LinkFrame::Reader::getMember() const {
-  KJ_IREQUIRE((which() == LinkFrame::MEMBER),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Member>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader InstanceNotice::Reader::getInstance() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::verbenastile::wire::Member::Builder LinkFrame::Builder::getMember() {
-  KJ_IREQUIRE((which() == LinkFrame::MEMBER),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Member>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder InstanceNotice::Builder::getInstance() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void LinkFrame::Builder::setMember( ::verbenastile::wire::Member::Reader value) {
-  _builder.setDataField<LinkFrame::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::MEMBER);
-  ::capnp::_::PointerHelpers< ::verbenastile::wire::Member>::set(_builder.getPointerField(
+inline void InstanceNotice::Builder::setInstance( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::verbenastile::wire::Member::Builder LinkFrame::Builder::initMember() {
-  _builder.setDataField<LinkFrame::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::MEMBER);
-  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Member>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder InstanceNotice::Builder::initInstance(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void LinkFrame::Builder::adoptMember(
-    ::capnp::Orphan< ::verbenastile::wire::Member>&& value) {
-  _builder.setDataField<LinkFrame::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::MEMBER);
-  ::capnp::_::PointerHelpers< ::verbenastile::wire::Member>::adopt(_builder.getPointerField(
+inline void InstanceNotice::Builder::adoptInstance(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::verbenastile::wire::Member> LinkFrame::Builder::disownMember() {
-  KJ_IREQUIRE((which() == LinkFrame::MEMBER),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Member>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> InstanceNotice::Builder::disownInstance() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool LinkFrame::Reader::isConfigurationWanted() const {
-  return which() == LinkFrame::CONFIGURATION_WANTED;
+inline double InstanceNotice::Reader::getRateLimit() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, 13830554455654793216ull);
 }
-inline bool LinkFrame::Builder::isConfigurationWanted() {
-  return which() == LinkFrame::CONFIGURATION_WANTED;
+
+inline double InstanceNotice::Builder::getRateLimit() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, 13830554455654793216ull);
 }
-inline bool LinkFrame::Reader::hasConfigurationWanted() const {
-  if (which() != LinkFrame::CONFIGURATION_WANTED) return false;
+inline void InstanceNotice::Builder::setRateLimit(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value, 13830554455654793216ull);
+}
+
+inline bool InstanceNotice::Reader::getLeaving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool InstanceNotice::Builder::getLeaving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void InstanceNotice::Builder::setLeaving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t CrashEvidence::Reader::getRequestHigh() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CrashEvidence::Builder::getRequestHigh() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CrashEvidence::Builder::setRequestHigh( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t CrashEvidence::Reader::getRequestLow() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CrashEvidence::Builder::getRequestLow() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void CrashEvidence::Builder::setRequestLow( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t CrashEvidence::Reader::getClearances() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CrashEvidence::Builder::getClearances() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void CrashEvidence::Builder::setClearances( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CrashEvidence::Reader::getConvicted() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+
+inline bool CrashEvidence::Builder::getConvicted() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+inline void CrashEvidence::Builder::setConvicted(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CrashEvidence::Reader::hasCrashes() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool LinkFrame::Builder::hasConfigurationWanted() {
-  if (which() != LinkFrame::CONFIGURATION_WANTED) return false;
+inline bool CrashEvidence::Builder::hasCrashes() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::verbenastile::wire::HeldConfiguration::Reader LinkFrame::Reader::getConfigurationWanted() const {
-  KJ_IREQUIRE((which() == LinkFrame::CONFIGURATION_WANTED),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::verbenastile::wire::HeldConfiguration>::get(_reader.getPointerField(
+inline  ::capnp::List< ::verbenastile::wire::Crash,  ::capnp::Kind::STRUCT>::Reader CrashEvidence::Reader::getCrashes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::verbenastile::wire::Crash,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::verbenastile::wire::HeldConfiguration::Builder LinkFrame::Builder::getConfigurationWanted() {
-  KJ_IREQUIRE((which() == LinkFrame::CONFIGURATION_WANTED),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::verbenastile::wire::HeldConfiguration>::get(_builder.getPointerField(
+inline  ::capnp::List< ::verbenastile::wire::Crash,  ::capnp::Kind::STRUCT>::Builder CrashEvidence::Builder::getCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::verbenastile::wire::Crash,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void LinkFrame::Builder::setConfigurationWanted( ::verbenastile::wire::HeldConfiguration::Reader value) {
-  _builder.setDataField<LinkFrame::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::CONFIGURATION_WANTED);
-  ::capnp::_::PointerHelpers< ::verbenastile::wire::HeldConfiguration>::set(_builder.getPointerField(
+inline void CrashEvidence::Builder::setCrashes( ::capnp::List< ::verbenastile::wire::Crash,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::verbenastile::wire::Crash,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::verbenastile::wire::HeldConfiguration::Builder LinkFrame::Builder::initConfigurationWanted() {
-  _builder.setDataField<LinkFrame::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::CONFIGURATION_WANTED);
-  return ::capnp::_::PointerHelpers< ::verbenastile::wire::HeldConfiguration>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::verbenastile::wire::Crash,  ::capnp::Kind::STRUCT>::Builder CrashEvidence::Builder::initCrashes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::verbenastile::wire::Crash,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void LinkFrame::Builder::adoptConfigurationWanted(
-    ::capnp::Orphan< ::verbenastile::wire::HeldConfiguration>&& value) {
-  _builder.setDataField<LinkFrame::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::CONFIGURATION_WANTED);
-  ::capnp::_::PointerHelpers< ::verbenastile::wire::HeldConfiguration>::adopt(_builder.getPointerField(
+inline void CrashEvidence::Builder::adoptCrashes(
+    ::capnp::Orphan< ::capnp::List< ::verbenastile::wire::Crash,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::verbenastile::wire::Crash,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::verbenastile::wire::HeldConfiguration> LinkFrame::Builder::disownConfigurationWanted() {
-  KJ_IREQUIRE((which() == LinkFrame::CONFIGURATION_WANTED),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::verbenastile::wire::HeldConfiguration>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::verbenastile::wire::Crash,  ::capnp::Kind::STRUCT>> CrashEvidence::Builder::disownCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::verbenastile::wire::Crash,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool LinkFrame::Reader::isConfiguration() const {
-  return which() == LinkFrame::CONFIGURATION;
-}
-inline bool LinkFrame::Builder::isConfiguration() {
-  return which() == LinkFrame::CONFIGURATION;
-}
-inline bool LinkFrame::Reader::hasConfiguration() const {
-  if (which() != LinkFrame::CONFIGURATION) return false;
+inline bool Crash::Reader::hasNode() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool LinkFrame::Builder::hasConfiguration() {
-  if (which() != LinkFrame::CONFIGURATION) return false;
+inline bool Crash::Builder::hasNode() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::verbenastile::wire::ConfigurationDelta::Reader LinkFrame::Reader::getConfiguration() const {
-  KJ_IREQUIRE((which() == LinkFrame::CONFIGURATION),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::verbenastile::wire::ConfigurationDelta>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader Crash::Reader::getNode() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::verbenastile::wire::ConfigurationDelta::Builder LinkFrame::Builder::getConfiguration() {
-  KJ_IREQUIRE((which() == LinkFrame::CONFIGURATION),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::verbenastile::wire::ConfigurationDelta>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder Crash::Builder::getNode() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void LinkFrame::Builder::setConfiguration( ::verbenastile::wire::ConfigurationDelta::Reader value) {
-  _builder.setDataField<LinkFrame::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::CONFIGURATION);
-  ::capnp::_::PointerHelpers< ::verbenastile::wire::ConfigurationDelta>::set(_builder.getPointerField(
+inline void Crash::Builder::setNode( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::verbenastile::wire::ConfigurationDelta::Builder LinkFrame::Builder::initConfiguration() {
-  _builder.setDataField<LinkFrame::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::CONFIGURATION);
-  return ::capnp::_::PointerHelpers< ::verbenastile::wire::ConfigurationDelta>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Crash::Builder::initNode(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void LinkFrame::Builder::adoptConfiguration(
-    ::capnp::Orphan< ::verbenastile::wire::ConfigurationDelta>&& value) {
-  _builder.setDataField<LinkFrame::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::CONFIGURATION);
