-  ::capnp::_::PointerHelpers< ::verbenastile::wire::ConfigurationDelta>::adopt(_builder.getPointerField(
+inline void Crash::Builder::adoptNode(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::verbenastile::wire::ConfigurationDelta> LinkFrame::Builder::disownConfiguration() {
-  KJ_IREQUIRE((which() == LinkFrame::CONFIGURATION),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::verbenastile::wire::ConfigurationDelta>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> Crash::Builder::disownNode() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool LinkFrame::Reader::isSuspicion() const {
-  return which() == LinkFrame::SUSPICION;
+inline  ::uint64_t Crash::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline bool LinkFrame::Builder::isSuspicion() {
-  return which() == LinkFrame::SUSPICION;
+
+inline  ::uint64_t Crash::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline bool LinkFrame::Reader::hasSuspicion() const {
-  if (which() != LinkFrame::SUSPICION) return false;
+inline void Crash::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool QuotaNeed::Reader::hasGroup() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool LinkFrame::Builder::hasSuspicion() {
-  if (which() != LinkFrame::SUSPICION) return false;
+inline bool QuotaNeed::Builder::hasGroup() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader LinkFrame::Reader::getSuspicion() const {
-  KJ_IREQUIRE((which() == LinkFrame::SUSPICION),
-              "Must check which() before get()ing a union member.");
+inline  ::capnp::Text::Reader QuotaNeed::Reader::getGroup() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder LinkFrame::Builder::getSuspicion() {
-  KJ_IREQUIRE((which() == LinkFrame::SUSPICION),
-              "Must check which() before get()ing a union member.");
+inline  ::capnp::Text::Builder QuotaNeed::Builder::getGroup() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void LinkFrame::Builder::setSuspicion( ::capnp::Text::Reader value) {
-  _builder.setDataField<LinkFrame::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::SUSPICION);
+inline void QuotaNeed::Builder::setGroup( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder LinkFrame::Builder::initSuspicion(unsigned int size) {
-  _builder.setDataField<LinkFrame::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::SUSPICION);
+inline  ::capnp::Text::Builder QuotaNeed::Builder::initGroup(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void LinkFrame::Builder::adoptSuspicion(
+inline void QuotaNeed::Builder::adoptGroup(
     ::capnp::Orphan< ::capnp::Text>&& value) {
-  _builder.setDataField<LinkFrame::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::SUSPICION);
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> LinkFrame::Builder::disownSuspicion() {
-  KJ_IREQUIRE((which() == LinkFrame::SUSPICION),
-              "Must check which() before get()ing a union member.");
+inline ::capnp::Orphan< ::capnp::Text> QuotaNeed::Builder::disownGroup() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool LinkFrame::Reader::isCrashEvidence() const {
-  return which() == LinkFrame::CRASH_EVIDENCE;
+inline  ::uint64_t QuotaNeed::Reader::getAdmitted() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline bool LinkFrame::Builder::isCrashEvidence() {
-  return which() == LinkFrame::CRASH_EVIDENCE;
+
+inline  ::uint64_t QuotaNeed::Builder::getAdmitted() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline bool LinkFrame::Reader::hasCrashEvidence() const {
-  if (which() != LinkFrame::CRASH_EVIDENCE) return false;
+inline void QuotaNeed::Builder::setAdmitted( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t QuotaNeed::Reader::getWanted() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t QuotaNeed::Builder::getWanted() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void QuotaNeed::Builder::setWanted( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t QuotaNeed::Reader::getHeld() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t QuotaNeed::Builder::getHeld() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void QuotaNeed::Builder::setHeld( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool QuotaLoan::Reader::hasGroup() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool LinkFrame::Builder::hasCrashEvidence() {
-  if (which() != LinkFrame::CRASH_EVIDENCE) return false;
+inline bool QuotaLoan::Builder::hasGroup() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::verbenastile::wire::CrashEvidence,  ::capnp::Kind::STRUCT>::Reader LinkFrame::Reader::getCrashEvidence() const {
-  KJ_IREQUIRE((which() == LinkFrame::CRASH_EVIDENCE),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::verbenastile::wire::CrashEvidence,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader QuotaLoan::Reader::getGroup() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::verbenastile::wire::CrashEvidence,  ::capnp::Kind::STRUCT>::Builder LinkFrame::Builder::getCrashEvidence() {
-  KJ_IREQUIRE((which() == LinkFrame::CRASH_EVIDENCE),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::verbenastile::wire::CrashEvidence,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder QuotaLoan::Builder::getGroup() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void LinkFrame::Builder::setCrashEvidence( ::capnp::List< ::verbenastile::wire::CrashEvidence,  ::capnp::Kind::STRUCT>::Reader value) {
-  _builder.setDataField<LinkFrame::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::CRASH_EVIDENCE);
-  ::capnp::_::PointerHelpers< ::capnp::List< ::verbenastile::wire::CrashEvidence,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void QuotaLoan::Builder::setGroup( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::verbenastile::wire::CrashEvidence,  ::capnp::Kind::STRUCT>::Builder LinkFrame::Builder::initCrashEvidence(unsigned int size) {
-  _builder.setDataField<LinkFrame::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::CRASH_EVIDENCE);
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::verbenastile::wire::CrashEvidence,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder QuotaLoan::Builder::initGroup(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void LinkFrame::Builder::adoptCrashEvidence(
-    ::capnp::Orphan< ::capnp::List< ::verbenastile::wire::CrashEvidence,  ::capnp::Kind::STRUCT>>&& value) {
-  _builder.setDataField<LinkFrame::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::CRASH_EVIDENCE);
-  ::capnp::_::PointerHelpers< ::capnp::List< ::verbenastile::wire::CrashEvidence,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void QuotaLoan::Builder::adoptGroup(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::verbenastile::wire::CrashEvidence,  ::capnp::Kind::STRUCT>> LinkFrame::Builder::disownCrashEvidence() {
-  KJ_IREQUIRE((which() == LinkFrame::CRASH_EVIDENCE),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::verbenastile::wire::CrashEvidence,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> QuotaLoan::Builder::disownGroup() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Header::Reader::hasName() const {
+inline  ::uint32_t QuotaLoan::Reader::getTokens() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t QuotaLoan::Builder::getTokens() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void QuotaLoan::Builder::setTokens( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t QuotaLoan::Reader::getValidForUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t QuotaLoan::Builder::getValidForUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void QuotaLoan::Builder::setValidForUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t QuotaLoan::Reader::getNextTokenInUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t QuotaLoan::Builder::getNextTokenInUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void QuotaLoan::Builder::setNextTokenInUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RolloutReport::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Header::Builder::hasName() {
+inline bool RolloutReport::Builder::hasService() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Header::Reader::getName() const {
+inline  ::capnp::Text::Reader RolloutReport::Reader::getService() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Header::Builder::getName() {
+inline  ::capnp::Text::Builder RolloutReport::Builder::getService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Header::Builder::setName( ::capnp::Text::Reader value) {
+inline void RolloutReport::Builder::setService( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Header::Builder::initName(unsigned int size) {
+inline  ::capnp::Text::Builder RolloutReport::Builder::initService(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Header::Builder::adoptName(
+inline void RolloutReport::Builder::adoptService(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Header::Builder::disownName() {
+inline ::capnp::Orphan< ::capnp::Text> RolloutReport::Builder::disownService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Header::Reader::hasValue() const {
+inline bool RolloutReport::Reader::hasTargetVersion() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Header::Builder::hasValue() {
+inline bool RolloutReport::Builder::hasTargetVersion() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Header::Reader::getValue() const {
+inline  ::capnp::Text::Reader RolloutReport::Reader::getTargetVersion() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Header::Builder::getValue() {
+inline  ::capnp::Text::Builder RolloutReport::Builder::getTargetVersion() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Header::Builder::setValue( ::capnp::Text::Reader value) {
+inline void RolloutReport::Builder::setTargetVersion( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Header::Builder::initValue(unsigned int size) {
+inline  ::capnp::Text::Builder RolloutReport::Builder::initTargetVersion(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Header::Builder::adoptValue(
+inline void RolloutReport::Builder::adoptTargetVersion(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Header::Builder::disownValue() {
+inline ::capnp::Orphan< ::capnp::Text> RolloutReport::Builder::disownTargetVersion() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t Load::Reader::getBusy() const {
-  return _reader.getDataField< ::uint32_t>(
+inline  ::int64_t RolloutReport::Reader::getDurationUs() const {
+  return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Load::Builder::getBusy() {
-  return _builder.getDataField< ::uint32_t>(
+inline  ::int64_t RolloutReport::Builder::getDurationUs() {
+  return _builder.getDataField< ::int64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Load::Builder::setBusy( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
+inline void RolloutReport::Builder::setDurationUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Load::Reader::getQueued() const {
-  return _reader.getDataField< ::uint32_t>(
+inline  ::int64_t RolloutReport::Reader::getRevision() const {
+  return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Load::Builder::getQueued() {
-  return _builder.getDataField< ::uint32_t>(
+inline  ::int64_t RolloutReport::Builder::getRevision() {
+  return _builder.getDataField< ::int64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Load::Builder::setQueued( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
+inline void RolloutReport::Builder::setRevision( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Load::Reader::getGeneration() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::int64_t RolloutReport::Reader::getRemainingUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Load::Builder::getGeneration() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::int64_t RolloutReport::Builder::getRemainingUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Load::Builder::setGeneration( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void RolloutReport::Builder::setRemainingUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t Load::Reader::getConfigurationAgeUs() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, -1ll);
+inline  ::uint8_t RolloutReport::Reader::getState() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<24>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t Load::Builder::getConfigurationAgeUs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, -1ll);
+inline  ::uint8_t RolloutReport::Builder::getState() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<24>() * ::capnp::ELEMENTS);
 }
-inline void Load::Builder::setConfigurationAgeUs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value, -1ll);
+inline void RolloutReport::Builder::setState( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<24>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Load::Reader::getLinkWaitUs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline bool RolloutReport::Reader::hasNode() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint32_t Load::Builder::getLinkWaitUs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline bool RolloutReport::Builder::hasNode() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline void Load::Builder::setLinkWaitUs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Text::Reader RolloutReport::Reader::getNode() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder RolloutReport::Builder::getNode() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void RolloutReport::Builder::setNode( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder RolloutReport::Builder::initNode(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void RolloutReport::Builder::adoptNode(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> RolloutReport::Builder::disownNode() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Load::Reader::getStoreEra() const {
+inline  ::uint64_t RolloutReport::Reader::getIncarnation() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Load::Builder::getStoreEra() {
+inline  ::uint64_t RolloutReport::Builder::getIncarnation() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void Load::Builder::setStoreEra( ::uint64_t value) {
+inline void RolloutReport::Builder::setIncarnation( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Load::Reader::getRateLimitDelayUs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t Load::Builder::getRateLimitDelayUs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
-}
-inline void Load::Builder::setRateLimitDelayUs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Load::Reader::hasNotice() const {
+inline bool RolloutReport::Reader::hasOutcomes() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool Load::Builder::hasNotice() {
+inline bool RolloutReport::Builder::hasOutcomes() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::verbenastile::wire::InstanceNotice::Reader Load::Reader::getNotice() const {
-  return ::capnp::_::PointerHelpers< ::verbenastile::wire::InstanceNotice>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::verbenastile::wire::InstanceNotice::Builder Load::Builder::getNotice() {
-  return ::capnp::_::PointerHelpers< ::verbenastile::wire::InstanceNotice>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::verbenastile::wire::VersionOutcomes,  ::capnp::Kind::STRUCT>::Reader RolloutReport::Reader::getOutcomes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::verbenastile::wire::VersionOutcomes,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::verbenastile::wire::InstanceNotice::Pipeline Load::Pipeline::getNotice() {
-  return  ::verbenastile::wire::InstanceNotice::Pipeline(_typeless.getPointerField(0));
+inline  ::capnp::List< ::verbenastile::wire::VersionOutcomes,  ::capnp::Kind::STRUCT>::Builder RolloutReport::Builder::getOutcomes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::verbenastile::wire::VersionOutcomes,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-#endif  // !CAPNP_LITE
-inline void Load::Builder::setNotice( ::verbenastile::wire::InstanceNotice::Reader value) {
-  ::capnp::_::PointerHelpers< ::verbenastile::wire::InstanceNotice>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void RolloutReport::Builder::setOutcomes( ::capnp::List< ::verbenastile::wire::VersionOutcomes,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::verbenastile::wire::VersionOutcomes,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::verbenastile::wire::InstanceNotice::Builder Load::Builder::initNotice() {
-  return ::capnp::_::PointerHelpers< ::verbenastile::wire::InstanceNotice>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::verbenastile::wire::VersionOutcomes,  ::capnp::Kind::STRUCT>::Builder RolloutReport::Builder::initOutcomes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::verbenastile::wire::VersionOutcomes,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void Load::Builder::adoptNotice(
-    ::capnp::Orphan< ::verbenastile::wire::InstanceNotice>&& value) {
-  ::capnp::_::PointerHelpers< ::verbenastile::wire::InstanceNotice>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void RolloutReport::Builder::adoptOutcomes(
+    ::capnp::Orphan< ::capnp::List< ::verbenastile::wire::VersionOutcomes,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::verbenastile::wire::VersionOutcomes,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::verbenastile::wire::InstanceNotice> Load::Builder::disownNotice() {
-  return ::capnp::_::PointerHelpers< ::verbenastile::wire::InstanceNotice>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::verbenastile::wire::VersionOutcomes,  ::capnp::Kind::STRUCT>> RolloutReport::Builder::disownOutcomes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::verbenastile::wire::VersionOutcomes,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool InstanceNotice::Reader::hasInstance() const {
+inline bool VersionOutcomes::Reader::hasRule() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool InstanceNotice::Builder::hasInstance() {
+inline bool VersionOutcomes::Builder::hasRule() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader InstanceNotice::Reader::getInstance() const {
+inline  ::capnp::Text::Reader VersionOutcomes::Reader::getRule() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder InstanceNotice::Builder::getInstance() {
+inline  ::capnp::Text::Builder VersionOutcomes::Builder::getRule() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void InstanceNotice::Builder::setInstance( ::capnp::Text::Reader value) {
+inline void VersionOutcomes::Builder::setRule( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder InstanceNotice::Builder::initInstance(unsigned int size) {
+inline  ::capnp::Text::Builder VersionOutcomes::Builder::initRule(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void InstanceNotice::Builder::adoptInstance(
+inline void VersionOutcomes::Builder::adoptRule(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> InstanceNotice::Builder::disownInstance() {
+inline ::capnp::Orphan< ::capnp::Text> VersionOutcomes::Builder::disownRule() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline double InstanceNotice::Reader::getRateLimit() const {
-  return _reader.getDataField<double>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, 13830554455654793216ull);
-}
-
-inline double InstanceNotice::Builder::getRateLimit() {
-  return _builder.getDataField<double>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, 13830554455654793216ull);
-}
-inline void InstanceNotice::Builder::setRateLimit(double value) {
-  _builder.setDataField<double>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value, 13830554455654793216ull);
-}
-
-inline bool InstanceNotice::Reader::getLeaving() const {
+inline bool VersionOutcomes::Reader::getTarget() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
-}
-
-inline bool InstanceNotice::Builder::getLeaving() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
-}
-inline void InstanceNotice::Builder::setLeaving(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t CrashEvidence::Reader::getRequestHigh() const {
-  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t CrashEvidence::Builder::getRequestHigh() {
-  return _builder.getDataField< ::uint64_t>(
+inline bool VersionOutcomes::Builder::getTarget() {
+  return _builder.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void CrashEvidence::Builder::setRequestHigh( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void VersionOutcomes::Builder::setTarget(bool value) {
+  _builder.setDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t CrashEvidence::Reader::getRequestLow() const {
+inline  ::uint64_t VersionOutcomes::Reader::getResponses() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t CrashEvidence::Builder::getRequestLow() {
+inline  ::uint64_t VersionOutcomes::Builder::getResponses() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void CrashEvidence::Builder::setRequestLow( ::uint64_t value) {
+inline void VersionOutcomes::Builder::setResponses( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t CrashEvidence::Reader::getClearances() const {
+inline  ::uint64_t VersionOutcomes::Reader::getFailures() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t CrashEvidence::Builder::getClearances() {
+inline  ::uint64_t VersionOutcomes::Builder::getFailures() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void CrashEvidence::Builder::setClearances( ::uint64_t value) {
+inline void VersionOutcomes::Builder::setFailures( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool CrashEvidence::Reader::getConvicted() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
-}
-
-inline bool CrashEvidence::Builder::getConvicted() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
-}
-inline void CrashEvidence::Builder::setConvicted(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool CrashEvidence::Reader::hasCrashes() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool CrashEvidence::Builder::hasCrashes() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::verbenastile::wire::Crash,  ::capnp::Kind::STRUCT>::Reader CrashEvidence::Reader::getCrashes() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::verbenastile::wire::Crash,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::verbenastile::wire::Crash,  ::capnp::Kind::STRUCT>::Builder CrashEvidence::Builder::getCrashes() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::verbenastile::wire::Crash,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void CrashEvidence::Builder::setCrashes( ::capnp::List< ::verbenastile::wire::Crash,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::verbenastile::wire::Crash,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::verbenastile::wire::Crash,  ::capnp::Kind::STRUCT>::Builder CrashEvidence::Builder::initCrashes(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::verbenastile::wire::Crash,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void CrashEvidence::Builder::adoptCrashes(
-    ::capnp::Orphan< ::capnp::List< ::verbenastile::wire::Crash,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::verbenastile::wire::Crash,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::verbenastile::wire::Crash,  ::capnp::Kind::STRUCT>> CrashEvidence::Builder::disownCrashes() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::verbenastile::wire::Crash,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::uint64_t VersionOutcomes::Reader::getSlow() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline bool Crash::Reader::hasNode() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Crash::Builder::hasNode() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Crash::Reader::getNode() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Crash::Builder::getNode() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Crash::Builder::setNode( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Crash::Builder::initNode(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Crash::Builder::adoptNode(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::uint64_t VersionOutcomes::Builder::getSlow() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> Crash::Builder::disownNode() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void VersionOutcomes::Builder::setSlow( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Crash::Reader::getNumber() const {
+inline  ::uint64_t VersionOutcomes::Reader::getTimeUs() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Crash::Builder::getNumber() {
+inline  ::uint64_t VersionOutcomes::Builder::getTimeUs() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void Crash::Builder::setNumber( ::uint64_t value) {
+inline void VersionOutcomes::Builder::setTimeUs( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Member::Reader::hasName() const {
@@ -3500,6 +4691,40 @@
       ::capnp::bounded<137>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Member::Reader::hasSoftware() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool Member::Builder::hasSoftware() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Member::Reader::getSoftware() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Member::Builder::getSoftware() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void Member::Builder::setSoftware( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Member::Builder::initSoftware(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void Member::Builder::adoptSoftware(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownSoftware() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
 inline bool Hello::Reader::hasMember() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4116,6 +5341,68 @@
       ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
 
+inline bool Call::Reader::hasGroup() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline bool Call::Builder::hasGroup() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Call::Reader::getGroup() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Call::Builder::getGroup() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline void Call::Builder::setGroup( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Call::Builder::initGroup(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), size);
+}
+inline void Call::Builder::adoptGroup(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Call::Builder::disownGroup() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+
+inline  ::uint8_t Call::Reader::getGroupPriority() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, 255u);
+}
+
+inline  ::uint8_t Call::Builder::getGroupPriority() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, 255u);
+}
+inline void Call::Builder::setGroupPriority( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value, 255u);
+}
+
+inline bool Call::Reader::getCopy() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+
+inline bool Call::Builder::getCopy() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+inline void Call::Builder::setCopy(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint8_t Refusal::Reader::getReason() const {
   return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/tests/link_codec_test.cc
+++ b/tests/link_codec_test.cc
@@ -20,6 +20,9 @@
   call.objective = std::chrono::milliseconds(-5);
   call.idempotent = true;
   call.notice = InstanceNotice{"i-1", 8.5};
+  call.group = "academies";
+  call.group_priority = Priority::kHigh;
+  call.is_copy = true;
   return call;
 }
 
@@ -78,6 +81,9 @@
   CHECK(call.headers.size() == 2);
   CHECK(call.headers[1].value.empty());
   CHECK(call.priority == Priority::kLow);
+  CHECK(call.group == "academies");
+  CHECK(call.group_priority == Priority::kHigh);
+  CHECK(call.is_copy);
   CHECK(call.objective == std::chrono::milliseconds(-5));
   CHECK(call.rule == "r-1");
   CHECK(call.idempotent);
@@ -168,6 +174,31 @@
   }
 }
 
+SCENARIO("news of quotas and roll-outs are decoded as they were encoded") {
+  Connection out;
+  const QuotaNeed need{"academies", 12, 5, 2};
+  const QuotaLoan loan{"academies", 5, std::chrono::seconds(1),
+                       std::chrono::milliseconds(40)};
+  const RolloutReport report{{"booking", "v2", std::chrono::seconds(12), 530},
+                             std::chrono::seconds(7),
+                             RolloutState::kRolledBack,
+                             "n-1",
+                             4,
+                             {{"r-1", true, 9, 3, 2, 1'000},
+                              {"r-1", false, 90, 1, 0, 5'000}}};
+  out.Append({0, LinkQuotaNeeds{{need}}});
+  out.Append({0, LinkQuotaLoans{{loan, loan}}});
+  out.Append({0, LinkRollouts{{report}}});
+  const auto frames = Decode(out.bytes, out.bytes.size());
+  REQUIRE(frames.size() == 3);
+  CHECK(std::get<LinkQuotaNeeds>(frames[0].body).needs ==
+        std::vector<QuotaNeed>{need});
+  CHECK(std::get<LinkQuotaLoans>(frames[1].body).loans ==
+        std::vector<QuotaLoan>{loan, loan});
+  CHECK(std::get<LinkRollouts>(frames[2].body).reports ==
+        std::vector<RolloutReport>{report});
+}
+
 SCENARIO("malformed bytes are rejected") {
   SmallTextDeltas deltas;
   LinkReader reader(&deltas);
