Check a configuration before it is sent

Cause: operators could check settings and our own rules offline, but not a configuration in the platform's format, nor see what it changes.

--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -21,7 +21,7 @@
     {"rules", "change, list and watch the rules", RunRulesCommand},
     {"status", "show the fleet as a node sees it", RunStatusCommand},
     {"audit", "show the audit trail of rule changes", RunAuditCommand},
-    {"check", "check a settings or a rules file", RunCheckCommand},
+    {"check", "check a settings, rules or configuration file", RunCheckCommand},
     {"drain", "drain a node and make it leave the fleet", RunDrainCommand},
 };
 
--- a/src/cli/node_command.cc
+++ b/src/cli/node_command.cc
@@ -1,39 +1,13 @@
-// The commands `verbenastile node`, `check` and `drain`.
+// The commands `verbenastile node` and `drain`.
 #include <fmt/format.h>
 
 #include "base/log.h"
 #include "cli/admin_call.h"
 #include "cli/command_line.h"
-#include "config/rules.h"
 #include "config/token_file.h"
-#include "config/yaml_reader.h"
 #include "node/node.h"
 
 namespace verbenastile {
-namespace {
-
-// Only settings files have a section `node` or `listen`.
-bool LooksLikeSettings(const YAML::Node& root) {
-  return root["node"].IsDefined() || root["listen"].IsDefined();
-}
-
-leaf::result<int> CheckFile(const std::string& path) {
-  BOOST_LEAF_AUTO(text, ReadConfigFile(path));
-  BOOST_LEAF_AUTO(root, LoadYamlMapping(text, path));
-  if (LooksLikeSettings(root)) {
-    BOOST_LEAF_CHECK(ParseSettings(text, path));
-    fmt::print("{}: the settings are valid\n", path);
-    return kExitOk;
-  }
-  BOOST_LEAF_AUTO(checked, ParseRules(text, path));
-  for (const ConfigFault& warning : checked.warnings) {
-    fmt::print(stderr, "{} (warning)\n", ToString(warning));
-  }
-  fmt::print("{}: {} rules are valid\n", path, checked.document.rules.size());
-  return kExitOk;
-}
-
-}  // namespace
 
 int RunNodeCommand(CommandArgs args) {
   int exit_code = kExitOk;
@@ -55,18 +29,6 @@
   });
 }
 
-int RunCheckCommand(CommandArgs args) {
-  TCLAP::CmdLine cmd("Checks a settings or a rules file.", ' ',
-                     VERBENASTILE_VERSION);
-  TCLAP::UnlabeledValueArg<std::string> file("file", "file to check", true, "",
-                                             "FILE", cmd);
-  int exit_code = kExitOk;
-  if (!ParseCommandLine(cmd, args, exit_code)) {
-    return exit_code;
-  }
-  return RunReported([&] { return CheckFile(file.getValue()); });
-}
-
 int RunDrainCommand(CommandArgs args) {
   TCLAP::CmdLine cmd("Drains a node and makes it leave the fleet.", ' ',
                      VERBENASTILE_VERSION);
--- a/tests/bad_input_test.cc
+++ b/tests/bad_input_test.cc
@@ -1,7 +1,5 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
-#include <filesystem>
-#include <fstream>
 #include <sstream>
 
 #include "cli/commands.h"
@@ -15,26 +13,6 @@
 namespace verbenastile {
 namespace {
 
-// A temporary file that the destructor removes.
-class ScratchFile {
- public:
-  explicit ScratchFile(const std::string& text)
-      : path_(std::filesystem::temp_directory_path() /
-              ("verbenastile_" + std::to_string(++g_count) + "_" +
-               std::to_string(std::hash<std::string>()(text)))) {
-    std::ofstream(path_, std::ios::binary) << text;
-  }
-  ~ScratchFile() { std::filesystem::remove(path_); }
-  ScratchFile(const ScratchFile&) = delete;
-  ScratchFile& operator=(const ScratchFile&) = delete;
-
-  std::string path() const { return path_.string(); }
-
- private:
-  static inline int g_count = 0;
-  std::filesystem::path path_;
-};
-
 // Nothing listens here, so a command that contacts the platform fails with exit
 // code 1 (kExitFailed) instead of kExitInvalid.
 constexpr const char* kUnreachablePlatform = "http://127.0.50.250:9";
--- a/tests/support.h
+++ b/tests/support.h
@@ -3,6 +3,8 @@
 #define TESTS_SUPPORT_H_
 
 #include <boost/leaf/handle_errors.hpp>
+#include <filesystem>
+#include <fstream>
 #include <string>
 #include <utility>
 
@@ -35,6 +37,26 @@
       [] { return std::string("unknown error"); });
 }
 
+// A temporary file that the destructor removes.
+class ScratchFile {
+ public:
+  explicit ScratchFile(const std::string& text)
+      : path_(std::filesystem::temp_directory_path() /
+              ("verbenastile_" + std::to_string(++g_count) + "_" +
+               std::to_string(std::hash<std::string>()(text)))) {
+    std::ofstream(path_, std::ios::binary) << text;
+  }
+  ~ScratchFile() { std::filesystem::remove(path_); }
+  ScratchFile(const ScratchFile&) = delete;
+  ScratchFile& operator=(const ScratchFile&) = delete;
+
+  std::string path() const { return path_.string(); }
+
+ private:
+  static inline int g_count = 0;
+  std::filesystem::path path_;
+};
+
 }  // namespace verbenastile
 
 #endif  // TESTS_SUPPORT_H_
