--- a/soak/faults.py
+++ b/soak/faults.py
@@ -20,6 +20,7 @@
 import typing
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "platform"))
+import fault_rollouts  # noqa: E402
 import protocol  # noqa: E402
 
 GRACE = 6.0  # Seconds from SIGTERM to SIGKILL.
@@ -99,12 +100,14 @@
         self.backups = []  # (time, objects, revision), one for each change.
         self.changed = asyncio.Condition()
 
-    async def change(self, kind, name, spec, deleted=False):
+    async def change(self, kind, name, spec, deleted=False, status=None):
+        """The status is kept unless there is a new one."""
         self.revision += 1
+        known = self.objects.get((kind, name), {})
         value = {
             "metadata": {"name": name, "revision": self.revision},
             "spec": spec,
-            "status": None,
+            "status": status or known.get("status"),
         }
         if deleted:
             self.objects.pop((kind, name), None)
@@ -194,7 +197,7 @@
                 "has_more": False,
                 "current_rev": self.revision,
             }
-        kind, name = parts
+        kind, name = parts[:2]
         known = self.objects.get((kind, name))
         sent = json.loads(body) if body else {}
         revision = sent.get("metadata", {}).get("revision") or options.get("revision")
@@ -208,6 +211,12 @@
             return 409, known
         if method == "DELETE":
             return 200, await self.change(kind, name, None, deleted=True)
+        if parts[2:] == ["status"]:
+            if sent["status"] == known["status"]:
+                return 200, known
+            return 200, await self.change(
+                kind, name, known["spec"], status=sent["status"]
+            )
         return 200, await self.change(kind, name, sent["spec"])
 
     async def watch(self, kind, options):
@@ -297,9 +306,12 @@
         self.changing = False  # A crash or a replacement is under way.
         self.changed = 0.0  # When it last started.
         self.limits = 0  # How often it has named a rate limit.
+        self.slots = self.full_slots = SLOTS
+        self.version = self.next_version = soak.rollouts.base
 
     async def start(self):
         self.number += 1
+        self.version = self.next_version
         self.changed = time.monotonic()
         self.id = f"i-{self.node.index}-{self.number}"
         self.leaving_acked = None
@@ -322,9 +334,10 @@
             self.node.app,
             self.node.service,
             self.node.domain,
-            SLOTS,
+            self.slots,
             self.leaving,
             self.sequence,
+            self.version,
         )
         return await self.tell(protocol.heartbeat_target(self.id), body)
 
@@ -443,7 +456,12 @@
             await asyncio.shield(task)
             raise ConnectionError("the instance has ended")
         roll = self.soak.rng.random()
-        await asyncio.sleep(WORK * self.soak.rng.uniform(0.5, 1.5))
+        work = WORK * self.soak.rng.uniform(0.5, 1.5)
+        work, status = self.soak.rollouts.outcome(self, line, work)
+        await asyncio.sleep(work)
+        if status != 200:
+            writer.write(format_answer(status, self.echo(request), b""))
+            return
         if roll < self.soak.lose_answers:
             writer.transport.abort()
             return
@@ -511,7 +529,17 @@
                 "upstream": {"service": self.service, "address": "%s:%d" % self.app},
                 "platform": {
                     "address": "%s:%d" % self.store_proxy,
-                    "bounds": protocol.bounds(GRACE, 0.2, 56, 10),
+                    "bounds": protocol.bounds(
+                        GRACE,
+                        0.2,
+                        56,
+                        10,
+                        (
+                            fault_rollouts.SHARE,
+                            fault_rollouts.SLACK,
+                            fault_rollouts.ROLLBACK,
+                        ),
+                    ),
                 },
                 "requests": requests or {},
             },
@@ -610,6 +638,7 @@
         self.last_fault = time.monotonic()
         self.served = []  # (time, whether it was served)
         self.store = Store(self.rng)
+        self.rollouts = fault_rollouts.Rollouts(self, options.seed)
         self.nodes = [Node(self, i) for i in range(options.nodes)]
         self.instances = [Instance(self, node) for node in self.nodes]
         self.store_proxies = [Proxy((n.ip, self.base_port + 8)) for n in self.nodes]
@@ -640,6 +669,7 @@
             self.fail(f"unsafe request {request} ran {self.runs[request]} times")
         if instance.node.service != "booking":
             self.fail(f"{request} ran at the wrong service")
+        self.rollouts.on_run(instance, request)
         acked = instance.leaving_acked
         if acked and time.monotonic() - acked > DRAIN + SLACK:
             self.fail(f"{request} reached {instance.id} after it left")
@@ -900,6 +930,7 @@
         era, back = self.store.era, self.store.last_disturbed
         await asyncio.sleep(self.rng.uniform(0.0, 0.5))
         await self.store.change(*protocol.CONFIGURATION, self.configuration())
+        await self.rollouts.rewrite()
         await asyncio.sleep(REWRITE + SLACK)
         if self.store.era == era and not self.store.disturbed_since(back):
             self.check_records(back)
@@ -1037,7 +1068,11 @@
             asyncio.create_task(self.ending_client(i))
             for i in range(self.options.ending_requests)
         ]
-        await asyncio.gather(self.inject(), self.inject_notices())
+        end = self.begin + self.options.warm_up + self.options.seconds
+        await asyncio.gather(
+            self.inject(), self.inject_notices(), self.rollouts.inject(end)
+        )
+        self.last_fault = time.monotonic()
         await self.check_recovery()
         self.over = True
         await asyncio.gather(*clients)
@@ -1069,7 +1104,8 @@
     print(
         f"faults: seed {options.seed}: {len(soak.schedule)} faults, "
         f"{served} of {len(soak.served)} requests served, "
-        f"{len(soak.failures)} broken promises"
+        f"{len(soak.failures)} broken promises; "
+        f"roll-outs: {', '.join(soak.rollouts.done)}"
     )
     if not soak.failures:
         shutil.rmtree(soak.folder)
--- a/src/core/balancer.cc
+++ b/src/core/balancer.cc
@@ -165,6 +165,22 @@
   return true;
 }
 
+void Balancer::SetHeld(const std::set<std::string, std::less<>>& names) {
+  bool changed = false;
+  for (const auto& [name, index] : index_by_name_) {
+    const bool held = !names.empty() && names.contains(name);
+    changed = std::exchange(upstreams_[index].held, held) != held || changed;
+  }
+  if (changed) {
+    RebuildPools();
+  }
+}
+
+bool Balancer::IsHeld(UpstreamHandle handle) const {
+  const Upstream* upstream = Resolve(handle);
+  return upstream != nullptr && upstream->held;
+}
+
 std::size_t Balancer::TierOf(const Member& member) const {
   if (member.region != init_.region) {
     return 2;
@@ -176,7 +192,7 @@
   pools_.clear();
   for (const auto& [name, index] : index_by_name_) {
     const Upstream& upstream = upstreams_[index];
-    if (upstream.health == UpstreamHealth::kLeaving) {
+    if (upstream.health == UpstreamHealth::kLeaving || upstream.held) {
       continue;
     }
     Pool& pool = pools_[upstream.member.service];
--- a/src/core/balancer.h
+++ b/src/core/balancer.h
@@ -19,6 +19,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -145,6 +146,11 @@
   // not changed.
   void Sync(const MemberDirectory& directory, Time now);
 
+  // These members get no calls, whatever else is known of them; all others do
+  // again.
+  void SetHeld(const std::set<std::string, std::less<>>& names);
+  bool IsHeld(UpstreamHandle handle) const;
+
   // Selects an instance of the service. Returns an invalid handle if no
   // instance accepts new calls or all of them are excluded.
   UpstreamHandle Choose(const ChooseQuery& query,
@@ -184,6 +190,7 @@
     explicit Upstream(const StateChart* chart) : machine(chart) {}
 
     bool in_use = true;  // False: the index is on the free list.
+    bool held = false;
     std::uint32_t generation = 0;
     Member member;
     ChartMachine machine;
--- a/src/core/configuration_source.h
+++ b/src/core/configuration_source.h
@@ -48,6 +48,11 @@
   bool is_reader() const { return !slow_link_; }
   // The number of peers that last reported watching the store with success.
   std::size_t ReaderCount() const { return readers_.size(); }
+  // The peers that last reported watching the store with success, with the time
+  // at which the store confirmed their configuration.
+  const std::map<std::string, Time, std::less<>>& readers() const {
+    return readers_;
+  }
   // Whether this node should watch the store itself.
   bool ShouldWatchStore(Time now) const;
   // The latest time, as reported by peers, at which the store confirmed a
--- /dev/null
+++ b/src/core/rollout_judge.cc
@@ -0,0 +1,325 @@
+#include "core/rollout_judge.h"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <numeric>
+#include <vector>
+
+namespace verbenastile {
+namespace {
+
+// A fault is assumed beyond this many standard deviations: the test is repeated
+// several times a second, for each rule.
+constexpr double kDeviations = 5;
+// A difference that is smaller does not matter to callers.
+constexpr double kMinFailureExcess = 0.02;
+constexpr double kMinSlowExcess = 0.05;
+constexpr std::uint64_t kMinBad = 5;
+// From here on the bad answers need not show a second time.
+constexpr std::uint64_t kManyBad = 20;
+constexpr Duration kConfirmAfter = std::chrono::milliseconds(2'500);
+constexpr std::uint64_t kConfirmBad = 2;
+// A single instance of several is believed from here on. The bound on the calls
+// to a bad version begins at 50 bad answers.
+constexpr std::uint64_t kManyBadOfOne = 40;
+// Of the answers of old instances, for a median.
+constexpr std::uint64_t kMinReference = 20;
+// Slow answers take 2.8 times the lower end of the median's bucket, or four
+// times where the old version was not seen at the same load.
+constexpr std::size_t kSlowBuckets = 3;
+constexpr std::size_t kOtherLoadBuckets = 1;
+
+constexpr std::uint64_t kMinResponses = 40;
+constexpr std::uint64_t kMinResponsesAtLast = 20;
+constexpr std::uint64_t kMinRuleResponses = 8;
+// Rules with a smaller part of the calls need not be seen.
+constexpr std::uint64_t kSmallRuleDivisor = 20;
+// One part in this many of the target's instances is left out.
+constexpr std::size_t kLeftOutDivisor = 4;
+
+constexpr Duration kMinMargin = std::chrono::seconds(4);
+constexpr Duration kMaxMargin = std::chrono::seconds(15);
+
+// Counts of one kind of bad answer at one target instance.
+struct Tally {
+  std::uint64_t compared = 0;
+  std::uint64_t bad = 0;
+  double expected = 0;
+
+  void Add(const Tally& other) {
+    compared += other.compared;
+    bad += other.bad;
+    expected += other.expected;
+  }
+  double excess() const { return static_cast<double>(bad) - expected; }
+};
+
+using TalliesByInstance = std::map<std::string, Tally>;
+
+struct RuleOutcomes {
+  OutcomeCounts old_counts[2];  // By whether the instance was full.
+  std::map<std::string, std::array<OutcomeCounts, 2>> targets;
+  std::uint64_t old_responses = 0;
+  std::uint64_t target_responses = 0;
+};
+
+// An upper bound of the rate at which old instances give bad answers.
+double UpperRate(std::uint64_t bad, std::uint64_t responses) {
+  const double seen = static_cast<double>(bad) + 1;
+  return std::min(
+      1.0, (seen + 2 * std::sqrt(seen)) / static_cast<double>(responses + 1));
+}
+
+std::uint64_t Answers(const OutcomeCounts& counts) {
+  return counts.responses - counts.failures;
+}
+
+std::uint64_t SlowerThan(const OutcomeCounts& counts, std::size_t bucket) {
+  const std::size_t first = std::min(bucket, counts.times.size());
+  return std::accumulate(counts.times.begin() + static_cast<long>(first),
+                         counts.times.end(), std::uint64_t{0});
+}
+
+std::size_t MedianBucket(const OutcomeCounts& counts) {
+  const std::uint64_t half = (Answers(counts) + 1) / 2;
+  std::uint64_t seen = 0;
+  for (std::size_t i = 0; i < counts.times.size(); ++i) {
+    seen += counts.times[i];
+    if (seen >= half) {
+      return i;
+    }
+  }
+  return counts.times.size() - 1;
+}
+
+struct SlowLimit {
+  std::size_t bucket = 0;  // Answers in it and beyond are slow.
+  double rate = 0;         // Of such answers at old instances.
+};
+
+// Empty when the old instances have answered too little to tell.
+std::optional<SlowLimit> SlowLimitOf(const RuleOutcomes& outcomes, bool full) {
+  const auto index = static_cast<std::size_t>(full);
+  const bool same_load = Answers(outcomes.old_counts[index]) >= kMinReference;
+  const OutcomeCounts& reference =
+      outcomes.old_counts[same_load ? index : 1 - index];
+  if (Answers(reference) < kMinReference) {
+    return std::nullopt;
+  }
+  SlowLimit limit;
+  limit.bucket = MedianBucket(reference) + kSlowBuckets +
+                 (same_load ? 0 : kOtherLoadBuckets);
+  limit.rate =
+      UpperRate(SlowerThan(reference, limit.bucket), Answers(reference));
+  return limit;
+}
+
+TalliesByInstance CountFailures(const RuleOutcomes& outcomes) {
+  TalliesByInstance tallies;
+  OutcomeCounts old = outcomes.old_counts[0];
+  old.Add(outcomes.old_counts[1]);
+  const double rate = UpperRate(old.failures, old.responses);
+  for (const auto& [instance, counts] : outcomes.targets) {
+    const std::uint64_t responses = counts[0].responses + counts[1].responses;
+    tallies[instance] = {responses, counts[0].failures + counts[1].failures,
+                         rate * static_cast<double>(responses)};
+  }
+  return tallies;
+}
+
+TalliesByInstance CountSlow(const RuleOutcomes& outcomes) {
+  TalliesByInstance tallies;
+  for (const bool full : {false, true}) {
+    const auto limit = SlowLimitOf(outcomes, full);
+    if (!limit) {
+      continue;
+    }
+    for (const auto& [instance, counts] : outcomes.targets) {
+      const OutcomeCounts& seen = counts[static_cast<std::size_t>(full)];
+      const std::uint64_t answers = Answers(seen);
+      tallies[instance].Add({answers, SlowerThan(seen, limit->bucket),
+                             limit->rate * static_cast<double>(answers)});
+    }
+  }
+  return tallies;
+}
+
+struct Comparison {
+  Tally sum;  // Without the instances that are left out.
+  std::size_t instances = 0;
+};
+
+Comparison Compare(const TalliesByInstance& tallies) {
+  std::vector<Tally> worst_first;
+  for (const auto& [instance, tally] : tallies) {
+    if (tally.compared > 0) {
+      worst_first.push_back(tally);
+    }
+  }
+  std::sort(
+      worst_first.begin(), worst_first.end(),
+      [](const Tally& a, const Tally& b) { return a.excess() > b.excess(); });
+  Comparison comparison;
+  comparison.instances = worst_first.size();
+  const std::size_t left_out =
+      worst_first.size() < 2
+          ? 0
+          : std::max<std::size_t>(1, worst_first.size() / kLeftOutDivisor);
+  for (std::size_t i = left_out; i < worst_first.size(); ++i) {
+    comparison.sum.Add(worst_first[i]);
+  }
+  return comparison;
+}
+
+bool IsExcessive(const Tally& sum, double min_excess) {
+  return sum.bad >= kMinBad &&
+         sum.excess() > kDeviations * std::sqrt(sum.expected + 1) &&
+         sum.excess() >= min_excess * static_cast<double>(sum.compared);
+}
+
+// Whether enough of the target's instances were seen to blame their version.
+bool IsCorroborated(const Comparison& comparison, std::size_t instances) {
+  return comparison.instances >= 2 || instances < 2 ||
+         comparison.sum.bad >= kManyBadOfOne;
+}
+
+class Findings {
+ public:
+  explicit Findings(std::size_t instances) : instances_(instances) {}
+
+  void Add(std::string_view rule, bool slow, const TalliesByInstance& tallies) {
+    const Comparison comparison = Compare(tallies);
+    const Tally& sum = comparison.sum;
+    if (!IsExcessive(sum, slow ? kMinSlowExcess : kMinFailureExcess)) {
+      return;
+    }
+    const RolloutOpinion opinion = IsCorroborated(comparison, instances_)
+                                       ? RolloutOpinion::kBad
+                                       : RolloutOpinion::kSuspicious;
+    const double excess = static_cast<double>(finding_.bad) - finding_.expected;
+    if (opinion > finding_.opinion ||
+        (opinion == finding_.opinion && sum.excess() > excess)) {
+      finding_.opinion = opinion;
+      finding_.rule = rule;
+      finding_.slow = slow;
+      finding_.bad = sum.bad;
+      finding_.compared = sum.compared;
+      finding_.expected = sum.expected;
+    }
+  }
+
+  RolloutFinding finding_;
+
+ private:
+  std::size_t instances_;
+};
+
+std::map<std::string, RuleOutcomes> GroupByRule(const OutcomeTable& totals) {
+  std::map<std::string, RuleOutcomes> rules;
+  for (const auto& [key, counts] : totals) {
+    RuleOutcomes& rule = rules[key.rule];
+    const auto index = static_cast<std::size_t>(key.full);
+    if (key.instance.empty()) {
+      rule.old_counts[index].Add(counts);
+      rule.old_responses += counts.responses;
+    } else {
+      rule.targets[key.instance][index].Add(counts);
+      rule.target_responses += counts.responses;
+    }
+  }
+  return rules;
+}
+
+}  // namespace
+
+std::string_view ToString(RolloutOpinion opinion) {
+  switch (opinion) {
+    case RolloutOpinion::kThin:
+      return "thin";
+    case RolloutOpinion::kSound:
+      return "sound";
+    case RolloutOpinion::kSuspicious:
+      return "suspicious";
+    case RolloutOpinion::kBad:
+      return "bad";
+  }
+  return "unknown";
+}
+
+RolloutFinding RolloutJudge::Evaluate(const OutcomeTable& totals,
+                                      std::size_t instances,
+                                      Time now) {
+  const auto rules = GroupByRule(totals);
+  Findings findings(instances);
+  RolloutFinding& finding = findings.finding_;
+  TalliesByInstance failures;
+  TalliesByInstance slow;
+  for (const auto& [name, outcomes] : rules) {
+    finding.target_responses += outcomes.target_responses;
+    finding.old_responses += outcomes.old_responses;
+    const TalliesByInstance rule_failures = CountFailures(outcomes);
+    const TalliesByInstance rule_slow = CountSlow(outcomes);
+    findings.Add(name, false, rule_failures);
+    findings.Add(name, true, rule_slow);
+    for (const auto& [instance, tally] : rule_failures) {
+      failures[instance].Add(tally);
+    }
+    for (const auto& [instance, tally] : rule_slow) {
+      slow[instance].Add(tally);
+    }
+  }
+  findings.Add({}, false, failures);
+  findings.Add({}, true, slow);
+  if (finding.opinion == RolloutOpinion::kBad && finding.bad < kManyBad) {
+    if (!suspicious_since_) {
+      suspicious_since_ = now;
+      suspicious_bad_ = finding.bad;
+    }
+    if (now - *suspicious_since_ < kConfirmAfter ||
+        finding.bad < suspicious_bad_ + kConfirmBad) {
+      finding.opinion = RolloutOpinion::kSuspicious;
+    }
+    return finding;
+  }
+  suspicious_since_.reset();
+  if (finding.opinion == RolloutOpinion::kThin) {
+    const bool all_seen =
+        std::all_of(rules.begin(), rules.end(), [&](const auto& rule) {
+          return rule.second.old_responses * kSmallRuleDivisor <
+                     finding.old_responses ||
+                 rule.second.target_responses >= kMinRuleResponses;
+        });
+    if (all_seen && finding.target_responses >= kMinResponses) {
+      finding.opinion = RolloutOpinion::kSound;
+    }
+  }
+  return finding;
+}
+
+Duration RolloutMargin(Duration duration) {
+  return std::clamp(duration / 4, kMinMargin, kMaxMargin);
+}
+
+std::optional<RolloutState> DecideRollout(const RolloutFinding& finding,
+                                          Duration duration,
+                                          Duration remaining) {
+  if (finding.opinion == RolloutOpinion::kBad) {
+    return RolloutState::kRolledBack;
+  }
+  const Duration margin = RolloutMargin(duration);
+  if (remaining > margin) {
+    return std::nullopt;
+  }
+  if (finding.opinion == RolloutOpinion::kSound) {
+    return RolloutState::kCompleted;
+  }
+  if (remaining > margin * 3 / 5) {
+    return std::nullopt;
+  }
+  const bool usable = finding.opinion == RolloutOpinion::kThin &&
+                      finding.target_responses >= kMinResponsesAtLast;
+  return usable ? RolloutState::kCompleted : RolloutState::kRolledBack;
+}
+
+}  // namespace verbenastile
--- a/src/mesh/link_codec.cc
+++ b/src/mesh/link_codec.cc
@@ -203,15 +203,23 @@
   out.setState(static_cast<std::uint8_t>(report.state));
   out.setNode(ToTextReader(report.node));
   out.setIncarnation(report.incarnation);
+  out.setId(report.order.id);
+  out.setEra(report.order.era);
+  out.setRecorded(report.recorded);
+  out.setOldInFlight(report.old_in_flight);
   auto list = out.initOutcomes(static_cast<unsigned>(report.outcomes.size()));
   for (unsigned i = 0; i < list.size(); ++i) {
     const VersionOutcomes& outcomes = report.outcomes[i];
     list[i].setRule(ToTextReader(outcomes.rule));
-    list[i].setTarget(outcomes.target);
+    list[i].setInstance(ToTextReader(outcomes.instance));
+    list[i].setFull(outcomes.full);
     list[i].setResponses(outcomes.responses);
     list[i].setFailures(outcomes.failures);
-    list[i].setSlow(outcomes.slow);
-    list[i].setTimeUs(outcomes.time_us);
+    auto times =
+        list[i].initTimes(static_cast<unsigned>(outcomes.times.size()));
+    for (unsigned j = 0; j < times.size(); ++j) {
+      times.set(j, outcomes.times[j]);
+    }
   }
 }
 
@@ -219,17 +227,27 @@
   RolloutReport report;
   report.order = {CopyToString(in.getService()),
                   CopyToString(in.getTargetVersion()),
-                  Duration(in.getDurationUs()), in.getRevision()};
+                  Duration(in.getDurationUs()),
+                  in.getId(),
+                  in.getEra(),
+                  in.getRevision()};
   report.remaining = Duration(in.getRemainingUs());
   report.state = static_cast<RolloutState>(std::min<int>(
       in.getState(), static_cast<int>(RolloutState::kRolledBack)));
   report.node = CopyToString(in.getNode());
   report.incarnation = in.getIncarnation();
+  report.recorded = in.getRecorded();
+  report.old_in_flight = in.getOldInFlight();
   for (const auto outcomes : in.getOutcomes()) {
-    report.outcomes.push_back({CopyToString(outcomes.getRule()),
-                               outcomes.getTarget(), outcomes.getResponses(),
-                               outcomes.getFailures(), outcomes.getSlow(),
-                               outcomes.getTimeUs()});
+    VersionOutcomes& read = report.outcomes.emplace_back();
+    read.rule = CopyToString(outcomes.getRule());
+    read.instance = CopyToString(outcomes.getInstance());
+    read.full = outcomes.getFull();
+    read.responses = outcomes.getResponses();
+    read.failures = outcomes.getFailures();
+    for (const std::uint32_t count : outcomes.getTimes()) {
+      read.times.push_back(count);
+    }
   }
   return report;
 }
--- a/src/mesh/link_hub.cc
+++ b/src/mesh/link_hub.cc
@@ -114,6 +114,7 @@
             peer->link->Send(HelloFrame());
             init_.on_load(peer->name, {{}, hello.configuration});
             ShareCrashEvidence(*peer->link);
+            ShareRollouts(*peer->link);
           },
           [&](GateCall& call) { OnIncomingCall(peer, id, std::move(call)); },
           [&](const LinkCancel&) {
@@ -391,6 +392,7 @@
   init_.member_registry->SetLinked(name, true, SteadyNow());
   init_.on_load(name, {{}, hello.configuration});
   ShareCrashEvidence(*peer->link);
+  ShareRollouts(*peer->link);
 }
 
 void LinkHub::OnOutgoingClosed(const OutgoingPointer& peer,
@@ -457,7 +459,24 @@
 }
 
 void LinkHub::AnnounceCrashEvidence(std::vector<CrashEvidence> evidence) {
-  const LinkFrame frame{0, LinkCrashEvidence{std::move(evidence)}};
+  SendToAll({0, LinkCrashEvidence{std::move(evidence)}});
+}
+
+void LinkHub::AnnounceRollouts(std::vector<RolloutReport> reports) {
+  SendToAll({0, LinkRollouts{std::move(reports)}});
+}
+
+void LinkHub::ShareRollouts(Link& link) const {
+  if (!init_.rollouts) {
+    return;
+  }
+  if (auto reports = init_.rollouts()) {
+    link.Send({0, LinkRollouts{std::move(*reports)}});
+  }
+}
+
+// Sends the frame once to each linked member.
+void LinkHub::SendToAll(const LinkFrame& frame) {
   for (const auto& [name, peer] : outgoing_) {
     if (peer->handshake_done) {
       peer->link->Send(frame);
--- a/src/mesh/link_hub.h
+++ b/src/mesh/link_hub.h
@@ -71,6 +71,9 @@
     std::function<void(std::string_view member,
                        const std::vector<RolloutReport>&)>
         on_rollouts;
+    // What a node that has just connected should know of roll-outs; empty:
+    // nothing can be said yet.
+    std::function<std::optional<std::vector<RolloutReport>>()> rollouts;
     // A peer answered a request for its configuration.
     std::function<void(const ConfigurationDelta&)> on_configuration;
   };
@@ -95,6 +98,8 @@
   // Sends the evidence to each linked member. One whose link is broken gets
   // what is shared with new links.
   void AnnounceCrashEvidence(std::vector<CrashEvidence> evidence);
+  // Sends the reports to each linked member.
+  void AnnounceRollouts(std::vector<RolloutReport> reports);
   void Close();
 
   // The number of outgoing links whose handshake is complete.
@@ -147,6 +152,8 @@
   void Discard(Outgoing& peer);
   LinkFrame HelloFrame() const;
   void ShareCrashEvidence(Link& link) const;
+  void ShareRollouts(Link& link) const;
+  void SendToAll(const LinkFrame& frame);
   void CheckLinks(Time now);
   void CheckOutgoing(const OutgoingPointer& peer, Time now);
   void OnOutgoingSilent(const OutgoingPointer& peer);
--- a/src/mesh/object_store.h
+++ b/src/mesh/object_store.h
@@ -24,6 +24,10 @@
   std::string name;
   StoreRevision revision = 0;
   std::string spec;  // Unparsed JSON.
+  // The status that nodes report on the object, unparsed; empty: none.
+  std::string status = {};
+  // When the object was created, as the store says it; empty: not said.
+  std::string created = {};
 };
 
 struct StoreError {
@@ -94,6 +98,11 @@
   virtual StoreCallId Replace(std::string_view kind,
                               const StoreObject& object,
                               ObjectHandler on_done) = 0;
+  // Replaces only the status. Fails with `kConflict` unless the stored revision
+  // is `object.revision`.
+  virtual StoreCallId ReplaceStatus(std::string_view kind,
+                                    const StoreObject& object,
+                                    ObjectHandler on_done) = 0;
   // Fails with `kConflict` unless the stored revision is `object.revision`.
   virtual StoreCallId Delete(std::string_view kind,
                              const StoreObject& object,
--- a/src/mesh/outbound_proxy.cc
+++ b/src/mesh/outbound_proxy.cc
@@ -227,6 +227,7 @@
       return;
     }
     balancer_.Sync(init_.member_registry->directory(), now);
+    ApplyHolds(now);
     call.on_trial = verdict == SuspectVerdict::kOnTrial;
     UpstreamHandle upstream =
         call.on_trial ? TrialUpstream(call) : ChooseUpstream(call, now);
@@ -240,8 +241,8 @@
            fmt::format("no instance of {} can take it", call.service));
       return;
     }
-    Attempt attempt{upstream, member->name, now,
-                    member->name == init_.node_name, 0};
+    Attempt attempt{
+        upstream, member->name, now, member->name == init_.node_name, 0, {}};
     call.tried_upstreams.push_back(upstream);
     if (attempt.local) {
       attempt.local_call_id = init_.inbound_proxy->Start(
@@ -258,6 +259,7 @@
       continue;
     }
     balancer_.OnStarted(upstream, now);
+    NoteRolloutSent(call, attempt, now);
     call.attempt = std::move(attempt);
     return;
   }
@@ -276,6 +278,10 @@
 }
 
 UpstreamHandle OutboundProxy::ChooseUpstream(Call& call, Time now) {
+  if (const UpstreamHandle exposed = ExposedUpstream(call, now);
+      exposed.valid()) {
+    return exposed;
+  }
   const RuleProfile profile = rule_profiles_.Find(call.rule->id);
   ChooseQuery query;
   query.service = call.service;
@@ -302,7 +308,8 @@
   }
   const UpstreamHandle upstream = balancer_.HandleOf(member->name);
   const auto& tried = call.tried_upstreams;
-  return std::find(tried.begin(), tried.end(), upstream) == tried.end()
+  return std::find(tried.begin(), tried.end(), upstream) == tried.end() &&
+                 !balancer_.IsHeld(upstream)
              ? upstream
              : UpstreamHandle{};
 }
@@ -342,7 +349,8 @@
       rule_profiles_.Find(call.rule->id).response_bytes > kLargeResponseBytes;
   // A request that is on trial has no other instance to find a free slot at.
   request.only_if_free = !call.on_trial && (large_from_remote ||
-                                            call.refusals < kFreeSlotAttempts);
+                                            call.refusals < kFreeSlotAttempts ||
+                                            !MayQueueAt(member));
   if (const auto* entry = init_.member_registry->Find(member.name)) {
     request.notice = peer_notices_.Find(member.name, entry->record.instance);
   }
@@ -456,6 +464,9 @@
   }
   for (const CallId id : overdue) {
     Call& call = calls_.at(id);
+    if (call.attempt && call.attempt->rollout) {
+      call.attempt->rollout->failed = true;
+    }
     CancelAttempt(id, call, AttemptOutcome::kUnknown);
     Fail(id, kGatewayTimeout, "the deadline has passed");
   }
--- a/src/mesh/outbound_proxy.h
+++ b/src/mesh/outbound_proxy.h
@@ -16,6 +16,7 @@
 #include <random>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -35,6 +36,7 @@
 #include "mesh/call_header_names.h"
 #include "mesh/inbound_proxy.h"
 #include "mesh/link_hub.h"
+#include "mesh/rollout_service.h"
 
 namespace verbenastile {
 
@@ -63,6 +65,8 @@
     std::function<std::string()> caller_service;
     // Time since the platform's store last confirmed the configuration.
     std::function<Duration()> configuration_age;
+    // Null: calls are sent to instances of any software version.
+    RolloutService* rollouts = nullptr;
   };
 
   explicit OutboundProxy(const Init& init);
@@ -99,6 +103,16 @@
   // the choice was based on, so another upstream may still have a free slot.
   static constexpr std::uint32_t kFreeSlotAttempts = 2;
 
+  // What an attempt counts as in the roll-out of the service.
+  struct RolloutPart {
+    std::uint64_t order = 0;  // ID of the order.
+    bool old = false;         // The instance is not of the target version.
+    bool exposed = false;     // It is, and the version is not proved.
+    bool judged = false;      // The outcome is evidence.
+    bool failed = false;      // The instance gave no response.
+    bool full = false;        // The instance had no free slot beside this one.
+  };
+
   // An attempt to get a response from one instance.
   struct Attempt {
     UpstreamHandle upstream;
@@ -106,6 +120,7 @@
     Time begin;
     bool local = false;        // The instance is on this node.
     CallId local_call_id = 0;  // At this node's inbound proxy, when `local`.
+    std::optional<RolloutPart> rollout;
   };
 
   struct FailedResponse {
@@ -179,6 +194,20 @@
   void AllowQueueing(Call& call);
   UpstreamHandle ChooseUpstream(Call& call, Time now);
   UpstreamHandle TrialUpstream(const Call& call) const;
+  // The functions below are in outbound_rollout.cc.
+  //
+  // Tells the balancer which instances are held.
+  void ApplyHolds(Time now);
+  // An instance of an unproven version, if this call may be sent to one.
+  UpstreamHandle ExposedUpstream(const Call& call, Time now);
+  // Whether the call may queue for a slot of the instance.
+  bool MayQueueAt(const Member& member) const;
+  void NoteRolloutSent(const Call& call, Attempt& attempt, Time now);
+  void NoteRolloutLoad(Call& call, const GateLoad& load) const;
+  void NoteRolloutEnded(const Call& call,
+                        AttemptOutcome outcome,
+                        bool reached,
+                        Time now);
   Duration LatencyObjective(const Call& call) const;
   GateCall BuildCall(const Call& call, const Member& member, Time now) const;
   void OnReply(CallId id, LinkBody body);
@@ -214,6 +243,8 @@
   FleetRetryBudget retry_allowance_;
   RuleProfiles rule_profiles_;
   WeightedRoundRobin target_rotation_;
+  // Of the directory and of the held instances when they were last applied.
+  std::pair<std::uint64_t, std::uint64_t> holds_applied_;
   RetryTracker returning_callers_;
   RetryAfterEstimator return_times_;
   std::mt19937_64 balancer_random_;
--- a/src/mesh/outbound_response.cc
+++ b/src/mesh/outbound_response.cc
@@ -122,6 +122,9 @@
   Call& call = calls_.at(id);
   if (broken.load) {
     OnLoad(call.attempt->member, *broken.load);
+    if (call.attempt->rollout) {
+      call.attempt->rollout->failed = true;
+    }
   }
   EndAttempt(call, AttemptOutcome::kUnknown, true);
   call.may_have_run = true;
@@ -170,6 +173,7 @@
 void OutboundProxy::OnResponseHead(CallId id, GateResponse answer) {
   Call& call = calls_.at(id);
   OnLoad(call.attempt->member, answer.load);
+  NoteRolloutLoad(call, answer.load);
   call.status = answer.status;
   call.headers = std::move(answer.headers);
   call.content_length = answer.length;
@@ -278,6 +282,7 @@
   if (call.attempt) {
     const Time now = SteadyNow();
     call.instances_reached += reached ? 1 : 0;
+    NoteRolloutEnded(call, outcome, reached, now);
     balancer_.OnEnded(call.attempt->upstream, outcome,
                       now - call.attempt->begin, now);
     call.attempt.reset();
--- a/src/mesh/sidecar.cc
+++ b/src/mesh/sidecar.cc
@@ -75,6 +75,7 @@
       sender_(io_, PacerInit()),
       inbound_(InboundProxyInit()),
       links_(HubInit()),
+      rollouts_(MakeRollouts()),
       outbound_(OutboundProxyInit()),
       configuration_follower_(ConfigurationInit()),
       member_follower_(MembersInit()),
@@ -175,9 +176,38 @@
   init.on_configuration = [this](const ConfigurationDelta& delta) {
     OnConfigurationDelta(delta);
   };
+  if (bounds_.canary_share) {
+    init.on_rollouts = [this](std::string_view member,
+                              const std::vector<RolloutReport>& reports) {
+      rollouts_->OnReports(member, reports);
+    };
+    init.rollouts = [this] { return rollouts_->Shared(SteadyNow()); };
+  }
   return init;
 }
 
+std::unique_ptr<RolloutService> Sidecar::MakeRollouts() {
+  if (!bounds_.canary_share) {
+    return nullptr;
+  }
+  RolloutService::Init init;
+  init.io = &io_;
+  init.store = &store_;
+  init.session_chart = &charts_.platform_session;
+  init.links = &links_;
+  init.member_registry = &member_registry_;
+  init.metrics = &metrics_;
+  init.node_name = settings_.name;
+  init.incarnation = incarnation_;
+  init.share = *bounds_.canary_share;
+  init.seed = NondeterministicSeed();
+  init.confirmed = [this] { return ConfigurationConfirmed(); };
+  init.readers = [this]() -> const std::map<std::string, Time, std::less<>>& {
+    return configuration_source_.readers();
+  };
+  return std::make_unique<RolloutService>(std::move(init));
+}
+
 OutboundProxy::Init Sidecar::OutboundProxyInit() {
   OutboundProxy::Init init;
   init.io = &io_;
@@ -200,6 +230,7 @@
   init.seed = NondeterministicSeed();
   init.caller_service = [this] { return settings_.service; };
   init.configuration_age = [this] { return ConfigurationAge(); };
+  init.rollouts = rollouts_.get();
   return init;
 }
 
@@ -486,6 +517,9 @@
       const Time now = SteadyNow();
       RecordLoopLag(now - due);
       UpdateConfigurationSource(now);
+      if (rollouts_) {
+        rollouts_->Tick(now);
+      }
       FlushLog();
     }
   });
--- a/src/mesh/sidecar.h
+++ b/src/mesh/sidecar.h
@@ -30,6 +30,7 @@
 #include "mesh/outbound_proxy.h"
 #include "mesh/paced_sender.h"
 #include "mesh/record_publisher.h"
+#include "mesh/rollout_service.h"
 #include "mesh/store_follower.h"
 #include "platform/bounds.h"
 #include "platform/control_call.h"
@@ -59,6 +60,7 @@
   LinkPacerOptions PacerInit() const;
   InboundProxy::Init InboundProxyInit();
   LinkHub::Init HubInit();
+  std::unique_ptr<RolloutService> MakeRollouts();
   OutboundProxy::Init OutboundProxyInit();
   StoreFollower::Init FollowerInit(std::string_view kind);
   StoreFollower::Init ConfigurationInit();
@@ -124,6 +126,8 @@
   // Like `MergeRecord`, but leaves the links as they are. Returns whether the
   // record was stored.
   bool StoreRecord(const MemberRecord& record);
+  // When the store last confirmed the configuration to any node.
+  std::optional<Time> ConfigurationConfirmed() const;
   Duration ConfigurationAge() const;
   FleetRetryBudgetLimits AllowanceLimits() const;
   void RecordLoopLag(Duration lag);
@@ -154,6 +158,7 @@
   PacedSender sender_;
   InboundProxy inbound_;
   LinkHub links_;
+  std::unique_ptr<RolloutService> rollouts_;  // Null: exposure is unbounded.
   OutboundProxy outbound_;
   StoreFollower configuration_follower_;
   StoreFollower member_follower_;
--- a/src/mesh/sidecar_configuration.cc
+++ b/src/mesh/sidecar_configuration.cc
@@ -70,6 +70,9 @@
 
 void Sidecar::UpdateConfigurationSource(Time now) {
   const bool follow_store = configuration_source_.ShouldWatchStore(now);
+  if (rollouts_) {
+    rollouts_->OnFollowsStore(follow_store);
+  }
   if (follow_store != std::exchange(follows_store_, follow_store)) {
     Log(LogLevel::kInfo, "config",
         follow_store ? "Following the store for the configuration."
@@ -110,14 +113,21 @@
        {"instance", ToString(tracker_.state())}});
   configuration_follower_.OnStoreRestored(era);
   publisher_.OnStoreRestored(era);
+  if (rollouts_) {
+    rollouts_->OnStoreRestored(era);
+  }
   if (configuration_source_.is_reader() && source == kStoreSource) {
     links_.AnnounceConfiguration();
   }
 }
 
+std::optional<Time> Sidecar::ConfigurationConfirmed() const {
+  return std::max(configuration_follower_.last_confirmed(),
+                  configuration_source_.last_confirmed());
+}
+
 Duration Sidecar::ConfigurationAge() const {
-  const auto confirmed = std::max(configuration_follower_.last_confirmed(),
-                                  configuration_source_.last_confirmed());
+  const auto confirmed = ConfigurationConfirmed();
   return confirmed ? SteadyNow() - *confirmed : Duration::max();
 }
 
--- a/src/mesh/store_follower.h
+++ b/src/mesh/store_follower.h
@@ -58,6 +58,8 @@
   std::optional<Time> last_confirmed() const { return last_confirmed_; }
   // Whether the objects have been listed at least once.
   bool listed() const { return listed_; }
+  // Of the last list or watch.
+  StoreRevision revision() const { return revision_; }
   // Whether the objects are listed and no request has failed since.
   bool is_connected() const { return machine_.state() == "watching"; }
 
--- a/src/wire/link.capnp
+++ b/src/wire/link.capnp
@@ -89,15 +89,19 @@
   node @6 :Text;
   incarnation @7 :UInt64;
   outcomes @8 :List(VersionOutcomes);
+  id @9 :UInt64;
+  era @10 :UInt64;
+  recorded @11 :Bool;
+  oldInFlight @12 :UInt32;
 }
 
 struct VersionOutcomes {
   rule @0 :Text;
-  target @1 :Bool;
-  responses @2 :UInt64;
-  failures @3 :UInt64;
-  slow @4 :UInt64;
-  timeUs @5 :UInt64;
+  instance @1 :Text;
+  full @2 :Bool;
+  responses @3 :UInt64;
+  failures @4 :UInt64;
+  times @5 :List(UInt32);
 }
 
 struct Member {
--- a/src/wire/link.capnp.h
+++ b/src/wire/link.capnp.h
@@ -190,7 +190,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(912ec23d49323b6f, 5, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(912ec23d49323b6f, 7, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -205,7 +205,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8efcecb9d7ab7f9c, 5, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(8efcecb9d7ab7f9c, 3, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1345,6 +1345,14 @@
   inline bool hasOutcomes() const;
   inline  ::capnp::List< ::verbenastile::wire::VersionOutcomes,  ::capnp::Kind::STRUCT>::Reader getOutcomes() const;
 
+  inline  ::uint64_t getId() const;
+
+  inline  ::uint64_t getEra() const;
+
+  inline bool getRecorded() const;
+
+  inline  ::uint32_t getOldInFlight() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1416,6 +1424,18 @@
   inline void adoptOutcomes(::capnp::Orphan< ::capnp::List< ::verbenastile::wire::VersionOutcomes,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::verbenastile::wire::VersionOutcomes,  ::capnp::Kind::STRUCT>> disownOutcomes();
 
+  inline  ::uint64_t getId();
+  inline void setId( ::uint64_t value);
+
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
+
+  inline bool getRecorded();
+  inline void setRecorded(bool value);
+
+  inline  ::uint32_t getOldInFlight();
+  inline void setOldInFlight( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1462,15 +1482,17 @@
   inline bool hasRule() const;
   inline  ::capnp::Text::Reader getRule() const;
 
-  inline bool getTarget() const;
+  inline bool hasInstance() const;
+  inline  ::capnp::Text::Reader getInstance() const;
+
+  inline bool getFull() const;
 
   inline  ::uint64_t getResponses() const;
 
   inline  ::uint64_t getFailures() const;
 
-  inline  ::uint64_t getSlow() const;
-
-  inline  ::uint64_t getTimeUs() const;
+  inline bool hasTimes() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getTimes() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1507,8 +1529,15 @@
   inline void adoptRule(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownRule();
 
-  inline bool getTarget();
-  inline void setTarget(bool value);
+  inline bool hasInstance();
+  inline  ::capnp::Text::Builder getInstance();
+  inline void setInstance( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initInstance(unsigned int size);
+  inline void adoptInstance(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownInstance();
+
+  inline bool getFull();
+  inline void setFull(bool value);
 
   inline  ::uint64_t getResponses();
   inline void setResponses( ::uint64_t value);
@@ -1516,11 +1545,13 @@
   inline  ::uint64_t getFailures();
   inline void setFailures( ::uint64_t value);
 
-  inline  ::uint64_t getSlow();
-  inline void setSlow( ::uint64_t value);
-
-  inline  ::uint64_t getTimeUs();
-  inline void setTimeUs( ::uint64_t value);
+  inline bool hasTimes();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getTimes();
+  inline void setTimes( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setTimes(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initTimes(unsigned int size);
+  inline void adoptTimes(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownTimes();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4285,6 +4316,62 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t RolloutReport::Reader::getId() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RolloutReport::Builder::getId() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void RolloutReport::Builder::setId( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RolloutReport::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RolloutReport::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void RolloutReport::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RolloutReport::Reader::getRecorded() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<200>() * ::capnp::ELEMENTS);
+}
+
+inline bool RolloutReport::Builder::getRecorded() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<200>() * ::capnp::ELEMENTS);
+}
+inline void RolloutReport::Builder::setRecorded(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<200>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t RolloutReport::Reader::getOldInFlight() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RolloutReport::Builder::getOldInFlight() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void RolloutReport::Builder::setOldInFlight( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool VersionOutcomes::Reader::hasRule() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4319,16 +4406,50 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool VersionOutcomes::Reader::getTarget() const {
+inline bool VersionOutcomes::Reader::hasInstance() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool VersionOutcomes::Builder::hasInstance() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader VersionOutcomes::Reader::getInstance() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder VersionOutcomes::Builder::getInstance() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void VersionOutcomes::Builder::setInstance( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder VersionOutcomes::Builder::initInstance(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void VersionOutcomes::Builder::adoptInstance(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> VersionOutcomes::Builder::disownInstance() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool VersionOutcomes::Reader::getFull() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool VersionOutcomes::Builder::getTarget() {
+inline bool VersionOutcomes::Builder::getFull() {
   return _builder.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void VersionOutcomes::Builder::setTarget(bool value) {
+inline void VersionOutcomes::Builder::setFull(bool value) {
   _builder.setDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
@@ -4361,32 +4482,42 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t VersionOutcomes::Reader::getSlow() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline bool VersionOutcomes::Reader::hasTimes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t VersionOutcomes::Builder::getSlow() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline bool VersionOutcomes::Builder::hasTimes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline void VersionOutcomes::Builder::setSlow( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader VersionOutcomes::Reader::getTimes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t VersionOutcomes::Reader::getTimeUs() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder VersionOutcomes::Builder::getTimes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t VersionOutcomes::Builder::getTimeUs() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline void VersionOutcomes::Builder::setTimes( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline void VersionOutcomes::Builder::setTimeUs( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline void VersionOutcomes::Builder::setTimes(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder VersionOutcomes::Builder::initTimes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void VersionOutcomes::Builder::adoptTimes(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> VersionOutcomes::Builder::disownTimes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool Member::Reader::hasName() const {
--- a/tests/link_codec_test.cc
+++ b/tests/link_codec_test.cc
@@ -179,13 +179,15 @@
   const QuotaNeed need{"academies", 12, 5, 2};
   const QuotaLoan loan{"academies", 5, std::chrono::seconds(1),
                        std::chrono::milliseconds(40)};
-  const RolloutReport report{{"booking", "v2", std::chrono::seconds(12), 530},
-                             std::chrono::seconds(7),
-                             RolloutState::kRolledBack,
-                             "n-1",
-                             4,
-                             {{"r-1", true, 9, 3, 2, 1'000},
-                              {"r-1", false, 90, 1, 0, 5'000}}};
+  const RolloutReport report{
+      {"booking", "v2", std::chrono::seconds(12), 77, 2, 530},
+      std::chrono::seconds(7),
+      RolloutState::kRolledBack,
+      true,
+      "n-1",
+      4,
+      3,
+      {{"r-1", "n-7", true, 9, 3, {0, 4, 2}}, {"r-1", "", false, 90, 1, {89}}}};
   out.Append({0, LinkQuotaNeeds{{need}}});
   out.Append({0, LinkQuotaLoans{{loan, loan}}});
   out.Append({0, LinkRollouts{{report}}});
--- a/tests/record_publisher_test.cc
+++ b/tests/record_publisher_test.cc
@@ -28,6 +28,11 @@
                      ObjectHandler on_done) override {
     return Hold("create", object, std::move(on_done));
   }
+  StoreCallId ReplaceStatus(std::string_view,
+                            const StoreObject&,
+                            ObjectHandler) override {
+    return 0;
+  }
   StoreCallId Replace(std::string_view,
                       const StoreObject& object,
                       ObjectHandler on_done) override {
--- /dev/null
+++ b/tests/rollout_book_test.cc
@@ -0,0 +1,214 @@
+#include <catch2/catch.hpp>
+
+#include "core/rollout_book.h"
+
+namespace verbenastile {
+namespace {
+
+constexpr Duration kSecond = std::chrono::seconds(1);
+
+RolloutOrder MakeOrder(std::uint64_t id, std::int64_t revision) {
+  return {"booking", "v2", 60 * kSecond, id, 1, revision};
+}
+
+// Nodes n-0 to n-4: their instances run v1, but for the last two, which run v2.
+struct BookFleet {
+  BookFleet() {
+    for (int i = 0; i < 5; ++i) {
+      Member member;
+      member.name = "n-" + std::to_string(i);
+      member.service = "booking";
+      member.software = i < 3 ? "v1" : "v2";
+      directory.Put(member);
+      Restart(i);
+    }
+  }
+  void Restart(int node) {
+    books.insert_or_assign(
+        node, RolloutBook({"n-" + std::to_string(node), ++incarnations, 80,
+                           Time(100 * kSecond)}));
+  }
+  void UpdateAll() {
+    for (auto& [node, book] : books) {
+      book.Update(directory, std::nullopt, now);
+    }
+  }
+  // Each node that is not cut off reports to the judges, and they judge. They
+  // tell their verdicts to all that are not cut off.
+  void Exchange(Duration passed) {
+    now += passed;
+    UpdateAll();
+    for (auto& [node, book] : books) {
+      Rollout* rollout = book.Find("booking");
+      if (rollout == nullptr || cut.contains(node)) {
+        continue;
+      }
+      const RolloutReport report = book.TakeReport(*rollout, true, now);
+      for (auto& [peer, judge] : books) {
+        if (!cut.contains(peer)) {
+          judge.OnReport(report, now);
+        }
+      }
+    }
+    for (auto& [node, book] : books) {
+      if (!book.Judge(now).empty() && !cut.contains(node)) {
+        for (auto& [peer, other] : books) {
+          if (!cut.contains(peer)) {
+            other.OnReport(book.Summary(*book.Find("booking"), now), now);
+          }
+        }
+      }
+    }
+  }
+  // Outcomes that node 0 sees: 400 of the old version, 60 of the target.
+  void AddOutcomes(int failures) {
+    Rollout& rollout = *books.at(0).Find("booking");
+    for (int i = 0; i < 400; ++i) {
+      rollout.outcomes.AddAnswer({"read", "", false}, kSecond / 10);
+    }
+    for (int i = 0; i < 60; ++i) {
+      const OutcomeKey key{"read", i % 2 == 0 ? "n-3" : "n-4", false};
+      i < failures ? rollout.outcomes.AddFailure(key)
+                   : rollout.outcomes.AddAnswer(key, kSecond / 10);
+    }
+  }
+  RolloutState State(int node) { return books.at(node).Find("booking")->state; }
+  // The nodes that would write a status now.
+  std::map<int, RolloutState> Writers() {
+    std::map<int, RolloutState> writers;
+    for (auto& [node, book] : books) {
+      if (const auto state = book.StatusToWrite(*book.Find("booking"), now)) {
+        writers[node] = *state;
+      }
+    }
+    return writers;
+  }
+
+  MemberDirectory directory;
+  std::map<int, RolloutBook> books;
+  std::uint64_t incarnations = 0;
+  std::set<int> cut;
+  Time now{100 * kSecond};
+};
+
+SCENARIO("an order is judged and its status written") {
+  BookFleet fleet;
+  for (auto& [node, book] : fleet.books) {
+    book.OnStored(MakeOrder(7, 500), std::nullopt, fleet.now);
+  }
+  fleet.UpdateAll();
+  THEN("one node writes first that it runs") {
+    REQUIRE(fleet.Writers().size() == 1);
+    CHECK(fleet.Writers().begin()->second == RolloutState::kRunning);
+    CHECK(fleet.books.at(0).held() ==
+          std::set<std::string, std::less<>>{"n-3", "n-4"});
+  }
+  WHEN("it fails at both instances") {
+    fleet.AddOutcomes(50);
+    fleet.Exchange(kSecond);
+    THEN("all nodes return from it, and the judges write so one by one") {
+      CHECK(fleet.State(0) == RolloutState::kRolledBack);
+      CHECK(fleet.State(4) == RolloutState::kRolledBack);
+      CHECK(fleet.Writers().size() == 1);
+      fleet.now += 5 * kSecond;  // The store is away.
+      CHECK(fleet.Writers().size() == 5);
+    }
+    THEN("a node that is restarted before the word is written learns of it") {
+      fleet.Restart(0);
+      fleet.Exchange(kSecond);
+      CHECK(fleet.State(0) == RolloutState::kRolledBack);
+    }
+    THEN("the word in the store is final") {
+      RolloutBook& book = fleet.books.at(0);
+      book.OnStored(MakeOrder(7, 502),
+                    RolloutStatus{RolloutState::kCompleted, Duration(0)},
+                    fleet.now);
+      CHECK(book.Find("booking")->state == RolloutState::kCompleted);
+      CHECK_FALSE(book.StatusToWrite(*book.Find("booking"), fleet.now));
+      RolloutReport other = fleet.books.at(1).Summary(
+          *fleet.books.at(1).Find("booking"), fleet.now);
+      CHECK(book.OnReport(other, fleet.now).sender_is_behind);
+      CHECK(book.Find("booking")->state == RolloutState::kCompleted);
+    }
+  }
+  WHEN("it is sound") {
+    fleet.AddOutcomes(0);
+    fleet.Exchange(kSecond);
+    fleet.Exchange(40 * kSecond);
+    CHECK(fleet.State(1) == RolloutState::kRunning);
+    fleet.Exchange(4 * kSecond);
+    CHECK(fleet.State(1) == RolloutState::kCompleted);
+    CHECK(fleet.books.at(1).held().size() == 2);
+    THEN("it is not called complete while a call is at an old instance") {
+      fleet.books.at(2).Find("booking")->old_in_flight = 1;
+      fleet.Exchange(2 * kSecond);
+      CHECK(fleet.books.at(1).held().size() == 3);
+      CHECK(fleet.Writers().empty());
+      fleet.books.at(2).Find("booking")->old_in_flight = 0;
+      fleet.Exchange(kSecond);
+      CHECK(fleet.Writers().size() >= 1);
+    }
+    THEN("it is in time also if a call does not end") {
+      fleet.books.at(2).Find("booking")->old_in_flight = 1;
+      fleet.Exchange(9 * kSecond);
+      CHECK(fleet.now < fleet.books.at(0).Find("booking")->deadline);
+      CHECK(fleet.Writers().size() == 5);
+    }
+  }
+  WHEN("the whole fleet is restarted in the middle") {
+    fleet.now += 30 * kSecond;
+    for (int i = 0; i < 5; ++i) {
+      fleet.Restart(i);
+      fleet.books.at(i).OnStored(
+          MakeOrder(7, 501),
+          RolloutStatus{RolloutState::kRunning, 30 * kSecond}, fleet.now);
+    }
+    fleet.Exchange(kSecond);
+    THEN("its deadline holds, and without new evidence it is returned from") {
+      CHECK(fleet.Writers().empty());
+      fleet.Exchange(20 * kSecond);
+      CHECK(fleet.State(0) == RolloutState::kRolledBack);
+      CHECK(fleet.now < fleet.books.at(0).Find("booking")->deadline);
+    }
+  }
+  WHEN("the sides of a partition see different things") {
+    fleet.cut = {1, 2, 3, 4};
+    fleet.AddOutcomes(50);
+    fleet.Exchange(kSecond);
+    fleet.cut.clear();
+    fleet.Exchange(kSecond);
+    fleet.Exchange(kSecond);
+    THEN("bad wins when they meet") {
+      CHECK(fleet.State(4) == RolloutState::kRolledBack);
+    }
+  }
+  WHEN("the order is replaced") {
+    RolloutOrder next = MakeOrder(8, 510);
+    next.target_version = "v3";
+    RolloutBook& book = fleet.books.at(0);
+    book.OnStored(next, RolloutStatus{RolloutState::kRolledBack, Duration(0)},
+                  fleet.now);
+    THEN("the status of the one before does not count, its target is held") {
+      CHECK(book.Find("booking")->state == RolloutState::kRunning);
+      book.Update(fleet.directory, std::nullopt, fleet.now);
+      CHECK(book.held().size() == 2);
+      RolloutReport old = fleet.books.at(1).Summary(
+          *fleet.books.at(1).Find("booking"), fleet.now);
+      CHECK(book.OnReport(old, fleet.now).sender_is_behind);
+    }
+  }
+  WHEN("the order is removed") {
+    RolloutBook& book = fleet.books.at(0);
+    CHECK(book.OnStoredAll({}, 1, 520, fleet.now).size() == 1);
+    CHECK(book.Find("booking")->removed());
+    CHECK_FALSE(book.StatusToWrite(*book.Find("booking"), fleet.now));
+    THEN("peers hear of it") {
+      RolloutBook& peer = fleet.books.at(1);
+      peer.OnReport(book.Summary(*book.Find("booking"), fleet.now), fleet.now);
+      CHECK(peer.Find("booking")->removed());
+    }
+  }
+}
+
+}  // namespace
+}  // namespace verbenastile
--- a/tests/store_follower_test.cc
+++ b/tests/store_follower_test.cc
@@ -40,6 +40,11 @@
                      ObjectHandler) override {
     return ++calls_;
   }
+  StoreCallId ReplaceStatus(std::string_view,
+                            const StoreObject&,
+                            ObjectHandler) override {
+    return 0;
+  }
   StoreCallId Replace(std::string_view,
                       const StoreObject&,
                       ObjectHandler) override {
