Roll-outs: old answers outside windows are kept apart; suspicion is no reason to move

Cause: in the soak, bad versions with about 40 answers were moved to: too few old answers lie in the windows of exposed calls, and five deviations are far. Change: answers outside are counted apart and used for rules with few inside; three deviations make a version suspicious, which is not moved to.

--- a/soak/fault_rollouts.py
+++ b/soak/fault_rollouts.py
@@ -24,6 +24,7 @@
         self.base = "v1"  # What instances run that no order concerns.
         self.number = 1
         self.kind = None  # How the ordered version behaves; None: no order.
+        self.ordered = False  # The order was written.
         self.done = []  # "KIND: WORD" of the orders so far.
 
     def begin_order(self, kind):
@@ -80,7 +81,7 @@
         if self.exposed > allowed and now < self.deadline and not self.moving():
             self.soak.fail(
                 f"{self.exposed} of {self.reached} requests went to {self.target}, "
-                "which is not proved"
+                f"which is not proved: {self.kind}"
             )
         if in_touch and self.word == "rolled_back" and late:
             self.soak.fail(f"{request} went to {self.target} after rolled_back")
@@ -101,7 +102,7 @@
     async def rewrite(self):
         """The store lost the order, and the operator writes it again."""
         key = (protocol.ROLLOUTS, "booking")
-        if self.kind is not None and key not in self.soak.store.objects:
+        if self.ordered and key not in self.soak.store.objects:
             await self.soak.store.change(*key, self.order())
 
     def stored_word(self):
@@ -145,8 +146,11 @@
         await self.replace(chosen, self.target, True)
         self.began = time.monotonic()
         self.deadline = self.began + DURATION
+        self.reached = self.exposed = 0
+        self.ordered = True
         await self.soak.store.change(protocol.ROLLOUTS, "booking", self.order())
         await self.await_word()
+        self.ordered = False
         self.check_word()
         self.done.append(f"{kind}: {self.word}")
         others = [i for i in self.instances() if i not in chosen]
--- a/src/core/rollout_evidence.cc
+++ b/src/core/rollout_evidence.cc
@@ -38,10 +38,13 @@
 }
 
 VersionOutcomes ToMessage(const OutcomeKey& key, const OutcomeCounts& counts) {
-  VersionOutcomes message{
-      key.rule,        key.instance,
-      key.full,        counts.responses,
-      counts.failures, {counts.times.begin(), counts.times.end()}};
+  VersionOutcomes message{key.rule,
+                          key.instance,
+                          key.full,
+                          key.outside,
+                          counts.responses,
+                          counts.failures,
+                          {counts.times.begin(), counts.times.end()}};
   while (!message.times.empty() && message.times.back() == 0) {
     message.times.pop_back();
   }
@@ -85,7 +88,8 @@
 void EvidencePool::Merge(const RolloutReport& report) {
   OutcomeTable& known = by_node_[{report.node, report.incarnation}];
   for (const VersionOutcomes& message : report.outcomes) {
-    const OutcomeKey key{message.rule, message.instance, message.full};
+    const OutcomeKey key{message.rule, message.instance, message.full,
+                         message.outside};
     if (!totals_.contains(key) && totals_.size() >= kMaxPooledKeys) {
       continue;
     }
--- a/src/core/rollout_evidence.h
+++ b/src/core/rollout_evidence.h
@@ -20,6 +20,7 @@
   std::string rule;
   std::string instance;  // Empty: the versions before the target.
   bool full = false;
+  bool outside = false;  // Sent while no calls were exposed.
 
   // NOLINTNEXTLINE(modernize-use-nullptr): the check misreads the default.
   auto operator<=>(const OutcomeKey&) const = default;
--- a/src/core/rollout_judge.cc
+++ b/src/core/rollout_judge.cc
@@ -12,10 +12,12 @@
 // A fault is assumed beyond this many standard deviations: the test is repeated
 // several times a second, for each rule.
 constexpr double kDeviations = 5;
+// Not enough to return from the version at once, but nothing to move to.
+constexpr double kSuspiciousDeviations = 3;
 // A difference that is smaller does not matter to callers.
 constexpr double kMinFailureExcess = 0.02;
 constexpr double kMinSlowExcess = 0.05;
-constexpr std::uint64_t kMinBad = 5;
+constexpr std::uint64_t kMinBad = 3;
 // From here on the bad answers need not show a second time.
 constexpr std::uint64_t kManyBad = 20;
 constexpr Duration kConfirmAfter = std::chrono::milliseconds(2'500);
@@ -23,6 +25,9 @@
 // A single instance of several is believed from here on. The bound on the calls
 // to a bad version begins at 50 bad answers.
 constexpr std::uint64_t kManyBadOfOne = 40;
+// With so many answers of old instances in the windows of exposed calls, the
+// others are not needed: they were given in other seconds.
+constexpr std::uint64_t kEnoughInside = 100;
 // Of the answers of old instances, for a median.
 constexpr std::uint64_t kMinReference = 20;
 // Slow answers take 2.8 times the lower end of the median's bucket, or four
@@ -58,7 +63,9 @@
 using TalliesByInstance = std::map<std::string, Tally>;
 
 struct RuleOutcomes {
-  OutcomeCounts old_counts[2];  // By whether the instance was full.
+  // By whether the instance was full.
+  std::array<OutcomeCounts, 2> old_counts;
+  std::array<OutcomeCounts, 2> old_outside;
   std::map<std::string, std::array<OutcomeCounts, 2>> targets;
   std::uint64_t old_responses = 0;
   std::uint64_t target_responses = 0;
@@ -172,9 +179,9 @@
   return comparison;
 }
 
-bool IsExcessive(const Tally& sum, double min_excess) {
+bool IsExcessive(const Tally& sum, double deviations, double min_excess) {
   return sum.bad >= kMinBad &&
-         sum.excess() > kDeviations * std::sqrt(sum.expected + 1) &&
+         sum.excess() > deviations * std::sqrt(sum.expected + 1) &&
          sum.excess() >= min_excess * static_cast<double>(sum.compared);
 }
 
@@ -191,12 +198,15 @@
   void Add(std::string_view rule, bool slow, const TalliesByInstance& tallies) {
     const Comparison comparison = Compare(tallies);
     const Tally& sum = comparison.sum;
-    if (!IsExcessive(sum, slow ? kMinSlowExcess : kMinFailureExcess)) {
+    const double min_excess = slow ? kMinSlowExcess : kMinFailureExcess;
+    if (!IsExcessive(sum, kSuspiciousDeviations, min_excess)) {
       return;
     }
-    const RolloutOpinion opinion = IsCorroborated(comparison, instances_)
-                                       ? RolloutOpinion::kBad
-                                       : RolloutOpinion::kSuspicious;
+    const RolloutOpinion opinion =
+        IsExcessive(sum, kDeviations, min_excess) &&
+                IsCorroborated(comparison, instances_)
+            ? RolloutOpinion::kBad
+            : RolloutOpinion::kSuspicious;
     const double excess = static_cast<double>(finding_.bad) - finding_.expected;
     if (opinion > finding_.opinion ||
         (opinion == finding_.opinion && sum.excess() > excess)) {
@@ -209,9 +219,10 @@
     }
   }
 
-  RolloutFinding finding_;
+  RolloutFinding& finding() { return finding_; }
 
  private:
+  RolloutFinding finding_;
   std::size_t instances_;
 };
 
@@ -221,13 +232,22 @@
     RuleOutcomes& rule = rules[key.rule];
     const auto index = static_cast<std::size_t>(key.full);
     if (key.instance.empty()) {
-      rule.old_counts[index].Add(counts);
+      auto& old = key.outside ? rule.old_outside : rule.old_counts;
+      old[index].Add(counts);
       rule.old_responses += counts.responses;
     } else {
       rule.targets[key.instance][index].Add(counts);
       rule.target_responses += counts.responses;
     }
   }
+  for (auto& [name, rule] : rules) {
+    const std::uint64_t inside =
+        rule.old_counts[0].responses + rule.old_counts[1].responses;
+    if (inside < kEnoughInside) {
+      rule.old_counts[0].Add(rule.old_outside[0]);
+      rule.old_counts[1].Add(rule.old_outside[1]);
+    }
+  }
   return rules;
 }
 
@@ -250,9 +270,9 @@
 RolloutFinding RolloutJudge::Evaluate(const OutcomeTable& totals,
                                       std::size_t instances,
                                       Time now) {
-  const auto rules = GroupByRule(totals);
+  auto rules = GroupByRule(totals);
   Findings findings(instances);
-  RolloutFinding& finding = findings.finding_;
+  RolloutFinding& finding = findings.finding();
   TalliesByInstance failures;
   TalliesByInstance slow;
   for (const auto& [name, outcomes] : rules) {
--- a/src/core/rollout_messages.h
+++ b/src/core/rollout_messages.h
@@ -49,7 +49,8 @@
   // The member that ran the calls, for the target version; empty for the
   // versions before, whose instances are counted together.
   std::string instance;
-  bool full = false;  // The instance had no free slot beside the call's.
+  bool full = false;     // The instance had no free slot beside the call's.
+  bool outside = false;  // Sent while no calls were exposed.
   std::uint64_t responses = 0;
   std::uint64_t failures = 0;
   // The other responses by `TimeBucketOf` their service time, without trailing
--- a/src/mesh/link_codec.cc
+++ b/src/mesh/link_codec.cc
@@ -213,6 +213,7 @@
     list[i].setRule(ToTextReader(outcomes.rule));
     list[i].setInstance(ToTextReader(outcomes.instance));
     list[i].setFull(outcomes.full);
+    list[i].setOutside(outcomes.outside);
     list[i].setResponses(outcomes.responses);
     list[i].setFailures(outcomes.failures);
     auto times =
@@ -243,6 +244,7 @@
     read.rule = CopyToString(outcomes.getRule());
     read.instance = CopyToString(outcomes.getInstance());
     read.full = outcomes.getFull();
+    read.outside = outcomes.getOutside();
     read.responses = outcomes.getResponses();
     read.failures = outcomes.getFailures();
     for (const std::uint32_t count : outcomes.getTimes()) {
--- a/src/mesh/outbound_proxy.h
+++ b/src/mesh/outbound_proxy.h
@@ -111,6 +111,7 @@
     bool judged = false;      // The outcome is evidence.
     bool failed = false;      // The instance gave no response.
     bool full = false;        // The instance had no free slot beside this one.
+    bool outside = false;     // Sent while no calls were exposed.
   };
 
   // An attempt to get a response from one instance.
--- a/src/mesh/outbound_rollout.cc
+++ b/src/mesh/outbound_rollout.cc
@@ -61,9 +61,9 @@
   part.order = rollout->order.id;
   part.old = member->software != rollout->order.target_version;
   part.exposed = balancer_.IsHeld(attempt.upstream);
+  part.outside = !IsExposureOpen(rollout->age(now));
   part.judged = rollout->state == RolloutState::kRunning &&
-                (part.old ? IsExposureOpen(rollout->age(now)) &&
-                                rollout->targets.HasWarm(now)
+                (part.old ? rollout->targets.HasWarm(now)
                           : rollout->targets.IsWarm(member->name, now));
   if (part.exposed) {
     rollout->budget.OnSent(call.rule->id);
@@ -110,7 +110,7 @@
   }
   const OutcomeKey key{call.rule->id,
                        part->old ? std::string() : call.attempt->member,
-                       part->full};
+                       part->full, part->outside};
   if (part->failed || outcome == AttemptOutcome::kFailed) {
     rollout->outcomes.AddFailure(key);
   } else {
--- a/src/wire/link.capnp
+++ b/src/wire/link.capnp
@@ -102,6 +102,7 @@
   responses @3 :UInt64;
   failures @4 :UInt64;
   times @5 :List(UInt32);
+  outside @6 :Bool;
 }
 
 struct Member {
--- a/src/wire/link.capnp.h
+++ b/src/wire/link.capnp.h
@@ -1494,6 +1494,8 @@
   inline bool hasTimes() const;
   inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getTimes() const;
 
+  inline bool getOutside() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1553,6 +1555,9 @@
   inline void adoptTimes(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownTimes();
 
+  inline bool getOutside();
+  inline void setOutside(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4520,6 +4525,20 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool VersionOutcomes::Reader::getOutside() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline bool VersionOutcomes::Builder::getOutside() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void VersionOutcomes::Builder::setOutside(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Member::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/tests/link_codec_test.cc
+++ b/tests/link_codec_test.cc
@@ -187,7 +187,8 @@
       "n-1",
       4,
       3,
-      {{"r-1", "n-7", true, 9, 3, {0, 4, 2}}, {"r-1", "", false, 90, 1, {89}}}};
+      {{"r-1", "n-7", true, false, 9, 3, {0, 4, 2}},
+       {"r-1", "", false, true, 90, 1, {89}}}};
   out.Append({0, LinkQuotaNeeds{{need}}});
   out.Append({0, LinkQuotaLoans{{loan, loan}}});
   out.Append({0, LinkRollouts{{report}}});
--- a/tests/rollout_book_test.cc
+++ b/tests/rollout_book_test.cc
@@ -64,10 +64,10 @@
   void AddOutcomes(int failures) {
     Rollout& rollout = *books.at(0).Find("booking");
     for (int i = 0; i < 400; ++i) {
-      rollout.outcomes.AddAnswer({"read", "", false}, kSecond / 10);
+      rollout.outcomes.AddAnswer({"read", "", false, false}, kSecond / 10);
     }
     for (int i = 0; i < 60; ++i) {
-      const OutcomeKey key{"read", i % 2 == 0 ? "n-3" : "n-4", false};
+      const OutcomeKey key{"read", i % 2 == 0 ? "n-3" : "n-4", false, false};
       i < failures ? rollout.outcomes.AddFailure(key)
                    : rollout.outcomes.AddAnswer(key, kSecond / 10);
     }
--- a/tests/rollout_judge_test.cc
+++ b/tests/rollout_judge_test.cc
@@ -98,12 +98,12 @@
 
 SCENARIO("evidence merges in any order and counts once") {
   OwnOutcomes own;
-  own.AddAnswer({"read", "new-1", true}, std::chrono::milliseconds(10));
+  own.AddAnswer({"read", "new-1", true, false}, std::chrono::milliseconds(10));
   RolloutReport first;
   first.node = "n-1";
   first.incarnation = 1;
   first.outcomes = own.TakeReport(false);
-  own.AddFailure({"read", "new-1", true});
+  own.AddFailure({"read", "new-1", true, false});
   RolloutReport second = first;
   second.outcomes = own.TakeReport(false);
   RolloutReport restarted = first;
--- a/tests/rollout_support.h
+++ b/tests/rollout_support.h
@@ -33,7 +33,7 @@
             const std::string& instance,
             bool full,
             const Behavior& behavior) {
-    const OutcomeKey key{rule, instance, full};
+    const OutcomeKey key{rule, instance, full, false};
     if (random.Below(1'000) < behavior.failures_permille) {
       nodes[node].AddFailure(key);
       bad += instance.empty() ? 0 : 1;
