Roll-outs: nothing is proven by being alone, and one instance condemns no version

Change: a version is proven by what ran before, not by what serves now; a node that starts waits for news of orders; a comparison without enough other instances is suspicious.

--- a/src/core/rollout_judge.cc
+++ b/src/core/rollout_judge.cc
@@ -40,6 +40,9 @@
 constexpr std::uint64_t kMinRuleResponses = 8;
 // Rules with a smaller part of the calls need not be seen.
 constexpr std::uint64_t kSmallRuleDivisor = 20;
+// So many answers of instances that are not left out are needed to tell the
+// version's faults from an instance's.
+constexpr std::uint64_t kMinCorroboration = 8;
 // One part in this many of the target's instances is left out.
 constexpr std::size_t kLeftOutDivisor = 4;
 
@@ -154,10 +157,12 @@
 
 struct Comparison {
   Tally sum;  // Without the instances that are left out.
-  std::size_t instances = 0;
+  // Enough answers of other instances remain to blame the version.
+  bool corroborated = false;
 };
 
-Comparison Compare(const TalliesByInstance& tallies) {
+// `instances`: how many of the target version accept calls.
+Comparison Compare(const TalliesByInstance& tallies, std::size_t instances) {
   std::vector<Tally> worst_first;
   for (const auto& [instance, tally] : tallies) {
     if (tally.compared > 0) {
@@ -168,7 +173,6 @@
       worst_first.begin(), worst_first.end(),
       [](const Tally& a, const Tally& b) { return a.excess() > b.excess(); });
   Comparison comparison;
-  comparison.instances = worst_first.size();
   const std::size_t left_out =
       worst_first.size() < 2
           ? 0
@@ -176,6 +180,15 @@
   for (std::size_t i = left_out; i < worst_first.size(); ++i) {
     comparison.sum.Add(worst_first[i]);
   }
+  comparison.corroborated =
+      instances < 2 ||
+      (left_out > 0 && comparison.sum.compared >= kMinCorroboration);
+  if (!comparison.corroborated) {
+    for (std::size_t i = 0; i < left_out; ++i) {
+      comparison.sum.Add(worst_first[i]);
+    }
+    comparison.corroborated = comparison.sum.bad >= kManyBadOfOne;
+  }
   return comparison;
 }
 
@@ -185,26 +198,19 @@
          sum.excess() >= min_excess * static_cast<double>(sum.compared);
 }
 
-// Whether enough of the target's instances were seen to blame their version.
-bool IsCorroborated(const Comparison& comparison, std::size_t instances) {
-  return comparison.instances >= 2 || instances < 2 ||
-         comparison.sum.bad >= kManyBadOfOne;
-}
-
 class Findings {
  public:
   explicit Findings(std::size_t instances) : instances_(instances) {}
 
   void Add(std::string_view rule, bool slow, const TalliesByInstance& tallies) {
-    const Comparison comparison = Compare(tallies);
+    const Comparison comparison = Compare(tallies, instances_);
     const Tally& sum = comparison.sum;
     const double min_excess = slow ? kMinSlowExcess : kMinFailureExcess;
     if (!IsExcessive(sum, kSuspiciousDeviations, min_excess)) {
       return;
     }
     const RolloutOpinion opinion =
-        IsExcessive(sum, kDeviations, min_excess) &&
-                IsCorroborated(comparison, instances_)
+        IsExcessive(sum, kDeviations, min_excess) && comparison.corroborated
             ? RolloutOpinion::kBad
             : RolloutOpinion::kSuspicious;
     const double excess = static_cast<double>(finding_.bad) - finding_.expected;
--- a/src/core/version_holds.cc
+++ b/src/core/version_holds.cc
@@ -12,8 +12,9 @@
 // A new version is an ordinary release from then on, also when the store cannot
 // say that there is no order.
 constexpr Duration kMaxHold = std::chrono::seconds(15);
-// How long a node that starts waits to be told which orders exist.
-constexpr Duration kStartPeriod = std::chrono::seconds(5);
+// How long a node that starts waits to be told which orders exist. Its first
+// link tells, as does the store.
+constexpr Duration kStartPeriod = std::chrono::seconds(2);
 // Old instances stop when a roll-out completes. Should their versions run later
 // than this, they are an ordinary release.
 constexpr Duration kOldHold = std::chrono::minutes(1);
@@ -130,34 +131,37 @@
                                 const Members& members,
                                 const Knowledge& known,
                                 Time now) {
+  const Duration running = now - started_;
+  if (!known.informed && running < kStartPeriod) {
+    for (const auto& [software, names] : members) {
+      Hold(names);
+    }
+    return;
+  }
   const bool any_proven =
-      std::any_of(members.begin(), members.end(), [&](const auto& entry) {
-        return versions.find(entry.first)->second.proven;
-      });
+      std::any_of(versions.begin(), versions.end(),
+                  [](const auto& entry) { return entry.second.proven; });
   if (!any_proven) {
-    if (known.informed || now - started_ > kStartPeriod) {
-      for (const auto& [software, names] : members) {
-        versions.find(software)->second.proven = true;
-      }
-      return;
-    }
+    const bool all = members.size() == 1 || running >= kOrderDelay;
     const auto most = std::max_element(
         members.begin(), members.end(), [](const auto& a, const auto& b) {
           return a.second.size() < b.second.size();
         });
     for (const auto& [software, names] : members) {
-      if (software != most->first) {
-        Hold(names);
-      }
+      versions.find(software)->second.proven = all || software == most->first;
     }
-    return;
   }
+  const bool proven_serves =
+      std::any_of(members.begin(), members.end(), [&](const auto& entry) {
+        return versions.find(entry.first)->second.proven;
+      });
   for (const auto& [software, names] : members) {
     Version& version = versions.find(software)->second;
     const Duration known_for = now - version.first_seen;
     const bool confirmed = known.informed && known.confirmed &&
                            *known.confirmed > version.first_seen;
-    if ((known_for >= kOrderDelay && confirmed) || known_for >= kMaxHold) {
+    if ((known_for >= kOrderDelay && (confirmed || !proven_serves)) ||
+        known_for >= kMaxHold) {
       version.proven = true;
     }
     if (!version.proven) {
--- a/src/mesh/rollout_service.cc
+++ b/src/mesh/rollout_service.cc
@@ -82,6 +82,12 @@
   return init;
 }
 
+void RolloutService::OnFollowsStore(bool follows) {
+  if (std::exchange(follows_store_, follows) != follows) {
+    UpdateFollowing(SteadyNow());
+  }
+}
+
 // A few of the nodes that watch the configuration watch the orders as well.
 void RolloutService::UpdateFollowing(Time now) {
   const auto score = [](std::string_view name) {
--- a/src/mesh/rollout_service.h
+++ b/src/mesh/rollout_service.h
@@ -51,7 +51,7 @@
 
   // Whether this node watches the configuration in the store. Few of the nodes
   // that do watch the orders too.
-  void OnFollowsStore(bool follows) { follows_store_ = follows; }
+  void OnFollowsStore(bool follows);
   void OnStoreRestored(StoreEra era) { follower_.OnStoreRestored(era); }
   void Tick(Time now);
   void OnReports(std::string_view member,
--- a/tests/rollout_exposure_test.cc
+++ b/tests/rollout_exposure_test.cc
@@ -198,13 +198,33 @@
   }
 }
 
-SCENARIO("a node that starts uses the version of most instances") {
+SCENARIO("a node that starts waits for news of orders") {
   Service service;
   service.informed = false;
   service.Put(4, "v1");
   service.Put(3, "v2");
-  CHECK(service.Held() == 3);
-  CHECK(service.Held(6 * kSecond) == 0);
+  CHECK(service.Held() == 7);
+  GIVEN("news that there are none, while an order may be on its way") {
+    service.informed = true;
+    CHECK(service.Held(kSecond) == 3);
+    service.confirmed = service.now;
+    CHECK(service.Held(3 * kSecond) == 0);
+  }
+  GIVEN("no news") {
+    CHECK(service.Held(2 * kSecond) == 3);
+    CHECK(service.Held(14 * kSecond) == 0);
+  }
+}
+
+SCENARIO("a new version is held though all proven instances are gone") {
+  Service service;
+  service.Put(1, "v1");
+  CHECK(service.Held() == 0);
+  service.directory.Remove("v1-0");
+  service.Put(2, "v2");
+  CHECK(service.Held(kSecond) == 2);
+  CHECK(service.Held(2 * kSecond) == 2);
+  CHECK(service.Held(kSecond) == 0);
 }
 
 }  // namespace
--- a/tests/rollout_judge_test.cc
+++ b/tests/rollout_judge_test.cc
@@ -90,6 +90,21 @@
     }
     CHECK_FALSE(fleet.TimeUntilBad(20, 60));
   }
+  GIVEN("one instance that fails, and hardly an answer of another") {
+    for (int i = 0; i < 30; ++i) {
+      fleet.Call(i, "read", "new-0", true, {500, 0});
+      fleet.Call(i, "read", {}, true, {});
+    }
+    for (int i = 0; i < 5; ++i) {
+      fleet.Call(i, "read", "new-1", true, {500, 0});
+    }
+    fleet.Report();
+    THEN("nothing is said yet, and it is not moved to") {
+      CHECK(fleet.finding.opinion == RolloutOpinion::kSuspicious);
+      CHECK(DecideRollout(fleet.finding, 60 * kSecond, 9 * kSecond) ==
+            RolloutState::kRolledBack);
+    }
+  }
   GIVEN("no trouble at all") {
     CHECK_FALSE(fleet.TimeUntilBad(100, 60));
     CHECK(fleet.finding.opinion == RolloutOpinion::kSound);
