Keys of groups are checked at the first node and before each attempt

Change: core/key_check decides from the table in force, the key's digest under a seed of the process, and the belief: 401, 503 while a peer has something newer, 503 where fail_closed is set and nothing was confirmed for revoke_ms. Checked again before each further attempt. Several headers or another scheme are no key. Where no groups have keys, both headers pass unchanged. Configurations in which two groups have a key are rejected, without naming it. Watches of the store end in half of revoke_ms where fail_closed is set.

--- a/src/config/rules.cc
+++ b/src/config/rules.cc
@@ -6,6 +6,7 @@
 #include <map>
 #include <nlohmann/json.hpp>
 #include <set>
+#include <unordered_map>
 
 #include "base/text.h"
 #include "config/yaml_reader.h"
@@ -285,6 +286,31 @@
         AddFault(group.mark,
                  fmt::format("group {} is declared twice", group.name));
       }
+      if (group.requests.per_second < 0 || group.requests.burst < 0) {
+        AddFault(group.mark,
+                 fmt::format("group {}: requests a second and burst must not "
+                             "be negative",
+                             group.name));
+      }
+    }
+    CheckKeys();
+  }
+
+  // Keys are secrets, so that faults name only their groups.
+  void CheckKeys() {
+    std::unordered_map<std::string_view, const Group*> owners;
+    for (const Group& group : document_.groups) {
+      for (const std::string& key : group.keys) {
+        if (key.empty()) {
+          AddFault(group.mark,
+                   fmt::format("group {} has an empty key", group.name));
+        }
+        const Group& owner = *owners.emplace(key, &group).first->second;
+        if (&owner != &group) {
+          AddFault(group.mark, fmt::format("groups {} and {} have the same key",
+                                           owner.name, group.name));
+        }
+      }
     }
   }
 
--- a/src/config/rules.h
+++ b/src/config/rules.h
@@ -77,11 +77,11 @@
   std::uint32_t weight = 1;
   GroupQuota quota;
   // Secrets by which callers prove that they belong to the group.
-  std::vector<std::string> keys;
+  std::vector<std::string> keys{};
   // Precedes the priorities of rules; empty: the group has none.
-  std::optional<Priority> priority;
-  RequestQuota requests;
-  SourceMark mark;
+  std::optional<Priority> priority{};
+  RequestQuota requests{};
+  SourceMark mark{};
 };
 
 struct RouteTarget {
--- a/src/core/config_apply.cc
+++ b/src/core/config_apply.cc
@@ -27,7 +27,8 @@
 
 }  // namespace
 
-ConfigApplier::ConfigApplier(const StateChart* chart) : machine_(chart) {}
+ConfigApplier::ConfigApplier(const StateChart* chart, std::uint64_t key_seed)
+    : machine_(chart), key_seed_(key_seed) {}
 
 ApplyOutcome ConfigApplier::Offer(std::shared_ptr<const Snapshot> snapshot) {
   if (snapshot->generation < generation()) {
@@ -54,7 +55,7 @@
     return ApplyOutcome::kUnchanged;
   }
   return Stage(offered, [&] {
-    return RouteTable::Compile(offered, std::move(document));
+    return RouteTable::Compile(offered, std::move(document), key_seed_);
   });
 }
 
--- a/src/core/config_apply.h
+++ b/src/core/config_apply.h
@@ -42,7 +42,8 @@
 class ConfigApplier {
  public:
   // `chart` is charts/config_apply.yaml and must outlive the applier.
-  explicit ConfigApplier(const StateChart* chart);
+  // The tables make digests of the groups' keys with `key_seed`.
+  explicit ConfigApplier(const StateChart* chart, std::uint64_t key_seed = 0);
 
   ApplyOutcome Offer(std::shared_ptr<const Snapshot> snapshot);
 
@@ -67,6 +68,7 @@
   void Swap(Generation generation, RouteTable table);
 
   ChartMachine machine_;
+  std::uint64_t key_seed_;
   std::shared_ptr<const Snapshot> snapshot_;
   std::shared_ptr<const RouteTable> table_;
   Refusal refusal_;
--- a/src/core/configuration_source.cc
+++ b/src/core/configuration_source.cc
@@ -109,6 +109,11 @@
   return newest;
 }
 
+std::optional<Duration> ConfigurationSource::BehindFor(Time now) const {
+  return behind_since_ == Time() ? std::nullopt
+                                 : std::optional(now - behind_since_);
+}
+
 std::optional<std::string> ConfigurationSource::SelectPeerToQuery(Time now) {
   const Duration store_delay =
       held_generation_ == 0 ? kFirstPeerRequestDelay : kPeerRequestDelay;
--- a/src/core/configuration_source.h
+++ b/src/core/configuration_source.h
@@ -53,6 +53,9 @@
   // The latest time, as reported by peers, at which the store confirmed a
   // peer's configuration; unset when no peer reports watching the store.
   std::optional<Time> last_confirmed() const;
+  // How long a peer has been known to have a newer generation; empty if none
+  // has.
+  std::optional<Duration> BehindFor(Time now) const;
   // Returns the peer to request a newer configuration from, if one is due, and
   // records the request as sent.
   std::optional<std::string> SelectPeerToQuery(Time now);
--- a/src/core/route_table.cc
+++ b/src/core/route_table.cc
@@ -23,7 +23,8 @@
 }
 
 leaf::result<RouteTable> RouteTable::Compile(Generation generation,
-                                             RuleDocument document) {
+                                             RuleDocument document,
+                                             std::uint64_t key_seed) {
   RouteTable table;
   table.generation_ = generation;
   table.document_ = std::move(document);
@@ -32,7 +33,7 @@
     return leaf::new_error(ConfigError{std::move(faults)});
   }
   table.index_ = RouteIndex(table.document_.rules);
-  table.group_keys_ = GroupKeys(table.document_.groups);
+  table.group_keys_ = GroupKeys(table.document_.groups, key_seed);
   for (const Group& group : table.document_.groups) {
     table.group_weights_[group.name] = group.weight;
   }
@@ -56,7 +57,7 @@
   return found == group_weights_.end() ? 1 : found->second;
 }
 
-const Group* RouteTable::FindGroupByKey(std::string_view key) const {
+const Group* RouteTable::FindGroupByKey(const Digest& key) const {
   const auto found = group_keys_.Find(key);
   return found ? &document_.groups[*found] : nullptr;
 }
--- a/src/core/route_table.h
+++ b/src/core/route_table.h
@@ -12,6 +12,7 @@
 #include <string_view>
 
 #include "config/rules.h"
+#include "core/digest.h"
 #include "core/group_keys.h"
 #include "core/request_view.h"
 #include "core/route_index.h"
@@ -35,8 +36,10 @@
   static leaf::result<RouteTable> Compile(const Snapshot& snapshot);
 
   // Compiles a parsed document. Errors: `ConfigError` when it is invalid.
+  // Digests of the groups' keys are made with `key_seed`.
   static leaf::result<RouteTable> Compile(Generation generation,
-                                          RuleDocument document);
+                                          RuleDocument document,
+                                          std::uint64_t key_seed = 0);
 
   // Returns the first matching rule, or null when none matches. The pointer is
   // valid for the lifetime of the table.
@@ -50,9 +53,12 @@
   // Returns the fair-share weight of `group`; 1 when it is not declared.
   std::uint32_t GroupWeight(std::string_view group) const;
 
-  // Returns the group that `key` belongs to, or null when no group has it. The
-  // pointer is valid for the lifetime of the table.
-  const Group* FindGroupByKey(std::string_view key) const;
+  // Returns the group that has the key with this digest, or null when no group
+  // has it. The pointer is valid for the lifetime of the table.
+  const Group* FindGroupByKey(const Digest& key) const;
+  Digest DigestOfKey(std::string_view key) const {
+    return KeyDigest(key, group_keys_.seed());
+  }
 
   bool HasService(std::string_view name) const;
   bool HasGroup(std::string_view name) const;
--- a/src/mesh/outbound_proxy.cc
+++ b/src/mesh/outbound_proxy.cc
@@ -66,8 +66,7 @@
            SameHeaderName(header.name, "expect") ||
            SameHeaderName(header.name, names.deadline_ms) ||
            SameHeaderName(header.name, names.expected_instance) ||
-           SameHeaderName(header.name, names.caller_service) ||
-           SameHeaderName(header.name, names.group);
+           SameHeaderName(header.name, names.caller_service);
   });
 }
 
@@ -89,7 +88,9 @@
       redirected_(init.metrics->Counter("requests_moved_total")),
       callers_gone_(init.metrics->Counter("callers_gone_total")),
       blocked_(init.metrics->Counter("requests_blocked_total")),
-      latency_(init.metrics->Summary("request_microseconds")) {}
+      latency_(init.metrics->Summary("request_microseconds")) {
+  RegisterKeyMetrics();
+}
 
 OutboundProxy::~OutboundProxy() {
   deadline_timer_.cancel();
@@ -103,7 +104,7 @@
   call.begin = SteadyNow();
   call.request_id =
       FindHeader(call.exchange->head().headers, init_.headers.request_id);
-  if (!MatchRule(id, call) || !FindGroup(id, call)) {
+  if (!MatchRule(id, call)) {
     return;
   }
   SetDeadline(call);
@@ -112,6 +113,9 @@
       MakeRequestKey(call.exchange->remote_ip(), head.method, head.target);
   call.first_requested =
       returning_callers_.TakeFirstAttemptTime(call.key, call.begin);
+  if (!FindGroup(id, call)) {
+    return;
+  }
   RemoveReservedHeaders(call.exchange->head().headers, init_.headers);
   call.exchange->OnDisconnect([this, id] { OnCallerDisconnected(id); });
   call.service = target_rotation_.Next(call.rule->id, *call.route);
@@ -152,36 +156,6 @@
   return true;
 }
 
-// Finds the group that the caller's key belongs to, and removes the key from
-// the request: nobody else gets to know it. Returns false when the request was
-// answered here.
-bool OutboundProxy::FindGroup(CallId id, Call& call) {
-  if (!call.table->document().callers_need_keys) {
-    return true;
-  }
-  HttpHeaders& headers = call.exchange->head().headers;
-  const std::string credentials(FindHeader(headers, init_.headers.key));
-  std::erase_if(headers, [&](const HttpHeader& header) {
-    return SameHeaderName(header.name, init_.headers.key);
-  });
-  if (credentials.empty()) {
-    return true;
-  }
-  std::string_view key = credentials;
-  if (key.starts_with(init_.headers.key_scheme)) {
-    key.remove_prefix(init_.headers.key_scheme.size());
-    key.remove_prefix(std::min(key.find_first_not_of(' '), key.size()));
-    call.group = call.table->FindGroupByKey(key);
-  }
-  if (call.group == nullptr && call.route->needs_key) {
-    const bool fresh = init_.configuration_age() < kMaxConfigurationAge;
-    Fail(id, fresh ? kUnauthorized : kUnavailable,
-         fresh ? "the key is unknown" : "the configuration may be old");
-    return false;
-  }
-  return true;
-}
-
 void OutboundProxy::SetDeadline(Call& call) const {
   const auto asked = ParseMilliseconds(
       FindHeader(call.exchange->head().headers, init_.headers.deadline_ms));
@@ -219,6 +193,10 @@
       Fail(id, kGatewayTimeout, "the deadline has passed");
       return;
     }
+    if (const KeyVerdict verdict = RecheckKey(call); !MaySend(verdict)) {
+      FailForKey(id, verdict);
+      return;
+    }
     const SuspectVerdict verdict = Judge(call);
     if (verdict == SuspectVerdict::kBlocked) {
       init_.metrics->Add(blocked_);
@@ -362,7 +340,8 @@
 // of an instance if there is one, else with an error generated here.
 void OutboundProxy::Fail(CallId id, int status, std::string_view reason) {
   Call& call = calls_.at(id);
-  if (status == kUnavailable && call.may_have_run) {
+  if (call.may_have_run &&
+      (status == kUnavailable || status == kUnauthorized)) {
     status = kBadGateway;
   }
   if (call.streaming) {
@@ -392,6 +371,10 @@
     headers.push_back({std::string(init_.headers.retry_after),
                        fmt::format("{:.3f}", seconds)});
   }
+  if (status == kUnauthorized && call.table->document().callers_need_keys) {
+    headers.push_back(
+        {"WWW-Authenticate", std::string(init_.headers.key_scheme)});
+  }
   init_.metrics->Add(status == kUnavailable ? refused_ : failed_);
   call.exchange->Send(status, headers, fmt::format("{}\n", reason));
   FinishCall(id, reason, status);
@@ -428,6 +411,7 @@
        {"generation", call.table ? call.table->generation() : 0},
        {"config_age_ms", ToMilliseconds(init_.configuration_age())},
        {"service", call.service},
+       {"group", call.group == nullptr ? std::string_view() : call.group->name},
        {"member", member == nullptr ? std::string_view() : member->name},
        {"outcome", outcome},
        {"status", status},
--- a/src/mesh/outbound_proxy.h
+++ b/src/mesh/outbound_proxy.h
@@ -6,6 +6,7 @@
 #ifndef MESH_OUTBOUND_PROXY_H_
 #define MESH_OUTBOUND_PROXY_H_
 
+#include <array>
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 #include <cstdint>
@@ -25,6 +26,7 @@
 #include "core/config_apply.h"
 #include "core/crash_suspects.h"
 #include "core/fleet_retry_budget.h"
+#include "core/key_check.h"
 #include "core/member_registry.h"
 #include "core/peer_notices.h"
 #include "core/retry_after.h"
@@ -63,6 +65,9 @@
     std::function<std::string()> caller_service;
     // Time since the platform's store last confirmed the configuration.
     std::function<Duration()> configuration_age;
+    // Since a peer announced a newer configuration; empty if none did.
+    std::function<std::optional<Duration>()> configuration_behind;
+    std::function<KeyLimits()> key_limits;
   };
 
   explicit OutboundProxy(const Init& init);
@@ -120,7 +125,8 @@
     std::shared_ptr<const RouteTable> table;
     const Rule* rule = nullptr;
     const RouteAction* route = nullptr;
-    const Group* group = nullptr;  // Of the caller; null: none.
+    const Group* group = nullptr;      // Of the caller; null: none.
+    std::optional<Digest> key_digest;  // Of the caller's key.
     std::string service;
     Time begin;
     Time deadline;
@@ -171,6 +177,10 @@
   std::vector<CallId> CallsAt(std::string_view member) const;
   bool MatchRule(CallId id, Call& call);
   bool FindGroup(CallId id, Call& call);
+  KeyVerdict RecheckKey(const Call& call) const;
+  KeyDecision CheckKeyOf(const Call& call, const RouteTable& table) const;
+  void FailForKey(CallId id, KeyVerdict verdict);
+  void RegisterKeyMetrics();
   void SetDeadline(Call& call) const;
   SuspectVerdict Judge(Call& call) const;
   // The request got a complete response of an instance.
@@ -230,6 +240,8 @@
   CounterHandle callers_gone_;
   CounterHandle blocked_;
   SummaryHandle latency_;
+  // By `KeyVerdict`.
+  std::array<CounterHandle, kKeyVerdictCount> key_verdicts_;
 };
 
 }  // namespace verbenastile
--- a/src/mesh/sidecar.cc
+++ b/src/mesh/sidecar.cc
@@ -42,6 +42,9 @@
 // into one call, and into one transfer on small links. Both fit well within the
 // two seconds that a change may take.
 constexpr Duration kConfigurationWatchPause = std::chrono::milliseconds(1'000);
+// Where keys may be accepted only for a limited time without a confirmation of
+// the store, the store confirms the configuration this often in that time.
+constexpr int kWatchesPerRevokePeriod = 2;
 constexpr std::size_t kMaxControlBodyBytes = 65'536;
 
 Duration MembersPollInterval(std::size_t members) {
@@ -65,7 +68,7 @@
       settings_timer_(io_),
       periodic_timer_(io_),
       incarnation_(UnixMilliseconds()),
-      applier_(&charts_.config_apply),
+      applier_(&charts_.config_apply, NondeterministicSeed()),
       lifecycle_(&charts_.lifecycle),
       tracker_(settings_.upstream),
       member_registry_(settings_.name),
@@ -200,6 +203,15 @@
   init.seed = NondeterministicSeed();
   init.caller_service = [this] { return settings_.service; };
   init.configuration_age = [this] { return ConfigurationAge(); };
+  init.configuration_behind = [this] {
+    return configuration_source_.BehindFor(SteadyNow());
+  };
+  init.key_limits = [this] {
+    KeyLimits limits;
+    limits.fail_closed = bounds_.refuse_unconfirmed_keys;
+    limits.revoke_period = bounds_.revoke_period;
+    return limits;
+  };
   return init;
 }
 
@@ -216,6 +228,11 @@
 StoreFollower::Init Sidecar::ConfigurationInit() {
   StoreFollower::Init init = FollowerInit(platform::kConfigurationKind);
   init.watch_delay = kConfigurationWatchPause;
+  init.watch_limit = [this] {
+    return bounds_.refuse_unconfirmed_keys
+               ? bounds_.revoke_period / kWatchesPerRevokePeriod
+               : Duration::max();
+  };
   init.follower_count = [this] {
     return configuration_source_.ReaderCount() + 1;
   };
--- a/src/mesh/store_follower.cc
+++ b/src/mesh/store_follower.cc
@@ -128,8 +128,9 @@
 }
 
 void StoreFollower::Watch() {
-  call_ = init_.store->Watch(init_.kind, revision_,
-                             WatchTimeout(init_.follower_count(), random_),
+  const Duration wait = std::min(WatchTimeout(init_.follower_count(), random_),
+                                 init_.watch_limit());
+  call_ = init_.store->Watch(init_.kind, revision_, wait,
                              [this](StoreResult<StoreEvents> result) {
                                OnWatchResult(std::move(result));
                              });
--- a/src/mesh/store_follower.h
+++ b/src/mesh/store_follower.h
@@ -34,6 +34,8 @@
     // The number of nodes that watch these objects and notify each other of
     // changes.
     std::function<std::size_t()> follower_count = [] { return std::size_t{1}; };
+    // The longest time that a watch may wait for an event.
+    std::function<Duration()> watch_limit = [] { return Duration::max(); };
     std::uint64_t seed = 0;
     // Receives all objects after each list.
     std::function<void(const std::vector<StoreObject>&)> on_listed;
