--- a/tests/inbound_proxy_test.cc
+++ b/tests/inbound_proxy_test.cc
@@ -23,7 +23,7 @@
     .rate_limit = "X-Rate-Limit",
     .leaving = "X-Leaving",
     .key = "X-Key",
-    .key_scheme = "Token",
+    .key_scheme = "Key",
     .group = "X-Group",
 };
 
