--- /dev/null
+++ b/src/core/group_quotas.cc
@@ -0,0 +1,100 @@
+#include "core/group_quotas.h"
+
+#include <utility>
+
+namespace verbenastile {
+
+GroupQuotas::GroupQuotas(std::string self, const QuotaLimits& limits)
+    : peers_(std::move(self)), coordinator_(limits), borrower_(&peers_) {}
+
+void GroupQuotas::SetGroups(std::span<const Group> groups, Time now) {
+  quotas_.clear();
+  std::vector<std::string> names;
+  for (const Group& group : groups) {
+    if (HasQuota(group)) {
+      quotas_.emplace(group.name, group.requests);
+      names.push_back(group.name);
+    }
+  }
+  peers_.SetGroups(std::move(names), now);
+  borrower_.OnCoordinatorsChanged(now);
+  coordinator_.KeepOnly(peers_);
+}
+
+void GroupQuotas::SetMembers(QuotaMembers members, Time now) {
+  if (peers_.SetMembers(std::move(members.candidates), members.linked,
+                        members.known, now)) {
+    borrower_.OnCoordinatorsChanged(now);
+    coordinator_.KeepOnly(peers_);
+  }
+}
+
+void GroupQuotas::OnMemberLost(std::string_view member, bool silent, Time now) {
+  silent ? coordinator_.OnMemberSilent(member)
+         : coordinator_.OnMemberGone(member);
+  borrower_.OnMemberLost(member, silent, now);
+}
+
+QuotaVerdict GroupQuotas::Request(const Group& group, Time now) {
+  const QuotaVerdict verdict = borrower_.Request(group, now);
+  if (verdict.decision != QuotaDecision::kWait ||
+      !peers_.Coordinates(group.name)) {
+    return verdict;
+  }
+  if (const auto need = borrower_.TakeNeed(group.name, now)) {
+    borrower_.OnLoan(peers_.self(), Answer(peers_.self(), *need, now), now);
+  }
+  return borrower_.Settle(group.name, now, now);
+}
+
+GroupQuotas::Needs GroupQuotas::TakeNeeds(Time now) {
+  Needs needs;
+  for (QuotaNeed& need : borrower_.TakeNeeds(now)) {
+    const std::string_view coordinator = peers_.CoordinatorOf(need.group);
+    if (coordinator == peers_.self()) {
+      borrower_.OnLoan(coordinator, Answer(coordinator, need, now), now);
+    } else if (!coordinator.empty()) {
+      needs[std::string(coordinator)].push_back(std::move(need));
+    }
+  }
+  return needs;
+}
+
+std::vector<QuotaLoan> GroupQuotas::OnNeeds(std::string_view member,
+                                            std::span<const QuotaNeed> needs,
+                                            Time now) {
+  std::vector<QuotaLoan> loans;
+  for (const QuotaNeed& need : needs) {
+    loans.push_back(Answer(member, need, now));
+  }
+  return loans;
+}
+
+QuotaLoan GroupQuotas::Answer(std::string_view member,
+                              const QuotaNeed& need,
+                              Time now) {
+  const auto quota = quotas_.find(need.group);
+  if (quota == quotas_.end()) {
+    // The configuration in force here has no limit for the group.
+    QuotaLoan unlimited;
+    unlimited.group = need.group;
+    unlimited.tokens = need.waiting;
+    return unlimited;
+  }
+  if (!peers_.Coordinates(need.group)) {
+    return borrower_.Relay(need, quota->second, now);
+  }
+  return coordinator_.Lend(member, need, quota->second,
+                           peers_.CoordinatedSince(need.group), peers_.reach(),
+                           now);
+}
+
+void GroupQuotas::OnLoans(std::string_view member,
+                          std::span<const QuotaLoan> loans,
+                          Time now) {
+  for (const QuotaLoan& loan : loans) {
+    borrower_.OnLoan(member, loan, now);
+  }
+}
+
+}  // namespace verbenastile
--- /dev/null
+++ b/src/core/quota_coordinator.cc
@@ -0,0 +1,264 @@
+#include "core/quota_coordinator.h"
+
+#include <algorithm>
+#include <cmath>
+#include <vector>
+
+namespace verbenastile {
+namespace {
+
+// How the margin that the platform's bounds leave is used: the bucket is larger
+// by the first fraction, so that random bursts of a small group below its limit
+// find tokens; tokens in the bucket and with borrowers may exceed the burst by
+// the second. The rest covers changes of the coordinator.
+constexpr double kBucketMargin = 0.25;
+constexpr double kUnusedMargin = 0.6;
+// A new coordinator starts with a debt of this time's tokens, because nodes
+// that still follow the earlier one may use theirs, less a fraction of the
+// platform's slack.
+constexpr double kStartDebtSeconds = 0.5;
+constexpr double kStartSlack = 0.3;
+constexpr Duration kProvisionalPeriod = std::chrono::milliseconds(1'500);
+// Tokens are lent ahead for a time within these limits. Borrowers with less
+// demand than `kMinDemandAhead` ask when a request arrives.
+constexpr double kMinAheadSeconds = 0.25;
+constexpr double kMaxAheadSeconds = 2;
+constexpr double kMinDemandAhead = 1;
+// The part of the tokens that may be unused which is lent ahead.
+constexpr double kAheadPart = 0.5;
+// What a borrower may use while the coordinator is silent. A silent link is
+// noticed within this time.
+constexpr double kSpareSeconds = 2.5;
+// Borrowers that did not ask for this long hold no tokens any more.
+constexpr Duration kBorrowerLapse =
+    kQuotaTokenLifetime + std::chrono::seconds(1);
+constexpr Duration kDemandAge = std::chrono::seconds(3);
+constexpr Duration kSumInterval = std::chrono::milliseconds(50);
+// Under shortage a group's coordinator is asked about this often per second.
+constexpr double kAsksPerSecond = 100;
+constexpr double kMinWaitSeconds = 0.02;
+constexpr double kMaxWaitSeconds = 2;
+constexpr double kMilli = 1'000;
+
+double ToSeconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+Duration FromSeconds(double seconds) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(seconds));
+}
+
+// The highest share that can be given to all whose demand reaches it, so that
+// the shares add up to `rate`. `demands` exceed `rate` in sum.
+double MaxMinShare(std::vector<double> demands, double rate) {
+  std::sort(demands.begin(), demands.end());
+  double left = rate;
+  std::size_t sharers = demands.size();
+  for (const double demand : demands) {
+    const double share = left / static_cast<double>(sharers);
+    if (demand >= share) {
+      return share;
+    }
+    left -= demand;
+    --sharers;
+  }
+  return left;
+}
+
+}  // namespace
+
+void QuotaCoordinator::SetQuota(Bucket& bucket,
+                                const RequestQuota& quota,
+                                double reach) const {
+  const double margin =
+      limits_.slack +
+      limits_.over *
+          (quota.per_second * ToSeconds(limits_.window) + quota.burst);
+  bucket.quota = quota;
+  bucket.rate = quota.per_second * reach;
+  bucket.size = std::max(1.0, (quota.burst + kBucketMargin * margin) * reach);
+  bucket.max_unused =
+      std::max(bucket.size, (quota.burst + kUnusedMargin * margin) * reach);
+  bucket.level = std::min(bucket.level, bucket.size);
+}
+
+QuotaCoordinator::Bucket& QuotaCoordinator::Refill(std::string_view group,
+                                                   const RequestQuota& quota,
+                                                   Time since,
+                                                   double reach,
+                                                   Time now) {
+  auto found = buckets_.find(group);
+  if (found == buckets_.end()) {
+    found = buckets_.emplace(std::string(group), Bucket{}).first;
+    Bucket& created = found->second;
+    created.level =
+        kStartSlack * limits_.slack - kStartDebtSeconds * quota.per_second;
+    created.refilled = since;
+    SetQuota(created, quota, reach);
+  }
+  Bucket& bucket = found->second;
+  const double added = bucket.rate * ToSeconds(now - bucket.refilled);
+  const double room = bucket.max_unused - bucket.outstanding;
+  bucket.refilled = now;
+  bucket.level = std::max(bucket.level,
+                          std::min({bucket.level + added, bucket.size, room}));
+  SetQuota(bucket, quota, reach);
+  if (now - bucket.summed_at >= kSumInterval) {
+    SumBorrowers(bucket, now);
+  }
+  return bucket;
+}
+
+void QuotaCoordinator::SumBorrowers(Bucket& bucket, Time now) {
+  bucket.summed_at = now;
+  bucket.outstanding = 0;
+  bucket.spare = 0;
+  bucket.demand = 0;
+  std::vector<double> demands;
+  std::erase_if(bucket.borrowers, [&](const auto& entry) {
+    return now - entry.second.asked_at > kBorrowerLapse;
+  });
+  for (const auto& [name, borrower] : bucket.borrowers) {
+    bucket.outstanding += borrower.outstanding;
+    bucket.spare += borrower.spare;
+    if (now - borrower.asked_at <= kDemandAge && borrower.demand > 0) {
+      bucket.demand += borrower.demand;
+      demands.push_back(borrower.demand);
+    }
+  }
+  bucket.fair_rate = bucket.demand > bucket.rate
+                         ? MaxMinShare(std::move(demands), bucket.rate)
+                         : bucket.rate;
+}
+
+// Whether the borrowers want more than the rate, and what was saved up is used.
+bool QuotaCoordinator::IsScarce(const Bucket& bucket) {
+  return bucket.demand > bucket.rate && bucket.level < bucket.size / 2;
+}
+
+// The tokens that a borrower needs now, and ahead of the requests that it
+// expects until it asks again.
+double QuotaCoordinator::WantedBy(const Bucket& bucket,
+                                  const Borrower& borrower,
+                                  const QuotaNeed& need) {
+  if (borrower.demand < kMinDemandAhead) {
+    return need.waiting;
+  }
+  const double free_ahead = kAheadPart * bucket.max_unused -
+                            static_cast<double>(bucket.borrowers.size());
+  const double ahead_seconds = std::clamp(free_ahead / bucket.demand,
+                                          kMinAheadSeconds, kMaxAheadSeconds);
+  return need.waiting +
+         std::max(0.0, std::ceil(borrower.demand * ahead_seconds) -
+                           static_cast<double>(need.held));
+}
+
+std::uint32_t QuotaCoordinator::TokensFor(const Bucket& bucket,
+                                          const Borrower& borrower,
+                                          double wanted,
+                                          Time now) {
+  double tokens = std::min(wanted, bucket.level);
+  if (IsScarce(bucket)) {
+    const double since_grant = std::clamp(ToSeconds(now - borrower.granted_at),
+                                          kMinAheadSeconds, kMaxAheadSeconds);
+    tokens = std::min(tokens, std::max({1.0, bucket.fair_rate * since_grant,
+                                        bucket.level / 2}));
+  }
+  return static_cast<std::uint32_t>(std::max(0.0, std::floor(tokens)));
+}
+
+Duration QuotaCoordinator::NextTokenIn(const Bucket& bucket) {
+  if (bucket.rate <= 0) {
+    return FromSeconds(kMaxWaitSeconds);
+  }
+  double wait = std::max(0.0, 1 - bucket.level) / bucket.rate;
+  if (IsScarce(bucket)) {
+    wait = std::max(
+        {wait, 1 / bucket.fair_rate,
+         static_cast<double>(bucket.borrowers.size()) / kAsksPerSecond});
+  }
+  return FromSeconds(std::clamp(wait, kMinWaitSeconds, kMaxWaitSeconds));
+}
+
+std::uint32_t QuotaCoordinator::SpareFor(const Bucket& bucket,
+                                         const Borrower& borrower) {
+  const double share = std::min(borrower.demand, bucket.fair_rate);
+  const double left = kSpareSeconds * bucket.rate - bucket.spare;
+  return static_cast<std::uint32_t>(
+      std::max(0.0, std::min(std::ceil(share * kSpareSeconds), left)));
+}
+
+QuotaLoan QuotaCoordinator::Lend(std::string_view member,
+                                 const QuotaNeed& need,
+                                 const RequestQuota& quota,
+                                 Time since,
+                                 double reach,
+                                 Time now) {
+  Bucket& bucket = Refill(need.group, quota, since, reach, now);
+  auto found = bucket.borrowers.find(member);
+  if (found == bucket.borrowers.end()) {
+    found = bucket.borrowers.emplace(std::string(member), Borrower{}).first;
+  }
+  Borrower& borrower = found->second;
+  const double demand = need.demand_milli / kMilli;
+  bucket.outstanding -= borrower.outstanding;
+  bucket.spare -= borrower.spare;
+  bucket.demand += demand - borrower.demand;
+  bucket.level = std::min(bucket.level + need.returned, bucket.size) -
+                 static_cast<double>(need.spare_used);
+  borrower.demand = demand;
+  borrower.asked_at = now;
+
+  QuotaLoan loan;
+  loan.group = need.group;
+  const double wanted = WantedBy(bucket, borrower, need);
+  loan.tokens = TokensFor(bucket, borrower, wanted, now);
+  bucket.level -= loan.tokens;
+  // Waiting requests use theirs at once.
+  borrower.outstanding =
+      need.held + loan.tokens - std::min(loan.tokens, need.waiting);
+  bucket.outstanding += borrower.outstanding;
+  if (loan.tokens > 0) {
+    borrower.granted_at = now;
+  }
+  const bool has_none = loan.tokens == 0 && need.held == 0 && wanted > 0;
+  if (loan.tokens < need.waiting || has_none) {
+    loan.next_token_in = NextTokenIn(bucket);
+    loan.provisional = now - since < kProvisionalPeriod;
+  }
+  // While this coordinator is new, borrowers have those of the one before.
+  borrower.spare = loan.spare =
+      loan.provisional ? 0 : SpareFor(bucket, borrower);
+  bucket.spare += borrower.spare;
+  return loan;
+}
+
+void QuotaCoordinator::KeepOnly(const QuotaPeers& peers) {
+  std::erase_if(buckets_, [&](const auto& entry) {
+    return !peers.Coordinates(entry.first);
+  });
+}
+
+void QuotaCoordinator::OnMemberGone(std::string_view member) {
+  for (auto& [group, bucket] : buckets_) {
+    const auto found = bucket.borrowers.find(member);
+    if (found != bucket.borrowers.end()) {
+      bucket.borrowers.erase(found);
+      bucket.summed_at = Time();
+    }
+  }
+}
+
+void QuotaCoordinator::OnMemberSilent(std::string_view member) {
+  for (auto& [group, bucket] : buckets_) {
+    const auto found = bucket.borrowers.find(member);
+    if (found != bucket.borrowers.end()) {
+      bucket.level -= found->second.spare;
+      bucket.spare -= found->second.spare;
+      found->second.spare = 0;
+    }
+  }
+}
+
+}  // namespace verbenastile
--- a/src/core/quota_messages.h
+++ b/src/core/quota_messages.h
@@ -1,6 +1,6 @@
 // The messages by which nodes share the request quota of a group: a node asks
-// the group's coordinator for tokens, and the coordinator lends them for a
-// time. docs/design/quotas.md describes the protocol.
+// the group's coordinator for tokens, and the coordinator lends them.
+// docs/design/quotas.md describes the protocol.
 #ifndef CORE_QUOTA_MESSAGES_H_
 #define CORE_QUOTA_MESSAGES_H_
 
@@ -14,12 +14,16 @@
 // What a node needs of one group's quota.
 struct QuotaNeed {
   std::string group;
-  // Requests of the group that the node has admitted since it started.
-  std::uint64_t admitted = 0;
-  // Tokens that the node wants to hold.
-  std::uint32_t wanted = 0;
-  // Tokens of earlier loans that the node still holds.
+  // Requests that wait for a token.
+  std::uint32_t waiting = 0;
+  // Tokens that the node still holds, without those it returns.
   std::uint32_t held = 0;
+  // Unused tokens that the node gives back.
+  std::uint32_t returned = 0;
+  // Spare tokens that were used since the last need and are to be repaid.
+  std::uint32_t spare_used = 0;
+  // Requests per 1,000 s that arrived lately, refused ones included.
+  std::uint32_t demand_milli = 0;
 
   bool operator==(const QuotaNeed&) const = default;
 };
@@ -28,10 +32,14 @@
 struct QuotaLoan {
   std::string group;
   std::uint32_t tokens = 0;
-  // Unused tokens lapse after this time.
-  Duration valid_for{0};
+  // Replaces the spare tokens of earlier loans: tokens that the node may use
+  // while the coordinator does not answer.
+  std::uint32_t spare = 0;
   // When the coordinator expects to have tokens again; 0: it still has some.
   Duration next_token_in{0};
+  // The coordinator is new and does not know yet what is in use: requests
+  // should wait for `next_token_in` rather than be refused.
+  bool provisional = false;
 
   bool operator==(const QuotaLoan&) const = default;
 };
--- a/src/mesh/link_codec.cc
+++ b/src/mesh/link_codec.cc
@@ -330,9 +330,11 @@
     for (unsigned i = 0; i < list.size(); ++i) {
       const QuotaNeed& need = message.needs[i];
       list[i].setGroup(ToTextReader(need.group));
-      list[i].setAdmitted(need.admitted);
-      list[i].setWanted(need.wanted);
+      list[i].setWaiting(need.waiting);
       list[i].setHeld(need.held);
+      list[i].setReturned(need.returned);
+      list[i].setSpareUsed(need.spare_used);
+      list[i].setDemandMilli(need.demand_milli);
     }
   }
   void operator()(const LinkQuotaLoans& message) {
@@ -341,8 +343,9 @@
       const QuotaLoan& loan = message.loans[i];
       list[i].setGroup(ToTextReader(loan.group));
       list[i].setTokens(loan.tokens);
-      list[i].setValidForUs(loan.valid_for.count());
+      list[i].setSpare(loan.spare);
       list[i].setNextTokenInUs(loan.next_token_in.count());
+      list[i].setProvisional(loan.provisional);
     }
   }
   void operator()(const LinkRollouts& message) {
@@ -457,19 +460,18 @@
     case Which::QUOTA_NEEDS: {
       LinkQuotaNeeds message;
       for (const auto need : in.getQuotaNeeds()) {
-        message.needs.push_back({CopyToString(need.getGroup()),
-                                 need.getAdmitted(), need.getWanted(),
-                                 need.getHeld()});
+        message.needs.push_back(
+            {CopyToString(need.getGroup()), need.getWaiting(), need.getHeld(),
+             need.getReturned(), need.getSpareUsed(), need.getDemandMilli()});
       }
       return message;
     }
     case Which::QUOTA_LOANS: {
       LinkQuotaLoans message;
       for (const auto loan : in.getQuotaLoans()) {
-        message.loans.push_back({CopyToString(loan.getGroup()),
-                                 loan.getTokens(),
-                                 Duration(loan.getValidForUs()),
-                                 Duration(loan.getNextTokenInUs())});
+        message.loans.push_back(
+            {CopyToString(loan.getGroup()), loan.getTokens(), loan.getSpare(),
+             Duration(loan.getNextTokenInUs()), loan.getProvisional()});
       }
       return message;
     }
--- a/src/mesh/outbound_proxy.cc
+++ b/src/mesh/outbound_proxy.cc
@@ -114,11 +114,18 @@
       returning_callers_.TakeFirstAttemptTime(call.key, call.begin);
   RemoveReservedHeaders(call.exchange->head().headers, init_.headers);
   call.exchange->OnDisconnect([this, id] { OnCallerDisconnected(id); });
-  call.service = target_rotation_.Next(call.rule->id, *call.route);
-  retry_allowance_.OnRequest(call.service, call.begin);
   if (!deadline_check_scheduled_) {
     ScheduleDeadlineCheck();
   }
+  if (TakeQuota(id, call)) {
+    StartCall(id);
+  }
+}
+
+void OutboundProxy::StartCall(CallId id) {
+  Call& call = calls_.at(id);
+  call.service = target_rotation_.Next(call.rule->id, *call.route);
+  retry_allowance_.OnRequest(call.service, call.begin);
   StartAttempt(id);
 }
 
@@ -182,6 +189,42 @@
   return true;
 }
 
+// Takes a token of the quota of the caller's group. Returns false when the
+// request was answered here, or waits for tokens.
+bool OutboundProxy::TakeQuota(CallId id, Call& call) {
+  if (init_.quotas == nullptr || call.group == nullptr ||
+      !GroupQuotas::HasQuota(*call.group)) {
+    return true;
+  }
+  const QuotaVerdict verdict = init_.quotas->Request(
+      *call.group, id,
+      [this, id](const QuotaVerdict& settled) { OnQuotaVerdict(id, settled); });
+  if (verdict.decision == QuotaDecision::kAdmit) {
+    call.took_quota = true;
+    return true;
+  }
+  if (verdict.decision != QuotaDecision::kWait) {
+    OnQuotaVerdict(id, verdict);
+  }
+  return false;
+}
+
+void OutboundProxy::OnQuotaVerdict(CallId id, const QuotaVerdict& verdict) {
+  Call& call = calls_.at(id);
+  if (verdict.decision == QuotaDecision::kAdmit) {
+    call.took_quota = true;
+    StartCall(id);
+    return;
+  }
+  init_.quotas->LogRefusal(*call.group, call.request_id, verdict);
+  call.retry_after = verdict.retry_after;
+  if (verdict.decision == QuotaDecision::kUnknown) {
+    Fail(id, kUnavailable, "the quota of the group is not known");
+  } else {
+    Fail(id, kTooManyRequests, "the group has used up its quota");
+  }
+}
+
 void OutboundProxy::SetDeadline(Call& call) const {
   const auto asked = ParseMilliseconds(
       FindHeader(call.exchange->head().headers, init_.headers.deadline_ms));
@@ -383,7 +426,7 @@
     return;
   }
   HttpHeaders headers = {{"Content-Type", "text/plain"}};
-  if (status == kUnavailable) {
+  if (status == kUnavailable || status == kTooManyRequests) {
     if (call.retry_after == Duration::zero()) {
       call.retry_after = RetryAfterFor(call);
     }
@@ -398,7 +441,10 @@
 }
 
 void OutboundProxy::RecordOutcome(const Call& call, int status, Time now) {
-  if (call.rule == nullptr) {
+  if (call.took_quota && status == kUnavailable) {
+    init_.quotas->GiveBack(call.group->name);
+  }
+  if (call.rule == nullptr || status == kTooManyRequests) {
     return;
   }
   return_times_.OnOutcome(call.rule->id, status == kUnavailable, now);
@@ -414,6 +460,9 @@
   const Call& call = found->second;
   const Time now = SteadyNow();
   const Duration took = now - call.begin;
+  if (init_.quotas != nullptr) {
+    init_.quotas->StopWaiting(id);
+  }
   init_.metrics->Observe(latency_, static_cast<double>(took.count()));
   RecordOutcome(call, status, now);
   const Member* member = call.tried_upstreams.empty()
--- a/src/mesh/outbound_proxy.h
+++ b/src/mesh/outbound_proxy.h
@@ -35,6 +35,7 @@
 #include "mesh/call_header_names.h"
 #include "mesh/inbound_proxy.h"
 #include "mesh/link_hub.h"
+#include "mesh/quota_service.h"
 
 namespace verbenastile {
 
@@ -52,6 +53,7 @@
     const StateChart* health_chart = nullptr;
     InboundProxy* inbound_proxy = nullptr;
     LinkHub* links = nullptr;
+    QuotaService* quotas = nullptr;  // Null: groups have no limits.
     CrashSuspects* suspects = nullptr;
     // Peers should hear this evidence.
     std::function<void(std::vector<CrashEvidence>)> on_crash_evidence;
@@ -121,6 +123,7 @@
     const Rule* rule = nullptr;
     const RouteAction* route = nullptr;
     const Group* group = nullptr;  // Of the caller; null: none.
+    bool took_quota = false;       // The group's quota admitted it.
     std::string service;
     Time begin;
     Time deadline;
@@ -171,6 +174,9 @@
   std::vector<CallId> CallsAt(std::string_view member) const;
   bool MatchRule(CallId id, Call& call);
   bool FindGroup(CallId id, Call& call);
+  bool TakeQuota(CallId id, Call& call);
+  void OnQuotaVerdict(CallId id, const QuotaVerdict& verdict);
+  void StartCall(CallId id);
   void SetDeadline(Call& call) const;
   SuspectVerdict Judge(Call& call) const;
   // The request got a complete response of an instance.
--- /dev/null
+++ b/src/mesh/quota_service.cc
@@ -0,0 +1,199 @@
+#include "mesh/quota_service.h"
+
+#include <utility>
+
+#include "base/log.h"
+
+namespace verbenastile {
+namespace {
+
+constexpr Duration kLogInterval = std::chrono::seconds(1);
+
+}  // namespace
+
+QuotaService::QuotaService(Init init)
+    : init_(std::move(init)),
+      quotas_(init_.node_name, init_.limits),
+      admitted_(init_.metrics->Counter("quota_admitted_total")),
+      admitted_spare_(init_.metrics->Counter("quota_admitted_spare_total")),
+      refused_(init_.metrics->Counter("quota_refused_total")),
+      unknown_(init_.metrics->Counter("quota_unknown_total")),
+      waited_(init_.metrics->Counter("quota_waited_total")),
+      given_back_(init_.metrics->Counter("quota_given_back_total")),
+      needs_sent_(init_.metrics->Counter("quota_needs_sent_total")),
+      needs_answered_(init_.metrics->Counter("quota_needs_answered_total")),
+      tokens_lent_(init_.metrics->Counter("quota_tokens_lent_total")),
+      tokens_held_(init_.metrics->Gauge("quota_tokens_held")),
+      coordinated_(init_.metrics->Gauge("quota_groups_coordinated")) {}
+
+void QuotaService::SetGroups(const std::vector<Group>& groups) {
+  const Time now = SteadyNow();
+  quotas_.SetGroups(groups, now);
+  last_logged_.clear();
+  UpdateMembers(now);
+}
+
+QuotaVerdict QuotaService::Request(const Group& group,
+                                   CallId call,
+                                   Callback callback) {
+  const Time now = SteadyNow();
+  UpdateMembers(now);
+  const QuotaVerdict verdict = quotas_.Request(group, now);
+  SendNeeds(now);
+  if (verdict.decision == QuotaDecision::kWait) {
+    init_.metrics->Add(waited_);
+    waiters_[call] = {group.name, now, std::move(callback)};
+  } else {
+    Count(verdict);
+  }
+  return verdict;
+}
+
+void QuotaService::StopWaiting(CallId call) {
+  const auto found = waiters_.find(call);
+  if (found != waiters_.end()) {
+    quotas_.StopWaiting(found->second.group);
+    waiters_.erase(found);
+  }
+}
+
+void QuotaService::GiveBack(std::string_view group) {
+  init_.metrics->Add(given_back_);
+  quotas_.GiveBack(group);
+}
+
+std::vector<QuotaLoan> QuotaService::OnNeeds(
+    std::string_view member,
+    const std::vector<QuotaNeed>& needs) {
+  const Time now = SteadyNow();
+  UpdateMembers(now);
+  std::vector<QuotaLoan> loans = quotas_.OnNeeds(member, needs, now);
+  init_.metrics->Add(needs_answered_, needs.size());
+  for (const QuotaLoan& loan : loans) {
+    init_.metrics->Add(tokens_lent_, loan.tokens);
+  }
+  SendNeeds(now);
+  return loans;
+}
+
+void QuotaService::OnLoans(std::string_view member,
+                           const std::vector<QuotaLoan>& loans) {
+  const Time now = SteadyNow();
+  quotas_.OnLoans(member, loans, now);
+  SettleWaiters(now);
+  SendNeeds(now);
+}
+
+void QuotaService::OnMemberLost(std::string_view member, bool silent) {
+  const Time now = SteadyNow();
+  quotas_.OnMemberLost(member, silent, now);
+  UpdateMembers(now);
+  SettleWaiters(now);
+  SendNeeds(now);
+}
+
+void QuotaService::Tick(Time now) {
+  if (!quotas_.active()) {
+    return;
+  }
+  UpdateMembers(now);
+  quotas_.Tick(now);
+  SettleWaiters(now);
+  SendNeeds(now);
+  init_.metrics->Set(tokens_held_,
+                     static_cast<double>(quotas_.borrower().tokens_held()));
+  init_.metrics->Set(coordinated_,
+                     static_cast<double>(quotas_.coordinator().groups()));
+}
+
+void QuotaService::UpdateMembers(Time now) {
+  const MemberDirectory& directory = init_.member_registry->directory();
+  if (directory.revision() == members_revision_ || !quotas_.active()) {
+    return;
+  }
+  members_revision_ = directory.revision();
+  QuotaMembers members;
+  for (const auto& [name, entry] : init_.member_registry->entries()) {
+    const bool reachable = entry.linked || name == init_.node_name;
+    const MemberState state = entry.record.member.state;
+    ++members.known;
+    members.linked += reachable ? 1 : 0;
+    if (reachable && state <= MemberState::kSuspect) {
+      members.candidates.push_back(name);
+    }
+  }
+  quotas_.SetMembers(std::move(members), now);
+}
+
+void QuotaService::SendNeeds(Time now) {
+  for (auto& [member, needs] : quotas_.TakeNeeds(now)) {
+    init_.metrics->Add(needs_sent_, needs.size());
+    if (!init_.send(member, {0, LinkQuotaNeeds{std::move(needs)}})) {
+      quotas_.OnNotSent(member, now);
+    }
+  }
+}
+
+void QuotaService::SettleWaiters(Time now) {
+  std::vector<std::pair<Callback, QuotaVerdict>> settled;
+  for (auto it = waiters_.begin(); it != waiters_.end();) {
+    const Waiter& waiter = it->second;
+    const QuotaVerdict verdict =
+        quotas_.Settle(waiter.group, waiter.since, now);
+    if (verdict.decision == QuotaDecision::kWait) {
+      ++it;
+      continue;
+    }
+    Count(verdict);
+    settled.emplace_back(std::move(it->second.callback), verdict);
+    it = waiters_.erase(it);
+  }
+  for (const auto& [callback, verdict] : settled) {
+    callback(verdict);
+  }
+}
+
+// One line a group and second.
+void QuotaService::LogRefusal(const Group& group,
+                              std::string_view request,
+                              const QuotaVerdict& verdict) {
+  const Time now = SteadyNow();
+  const auto last = last_logged_.find(group.name);
+  if (last != last_logged_.end() && now - last->second < kLogInterval) {
+    return;
+  }
+  last_logged_.insert_or_assign(group.name, now);
+  Log(verdict.decision == QuotaDecision::kUnknown ? LogLevel::kWarning
+                                                  : LogLevel::kInfo,
+      "quota",
+      verdict.decision == QuotaDecision::kUnknown
+          ? "The coordinator of the quota does not answer."
+          : "Refused a request beyond its group's quota.",
+      {{"request", request},
+       {"group", group.name},
+       {"rate", group.requests.per_second},
+       {"burst", group.requests.burst},
+       {"demand_here", verdict.demand},
+       {"held", verdict.held},
+       {"coordinator", verdict.coordinator},
+       {"loan_age_ms", ToMilliseconds(verdict.loan_age)},
+       {"retry_after_ms", ToMilliseconds(verdict.retry_after)}});
+}
+
+void QuotaService::Count(const QuotaVerdict& verdict) {
+  switch (verdict.decision) {
+    case QuotaDecision::kAdmit:
+      init_.metrics->Add(verdict.used_spare ? admitted_spare_ : admitted_);
+      break;
+    case QuotaDecision::kRefuse:
+      init_.metrics->Add(refused_);
+      break;
+    case QuotaDecision::kUnknown:
+      init_.metrics->Add(unknown_);
+      break;
+    case QuotaDecision::kWait:
+      break;
+  }
+}
+
+}  // namespace verbenastile
--- /dev/null
+++ b/src/mesh/quota_service.h
@@ -0,0 +1,93 @@
+// Connects the quotas of groups with the links and with the requests that wait
+// for a decision, and reports what was decided.
+#ifndef MESH_QUOTA_SERVICE_H_
+#define MESH_QUOTA_SERVICE_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/metrics.h"
+#include "base/time.h"
+#include "core/group_quotas.h"
+#include "core/member_registry.h"
+#include "mesh/link_frames.h"
+
+namespace verbenastile {
+
+class QuotaService {
+ public:
+  struct Init {
+    std::string node_name;
+    QuotaLimits limits;
+    const MemberRegistry* member_registry = nullptr;
+    // Returns false if there is no open link to the member.
+    std::function<bool(std::string_view member, const LinkFrame&)> send;
+    Metrics* metrics = nullptr;
+  };
+  // Receives the decision on a request that had to wait; never `kWait`.
+  using Callback = std::function<void(const QuotaVerdict&)>;
+
+  explicit QuotaService(Init init);
+  QuotaService(const QuotaService&) = delete;
+  QuotaService& operator=(const QuotaService&) = delete;
+
+  void SetLimits(const QuotaLimits& limits) { quotas_.SetLimits(limits); }
+  // A configuration is in force.
+  void SetGroups(const std::vector<Group>& groups);
+
+  // Decides on a request of a group that has a quota. After `kWait`, `callback`
+  // gets the decision unless `StopWaiting` was called.
+  QuotaVerdict Request(const Group& group, CallId call, Callback callback);
+  void StopWaiting(CallId call);
+  // A request that was admitted did not run and never will.
+  void GiveBack(std::string_view group);
+  // Logs why a request was refused.
+  void LogRefusal(const Group& group,
+                  std::string_view request,
+                  const QuotaVerdict& verdict);
+
+  std::vector<QuotaLoan> OnNeeds(std::string_view member,
+                                 const std::vector<QuotaNeed>& needs);
+  void OnLoans(std::string_view member, const std::vector<QuotaLoan>& loans);
+  // `silent`: the member does not answer, and may still be running.
+  void OnMemberLost(std::string_view member, bool silent);
+  // To be called every 100 ms.
+  void Tick(Time now);
+
+ private:
+  struct Waiter {
+    std::string group;
+    Time since;
+    Callback callback;
+  };
+
+  void UpdateMembers(Time now);
+  void SendNeeds(Time now);
+  void SettleWaiters(Time now);
+  void Count(const QuotaVerdict& verdict);
+
+  Init init_;
+  GroupQuotas quotas_;
+  std::map<CallId, Waiter> waiters_;  // In the order of arrival.
+  std::map<std::string, Time, std::less<>> last_logged_;  // By group.
+  std::uint64_t members_revision_ = 0;
+  CounterHandle admitted_;
+  CounterHandle admitted_spare_;
+  CounterHandle refused_;
+  CounterHandle unknown_;
+  CounterHandle waited_;
+  CounterHandle given_back_;
+  CounterHandle needs_sent_;
+  CounterHandle needs_answered_;
+  CounterHandle tokens_lent_;
+  GaugeHandle tokens_held_;
+  GaugeHandle coordinated_;
+};
+
+}  // namespace verbenastile
+
+#endif  // MESH_QUOTA_SERVICE_H_
--- a/src/mesh/sidecar.cc
+++ b/src/mesh/sidecar.cc
@@ -42,6 +42,7 @@
 // into one call, and into one transfer on small links. Both fit well within the
 // two seconds that a change may take.
 constexpr Duration kConfigurationWatchPause = std::chrono::milliseconds(1'000);
+constexpr double kPermille = 1'000;
 constexpr std::size_t kMaxControlBodyBytes = 65'536;
 
 Duration MembersPollInterval(std::size_t members) {
@@ -75,6 +76,7 @@
       sender_(io_, PacerInit()),
       inbound_(InboundProxyInit()),
       links_(HubInit()),
+      quotas_(QuotasInit()),
       outbound_(OutboundProxyInit()),
       configuration_follower_(ConfigurationInit()),
       member_follower_(MembersInit()),
@@ -150,10 +152,12 @@
   };
   init.on_link_down = [this](std::string_view member) {
     configuration_source_.OnPeerGone(member, SteadyNow());
+    quotas_.OnMemberLost(member, false);
     outbound_.OnLinkDown(member);
   };
   init.on_link_silent = [this](std::string_view member) {
     configuration_source_.OnPeerGone(member, SteadyNow());
+    quotas_.OnMemberLost(member, true);
     outbound_.OnLinkSilent(member);
   };
   init.on_load = [this](std::string_view member, const GateLoad& load) {
@@ -175,9 +179,35 @@
   init.on_configuration = [this](const ConfigurationDelta& delta) {
     OnConfigurationDelta(delta);
   };
+  init.on_quota_needs = [this](std::string_view member,
+                               const std::vector<QuotaNeed>& needs) {
+    return quotas_.OnNeeds(member, needs);
+  };
+  init.on_quota_loans = [this](std::string_view member,
+                               const std::vector<QuotaLoan>& loans) {
+    quotas_.OnLoans(member, loans);
+  };
   return init;
 }
 
+QuotaService::Init Sidecar::QuotasInit() {
+  QuotaService::Init init;
+  init.node_name = settings_.name;
+  init.limits = RequestQuotaLimits();
+  init.member_registry = &member_registry_;
+  init.send = [this](std::string_view member, const LinkFrame& frame) {
+    return links_.Send(member, frame);
+  };
+  init.metrics = &metrics_;
+  return init;
+}
+
+QuotaLimits Sidecar::RequestQuotaLimits() const {
+  return {bounds_.quota_window,
+          static_cast<double>(bounds_.quota_over_permille) / kPermille,
+          static_cast<double>(bounds_.quota_slack)};
+}
+
 OutboundProxy::Init Sidecar::OutboundProxyInit() {
   OutboundProxy::Init init;
   init.io = &io_;
@@ -190,6 +220,7 @@
   init.health_chart = &charts_.upstream_health;
   init.inbound_proxy = &inbound_;
   init.links = &links_;
+  init.quotas = &quotas_;
   init.suspects = &suspects_;
   init.on_crash_evidence = [this](std::vector<CrashEvidence> evidence) {
     OnCrashEvidence(std::move(evidence));
@@ -419,6 +450,7 @@
         if (const auto* parsed = std::get_if<platform::Bounds>(&bounds)) {
           bounds_ = *parsed;
           outbound_.SetRetryAllowance(AllowanceLimits());
+          quotas_.SetLimits(RequestQuotaLimits());
         }
         Log(LogLevel::kInfo, kLogComponent, "Reloaded the settings.",
             {{"why", why}, {"service", settings_.service}});
@@ -486,6 +518,7 @@
       const Time now = SteadyNow();
       RecordLoopLag(now - due);
       UpdateConfigurationSource(now);
+      quotas_.Tick(now);
       FlushLog();
     }
   });
--- a/src/mesh/sidecar.h
+++ b/src/mesh/sidecar.h
@@ -29,6 +29,7 @@
 #include "mesh/link_hub.h"
 #include "mesh/outbound_proxy.h"
 #include "mesh/paced_sender.h"
+#include "mesh/quota_service.h"
 #include "mesh/record_publisher.h"
 #include "mesh/store_follower.h"
 #include "platform/bounds.h"
@@ -59,6 +60,7 @@
   LinkPacerOptions PacerInit() const;
   InboundProxy::Init InboundProxyInit();
   LinkHub::Init HubInit();
+  QuotaService::Init QuotasInit();
   OutboundProxy::Init OutboundProxyInit();
   StoreFollower::Init FollowerInit(std::string_view kind);
   StoreFollower::Init ConfigurationInit();
@@ -126,6 +128,7 @@
   bool StoreRecord(const MemberRecord& record);
   Duration ConfigurationAge() const;
   FleetRetryBudgetLimits AllowanceLimits() const;
+  QuotaLimits RequestQuotaLimits() const;
   void RecordLoopLag(Duration lag);
   void SchedulePeriodicWork();
 
@@ -154,6 +157,7 @@
   PacedSender sender_;
   InboundProxy inbound_;
   LinkHub links_;
+  QuotaService quotas_;
   OutboundProxy outbound_;
   StoreFollower configuration_follower_;
   StoreFollower member_follower_;
--- a/src/mesh/sidecar_configuration.cc
+++ b/src/mesh/sidecar_configuration.cc
@@ -42,6 +42,7 @@
   configuration_archive_.Add(offered, std::move(text));
   configuration_source_.OnApplied(offered);
   caller_server_.SetLimits(configuration.limits);
+  quotas_.SetGroups(applier_.table()->document().groups);
   Log(LogLevel::kInfo, "config", "Applied a configuration.",
       {{"generation", offered},
        {"before", before},
--- a/src/wire/link.capnp
+++ b/src/wire/link.capnp
@@ -67,16 +67,19 @@
 
 struct QuotaNeed {
   group @0 :Text;
-  admitted @1 :UInt64;
-  wanted @2 :UInt32;
-  held @3 :UInt32;
+  waiting @1 :UInt32;
+  held @2 :UInt32;
+  returned @3 :UInt32;
+  spareUsed @4 :UInt32;
+  demandMilli @5 :UInt32;
 }
 
 struct QuotaLoan {
   group @0 :Text;
   tokens @1 :UInt32;
-  validForUs @2 :Int64;
+  spare @2 :UInt32;
   nextTokenInUs @3 :Int64;
+  provisional @4 :Bool;
 }
 
 struct RolloutReport {
--- a/src/wire/link.capnp.h
+++ b/src/wire/link.capnp.h
@@ -160,7 +160,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8f93c18c9ad4f8e2, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(8f93c18c9ad4f8e2, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1134,12 +1134,16 @@
   inline bool hasGroup() const;
   inline  ::capnp::Text::Reader getGroup() const;
 
-  inline  ::uint64_t getAdmitted() const;
-
-  inline  ::uint32_t getWanted() const;
+  inline  ::uint32_t getWaiting() const;
 
   inline  ::uint32_t getHeld() const;
 
+  inline  ::uint32_t getReturned() const;
+
+  inline  ::uint32_t getSpareUsed() const;
+
+  inline  ::uint32_t getDemandMilli() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1175,15 +1179,21 @@
   inline void adoptGroup(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownGroup();
 
-  inline  ::uint64_t getAdmitted();
-  inline void setAdmitted( ::uint64_t value);
-
-  inline  ::uint32_t getWanted();
-  inline void setWanted( ::uint32_t value);
+  inline  ::uint32_t getWaiting();
+  inline void setWaiting( ::uint32_t value);
 
   inline  ::uint32_t getHeld();
   inline void setHeld( ::uint32_t value);
 
+  inline  ::uint32_t getReturned();
+  inline void setReturned( ::uint32_t value);
+
+  inline  ::uint32_t getSpareUsed();
+  inline void setSpareUsed( ::uint32_t value);
+
+  inline  ::uint32_t getDemandMilli();
+  inline void setDemandMilli( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1232,10 +1242,12 @@
 
   inline  ::uint32_t getTokens() const;
 
-  inline  ::int64_t getValidForUs() const;
+  inline  ::uint32_t getSpare() const;
 
   inline  ::int64_t getNextTokenInUs() const;
 
+  inline bool getProvisional() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1274,12 +1286,15 @@
   inline  ::uint32_t getTokens();
   inline void setTokens( ::uint32_t value);
 
-  inline  ::int64_t getValidForUs();
-  inline void setValidForUs( ::int64_t value);
+  inline  ::uint32_t getSpare();
+  inline void setSpare( ::uint32_t value);
 
   inline  ::int64_t getNextTokenInUs();
   inline void setNextTokenInUs( ::int64_t value);
 
+  inline bool getProvisional();
+  inline void setProvisional(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3961,48 +3976,76 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t QuotaNeed::Reader::getAdmitted() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::uint32_t QuotaNeed::Reader::getWaiting() const {
+  return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t QuotaNeed::Builder::getAdmitted() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::uint32_t QuotaNeed::Builder::getWaiting() {
+  return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void QuotaNeed::Builder::setAdmitted( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void QuotaNeed::Builder::setWaiting( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t QuotaNeed::Reader::getWanted() const {
+inline  ::uint32_t QuotaNeed::Reader::getHeld() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t QuotaNeed::Builder::getHeld() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void QuotaNeed::Builder::setHeld( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t QuotaNeed::Reader::getReturned() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t QuotaNeed::Builder::getWanted() {
+inline  ::uint32_t QuotaNeed::Builder::getReturned() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void QuotaNeed::Builder::setWanted( ::uint32_t value) {
+inline void QuotaNeed::Builder::setReturned( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t QuotaNeed::Reader::getHeld() const {
+inline  ::uint32_t QuotaNeed::Reader::getSpareUsed() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t QuotaNeed::Builder::getHeld() {
+inline  ::uint32_t QuotaNeed::Builder::getSpareUsed() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void QuotaNeed::Builder::setHeld( ::uint32_t value) {
+inline void QuotaNeed::Builder::setSpareUsed( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t QuotaNeed::Reader::getDemandMilli() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t QuotaNeed::Builder::getDemandMilli() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void QuotaNeed::Builder::setDemandMilli( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool QuotaLoan::Reader::hasGroup() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4051,32 +4094,46 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t QuotaLoan::Reader::getValidForUs() const {
-  return _reader.getDataField< ::int64_t>(
+inline  ::uint32_t QuotaLoan::Reader::getSpare() const {
+  return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t QuotaLoan::Builder::getValidForUs() {
-  return _builder.getDataField< ::int64_t>(
+inline  ::uint32_t QuotaLoan::Builder::getSpare() {
+  return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void QuotaLoan::Builder::setValidForUs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
+inline void QuotaLoan::Builder::setSpare( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline  ::int64_t QuotaLoan::Reader::getNextTokenInUs() const {
   return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
 inline  ::int64_t QuotaLoan::Builder::getNextTokenInUs() {
   return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 inline void QuotaLoan::Builder::setNextTokenInUs( ::int64_t value) {
   _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool QuotaLoan::Reader::getProvisional() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool QuotaLoan::Builder::getProvisional() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void QuotaLoan::Builder::setProvisional(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool RolloutReport::Reader::hasService() const {
--- a/tests/link_codec_test.cc
+++ b/tests/link_codec_test.cc
@@ -176,16 +176,15 @@
 
 SCENARIO("news of quotas and roll-outs are decoded as they were encoded") {
   Connection out;
-  const QuotaNeed need{"academies", 12, 5, 2};
-  const QuotaLoan loan{"academies", 5, std::chrono::seconds(1),
-                       std::chrono::milliseconds(40)};
-  const RolloutReport report{{"booking", "v2", std::chrono::seconds(12), 530},
-                             std::chrono::seconds(7),
-                             RolloutState::kRolledBack,
-                             "n-1",
-                             4,
-                             {{"r-1", true, 9, 3, 2, 1'000},
-                              {"r-1", false, 90, 1, 0, 5'000}}};
+  const QuotaNeed need{"academies", 12, 5, 2, 7, 9'500};
+  const QuotaLoan loan{"academies", 5, 3, std::chrono::milliseconds(40), true};
+  const RolloutReport report{
+      {"booking", "v2", std::chrono::seconds(12), 530},
+      std::chrono::seconds(7),
+      RolloutState::kRolledBack,
+      "n-1",
+      4,
+      {{"r-1", true, 9, 3, 2, 1'000}, {"r-1", false, 90, 1, 0, 5'000}}};
   out.Append({0, LinkQuotaNeeds{{need}}});
   out.Append({0, LinkQuotaLoans{{loan, loan}}});
   out.Append({0, LinkRollouts{{report}}});
--- /dev/null
+++ b/tests/quota_test.cc
@@ -0,0 +1,198 @@
+#include <catch2/catch.hpp>
+
+#include "quota_fleet.h"
+
+namespace verbenastile {
+namespace {
+
+constexpr Duration kSecond = kQuotaSecond;
+constexpr std::size_t kNodes = 87;
+// A link that does not answer is noticed within this time.
+constexpr Duration kNotice = std::chrono::milliseconds(2'700);
+
+QuotaLimits Limits() {
+  return {std::chrono::seconds(5), 0.1, 20};
+}
+
+// Requests below the limit that were refused, of 1,000.
+double RefusedPermille(const QuotaFleet& fleet) {
+  return 1'000.0 * static_cast<double>(fleet.refused()) /
+         static_cast<double>(fleet.admitted() + fleet.refused());
+}
+
+SCENARIO("callers below the limit of their group are not refused") {
+  const double rate = GENERATE(5.0, 60.0, 600.0);
+  const double usual = rate / 1.6;
+  CAPTURE(rate);
+  QuotaFleet fleet(kNodes, rate, Limits());
+  const auto seconds = static_cast<int>(std::max(60.0, 6'000 / usual));
+
+  WHEN("all of them call one node") {
+    fleet.Call(usual, 3, 4, seconds * kSecond);
+    fleet.Run((seconds + 1) * kSecond);
+    THEN("fewer than 1 in 1,000 are refused") {
+      CHECK(RefusedPermille(fleet) < 1);
+    }
+  }
+  WHEN("they are spread over all nodes") {
+    fleet.Call(usual, 0, kNodes, seconds * kSecond);
+    fleet.Run((seconds + 1) * kSecond);
+    THEN("fewer than 1 in 1,000 are refused") {
+      CHECK(RefusedPermille(fleet) < 1);
+      CHECK(static_cast<double>(fleet.messages()) / seconds <=
+            2.5 * usual + 50);
+    }
+  }
+  WHEN("they move to other nodes every second") {
+    for (int i = 0; i < seconds; ++i) {
+      const std::size_t first = static_cast<std::size_t>(i) * 3 % (kNodes - 3);
+      fleet.Call(usual, first, first + 3, kSecond);
+      fleet.Run(kSecond);
+    }
+    THEN("fewer than 1 in 1,000 are refused") {
+      CHECK(RefusedPermille(fleet) < 1);
+    }
+  }
+}
+
+SCENARIO("a group that sends ten times its usual gets its limit") {
+  const double rate = GENERATE(5.0, 60.0, 600.0);
+  const std::size_t last = GENERATE(std::size_t{1}, std::size_t{3}, kNodes);
+  CAPTURE(rate, last);
+  QuotaFleet fleet(kNodes, rate, Limits());
+  fleet.Call(rate / 1.6, 0, last, 20 * kSecond);
+  fleet.Run(10 * kSecond);
+  const std::size_t before = fleet.admitted();
+  fleet.Call(10 * rate / 1.6, 0, last, 7 * kSecond);
+  fleet.Run(7 * kSecond);
+  THEN("no window has more, and the limit is used") {
+    CHECK(static_cast<double>(fleet.MostInWindow()) <= fleet.Allowed());
+    CHECK(static_cast<double>(fleet.admitted() - before) >= 0.95 * 7 * rate);
+    CHECK(fleet.last_retry_after() > Duration::zero());
+    CHECK(fleet.last_retry_after() <= 5 * kSecond);
+  }
+}
+
+SCENARIO("failures of nodes and links do not let a group exceed its limit") {
+  const double rate = GENERATE(5.0, 60.0, 600.0);
+  CAPTURE(rate);
+  QuotaFleet fleet(kNodes, rate, Limits());
+
+  GIVEN("a group that sends ten times its usual to all nodes") {
+    fleet.Call(10 * rate / 1.6, 0, kNodes, 40 * kSecond);
+    fleet.Run(GENERATE(100, 8'000) * kSecond / 1'000);
+    WHEN("the coordinator is killed") {
+      const std::size_t coordinator = fleet.Coordinator();
+      fleet.Restart(coordinator, coordinator + 1, 2 * kSecond);
+    }
+    WHEN("a third of the nodes restarts") {
+      fleet.Restart(0, kNodes / 3, 2 * kSecond);
+    }
+    WHEN("all nodes restart") {
+      fleet.Restart(0, kNodes, 2 * kSecond);
+    }
+    WHEN("the nodes are cut into halves") {
+      fleet.Cut(0, kNodes / 2, 12 * kSecond, kNotice);
+    }
+    WHEN("the coordinator is cut off for 12 s") {
+      const std::size_t coordinator = fleet.Coordinator();
+      fleet.Cut(coordinator, coordinator + 1, 12 * kSecond, kNotice);
+    }
+    fleet.Run(30 * kSecond);
+    THEN("no window has more than the rule allows") {
+      CHECK(static_cast<double>(fleet.MostInWindow()) <= fleet.Allowed());
+    }
+  }
+}
+
+SCENARIO("failures of nodes and links refuse few callers below the limit") {
+  const double rate = GENERATE(5.0, 60.0, 600.0);
+  CAPTURE(rate);
+  QuotaFleet fleet(kNodes, rate, Limits());
+  GIVEN("a group below its limit at all nodes") {
+    const int seconds = static_cast<int>(std::max(100.0, 6'000 / rate));
+    fleet.Call(rate / 1.6, 0, kNodes, seconds * kSecond);
+    fleet.Run(8 * kSecond);
+    WHEN("the coordinator is killed") {
+      const std::size_t coordinator = fleet.Coordinator();
+      fleet.Restart(coordinator, coordinator + 1, 2 * kSecond);
+    }
+    WHEN("a third of the nodes restarts") {
+      fleet.Restart(0, kNodes / 3, 2 * kSecond);
+    }
+    WHEN("the nodes are cut into halves") {
+      fleet.Cut(0, kNodes / 2, 12 * kSecond, kNotice);
+    }
+    WHEN("the coordinator is cut off for 12 s") {
+      const std::size_t coordinator = fleet.Coordinator();
+      fleet.Cut(coordinator, coordinator + 1, 12 * kSecond, kNotice);
+    }
+    fleet.Run((seconds - 8) * kSecond);
+    THEN("fewer than 1 in 1,000 are refused") {
+      CHECK(RefusedPermille(fleet) < 1);
+    }
+  }
+}
+
+SCENARIO("a quota is changed") {
+  constexpr double kRate = 300;
+  QuotaFleet fleet(kNodes, kRate, Limits());
+  fleet.Call(kRate / 1.6, 0, kNodes, 40 * kSecond);
+  fleet.Run(10 * kSecond);
+  WHEN("it is lowered far below what is sent") {
+    fleet.SetQuota(20);
+    const Time changed = fleet.now();
+    fleet.Run(20 * kSecond);
+    THEN("the lower limit holds from the next window on") {
+      CHECK(static_cast<double>(fleet.MostInWindow(changed)) <=
+            fleet.Allowed());
+    }
+    AND_WHEN("it is raised again") {
+      fleet.SetQuota(kRate);
+      fleet.Run(5 * kSecond);  // A window of the rule.
+      const std::size_t before = fleet.refused();
+      fleet.Run(5 * kSecond);
+      THEN("nobody is refused any more") {
+        CHECK(fleet.refused() == before);
+      }
+    }
+  }
+  WHEN("it is lowered while all nodes restart") {
+    const Time changed = fleet.now();
+    fleet.Restart(0, kNodes, 2 * kSecond);
+    fleet.SetQuota(20);
+    fleet.Run(20 * kSecond);
+    THEN("the lower limit holds") {
+      CHECK(static_cast<double>(fleet.MostInWindow(changed)) <=
+            fleet.Allowed());
+    }
+  }
+}
+
+SCENARIO("a request that did not run gives its token back") {
+  constexpr double kRate = 10;
+  GroupQuotas quotas("n1", {});
+  Group group;
+  group.name = "tenant";
+  group.requests = {kRate, kRate};
+  quotas.SetGroups({&group, 1}, Time());
+  quotas.SetMembers({{"n1"}, 1, 1}, Time());
+  const Time now = Time(100 * kSecond);
+  const auto admitted = [&](bool give_back) {
+    int count = 0;
+    for (int i = 0; i < 3 * kRate; ++i) {
+      if (quotas.Request(group, now).decision == QuotaDecision::kAdmit) {
+        ++count;
+        if (give_back) {
+          quotas.GiveBack(group.name);
+        }
+      }
+    }
+    return count;
+  };
+  CHECK(admitted(true) == 3 * kRate);
+  CHECK(admitted(false) == kRate);
+}
+
+}  // namespace
+}  // namespace verbenastile
