--- a/src/core/quota_borrower.cc
+++ b/src/core/quota_borrower.cc
@@ -113,6 +113,10 @@
 // the other, as tokens become available.
 QuotaVerdict QuotaBorrower::Refuse(State& state, Time now) {
   QuotaVerdict verdict = Explain(state, QuotaDecision::kRefuse, now);
+  if (state.overloaded) {
+    verdict.retry_after = kMaxRetryAfter;
+    return verdict;
+  }
   state.next_return = std::max(state.next_return, state.denied_until);
   verdict.retry_after = std::min(state.next_return - now, kMaxRetryAfter);
   if (state.next_return - now < kMaxRetryAfter) {
@@ -269,6 +273,7 @@
   state.spare = loan.spare;
   if (loan.next_token_in > Duration::zero()) {
     state.denied_until = now + loan.next_token_in;
+    state.overloaded = loan.overloaded;
     state.refusal_interval =
         loan.next_token_in / std::max<std::int64_t>(loan.tokens, 1);
   } else if (state.waiting > state.tokens) {
--- a/src/core/quota_borrower.h
+++ b/src/core/quota_borrower.h
@@ -87,6 +87,7 @@
     Time last_request;
     // Without tokens, requests are refused until then.
     Time denied_until;
+    bool overloaded = false;  // As the last loan with a denial said.
     Duration refusal_interval{0};
     Time next_return;     // When the next refused request should come back.
     double arrivals = 0;  // Decaying count.
--- a/src/core/quota_coordinator.cc
+++ b/src/core/quota_coordinator.cc
@@ -36,6 +36,9 @@
 constexpr Duration kSumInterval = std::chrono::milliseconds(50);
 // Under shortage a group's coordinator is asked about this often per second.
 constexpr double kAsksPerSecond = 100;
+// From this multiple of the rate on, a request that comes back soon is more
+// likely to be refused again than to be admitted.
+constexpr double kOverload = 2;
 constexpr double kMinWaitSeconds = 0.02;
 constexpr double kMaxWaitSeconds = 2;
 constexpr double kMilli = 1'000;
@@ -225,6 +228,7 @@
   const bool has_none = loan.tokens == 0 && need.held == 0 && wanted > 0;
   if (loan.tokens < need.waiting || has_none) {
     loan.next_token_in = NextTokenIn(bucket);
+    loan.overloaded = bucket.demand > kOverload * bucket.rate;
     loan.provisional = now - since < kProvisionalPeriod;
   }
   // While this coordinator is new, borrowers have those of the one before.
--- a/src/core/quota_messages.h
+++ b/src/core/quota_messages.h
@@ -37,6 +37,9 @@
   std::uint32_t spare = 0;
   // When the coordinator expects to have tokens again; 0: it still has some.
   Duration next_token_in{0};
+  // The group wants far more than its rate: refused requests should stay away
+  // for long.
+  bool overloaded = false;
   // The coordinator is new and does not know yet what is in use: requests
   // should wait for `next_token_in` rather than be refused.
   bool provisional = false;
--- a/src/mesh/link_codec.cc
+++ b/src/mesh/link_codec.cc
@@ -345,6 +345,7 @@
       list[i].setTokens(loan.tokens);
       list[i].setSpare(loan.spare);
       list[i].setNextTokenInUs(loan.next_token_in.count());
+      list[i].setOverloaded(loan.overloaded);
       list[i].setProvisional(loan.provisional);
     }
   }
@@ -469,9 +470,10 @@
     case Which::QUOTA_LOANS: {
       LinkQuotaLoans message;
       for (const auto loan : in.getQuotaLoans()) {
-        message.loans.push_back(
-            {CopyToString(loan.getGroup()), loan.getTokens(), loan.getSpare(),
-             Duration(loan.getNextTokenInUs()), loan.getProvisional()});
+        message.loans.push_back({CopyToString(loan.getGroup()),
+                                 loan.getTokens(), loan.getSpare(),
+                                 Duration(loan.getNextTokenInUs()),
+                                 loan.getOverloaded(), loan.getProvisional()});
       }
       return message;
     }
--- a/src/wire/link.capnp
+++ b/src/wire/link.capnp
@@ -79,7 +79,8 @@
   tokens @1 :UInt32;
   spare @2 :UInt32;
   nextTokenInUs @3 :Int64;
-  provisional @4 :Bool;
+  overloaded @4 :Bool;
+  provisional @5 :Bool;
 }
 
 struct RolloutReport {
--- a/src/wire/link.capnp.h
+++ b/src/wire/link.capnp.h
@@ -1246,6 +1246,8 @@
 
   inline  ::int64_t getNextTokenInUs() const;
 
+  inline bool getOverloaded() const;
+
   inline bool getProvisional() const;
 
 private:
@@ -1292,6 +1294,9 @@
   inline  ::int64_t getNextTokenInUs();
   inline void setNextTokenInUs( ::int64_t value);
 
+  inline bool getOverloaded();
+  inline void setOverloaded(bool value);
+
   inline bool getProvisional();
   inline void setProvisional(bool value);
 
@@ -4122,20 +4127,34 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool QuotaLoan::Reader::getProvisional() const {
+inline bool QuotaLoan::Reader::getOverloaded() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<128>() * ::capnp::ELEMENTS);
 }
 
-inline bool QuotaLoan::Builder::getProvisional() {
+inline bool QuotaLoan::Builder::getOverloaded() {
   return _builder.getDataField<bool>(
       ::capnp::bounded<128>() * ::capnp::ELEMENTS);
 }
-inline void QuotaLoan::Builder::setProvisional(bool value) {
+inline void QuotaLoan::Builder::setOverloaded(bool value) {
   _builder.setDataField<bool>(
       ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool QuotaLoan::Reader::getProvisional() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+}
+
+inline bool QuotaLoan::Builder::getProvisional() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+}
+inline void QuotaLoan::Builder::setProvisional(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool RolloutReport::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/tests/link_codec_test.cc
+++ b/tests/link_codec_test.cc
@@ -177,7 +177,8 @@
 SCENARIO("news of quotas and roll-outs are decoded as they were encoded") {
   Connection out;
   const QuotaNeed need{"academies", 12, 5, 2, 7, 9'500};
-  const QuotaLoan loan{"academies", 5, 3, std::chrono::milliseconds(40), true};
+  const QuotaLoan loan{"academies", 5,   3, std::chrono::milliseconds(40),
+                       true,        true};
   const RolloutReport report{
       {"booking", "v2", std::chrono::seconds(12), 530},
       std::chrono::seconds(7),
