Quotas: fault soak with a hot group, fractional rates

Cause: no soak checked quotas over real processes; a rate below one a second was read as 0, which means no limit. Change: soak/fault_quotas.py sends about ten times the quota through all nodes while quotas change; a deliberate fault (each node coordinates for itself). Rates and bursts keep their fraction.

--- a/soak/broken_builds.sh
+++ b/soak/broken_builds.sh
@@ -25,6 +25,7 @@
 leaving in responses not heard@src/mesh/inbound_proxy.cc@s/  if (notice.leaving \&\&/  if (false \&\&/@after it said it leaves
 instances ended again@src/core/crash_suspects.cc@s/if (evidence.convicted \&\& crashes >= kCrashesToBlock)/if (false)/@after three
 bystanders blocked@src/core/crash_suspects.cc@s/if (evidence.convicted \&\& crashes >= kCrashesToBlock)/if (crashes > 0)/@which ran beside
+full rate at each node@src/core/quota_peers.cc@s/^  reach_ = known == 0/  candidates = {self_};\n&/@whose quota
 never ready@src/mesh/sidecar.cc@s/const bool ready =$/& false \&\&/@are ready
 '
 # Faults that one guard alone would hide have the second one taken away too.
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -20,6 +20,7 @@
 import typing
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "platform"))
+import fault_quotas  # noqa: E402
 import protocol  # noqa: E402
 
 GRACE = 6.0  # Seconds from SIGTERM to SIGKILL.
@@ -609,6 +610,7 @@
         self.acked = {"p1": time.monotonic()}
         self.last_fault = time.monotonic()
         self.served = []  # (time, whether it was served)
+        self.quotas = fault_quotas.Quotas(self, options.seed)
         self.store = Store(self.rng)
         self.nodes = [Node(self, i) for i in range(options.nodes)]
         self.instances = [Instance(self, node) for node in self.nodes]
@@ -629,10 +631,17 @@
                 routes[f"{name}-{kind}"] = protocol.route(
                     f"/{name}/{kind}/", kind, "booking"
                 )
-        return protocol.configuration(self.version, routes, ["booking", "library"])
+        services = ["booking", "library"]
+        return self.quotas.extend(
+            protocol.configuration(self.version, routes, services)
+        )
+
+    async def write_configuration(self):
+        await self.store.change(*protocol.CONFIGURATION, self.configuration())
 
     def on_run(self, instance, request, line, headers):
         self.runs[request] = self.runs.get(request, 0) + 1
+        self.quotas.on_run(request)
         unsafe = "/unsafe/" in line
         if request not in self.sent:
             self.fail(f"an instance ran {request}, which no client sent")
@@ -724,7 +733,9 @@
             await self.one_request(node, route, unsafe, request)
             await asyncio.sleep(self.rng.uniform(0.0, 0.06))
 
-    async def one_request(self, node, route, unsafe, request, path=None):
+    async def one_request(
+        self, node, route, unsafe, request, path=None, headers=None
+    ):
         """Returns whether it was served. `path`: the last part of the target."""
         self.sent[request] = (unsafe, None)
         kind = "unsafe" if unsafe else "safe"
@@ -740,6 +751,7 @@
                     "Host": "a.example",
                     protocol.REQUEST_ID: request,
                     protocol.DEADLINE_MS: "1500",
+                    **(headers or {}),
                 },
                 timeout=2.5,
             )
@@ -1014,7 +1026,7 @@
 
     async def main(self):
         self.begin = time.monotonic()
-        await self.store.change(*protocol.CONFIGURATION, self.configuration())
+        await self.write_configuration()
         servers = []
         for node, store_proxy, link_proxy in zip(
             self.nodes, self.store_proxies, self.link_proxies
@@ -1037,7 +1049,11 @@
             asyncio.create_task(self.ending_client(i))
             for i in range(self.options.ending_requests)
         ]
-        await asyncio.gather(self.inject(), self.inject_notices())
+        clients.append(asyncio.create_task(self.quotas.callers()))
+        end = time.monotonic() + self.options.seconds
+        await asyncio.gather(
+            self.inject(), self.inject_notices(), self.quotas.changes(end)
+        )
         await self.check_recovery()
         self.over = True
         await asyncio.gather(*clients)
@@ -1048,6 +1064,7 @@
         await asyncio.gather(*(node.stop() for node in self.nodes))
         await asyncio.gather(*keepers)
         self.check_refusals()
+        self.quotas.check()
         for server in servers:
             server.close()
 
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -52,6 +52,14 @@
       view.method = "GET";
       return table.FindRule(view);
     };
+    THEN("a quota below one request a second is a quota") {
+      auto spec = ConfigurationSpec();
+      spec["tenants"] = {{"small", {{"rate_per_s", 0.8}, {"burst", 1.5}}}};
+      const auto quotas = ParseConfiguration(spec.dump());
+      const auto& groups = std::get<Configuration>(quotas).document.groups;
+      REQUIRE(groups.size() == 1);
+      CHECK(groups[0].requests == RequestQuota{0.8, 1.5});
+    }
     THEN("the rule with the longest matching prefix of the host applies") {
       CHECK(decide("a.example", "/p/x")->id == "wide");
       CHECK(decide("a.example", "/p/q/x")->id == "narrow");
@@ -186,6 +194,9 @@
                                      {"retry_budget_ratio", "0.2"},
                                      {"budget_slack", "162"},
                                      {"budget_window_s", "10"},
+                                     {"quota_window_s", "5"},
+                                     {"quota_over", "0.1"},
+                                     {"quota_slack", "20"},
                                      {"fenced", "true"},
                                      {"unknown", "1.5"}});
     const auto& bounds = std::get<Bounds>(parsed);
@@ -193,6 +204,9 @@
     CHECK(bounds.termination_grace == std::chrono::seconds(6));
     CHECK(bounds.retry_budget_permille == 200);
     CHECK(bounds.retry_budget_slack == 162);
+    CHECK(bounds.quota_window == std::chrono::seconds(5));
+    CHECK(bounds.quota_over_permille == 100);
+    CHECK(bounds.quota_slack == 20);
   }
   GIVEN("a limit that is not a number") {
     CHECK(std::holds_alternative<FormatError>(
