--- a/src/io/http_status.h
+++ b/src/io/http_status.h
@@ -7,7 +7,7 @@
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kUnauthorized = 401;
-constexpr int kNotFound = 404;
+constexpr int kHttpNotFound = 404;
 constexpr int kMisdirectedRequest = 421;
 constexpr int kTooManyRequests = 429;
 // Codes from here on are server errors.
--- a/src/mesh/outbound_proxy.h
+++ b/src/mesh/outbound_proxy.h
@@ -38,6 +38,7 @@
 #include "mesh/call_header_names.h"
 #include "mesh/inbound_proxy.h"
 #include "mesh/link_hub.h"
+#include "mesh/quota_service.h"
 #include "mesh/rollout_service.h"
 
 namespace verbenastile {
@@ -56,6 +57,7 @@
     const StateChart* health_chart = nullptr;
     InboundProxy* inbound_proxy = nullptr;
     LinkHub* links = nullptr;
+    QuotaService* quotas = nullptr;  // Null: groups have no limits.
     CrashSuspects* suspects = nullptr;
     // Peers should hear this evidence.
     std::function<void(std::vector<CrashEvidence>)> on_crash_evidence;
@@ -143,6 +145,7 @@
     const RouteAction* route = nullptr;
     const Group* group = nullptr;      // Of the caller; null: none.
     std::optional<Digest> key_digest;  // Of the caller's key.
+    bool took_quota = false;           // The group's quota admitted it.
     std::string service;
     Time begin;
     Time deadline;
@@ -197,6 +200,9 @@
   KeyDecision CheckKeyOf(const Call& call, const RouteTable& table) const;
   void FailForKey(CallId id, KeyVerdict verdict);
   void RegisterKeyMetrics();
+  bool TakeQuota(CallId id, Call& call);
+  void OnQuotaVerdict(CallId id, const QuotaVerdict& verdict);
+  void StartCall(CallId id);
   void SetDeadline(Call& call) const;
   SuspectVerdict Judge(Call& call) const;
   // The request got a complete response of an instance.
--- a/src/mesh/sidecar.cc
+++ b/src/mesh/sidecar.cc
@@ -45,6 +45,7 @@
 // Where keys may be accepted only for a limited time without a confirmation of
 // the store, the store confirms the configuration this often in that time.
 constexpr int kWatchesPerRevokePeriod = 2;
+constexpr double kPermille = 1'000;
 constexpr std::size_t kMaxControlBodyBytes = 65'536;
 
 Duration MembersPollInterval(std::size_t members) {
@@ -78,6 +79,7 @@
       sender_(io_, PacerInit()),
       inbound_(InboundProxyInit()),
       links_(HubInit()),
+      quotas_(QuotasInit()),
       rollouts_(MakeRollouts()),
       outbound_(OutboundProxyInit()),
       configuration_follower_(ConfigurationInit()),
@@ -154,10 +156,12 @@
   };
   init.on_link_down = [this](std::string_view member) {
     configuration_source_.OnPeerGone(member, SteadyNow());
+    quotas_.OnMemberLost(member, false);
     outbound_.OnLinkDown(member);
   };
   init.on_link_silent = [this](std::string_view member) {
     configuration_source_.OnPeerGone(member, SteadyNow());
+    quotas_.OnMemberLost(member, true);
     outbound_.OnLinkSilent(member);
   };
   init.on_load = [this](std::string_view member, const GateLoad& load) {
@@ -186,6 +190,14 @@
     };
     init.rollouts = [this] { return rollouts_->Shared(SteadyNow()); };
   }
+  init.on_quota_needs = [this](std::string_view member,
+                               const std::vector<QuotaNeed>& needs) {
+    return quotas_.OnNeeds(member, needs);
+  };
+  init.on_quota_loans = [this](std::string_view member,
+                               const std::vector<QuotaLoan>& loans) {
+    quotas_.OnLoans(member, loans);
+  };
   return init;
 }
 
@@ -211,6 +223,24 @@
   return std::make_unique<RolloutService>(std::move(init));
 }
 
+QuotaService::Init Sidecar::QuotasInit() {
+  QuotaService::Init init;
+  init.node_name = settings_.name;
+  init.limits = RequestQuotaLimits();
+  init.member_registry = &member_registry_;
+  init.send = [this](std::string_view member, const LinkFrame& frame) {
+    return links_.Send(member, frame);
+  };
+  init.metrics = &metrics_;
+  return init;
+}
+
+QuotaLimits Sidecar::RequestQuotaLimits() const {
+  return {bounds_.quota_window,
+          static_cast<double>(bounds_.quota_over_permille) / kPermille,
+          static_cast<double>(bounds_.quota_slack)};
+}
+
 OutboundProxy::Init Sidecar::OutboundProxyInit() {
   OutboundProxy::Init init;
   init.io = &io_;
@@ -223,6 +253,7 @@
   init.health_chart = &charts_.upstream_health;
   init.inbound_proxy = &inbound_;
   init.links = &links_;
+  init.quotas = &quotas_;
   init.suspects = &suspects_;
   init.on_crash_evidence = [this](std::vector<CrashEvidence> evidence) {
     OnCrashEvidence(std::move(evidence));
@@ -467,6 +498,7 @@
         if (const auto* parsed = std::get_if<platform::Bounds>(&bounds)) {
           bounds_ = *parsed;
           outbound_.SetRetryAllowance(AllowanceLimits());
+          quotas_.SetLimits(RequestQuotaLimits());
         }
         Log(LogLevel::kInfo, kLogComponent, "Reloaded the settings.",
             {{"why", why}, {"service", settings_.service}});
@@ -537,6 +569,7 @@
       if (rollouts_) {
         rollouts_->Tick(now);
       }
+      quotas_.Tick(now);
       FlushLog();
     }
   });
--- a/src/mesh/sidecar.h
+++ b/src/mesh/sidecar.h
@@ -29,6 +29,7 @@
 #include "mesh/link_hub.h"
 #include "mesh/outbound_proxy.h"
 #include "mesh/paced_sender.h"
+#include "mesh/quota_service.h"
 #include "mesh/record_publisher.h"
 #include "mesh/rollout_service.h"
 #include "mesh/store_follower.h"
@@ -61,6 +62,7 @@
   InboundProxy::Init InboundProxyInit();
   LinkHub::Init HubInit();
   std::unique_ptr<RolloutService> MakeRollouts();
+  QuotaService::Init QuotasInit();
   OutboundProxy::Init OutboundProxyInit();
   StoreFollower::Init FollowerInit(std::string_view kind);
   StoreFollower::Init ConfigurationInit();
@@ -130,6 +132,7 @@
   std::optional<Time> ConfigurationConfirmed() const;
   Duration ConfigurationAge() const;
   FleetRetryBudgetLimits AllowanceLimits() const;
+  QuotaLimits RequestQuotaLimits() const;
   void RecordLoopLag(Duration lag);
   void SchedulePeriodicWork();
 
@@ -158,6 +161,7 @@
   PacedSender sender_;
   InboundProxy inbound_;
   LinkHub links_;
+  QuotaService quotas_;
   std::unique_ptr<RolloutService> rollouts_;  // Null: exposure is unbounded.
   OutboundProxy outbound_;
   StoreFollower configuration_follower_;
--- a/src/mesh/sidecar_control.cc
+++ b/src/mesh/sidecar_control.cc
@@ -35,7 +35,7 @@
         {{"target", head.target}, {"error", error->reason}});
     exchange->Send(kBadRequest, JsonHeaders(), "{}");
   } else {
-    exchange->Send(kNotFound, JsonHeaders(), "{}");
+    exchange->Send(kHttpNotFound, JsonHeaders(), "{}");
   }
 }
 
