--- a/bench/call_decisions_bench.cc
+++ b/bench/call_decisions_bench.cc
@@ -11,8 +11,10 @@
 #include "core/admission.h"
 #include "core/attempt_registry.h"
 #include "core/balancer.h"
+#include "core/group_keys.h"
 #include "core/retry_policy.h"
 #include "core/route_index.h"
+#include "core/route_table.h"
 
 namespace verbenastile {
 namespace {
@@ -217,6 +219,69 @@
 }
 BENCHMARK(AttemptRegistryOffer);
 
+constexpr std::size_t kGroupsWithKeys = 90;
+constexpr std::size_t kRoutes = 1'600;
+
+std::string KeyNumber(std::size_t number) {
+  return fmt::format("{:08}rcpihhacrudd", number);
+}
+
+RuleDocument DocumentWithKeys(std::size_t keys) {
+  RuleDocument document;
+  document.callers_need_keys = true;
+  document.services.push_back({"service-0", {}, {}});
+  for (std::size_t i = 0; i < kGroupsWithKeys; ++i) {
+    document.groups.push_back({fmt::format("group-{}", i), 1, {}});
+  }
+  for (std::size_t i = 0; i < keys; ++i) {
+    document.groups[i % kGroupsWithKeys].keys.push_back(KeyNumber(i));
+  }
+  for (std::size_t i = 0; i < kRoutes; ++i) {
+    Rule rule;
+    rule.id = fmt::format("r-{}", i);
+    rule.match.host = fmt::format("h{}.example", i % 4);
+    rule.match.path_prefix = fmt::format("/p{:05}/", i);
+    RouteAction action;
+    action.targets.push_back({"service-0", 1});
+    rule.action = std::move(action);
+    document.rules.push_back(std::move(rule));
+  }
+  return document;
+}
+
+// The digest of a key that a caller presents, and the lookup of its group.
+void GroupOfKey(benchmark::State& state) {
+  const auto keys = static_cast<std::size_t>(state.range(0));
+  const GroupKeys table(DocumentWithKeys(keys).groups, 1);
+  std::mt19937_64 random(1);
+  std::vector<std::string> presented;
+  for (std::size_t i = 0; i < kRequests; ++i) {
+    presented.push_back(KeyNumber(random() % keys));
+  }
+  std::size_t next = 0;
+  for (auto _ : state) {
+    benchmark::DoNotOptimize(table.Find(presented[next++ % kRequests]));
+  }
+  state.counters["bytes_per_key"] =
+      static_cast<double>(table.bytes()) / static_cast<double>(keys);
+}
+BENCHMARK(GroupOfKey)->Arg(90)->Arg(2'000)->Arg(5'000)->Arg(20'000);
+
+// A configuration of 1,600 routes and 90 groups is put in force.
+void CompileWithKeys(benchmark::State& state) {
+  const RuleDocument document =
+      DocumentWithKeys(static_cast<std::size_t>(state.range(0)));
+  for (auto _ : state) {
+    state.PauseTiming();
+    RuleDocument copy = document;
+    state.ResumeTiming();
+    benchmark::DoNotOptimize(leaf::try_handle_all(
+        [&] { return RouteTable::Compile(1, std::move(copy)); },
+        [] { return RouteTable(); }));
+  }
+}
+BENCHMARK(CompileWithKeys)->Arg(0)->Arg(2'000)->Arg(5'000);
+
 void RetryDecisionTaken(benchmark::State& state) {
   RetryPolicy policy;
   std::mt19937_64 random(1);
--- a/src/mesh/outbound_keys.cc
+++ b/src/mesh/outbound_keys.cc
@@ -4,12 +4,15 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/log.h"
 #include "io/http_status.h"
 #include "mesh/outbound_proxy.h"
 
 namespace verbenastile {
 namespace {
 
+constexpr std::string_view kLogComponent = "groups";
+
 // Covers a request to a peer for a newer configuration.
 constexpr Duration kInDoubtRetryAfter = std::chrono::milliseconds(500);
 
@@ -92,9 +95,21 @@
 
 void OutboundProxy::FailForKey(CallId id, KeyVerdict verdict) {
   const bool in_doubt = verdict == KeyVerdict::kInDoubt;
+  Call& call = calls_.at(id);
   if (in_doubt) {
-    calls_.at(id).retry_after = kInDoubtRetryAfter;
+    call.retry_after = kInDoubtRetryAfter;
   }
+  const auto behind = init_.configuration_behind();
+  Log(LogLevel::kInfo, kLogComponent, "Refused a request for its key.",
+      {{"request", call.request_id},
+       {"key", ToString(verdict)},
+       {"rule", call.rule->id},
+       {"in_force", init_.applier->generation()},
+       {"groups", init_.applier->table()->document().groups.size()},
+       {"config_age_ms", ToMilliseconds(init_.configuration_age())},
+       {"newer_known", behind.has_value()},
+       {"behind_ms", ToMilliseconds(behind.value_or(Duration::zero()))},
+       {"fail_closed", init_.key_limits().fail_closed}});
   Fail(id, in_doubt ? kUnavailable : kUnauthorized, ReasonFor(verdict));
 }
 
