Tenants that are not a table reject the configuration

Cause: by reading: a table of tenants of another type was read as no tenants, so that everyone would have been served without a key.

--- a/tests/key_check_test.cc
+++ b/tests/key_check_test.cc
@@ -97,6 +97,14 @@
       CHECK(none.FindGroupByKey(none.DigestOfKey("car-1")) == nullptr);
     }
   }
+  GIVEN("tenants that are not a table") {
+    json spec = GroupsSpec();
+    spec["tenants"] = json::array();
+    THEN("the configuration is rejected: nobody is served without a key") {
+      CHECK(std::holds_alternative<platform::FormatError>(
+          platform::ParseConfiguration(spec.dump())));
+    }
+  }
   GIVEN("invalid tenants") {
     json spec = GroupsSpec();
     json& cars_spec = spec["tenants"]["cars"];
