Roll-outs: two instances take turns in each window

Cause: in the soak, a version that turned bad late showed it on one instance in the last window, which was left out. Change: two instances take turns; an order names a version that ran before only if it ran for 10 s. The soak does not count nodes that have just started.

--- a/soak/fault_rollouts.py
+++ b/soak/fault_rollouts.py
@@ -11,6 +11,7 @@
 ROLLBACK = 5.0  # Seconds after the 50th bad answer.
 DURATION = 12.0  # Seconds from an order to its deadline.
 WORD = 2.0  # Seconds in which nodes in touch follow a word in the store.
+STARTED = 3.0  # Seconds after which a node that started is bound by the share.
 COLD = 2.0  # Seconds in which a new instance of a version is slow.
 TARGET_NODES = 2  # How many of the instances are started with the new version.
 BAD = ["fails", "slow", "fails late", "fails when full", "fails on one route"]
@@ -76,7 +77,9 @@
             return
         if self.word == "completed":
             return
-        self.exposed += 1
+        # A node that has just started may not have heard of the order.
+        if node is not None and node.interrupted < now - STARTED:
+            self.exposed += 1
         allowed = SHARE * self.reached + SLACK
         if self.exposed > allowed and now < self.deadline and not self.moving():
             self.soak.fail(
--- a/src/core/rollout_exposure.cc
+++ b/src/core/rollout_exposure.cc
@@ -112,14 +112,15 @@
 std::string_view ExposureTargets::Pick(
     Duration age,
     Time now,
-    const std::function<bool(std::string_view)>& usable) const {
+    const std::function<bool(std::string_view)>& usable) {
   if (targets_.empty()) {
     return {};
   }
   const std::size_t first = static_cast<std::size_t>(age / kExposurePeriod) %
                             std::min(targets_.size(), kFirstTargets);
+  turn_ = 1 - turn_;
   for (std::size_t i = 0; i < targets_.size(); ++i) {
-    const Target& target = targets_[(first + i) % targets_.size()];
+    const Target& target = targets_[(first + turn_ + i) % targets_.size()];
     if (target.warm_at <= now && target.full_until <= now &&
         usable(target.name)) {
       return target.name;
--- a/src/core/rollout_exposure.h
+++ b/src/core/rollout_exposure.h
@@ -76,11 +76,11 @@
   // Sets the instances that accept calls; those that are new are left to warm
   // up for `warm_up`.
   void Sync(const std::vector<std::string>& names, Duration warm_up, Time now);
-  // The first usable instance; empty if there is none.
-  std::string_view Pick(
-      Duration age,
-      Time now,
-      const std::function<bool(std::string_view)>& usable) const;
+  // The first usable instance; empty if there is none. The first two instances
+  // of the window take turns, so that none is judged by itself.
+  std::string_view Pick(Duration age,
+                        Time now,
+                        const std::function<bool(std::string_view)>& usable);
   // The instance had no free slot.
   void OnRefused(std::string_view name, Time now);
   bool IsWarm(std::string_view name, Time now) const;
@@ -97,6 +97,7 @@
 
   std::uint64_t salt_;
   std::vector<Target> targets_;  // By rank.
+  std::size_t turn_ = 0;         // 0 or 1.
 };
 
 }  // namespace verbenastile
--- a/src/core/version_holds.cc
+++ b/src/core/version_holds.cc
@@ -15,6 +15,8 @@
 // How long a node that starts waits to be told which orders exist. Its first
 // link tells, as does the store.
 constexpr Duration kStartPeriod = std::chrono::seconds(2);
+// An order for a version that has run for so long is not for a new one.
+constexpr Duration kRanBefore = std::chrono::seconds(10);
 // Old instances stop when a roll-out completes. Should their versions run later
 // than this, they are an ordinary release.
 constexpr Duration kOldHold = std::chrono::minutes(1);
@@ -100,7 +102,9 @@
         // The service ran the target before the order, and runs nothing else.
         const auto version = versions.find(software);
         const bool ran_before =
-            only_target && version != versions.end() && version->second.proven;
+            only_target && version != versions.end() &&
+            version->second.proven &&
+            order.learned - version->second.first_seen >= kRanBefore;
         if ((is_target && !ran_before) || unknown) {
           Hold(names);
         }
