Quotas: a coordinator hands over what is left of its buckets

Change: the earlier coordinator, if it lives, gives what is left in its bucket to the next; requests wait 1 s at most. Result: module tests pass; none is refused when a coordinator comes back.

--- a/src/core/group_quotas.cc
+++ b/src/core/group_quotas.cc
@@ -17,15 +17,22 @@
     }
   }
   peers_.SetGroups(std::move(names), now);
+  OnCoordinatorsChanged(now);
+}
+
+void GroupQuotas::OnCoordinatorsChanged(Time now) {
   borrower_.OnCoordinatorsChanged(now);
-  coordinator_.KeepOnly(peers_);
+  for (const auto& left : coordinator_.KeepOnly(peers_, now)) {
+    if (!peers_.CoordinatorOf(left.group).empty()) {
+      borrower_.HandOver(left.group, left.quota, left.tokens, now);
+    }
+  }
 }
 
 void GroupQuotas::SetMembers(QuotaMembers members, Time now) {
   if (peers_.SetMembers(std::move(members.candidates), members.linked,
                         members.known, now)) {
-    borrower_.OnCoordinatorsChanged(now);
-    coordinator_.KeepOnly(peers_);
+    OnCoordinatorsChanged(now);
   }
 }
 
--- a/src/core/group_quotas.h
+++ b/src/core/group_quotas.h
@@ -82,6 +82,7 @@
   bool active() const { return !quotas_.empty(); }
 
  private:
+  void OnCoordinatorsChanged(Time now);
   QuotaLoan Answer(std::string_view member, const QuotaNeed& need, Time now);
 
   QuotaPeers peers_;
--- a/src/core/quota_borrower.cc
+++ b/src/core/quota_borrower.cc
@@ -17,8 +17,9 @@
 constexpr double kMinDemandAhead = 1;
 // A coordinator that does not answer for this long is taken as silent.
 constexpr Duration kAnswerTimeout = std::chrono::milliseconds(400);
-// The longest time that a request waits for tokens.
-constexpr Duration kMaxWait = std::chrono::milliseconds(400);
+// The longest time that a request waits for tokens: a coordinator that has just
+// taken over lends after half a second.
+constexpr Duration kMaxWait = std::chrono::seconds(1);
 // Spare tokens are used for this long after the last loan.
 constexpr Duration kSpareLifetime = kQuotaTokenLifetime;
 // Tokens that no request has used for this long are returned.
@@ -204,6 +205,15 @@
   return loan;
 }
 
+void QuotaBorrower::HandOver(std::string_view group,
+                             const RequestQuota& quota,
+                             std::uint32_t tokens,
+                             Time now) {
+  State& state = StateOf(group, quota, now);
+  state.returned += tokens;
+  Ask(state);
+}
+
 void QuotaBorrower::Ask(State& state) {
   if (!state.asked_at) {
     state.should_ask = true;
@@ -223,10 +233,7 @@
   need.held = state.tokens;
   need.returned = std::exchange(state.returned, 0);
   need.spare_used = std::exchange(state.spare_used, 0);
-  need.demand_milli =
-      need.returned > 0
-          ? 0
-          : static_cast<std::uint32_t>(Demand(state, now) * kMilli);
+  need.demand_milli = static_cast<std::uint32_t>(Demand(state, now) * kMilli);
   state.asked_at = now;
   return need;
 }
@@ -327,7 +334,8 @@
     }
     if (state.tokens > 0 && now - state.last_request >= kIdlePeriod &&
         !state.asked_at) {
-      state.returned = std::exchange(state.tokens, 0);
+      state.returned += std::exchange(state.tokens, 0);
+      state.arrivals = 0;
       Ask(state);
     }
   }
--- a/src/core/quota_coordinator.cc
+++ b/src/core/quota_coordinator.cc
@@ -89,6 +89,14 @@
   bucket.level = std::min(bucket.level, bucket.size);
 }
 
+void QuotaCoordinator::AddTokens(Bucket& bucket, Time now) {
+  const double added = bucket.rate * ToSeconds(now - bucket.refilled);
+  const double room = bucket.max_unused - bucket.outstanding;
+  bucket.refilled = now;
+  bucket.level = std::max(bucket.level,
+                          std::min({bucket.level + added, bucket.size, room}));
+}
+
 QuotaCoordinator::Bucket& QuotaCoordinator::Refill(std::string_view group,
                                                    const RequestQuota& quota,
                                                    Time since,
@@ -104,11 +112,7 @@
     SetQuota(created, quota, reach);
   }
   Bucket& bucket = found->second;
-  const double added = bucket.rate * ToSeconds(now - bucket.refilled);
-  const double room = bucket.max_unused - bucket.outstanding;
-  bucket.refilled = now;
-  bucket.level = std::max(bucket.level,
-                          std::min({bucket.level + added, bucket.size, room}));
+  AddTokens(bucket, now);
   SetQuota(bucket, quota, reach);
   if (now - bucket.summed_at >= kSumInterval) {
     SumBorrowers(bucket, now);
@@ -249,10 +253,24 @@
   return loan;
 }
 
-void QuotaCoordinator::KeepOnly(const QuotaPeers& peers) {
-  std::erase_if(buckets_, [&](const auto& entry) {
-    return !peers.Coordinates(entry.first);
-  });
+std::vector<QuotaCoordinator::Remainder> QuotaCoordinator::KeepOnly(
+    const QuotaPeers& peers,
+    Time now) {
+  std::vector<Remainder> remainders;
+  for (auto it = buckets_.begin(); it != buckets_.end();) {
+    auto& [group, bucket] = *it;
+    if (peers.Coordinates(group)) {
+      ++it;
+      continue;
+    }
+    AddTokens(bucket, now);
+    if (bucket.level >= 1) {
+      remainders.push_back(
+          {group, bucket.quota, static_cast<std::uint32_t>(bucket.level)});
+    }
+    it = buckets_.erase(it);
+  }
+  return remainders;
 }
 
 void QuotaCoordinator::OnMemberGone(std::string_view member) {
--- a/src/core/quota_coordinator.h
+++ b/src/core/quota_coordinator.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "base/time.h"
 #include "config/rules.h"
@@ -50,8 +51,15 @@
   void OnMemberGone(std::string_view member);
   // The member does not answer. It may use its spare tokens.
   void OnMemberSilent(std::string_view member);
-  // Forgets the groups that this node does not coordinate.
-  void KeepOnly(const QuotaPeers& peers);
+  // Tokens of a group that this node does not coordinate any more.
+  struct Remainder {
+    std::string group;
+    RequestQuota quota;
+    std::uint32_t tokens = 0;
+  };
+  // Forgets the groups that this node does not coordinate. Returns the tokens
+  // that were left of them.
+  std::vector<Remainder> KeepOnly(const QuotaPeers& peers, Time now);
 
   void SetLimits(const QuotaLimits& limits) { limits_ = limits; }
   std::size_t groups() const { return buckets_.size(); }
@@ -86,6 +94,7 @@
                  Time since,
                  double reach,
                  Time now);
+  static void AddTokens(Bucket& bucket, Time now);
   void SetQuota(Bucket& bucket, const RequestQuota& quota, double reach) const;
   static void SumBorrowers(Bucket& bucket, Time now);
   static bool IsScarce(const Bucket& bucket);
--- a/tests/quota_test.cc
+++ b/tests/quota_test.cc
@@ -134,6 +134,25 @@
   }
 }
 
+SCENARIO("a coordinator that comes gets what is left of the quota") {
+  const double rate = GENERATE(5.0, 60.0, 600.0);
+  CAPTURE(rate);
+  QuotaFleet fleet(kNodes, rate, Limits());
+  const std::size_t coordinator = fleet.Coordinator();
+  GIVEN("a group below its limit at other nodes, while another coordinates") {
+    const std::size_t first = coordinator < kNodes / 2 ? kNodes / 2 : 0;
+    fleet.Restart(coordinator, coordinator + 1, 8 * kSecond);
+    fleet.Run(5 * kSecond);
+    fleet.Call(rate / 1.6, first, first + kNodes / 2, 12 * kSecond);
+    WHEN("the coordinator starts again") {
+      fleet.Run(14 * kSecond);
+      THEN("nobody is refused") {
+        CHECK(fleet.refused() == 0);
+      }
+    }
+  }
+}
+
 SCENARIO("a quota is changed") {
   constexpr double kRate = 300;
   QuotaFleet fleet(kNodes, kRate, Limits());
