A timer that has expired does not reach an inbound proxy that is gone

Cause: seen once in the unit tests (a process that spun for half an hour): the handler of the tick timer was queued when the proxy was destroyed; cancelling does not take it back, and it walked the calls of the destroyed proxy (trace by gdb: CancelOverdue in a freed map). Only tests destroy a proxy while its loop runs. Change: the handlers hold a weak reference, and do nothing when it is gone.

--- a/src/mesh/inbound_crash.cc
+++ b/src/mesh/inbound_crash.cc
@@ -58,8 +58,9 @@
   instance_check_scheduled_ = true;
   instance_check_timer_.expires_after(kBreakSettleTime);
   instance_check_timer_.async_wait(
-      [this, broken_since = SteadyNow()](const asio::error_code& error) {
-        if (!error) {
+      [this, broken_since = SteadyNow(),
+       alive = std::weak_ptr(alive_)](const asio::error_code& error) {
+        if (!error && !alive.expired()) {
           instance_check_scheduled_ = false;
           CheckInstance(broken_since);
         }
--- a/src/mesh/inbound_proxy.cc
+++ b/src/mesh/inbound_proxy.cc
@@ -404,12 +404,13 @@
     return;
   }
   tick_timer_.expires_after(kTickInterval);
-  tick_timer_.async_wait([this](const asio::error_code& error) {
-    if (!error) {
-      ScheduleTick();
-      Tick();
-    }
-  });
+  tick_timer_.async_wait(
+      [this, alive = std::weak_ptr(alive_)](const asio::error_code& error) {
+        if (!error && !alive.expired()) {
+          ScheduleTick();
+          Tick();
+        }
+      });
 }
 
 void InboundProxy::LogCall(CallId id,
--- a/src/mesh/inbound_proxy.h
+++ b/src/mesh/inbound_proxy.h
@@ -195,6 +195,9 @@
   Random crash_numbers_;
   CallId last_id_ = 0;
   bool tick_scheduled_ = false;
+  // Timers that have expired run their handlers although they are cancelled;
+  // those that find this gone do nothing.
+  std::shared_ptr<const bool> alive_ = std::make_shared<const bool>(true);
   CounterHandle started_;
   CounterHandle refused_;
   CounterHandle shed_by_instance_;
