Quotas: a request waits for half of its time at most

Cause: a request with less than a second left waited for tokens until its deadline and got 504, which does not say that it has not run. Change: the wait ends at 1 s or half of the time left, with 503.

--- a/src/core/group_quotas.cc
+++ b/src/core/group_quotas.cc
@@ -51,7 +51,7 @@
   if (const auto need = borrower_.TakeNeed(group.name, now)) {
     borrower_.OnLoan(peers_.self(), Answer(peers_.self(), *need, now), now);
   }
-  return borrower_.Settle(group.name, now, now);
+  return borrower_.Settle(group.name, Time::max(), now);
 }
 
 GroupQuotas::Needs GroupQuotas::TakeNeeds(Time now) {
--- a/src/core/group_quotas.h
+++ b/src/core/group_quotas.h
@@ -51,9 +51,9 @@
 
   // Decides on a new request of a group that has a quota.
   QuotaVerdict Request(const Group& group, Time now);
-  // Decides again on a request that has waited since `since`.
-  QuotaVerdict Settle(std::string_view group, Time since, Time now) {
-    return borrower_.Settle(group, since, now);
+  // Decides again on a request that waits until `until` at most.
+  QuotaVerdict Settle(std::string_view group, Time until, Time now) {
+    return borrower_.Settle(group, until, now);
   }
   void StopWaiting(std::string_view group) { borrower_.StopWaiting(group); }
   // A request that was admitted did not run and never will.
--- a/src/core/quota_borrower.cc
+++ b/src/core/quota_borrower.cc
@@ -17,9 +17,6 @@
 constexpr double kMinDemandAhead = 1;
 // A coordinator that does not answer for this long is taken as silent.
 constexpr Duration kAnswerTimeout = std::chrono::milliseconds(400);
-// The longest time that a request waits for tokens: a coordinator that has just
-// taken over lends after half a second.
-constexpr Duration kMaxWait = std::chrono::seconds(1);
 // Spare tokens are used for this long after the last loan.
 constexpr Duration kSpareLifetime = kQuotaTokenLifetime;
 // Tokens that no request has used for this long are returned.
@@ -145,7 +142,7 @@
 }
 
 QuotaVerdict QuotaBorrower::Settle(std::string_view group,
-                                   Time since,
+                                   Time until,
                                    Time now) {
   const auto found = groups_.find(group);
   if (found == groups_.end()) {
@@ -160,7 +157,7 @@
     verdict.used_spare = used_spare;
   } else if (now < state.denied_until) {
     verdict = Refuse(state, now);
-  } else if (now - since >= kMaxWait) {
+  } else if (now >= until) {
     verdict = Explain(state, QuotaDecision::kUnknown, now);
     verdict.retry_after = kUnknownRetryAfter;
   } else {
--- a/src/core/quota_borrower.h
+++ b/src/core/quota_borrower.h
@@ -19,6 +19,10 @@
 
 namespace verbenastile {
 
+// The longest time that a request waits for tokens: a coordinator that has just
+// taken over lends after half a second.
+constexpr Duration kMaxQuotaWait = std::chrono::seconds(1);
+
 enum class QuotaDecision : std::uint8_t {
   kAdmit,
   kWait,     // For the coordinator's answer; ask `Settle` again.
@@ -44,8 +48,8 @@
 
   // Decides on a new request of `group`, which has a quota.
   QuotaVerdict Request(const Group& group, Time now);
-  // Decides again on a request that has waited since `since`.
-  QuotaVerdict Settle(std::string_view group, Time since, Time now);
+  // Decides again on a request that waits until `until` at most.
+  QuotaVerdict Settle(std::string_view group, Time until, Time now);
   // A request that was told to wait does not any more.
   void StopWaiting(std::string_view group);
   // A request that was admitted did not run and never will.
--- a/src/mesh/outbound_proxy.cc
+++ b/src/mesh/outbound_proxy.cc
@@ -197,7 +197,7 @@
     return true;
   }
   const QuotaVerdict verdict = init_.quotas->Request(
-      *call.group, id,
+      *call.group, id, call.deadline - call.begin,
       [this, id](const QuotaVerdict& settled) { OnQuotaVerdict(id, settled); });
   if (verdict.decision == QuotaDecision::kAdmit) {
     call.took_quota = true;
--- a/src/mesh/quota_service.cc
+++ b/src/mesh/quota_service.cc
@@ -1,5 +1,6 @@
 #include "mesh/quota_service.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "base/log.h"
@@ -35,6 +36,7 @@
 
 QuotaVerdict QuotaService::Request(const Group& group,
                                    CallId call,
+                                   Duration remaining,
                                    Callback callback) {
   const Time now = SteadyNow();
   UpdateMembers(now);
@@ -42,7 +44,8 @@
   SendNeeds(now);
   if (verdict.decision == QuotaDecision::kWait) {
     init_.metrics->Add(waited_);
-    waiters_[call] = {group.name, now, std::move(callback)};
+    waiters_[call] = {group.name, now + std::min(kMaxQuotaWait, remaining / 2),
+                      std::move(callback)};
   } else {
     Count(verdict);
   }
@@ -139,7 +142,7 @@
   for (auto it = waiters_.begin(); it != waiters_.end();) {
     const Waiter& waiter = it->second;
     const QuotaVerdict verdict =
-        quotas_.Settle(waiter.group, waiter.since, now);
+        quotas_.Settle(waiter.group, waiter.until, now);
     if (verdict.decision == QuotaDecision::kWait) {
       ++it;
       continue;
--- a/src/mesh/quota_service.h
+++ b/src/mesh/quota_service.h
@@ -40,8 +40,12 @@
   void SetGroups(const std::vector<Group>& groups);
 
   // Decides on a request of a group that has a quota. After `kWait`, `callback`
-  // gets the decision unless `StopWaiting` was called.
-  QuotaVerdict Request(const Group& group, CallId call, Callback callback);
+  // gets the decision unless `StopWaiting` was called. A request waits for half
+  // of its `remaining` time at most.
+  QuotaVerdict Request(const Group& group,
+                       CallId call,
+                       Duration remaining,
+                       Callback callback);
   void StopWaiting(CallId call);
   // A request that was admitted did not run and never will.
   void GiveBack(std::string_view group);
@@ -61,7 +65,7 @@
  private:
   struct Waiter {
     std::string group;
-    Time since;
+    Time until;
     Callback callback;
   };
 
--- a/tests/quota_fleet.h
+++ b/tests/quota_fleet.h
@@ -223,7 +223,8 @@
   void Work(std::size_t i) {
     Node& node = *nodes_[i];
     std::erase_if(node.waiting, [&](Time since) {
-      const QuotaVerdict verdict = node.quotas.Settle(group_.name, since, now_);
+      const QuotaVerdict verdict =
+          node.quotas.Settle(group_.name, since + kMaxQuotaWait, now_);
       if (verdict.decision != QuotaDecision::kWait) {
         Count(verdict);
         longest_wait_ = std::max(longest_wait_, now_ - since);
--- a/tests/quota_test.cc
+++ b/tests/quota_test.cc
@@ -189,6 +189,18 @@
   }
 }
 
+SCENARIO("a group without a quota costs nothing") {
+  GroupQuotas quotas("n1", Limits());
+  Group group;
+  group.name = "tenant";
+  quotas.SetGroups({&group, 1}, Time());
+  quotas.SetMembers({{"n1", "n2"}, 2, 2}, Time());
+  quotas.Tick(Time(kSecond));
+  CHECK_FALSE(GroupQuotas::HasQuota(group));
+  CHECK_FALSE(quotas.active());
+  CHECK(quotas.TakeNeeds(Time(kSecond)).empty());
+}
+
 SCENARIO("a request that did not run gives its token back") {
   constexpr double kRate = 10;
   GroupQuotas quotas("n1", {});
