Quotas: members that left as planned keep no part of a quota

Cause: after scale-ins and replacements, the records of members that have left stay known for up to 30 s and reserve R / N each. Change: a member that is not linked and said that it leaves is not counted.

--- a/src/mesh/quota_service.cc
+++ b/src/mesh/quota_service.cc
@@ -119,7 +119,8 @@
   for (const auto& [name, entry] : init_.member_registry->entries()) {
     const bool reachable = entry.linked || name == init_.node_name;
     const MemberState state = entry.record.member.state;
-    ++members.known;
+    // A member that left as planned admits nothing.
+    members.known += reachable || state <= MemberState::kSuspect ? 1 : 0;
     members.linked += reachable ? 1 : 0;
     if (reachable && state <= MemberState::kSuspect) {
       members.candidates.push_back(name);
