Roll-outs: the last windows are compared by themselves

Cause: in the soak, a version that turned bad after 40 good answers of the second instance was moved to. Change: the judge also compares what was added in the last windows. The soak counts from the order on.

--- a/soak/fault_rollouts.py
+++ b/soak/fault_rollouts.py
@@ -63,7 +63,7 @@
         return (work * 6 if slow else work), (500 if fails else 200)
 
     def on_run(self, instance, request):
-        if self.kind is None:
+        if not self.ordered:
             return
         now = time.monotonic()
         node, sent = self.soak.origins.get(request, (None, now))
@@ -146,13 +146,16 @@
                 instance.slots = 1
         self.begin_order(kind)
         self.soak.schedule.append(f"{self.began - self.soak.begin:.3f} s: {kind}")
-        await self.replace(chosen, self.target, True)
+        starting = asyncio.create_task(self.replace(chosen, self.target, True))
+        while all(i.version != self.target for i in chosen):
+            await asyncio.sleep(0.01)
         self.began = time.monotonic()
         self.deadline = self.began + DURATION
-        self.reached = self.exposed = 0
+        self.reached = self.exposed = self.bad = 0
         self.ordered = True
         await self.soak.store.change(protocol.ROLLOUTS, "booking", self.order())
         await self.await_word()
+        await starting
         self.ordered = False
         self.check_word()
         self.done.append(f"{kind}: {self.word}")
--- a/src/core/rollout_judge.cc
+++ b/src/core/rollout_judge.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <map>
 #include <numeric>
+#include <utility>
 #include <vector>
 
 namespace verbenastile {
@@ -43,6 +44,9 @@
 // So many answers of instances that are not left out are needed to tell the
 // version's faults from an instance's.
 constexpr std::uint64_t kMinCorroboration = 8;
+// Between two and three windows of exposed calls are looked at by themselves.
+constexpr Duration kSnapshotInterval = std::chrono::seconds(3);
+constexpr std::size_t kSnapshots = 3;
 // One part in this many of the target's instances is left out.
 constexpr std::size_t kLeftOutDivisor = 4;
 
@@ -257,26 +261,21 @@
   return rules;
 }
 
-}  // namespace
-
-std::string_view ToString(RolloutOpinion opinion) {
-  switch (opinion) {
-    case RolloutOpinion::kThin:
-      return "thin";
-    case RolloutOpinion::kSound:
-      return "sound";
-    case RolloutOpinion::kSuspicious:
-      return "suspicious";
-    case RolloutOpinion::kBad:
-      return "bad";
+// What was added to the counts since.
+OutcomeTable Since(const OutcomeTable& before, const OutcomeTable& totals) {
+  OutcomeTable added = totals;
+  for (auto& [key, counts] : added) {
+    const auto found = before.find(key);
+    if (found != before.end()) {
+      counts.Subtract(found->second);
+    }
   }
-  return "unknown";
+  return added;
 }
 
-RolloutFinding RolloutJudge::Evaluate(const OutcomeTable& totals,
-                                      std::size_t instances,
-                                      Time now) {
-  auto rules = GroupByRule(totals);
+// Compares by rule and over all rules.
+RolloutFinding CompareVersions(const std::map<std::string, RuleOutcomes>& rules,
+                               std::size_t instances) {
   Findings findings(instances);
   RolloutFinding& finding = findings.finding();
   TalliesByInstance failures;
@@ -297,6 +296,40 @@
   }
   findings.Add({}, false, failures);
   findings.Add({}, true, slow);
+  return finding;
+}
+
+}  // namespace
+
+std::string_view ToString(RolloutOpinion opinion) {
+  switch (opinion) {
+    case RolloutOpinion::kThin:
+      return "thin";
+    case RolloutOpinion::kSound:
+      return "sound";
+    case RolloutOpinion::kSuspicious:
+      return "suspicious";
+    case RolloutOpinion::kBad:
+      return "bad";
+  }
+  return "unknown";
+}
+
+RolloutFinding RolloutJudge::Evaluate(const OutcomeTable& totals,
+                                      std::size_t instances,
+                                      Time now) {
+  const auto rules = GroupByRule(totals);
+  RolloutFinding finding = CompareVersions(rules, instances);
+  if (!snapshots_.empty()) {
+    RolloutFinding recent = CompareVersions(
+        GroupByRule(Since(snapshots_.front().totals, totals)), instances);
+    if (recent.opinion > finding.opinion) {
+      recent.target_responses = finding.target_responses;
+      recent.old_responses = finding.old_responses;
+      finding = std::move(recent);
+    }
+  }
+  TakeSnapshot(totals, now);
   if (finding.opinion == RolloutOpinion::kBad && finding.bad < kManyBad) {
     if (!suspicious_since_) {
       suspicious_since_ = now;
@@ -323,6 +356,17 @@
   return finding;
 }
 
+void RolloutJudge::TakeSnapshot(const OutcomeTable& totals, Time now) {
+  if (!snapshots_.empty() &&
+      now - snapshots_.back().taken < kSnapshotInterval) {
+    return;
+  }
+  snapshots_.push_back({now, totals});
+  if (snapshots_.size() > kSnapshots) {
+    snapshots_.pop_front();
+  }
+}
+
 Duration RolloutMargin(Duration duration) {
   return std::clamp(duration / 4, kMinMargin, kMaxMargin);
 }
--- a/src/core/rollout_judge.h
+++ b/src/core/rollout_judge.h
@@ -4,6 +4,7 @@
 #define CORE_ROLLOUT_JUDGE_H_
 
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -45,6 +46,16 @@
                           Time now);
 
  private:
+  struct Snapshot {
+    Time taken;
+    OutcomeTable totals;
+  };
+
+  void TakeSnapshot(const OutcomeTable& totals, Time now);
+
+  // Of the last seconds, the oldest first: a version that has turned bad is
+  // seen in what was added since.
+  std::deque<Snapshot> snapshots_;
   // When bad answers were first suspicious; empty: they are not.
   std::optional<Time> suspicious_since_;
   std::uint64_t suspicious_bad_ = 0;  // At that time.
