Room: queues by rank and slack where callers have groups

Cause: the gate queued a call only if it would end within 0.6 of its objective, which left balance-check no queue on an instance that wallet-topup shares; nested calls waited for slots that patient statements held; a group that sent more than usual took room from all.

Change: core/queue_policy ranks calls by the priority of the group, its share, the priority of the rule and patience, gives the kinds of a rank one limit, and keeps a slot for urgent kinds; core/group_shares tells which groups hold more than their share by quota. Calls without a key, where callers need keys, are nested and go first. Calls without groups are queued as before.

--- a/src/core/admission.cc
+++ b/src/core/admission.cc
@@ -11,17 +11,10 @@
 constexpr std::int64_t kTagScale = 1'000'000;
 // Tags beyond this are rebased to zero, well before they overflow.
 constexpr std::int64_t kRebaseThreshold = std::int64_t{1} << 60;
-constexpr std::int64_t kAverageWindow = 8;
-// Larger samples are capped at this multiple of the average, so that one long
-// stream does not make every other call look hopeless.
-constexpr std::int64_t kMaxSampleToMeanRatio = 4;
 constexpr Duration kDefaultServiceTime = std::chrono::milliseconds(1);
+constexpr std::int64_t kPermille = 1'000;
 constexpr std::string_view kSharedQueueName = "";
 
-std::size_t IndexOf(Priority priority) {
-  return static_cast<std::size_t>(priority);
-}
-
 }  // namespace
 
 std::string_view ToString(AdmissionRefusal refusal) {
@@ -44,6 +37,8 @@
       return "duplicate_id";
     case AdmissionRefusal::kWouldBeLate:
       return "would_be_late";
+    case AdmissionRefusal::kNoFreeSlot:
+      return "no_free_slot";
   }
   return "unknown";
 }
@@ -54,31 +49,42 @@
 AdmissionResult Admission::Offer(const AdmissionOffer& offer, Time now) {
   AdmissionResult result;
   Group& group = FindOrAddGroup(offer);
-  ServiceTimeStats* call_class = FindOrAddCallClass(offer.call_class);
-  last_offered_[IndexOf(offer.priority)] = now;
-  result.refusal = CheckOffer(offer, group, call_class, now);
-  if (result.refusal == AdmissionRefusal::kNone && CanStartNow(now)) {
-    Call& call = calls_[offer.id];
-    call = {&group, call_class, offer.priority, now, offer.deadline, false,
-            now,    {}};
+  CallClass* call_class = FindOrAddCallClass(offer, now);
+  Call call;
+  call.needs = NeedsOf(offer, call_class, now);
+  call.caller_group = offer.caller_group;
+  call.caller_weight = offer.caller_weight;
+  const CallRank rank = policy_.OnOffered(call.needs, now);
+  call.group = &group;
+  call.call_class = call_class;
+  call.service_time = EstimateServiceTime(&group, call_class);
+  call.key = KeyOf(offer, rank, call.service_time, now);
+  call.by_slack = offer.by_slack;
+  call.arrived = now;
+  call.deadline = offer.deadline;
+  const bool starts_now = CanStartNow(now) || CanStartNow(offer, now);
+  result.refusal = CheckOffer(offer, call, starts_now, now);
+  if (result.refusal == AdmissionRefusal::kNone && starts_now) {
     SetTag(group, std::max(group.start_tag, virtual_time_));
-    Start(offer.id, call, now);
+    Start(offer.id, calls_[offer.id] = call, now);
     ++stats_.admitted;
     result.verdict = AdmissionVerdict::kAdmitted;
     return result;
   }
   if (result.refusal == AdmissionRefusal::kNone &&
-      !MakeQueueSpace(group, offer.priority, result.actions)) {
-    result.refusal = group.queued >= limits_.max_queued_per_group
+      !MakeQueueSpace(group, rank, result.actions)) {
+    result.refusal = group.queue.size() >= limits_.max_queued_per_group
                          ? AdmissionRefusal::kGroupQueueFull
                          : AdmissionRefusal::kQueueFull;
   }
   if (result.refusal != AdmissionRefusal::kNone) {
     ++stats_.refused;
-    result.retry_after = ExpectedWait(group, offer.priority, now);
+    result.retry_after = ExpectedWait(call, now);
+    refusal_inputs_ = {rank, result.retry_after, WaitLimit(offer, call, now),
+                       call.service_time};
     return result;
   }
-  Enqueue(offer, group, call_class, now);
+  Enqueue(offer.id, call);
   result.verdict = AdmissionVerdict::kQueued;
   return result;
 }
@@ -97,7 +103,7 @@
     groups_by_id_[group.group_id] = &group;
   }
   Group& group = found->second;
-  if (group.queued > 0) {
+  if (!group.queue.empty()) {
     backlogged_weight_ += weight;
     backlogged_weight_ -= group.weight;
   }
@@ -106,8 +112,8 @@
 }
 
 AdmissionRefusal Admission::CheckOffer(const AdmissionOffer& offer,
-                                       const Group& group,
-                                       const ServiceTimeStats* call_class,
+                                       const Call& call,
+                                       bool starts_now,
                                        Time now) const {
   if (calls_.contains(offer.id)) {
     return AdmissionRefusal::kDuplicateId;
@@ -118,115 +124,175 @@
   if (offer.deadline <= now) {
     return AdmissionRefusal::kDeadlinePassed;
   }
-  const bool starts_now = CanStartNow(now);
-  if (!starts_now && limits_.refuse_early &&
-      now + ExpectedWait(group, offer.priority, now) +
-              RequiredTime(group, call_class, offer.deadline - now) >
-          offer.deadline) {
-    return AdmissionRefusal::kWouldMissDeadline;
+  if (!starts_now && offer.only_if_free) {
+    return AdmissionRefusal::kNoFreeSlot;
   }
-  if (!starts_now && limits_.refuse_early &&
-      WouldBeLate(offer, group, call_class, now)) {
-    return AdmissionRefusal::kWouldBeLate;
+  if (starts_now || !limits_.refuse_early) {
+    return AdmissionRefusal::kNone;
   }
-  return AdmissionRefusal::kNone;
-}
-
-bool Admission::WouldBeLate(const AdmissionOffer& offer,
-                            const Group& group,
-                            const ServiceTimeStats* call_class,
-                            Time now) const {
-  constexpr std::int64_t kPermille = 1'000;
-  if (!offer.soft_deadline) {
-    return false;
+  const Duration wait = ExpectedWait(call, now);
+  if (now + wait + RequiredTime(call, offer.deadline - now) > offer.deadline) {
+    return AdmissionRefusal::kWouldMissDeadline;
   }
-  const std::uint32_t permille = HasLowerPriorityTraffic(offer.priority, now)
-                                     ? limits_.urgent_queue_permille
-                                     : limits_.queue_permille;
-  const Duration available =
-      (*offer.soft_deadline - now) * permille / kPermille;
-  return ExpectedWait(group, offer.priority, now) +
-             EstimateServiceTime(group, call_class) >
-         available;
+  return wait > WaitLimit(offer, call, now) ? AdmissionRefusal::kWouldBeLate
+                                            : AdmissionRefusal::kNone;
 }
 
-Admission::ServiceTimeStats* Admission::FindOrAddCallClass(
-    std::string_view call_class) {
-  if (call_class.empty()) {
+// The longest wait with which the call is queued.
+Duration Admission::WaitLimit(const AdmissionOffer& offer,
+                              const Call& call,
+                              Time now) const {
+  if (!offer.soft_deadline) {
+    return Duration::max();
+  }
+  const Duration left = *offer.soft_deadline - now;
+  if (offer.by_slack && call.call_class != nullptr) {
+    const Duration slack = Slack(std::min(left, offer.deadline - now),
+                                 call.call_class->service_time);
+    return policy_.WaitLimit(call.key.rank, slack, NextSlotWait(), now);
+  }
+  const std::uint32_t permille =
+      policy_.HasLowerRanks(call.key.rank, now, limits_.priority_timeout)
+          ? limits_.urgent_queue_permille
+          : limits_.queue_permille;
+  return left * permille / kPermille - call.service_time;
+}
+
+// How long a call with `left` until it is late can wait for a slot.
+Duration Admission::Slack(Duration left, const ServiceTime& time) const {
+  return left * limits_.slack_permille / kPermille - time.mean - time.deviation;
+}
+
+// Calls that are not `by_slack` are ranked by their priority only.
+CallNeeds Admission::NeedsOf(const AdmissionOffer& offer,
+                             const CallClass* call_class,
+                             Time now) const {
+  CallNeeds needs;
+  needs.group_priority = offer.group_priority;
+  needs.priority = offer.priority;
+  needs.over_share = !offer.caller_group.empty() &&
+                     shares_.IsOver(offer.caller_group, slots_, now);
+  if (offer.by_slack && call_class != nullptr) {
+    needs.kind = {call_class->objective,
+                  Slack(call_class->objective, call_class->service_time)};
+  }
+  return needs;
+}
+
+Admission::QueueKey Admission::KeyOf(const AdmissionOffer& offer,
+                                     CallRank rank,
+                                     Duration service_time,
+                                     Time now) {
+  Time order = now;
+  if (offer.by_slack && offer.soft_deadline) {
+    // What is late anyway goes after what can still be in time.
+    const bool is_late = *offer.soft_deadline < now + service_time;
+    order = (is_late ? offer.deadline : *offer.soft_deadline) - service_time;
+  }
+  return {rank, order, ++arrivals_};
+}
+
+// Whether a call that goes before all others may take a slot.
+bool Admission::MayStart(const CallNeeds& needs,
+                         CallRank rank,
+                         Time now) const {
+  const std::uint32_t kept =
+      needs.kind
+          ? policy_.ReservedSlots(rank, needs.kind->objective, slots_, now)
+          : 0;
+  return busy_ + kept < slots_ && rate_limiter_.Wait(now) == Duration::zero();
+}
+
+bool Admission::CanStartNow(const AdmissionOffer& offer, Time now) const {
+  if (!offer.by_slack) {
+    return CanStartNow(now);
+  }
+  const auto found = call_classes_.find(offer.call_class);
+  const CallNeeds needs = NeedsOf(
+      offer, found == call_classes_.end() ? nullptr : &found->second, now);
+  const CallRank rank = policy_.RankOf(needs, now);
+  const bool is_first =
+      std::all_of(backlog_.begin(), backlog_.end(), [&](const auto& entry) {
+        return groups_by_id_.at(entry.second)->queue.begin()->first.rank > rank;
+      });
+  return is_first && MayStart(needs, rank, now);
+}
+
+Admission::CallClass* Admission::FindOrAddCallClass(const AdmissionOffer& offer,
+                                                    Time now) {
+  if (offer.call_class.empty()) {
     return nullptr;
   }
-  const auto found = call_classes_.find(call_class);
-  if (found != call_classes_.end()) {
-    return &found->second;
-  }
-  if (call_classes_.size() >= limits_.max_call_classes) {
-    return nullptr;
+  auto found = call_classes_.find(offer.call_class);
+  if (found == call_classes_.end()) {
+    if (call_classes_.size() >= limits_.max_call_classes) {
+      return nullptr;
+    }
+    found =
+        call_classes_.emplace(std::string(offer.call_class), CallClass{}).first;
+  }
+  CallClass& call_class = found->second;
+  if (offer.soft_deadline) {
+    const Duration objective =
+        std::min(*offer.soft_deadline, offer.deadline) - now;
+    const bool is_old =
+        now - call_class.objective_time > limits_.objective_max_age;
+    if (is_old || objective >= call_class.objective) {
+      call_class.objective = objective;
+      call_class.objective_time = now;
+    }
   }
-  return &call_classes_[std::string(call_class)];
+  return &call_class;
 }
 
 std::optional<Duration> Admission::ExpectedServiceTime(
     std::string_view call_class,
     Time now) const {
   const auto found = call_classes_.find(call_class);
-  if (found == call_classes_.end() || found->second.mean == Duration::zero()) {
+  if (found == call_classes_.end() ||
+      found->second.service_time.mean == Duration::zero()) {
     return std::nullopt;
   }
-  const ServiceTimeStats& stats = found->second;
-  if (now - stats.last_sample_time <= limits_.estimate_max_age) {
-    return stats.mean;
+  const CallClass& known = found->second;
+  if (now - known.last_sample_time <= limits_.estimate_max_age) {
+    return known.service_time.mean;
   }
-  if (stats.running.empty()) {
+  if (known.running.empty()) {
     return std::nullopt;
   }
-  return std::max(stats.mean, now - stats.running.begin()->first);
+  return std::max(known.service_time.mean, now - known.running.begin()->first);
 }
 
-Duration Admission::EstimateServiceTime(
-    const Group& group,
-    const ServiceTimeStats* call_class) const {
-  if (call_class != nullptr && call_class->mean > Duration::zero()) {
-    return call_class->mean;
-  }
-  if (group.service_time.mean > Duration::zero()) {
-    return group.service_time.mean;
+Duration Admission::EstimateServiceTime(const Group* group,
+                                        const CallClass* call_class) const {
+  for (const ServiceTime* known :
+       {call_class == nullptr ? nullptr : &call_class->service_time,
+        group == nullptr ? nullptr : &group->service_time, &service_time_}) {
+    if (known != nullptr && known->mean > Duration::zero()) {
+      return known->mean;
+    }
   }
-  return service_time_.mean > Duration::zero() ? service_time_.mean
-                                               : kDefaultServiceTime;
+  return kDefaultServiceTime;
 }
 
-// Whether calls of a lower priority have also arrived lately.
-bool Admission::HasLowerPriorityTraffic(Priority priority, Time now) const {
-  for (std::size_t i = IndexOf(priority) + 1; i < kPriorities; ++i) {
-    if (last_offered_[i] &&
-        now - *last_offered_[i] < limits_.priority_timeout) {
-      return true;
-    }
-  }
-  return false;
+Duration Admission::Deviation(const Group& group, const CallClass* call_class) {
+  return call_class != nullptr ? call_class->service_time.deviation
+                               : group.service_time.deviation;
 }
 
-// The time that a call should have left when it starts: the mean service time
-// plus two deviations, similar to the retransmission timeout of TCP (Jacobson
-// 1988). A call that arrives with less than that must still have three quarters
-// of its original time left, and at least the mean.
-Duration Admission::RequiredTime(const Group& group,
-                                 const ServiceTimeStats* call_class,
-                                 Duration whole) const {
-  const Duration mean = EstimateServiceTime(group, call_class);
-  const Duration deviation = call_class != nullptr
-                                 ? call_class->deviation
-                                 : group.service_time.deviation;
-  const Duration upper_bound = mean + 2 * deviation;
-  return std::min(upper_bound, std::max(mean, whole * 3 / 4));
+// The time that the call should have left when it starts, of the `whole` with
+// which it arrived.
+Duration Admission::RequiredTime(const Call& call, Duration whole) const {
+  return verbenastile::RequiredTime(
+      EstimateServiceTime(call.group, call.call_class),
+      Deviation(*call.group, call.call_class), whole);
 }
 
 AdmissionRefusal Admission::CheckStart(const Call& call, Time now) const {
   if (call.deadline <= now) {
     return AdmissionRefusal::kDeadlinePassed;
   }
-  const Duration needed =
-      RequiredTime(*call.group, call.call_class, call.deadline - call.arrived);
+  const Duration needed = RequiredTime(call, call.deadline - call.arrived);
   if (limits_.refuse_early && call.deadline < now + needed) {
     return AdmissionRefusal::kWouldMissDeadline;
   }
@@ -236,26 +302,48 @@
 // The time until all queued calls ahead of this one have run on the slots that
 // are the fair share of the group, or until the rate limit lets it start if
 // that is later.
-Duration Admission::ExpectedWait(const Group& group,
-                                 Priority priority,
-                                 Time now) const {
+Duration Admission::ExpectedWait(const Call& call, Time now) const {
+  const Group& group = *call.group;
   std::int64_t calls_ahead = 1;
-  for (std::size_t i = 0; i <= IndexOf(priority); ++i) {
-    calls_ahead += static_cast<std::int64_t>(group.queues[i].size());
+  for (std::size_t i = 0; i <= call.key.rank; ++i) {
+    calls_ahead += group.queued_by_rank[i];
   }
   const std::uint64_t total_weight =
-      backlogged_weight_ + (group.queued > 0 ? 0 : group.weight);
+      backlogged_weight_ + (group.queue.empty() ? group.weight : 0);
   const std::int64_t share_divisor = static_cast<std::int64_t>(
       std::max<std::uint64_t>(total_weight / group.weight, 1));
   const std::int64_t slots = std::max<std::int64_t>(slots_, 1);
   const Duration slot_wait =
-      EstimateServiceTime(group, nullptr) * calls_ahead * share_divisor / slots;
+      call.by_slack
+          ? policy_.ExpectedWait(call.key.rank, WorkAhead(call) * share_divisor,
+                                 slots_, now)
+          : EstimateServiceTime(&group, nullptr) * calls_ahead * share_divisor /
+                slots;
   const Duration rate_wait =
       rate_limiter_.Wait(now) +
       rate_limiter_.interval() * (calls_ahead * share_divisor - 1);
   return std::max(slot_wait, rate_wait);
 }
 
+// The expected time until one of the running calls ends.
+Duration Admission::NextSlotWait() const {
+  return EstimateServiceTime(nullptr, nullptr) /
+         std::max<std::int64_t>(slots_, 1);
+}
+
+// The slot time of the queued calls of the group that run before this one, and
+// of one that runs now.
+Duration Admission::WorkAhead(const Call& call) const {
+  Duration work = EstimateServiceTime(nullptr, nullptr);
+  for (const auto& [key, id] : call.group->queue) {
+    if (call.key < key) {
+      break;
+    }
+    work += calls_.at(id).service_time;
+  }
+  return work;
+}
+
 Duration Admission::RateLimitDelay(Time now) const {
   return rate_limiter_.Wait(now) +
          rate_limiter_.interval() * static_cast<std::int64_t>(queued_);
@@ -265,37 +353,32 @@
 // priority or of a group with a longer queue. Returns false if there is none to
 // refuse.
 bool Admission::MakeQueueSpace(Group& group,
-                               Priority priority,
+                               CallRank rank,
                                AdmissionActions& actions) {
-  if (group.queued >= limits_.max_queued_per_group) {
-    return EvictLowerPriority(group, IndexOf(priority), actions);
+  if (group.queue.size() >= limits_.max_queued_per_group) {
+    return EvictLowerRank(group, rank, actions);
   }
   if (queued_ < limits_.max_queued) {
     return true;
   }
   Group* longest = FindLongestQueue(group);
   if (longest == nullptr) {
-    return EvictLowerPriority(group, IndexOf(priority), actions);
-  }
-  for (std::size_t i = kPriorities; i-- > 0;) {
-    if (!longest->queues[i].empty()) {
-      Refuse(longest->queues[i].back(), AdmissionRefusal::kDisplaced, actions);
-      return true;
-    }
+    return EvictLowerRank(group, rank, actions);
   }
-  return false;
+  Refuse(longest->queue.rbegin()->second, AdmissionRefusal::kDisplaced,
+         actions);
+  return true;
 }
 
-bool Admission::EvictLowerPriority(Group& group,
-                                   std::size_t priority,
-                                   AdmissionActions& actions) {
-  for (std::size_t i = kPriorities; i-- > priority + 1;) {
-    if (!group.queues[i].empty()) {
-      Refuse(group.queues[i].back(), AdmissionRefusal::kDisplaced, actions);
-      return true;
-    }
+bool Admission::EvictLowerRank(Group& group,
+                               CallRank rank,
+                               AdmissionActions& actions) {
+  const auto last = group.queue.rbegin();
+  if (last == group.queue.rend() || last->first.rank <= rank) {
+    return false;
   }
-  return false;
+  Refuse(last->second, AdmissionRefusal::kDisplaced, actions);
+  return true;
 }
 
 // The group with the longest queue relative to its weight, if that queue is
@@ -310,32 +393,29 @@
   };
   for (const auto& [start_tag, group_id] : backlog_) {
     Group* group = groups_by_id_[group_id];
-    if (longest == nullptr ||
-        is_longer(group->queued, *group, longest->queued, *longest)) {
+    if (longest == nullptr || is_longer(group->queue.size(), *group,
+                                        longest->queue.size(), *longest)) {
       longest = group;
     }
   }
-  const bool found =
-      longest != nullptr && longest != &incoming &&
-      is_longer(longest->queued, *longest, incoming.queued + 1, incoming);
+  const bool found = longest != nullptr && longest != &incoming &&
+                     is_longer(longest->queue.size(), *longest,
+                               incoming.queue.size() + 1, incoming);
   return found ? longest : nullptr;
 }
 
-void Admission::Enqueue(const AdmissionOffer& offer,
-                        Group& group,
-                        ServiceTimeStats* call_class,
-                        Time now) {
-  calls_[offer.id] = {
-      &group, call_class, offer.priority, now, offer.deadline, false, {}, {}};
-  group.queues[IndexOf(offer.priority)].push_back(offer.id);
-  if (group.queued == 0) {
+void Admission::Enqueue(CallId id, const Call& call) {
+  Group& group = *call.group;
+  calls_[id] = call;
+  if (group.queue.empty()) {
     group.start_tag = std::max(group.start_tag, virtual_time_);
     backlog_.emplace(group.start_tag, group.group_id);
     backlogged_weight_ += group.weight;
   }
-  ++group.queued;
+  group.queue.emplace(call.key, id);
+  ++group.queued_by_rank[call.key.rank];
   ++queued_;
-  deadlines_.emplace(offer.deadline, offer.id);
+  deadlines_.emplace(call.deadline, id);
   ++stats_.queued;
 }
 
@@ -343,7 +423,8 @@
   Group& group = *call.group;
   call.running = true;
   call.started = now;
-  call.charged_time = EstimateServiceTime(group, call.call_class);
+  call.charged_time = EstimateServiceTime(&group, call.call_class);
+  AddToShare(call, call.charged_time, now);
   running_calls_.insert(id);
   rate_limiter_.OnStarted(now);
   if (call.call_class != nullptr) {
@@ -363,7 +444,11 @@
   while (busy_ < slots_ && !backlog_.empty() &&
          rate_limiter_.Wait(now) == Duration::zero()) {
     Group& group = *groups_by_id_[backlog_.begin()->second];
-    const CallId id = SelectNext(group);
+    const auto next = SelectNext(group, now);
+    if (!next) {
+      break;
+    }
+    const CallId id = *next;
     Call& call = calls_[id];
     const AdmissionRefusal refusal = CheckStart(call, now);
     if (refusal != AdmissionRefusal::kNone) {
@@ -382,22 +467,28 @@
   }
 }
 
-// Selects the next call of the group: the one of the highest priority, unless a
-// lower priority has reached `max_bypasses`.
-CallId Admission::SelectNext(Group& group) {
-  std::size_t chosen = kPriorities;
-  for (std::size_t i = 0; i < kPriorities; ++i) {
-    const bool is_waiting = !group.queues[i].empty();
-    const bool must_run = group.bypass_counts[i] >= limits_.max_bypasses;
-    if (is_waiting && (chosen == kPriorities || must_run)) {
-      chosen = i;
+// Selects the next call of the group: the first one, unless a lower rank has
+// reached `max_bypasses`. Returns nothing if the free slot is kept for a more
+// urgent call.
+std::optional<CallId> Admission::SelectNext(Group& group, Time now) {
+  auto chosen = group.queue.end();
+  for (CallRank rank = 0; rank < kRanks; ++rank) {
+    const bool is_waiting = group.queued_by_rank[rank] > 0;
+    const bool must_run = group.bypass_counts[rank] >= limits_.max_bypasses;
+    if (is_waiting && (chosen == group.queue.end() || must_run)) {
+      chosen = group.queue.lower_bound({rank, Time::min(), 0});
     }
   }
-  for (std::size_t i = chosen + 1; i < kPriorities; ++i) {
-    group.bypass_counts[i] += group.queues[i].empty() ? 0 : 1;
+  const CallRank rank = chosen->first.rank;
+  const bool is_due = group.bypass_counts[rank] >= limits_.max_bypasses;
+  if (!is_due && !MayStart(calls_[chosen->second].needs, rank, now)) {
+    return std::nullopt;
+  }
+  for (CallRank i = rank + 1; i < kRanks; ++i) {
+    group.bypass_counts[i] += group.queued_by_rank[i] > 0 ? 1 : 0;
   }
-  group.bypass_counts[chosen] = 0;
-  return group.queues[chosen].front();
+  group.bypass_counts[rank] = 0;
+  return chosen->second;
 }
 
 void Admission::Refuse(CallId id,
@@ -412,18 +503,11 @@
 
 void Admission::Dequeue(CallId id, const Call& call) {
   Group& group = *call.group;
-  std::deque<CallId>& queue = group.queues[IndexOf(call.priority)];
-  if (queue.front() == id) {
-    queue.pop_front();
-  } else if (queue.back() == id) {
-    queue.pop_back();
-  } else {
-    queue.erase(std::find(queue.begin(), queue.end(), id));
-  }
+  group.queue.erase(call.key);
+  --group.queued_by_rank[call.key.rank];
   deadlines_.erase({call.deadline, id});
   --queued_;
-  --group.queued;
-  if (group.queued == 0) {
+  if (group.queue.empty()) {
     backlog_.erase({group.start_tag, group.group_id});
     backlogged_weight_ -= group.weight;
     group.bypass_counts = {};
@@ -431,7 +515,7 @@
 }
 
 void Admission::SetTag(Group& group, Tag start_tag) {
-  if (group.queued > 0) {
+  if (!group.queue.empty()) {
     backlog_.erase({group.start_tag, group.group_id});
     backlog_.emplace(start_tag, group.group_id);
   }
@@ -470,6 +554,7 @@
   ++stats_.ended;
   const Duration held = now - call.started;
   Charge(*call.group, held - call.charged_time);
+  AddToShare(call, held - call.charged_time, now);
   RecordServiceTime(call, held, now);
   StartQueued(now, actions);
   EndBusyPeriod();
@@ -513,6 +598,7 @@
     const Duration held = now - call.started;
     if (held > call.charged_time) {
       Charge(*call.group, held - call.charged_time);
+      AddToShare(call, held - call.charged_time, now);
       call.charged_time = held;
     }
   }
@@ -527,37 +613,29 @@
 
 std::size_t Admission::QueuedInGroup(std::string_view group) const {
   const auto found = groups_.find(group);
-  return found == groups_.end() ? 0 : found->second.queued;
+  return found == groups_.end() ? 0 : found->second.queue.size();
+}
+
+void Admission::AddToShare(const Call& call, Duration time, Time now) {
+  if (!call.caller_group.empty()) {
+    shares_.OnSlotTime(call.caller_group, call.caller_weight, time, now);
+  }
 }
 
 void Admission::RecordServiceTime(const Call& call, Duration time, Time now) {
-  AddSample(call.group->service_time, time);
-  AddSample(service_time_, time);
+  const Duration longest = limits_.max_service_time_sample;
+  call.group->service_time.Add(time, longest);
+  service_time_.Add(time, longest);
+  policy_.OnSlotTime(call.key.rank, time, now);
   if (call.call_class != nullptr) {
-    if (now - call.call_class->last_sample_time > limits_.estimate_max_age) {
+    CallClass& call_class = *call.call_class;
+    if (now - call_class.last_sample_time > limits_.estimate_max_age) {
       // The last sample is too old: start the average anew.
-      call.call_class->mean = Duration::zero();
+      call_class.service_time.mean = Duration::zero();
     }
-    AddSample(*call.call_class, time);
-    call.call_class->last_sample_time = now;
-  }
-}
-
-void Admission::AddSample(ServiceTimeStats& stats, Duration time) const {
-  Duration sample = std::min(time, limits_.max_service_time_sample);
-  if (stats.mean == Duration::zero()) {
-    stats.mean = std::max(sample, Duration(1));
-    return;
+    call_class.service_time.Add(time, longest);
+    call_class.last_sample_time = now;
   }
-  const Duration difference = sample - stats.mean;
-  const Duration magnitude =
-      std::min(difference < Duration::zero() ? -difference : difference,
-               stats.mean * kMaxSampleToMeanRatio);
-  stats.deviation += (magnitude - stats.deviation) / kAverageWindow;
-  sample = std::min(sample, std::max(stats.mean * kMaxSampleToMeanRatio,
-                                     Duration(kDefaultServiceTime)));
-  stats.mean += (sample - stats.mean) / kAverageWindow;
-  stats.mean = std::max(stats.mean, Duration(1));
 }
 
 // When no call is queued or running, all groups start again without debt.
@@ -574,7 +652,7 @@
   backlog_.clear();
   for (auto& [name, group] : groups_) {
     group.start_tag -= base;
-    if (group.queued > 0) {
+    if (!group.queue.empty()) {
       backlog_.emplace(group.start_tag, group.group_id);
     }
   }
@@ -587,7 +665,7 @@
   const bool all = groups_.size() > 2 * limits_.max_idle_groups;
   std::erase_if(groups_, [&](const auto& entry) {
     const Group& group = entry.second;
-    const bool idle = group.queued == 0 && group.running == 0;
+    const bool idle = group.queue.empty() && group.running == 0;
     if (!idle || (!all && group.start_tag > virtual_time_)) {
       return false;
     }
--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -6,14 +6,15 @@
 // charged the time for which its calls hold slots: an estimate when a call
 // starts, the difference while it runs and when it ends. The scheduler is
 // work-conserving: no slot stays free while a call is queued, unless the rate
-// limit of the upstream delays the call. Priorities order the calls within a
-// group only; they never take capacity from another group.
+// limit of the upstream delays the call, or a slot is kept free for more urgent
+// ones. Priorities order the calls within a group only; they never take
+// capacity from another group. See core/queue_policy.h.
 #ifndef CORE_ADMISSION_H_
 #define CORE_ADMISSION_H_
 
 #include <array>
+#include <compare>
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -27,7 +28,10 @@
 
 #include "base/time.h"
 #include "config/rules.h"
+#include "core/group_shares.h"
+#include "core/queue_policy.h"
 #include "core/rate_limiter.h"
+#include "core/service_time.h"
 
 namespace verbenastile {
 
@@ -55,10 +59,15 @@
   // one costs more than serving it late.
   std::uint32_t queue_permille = 600;
   std::uint32_t urgent_queue_permille = 1'500;
+  // Calls that are `by_slack` are expected to end within this part of their
+  // time; the rest is for the way of the answer to the caller.
+  std::uint32_t slack_permille = 800;
   // A priority without a call for this long no longer counts as being
   // overtaken.
   Duration priority_timeout = std::chrono::seconds(5);
   Duration estimate_max_age = std::chrono::seconds(1);
+  // How long the objective of a call class is kept after it was last seen.
+  Duration objective_max_age = std::chrono::seconds(5);
   // If false, calls stay queued until their deadline has passed. For
   // comparisons.
   bool refuse_early = true;
@@ -80,6 +89,17 @@
   // Calls of the same class have similar service times. Empty: the average of
   // the group is used.
   std::string_view call_class = {};
+  // Precedes `priority`; empty: the group has none.
+  std::optional<Priority> group_priority = std::nullopt;
+  // The group of callers that the slot time counts for, and its weight; empty:
+  // none. Calls of a group that holds more than its share go after the others.
+  std::string_view caller_group = {};
+  double caller_weight = 1;
+  // Orders and bounds the wait by the time that is left until `soft_deadline`,
+  // instead of by the order of arrival.
+  bool by_slack = false;
+  // Refuse the call if it would have to wait.
+  bool only_if_free = false;
 };
 
 // Why a call was refused. No part of a refused call has been executed.
@@ -95,6 +115,7 @@
   kDraining,
   kDuplicateId,
   kWouldBeLate,
+  kNoFreeSlot,
 };
 
 // The lower-case name of `refusal`, such as "queue_full".
@@ -130,6 +151,14 @@
   kRunning,  // Cancel it at the upstream; it keeps its slot until it ends.
 };
 
+// What decides whether a call is queued.
+struct RoomInputs {
+  CallRank rank = 0;
+  Duration expected_wait{0};
+  Duration wait_limit{0};
+  Duration service_time{0};
+};
+
 struct AdmissionStats {
   std::uint64_t admitted = 0;  // Started on arrival.
   std::uint64_t queued = 0;
@@ -175,6 +204,11 @@
     return busy_ < slots_ && queued_ == 0 &&
            rate_limiter_.Wait(now) == Duration::zero();
   }
+  // The same for a call that is `by_slack`: whether a free slot is kept for
+  // more urgent ones, and whether those that wait go first.
+  bool CanStartNow(const AdmissionOffer& offer, Time now) const;
+  // What decided about the last offer that was refused for lack of room.
+  const RoomInputs& last_refusal_inputs() const { return refusal_inputs_; }
   // How long the rate limit delays a call that is offered now.
   Duration RateLimitDelay(Time now) const;
   std::size_t queued() const { return queued_; }
@@ -185,17 +219,27 @@
   static constexpr Duration kTickInterval = std::chrono::milliseconds(10);
 
  private:
-  static constexpr std::size_t kPriorities = std::size(kPriorityNames);
+  static constexpr std::size_t kRanks = QueuePolicy::kRanks;
 
-  // Moving averages of the service time and of its absolute deviation.
-  struct ServiceTimeStats {
-    Duration mean{0};  // 0: no sample yet.
-    Duration deviation{0};
+  struct CallClass {
+    ServiceTime service_time;
     Time last_sample_time;  // When the last call of the class ended.
+    // The longest time until the soft deadline of those offered lately: what a
+    // call has that is not a caller's retry.
+    Duration objective{0};
+    Time objective_time;
     // Calls of the class that are running, by start time.
     std::set<std::pair<Time, CallId>> running;
   };
 
+  // The order in which queued calls of a group run.
+  struct QueueKey {
+    CallRank rank = 0;
+    Time order;  // When the call arrived, or has to start.
+    std::uint64_t arrival = 0;
+    auto operator<=>(const QueueKey&) const = default;
+  };
+
   // Slot time divided by weight, in microseconds times `kTagScale`.
   using Tag = std::int64_t;
 
@@ -204,17 +248,22 @@
     std::uint64_t group_id = 0;
     std::uint32_t weight = 1;
     Tag start_tag = 0;  // Start tag of the next call of the group.
-    std::array<std::deque<CallId>, kPriorities> queues;
-    std::array<std::uint32_t, kPriorities> bypass_counts = {};
-    std::size_t queued = 0;
+    std::map<QueueKey, CallId> queue;
+    std::array<std::uint32_t, kRanks> queued_by_rank = {};
+    std::array<std::uint32_t, kRanks> bypass_counts = {};
     std::uint32_t running = 0;
-    ServiceTimeStats service_time;
+    ServiceTime service_time;
   };
 
   struct Call {
     Group* group = nullptr;
-    ServiceTimeStats* call_class = nullptr;  // Null: the group's is used.
-    Priority priority = Priority::kNormal;
+    CallClass* call_class = nullptr;  // Null: the group's times are used.
+    CallNeeds needs;
+    std::string caller_group;
+    double caller_weight = 0;
+    QueueKey key;
+    Duration service_time{0};  // As expected when it was offered.
+    bool by_slack = false;
     Time arrived;
     Time deadline;
     bool running = false;
@@ -225,44 +274,46 @@
   using Backlog = std::set<std::pair<Tag, std::uint64_t>>;
 
   Group& FindOrAddGroup(const AdmissionOffer& offer);
-  ServiceTimeStats* FindOrAddCallClass(std::string_view call_class);
-  Duration EstimateServiceTime(const Group& group,
-                               const ServiceTimeStats* call_class) const;
-  Duration RequiredTime(const Group& group,
-                        const ServiceTimeStats* call_class,
-                        Duration whole) const;
-  bool WouldBeLate(const AdmissionOffer& offer,
-                   const Group& group,
-                   const ServiceTimeStats* call_class,
-                   Time now) const;
-  bool HasLowerPriorityTraffic(Priority priority, Time now) const;
+  CallClass* FindOrAddCallClass(const AdmissionOffer& offer, Time now);
+  // The first known of the times of the class, of the group and of all calls.
+  Duration EstimateServiceTime(const Group* group,
+                               const CallClass* call_class) const;
+  static Duration Deviation(const Group& group, const CallClass* call_class);
+  Duration RequiredTime(const Call& call, Duration whole) const;
+  CallNeeds NeedsOf(const AdmissionOffer& offer,
+                    const CallClass* call_class,
+                    Time now) const;
+  QueueKey KeyOf(const AdmissionOffer& offer,
+                 CallRank rank,
+                 Duration service_time,
+                 Time now);
+  Duration Slack(Duration left, const ServiceTime& time) const;
+  bool MayStart(const CallNeeds& needs, CallRank rank, Time now) const;
   AdmissionRefusal CheckStart(const Call& call, Time now) const;
-  Duration ExpectedWait(const Group& group, Priority priority, Time now) const;
+  Duration ExpectedWait(const Call& call, Time now) const;
+  Duration NextSlotWait() const;
+  Duration WorkAhead(const Call& call) const;
+  Duration WaitLimit(const AdmissionOffer& offer,
+                     const Call& call,
+                     Time now) const;
   AdmissionRefusal CheckOffer(const AdmissionOffer& offer,
-                              const Group& group,
-                              const ServiceTimeStats* call_class,
+                              const Call& call,
+                              bool starts_now,
                               Time now) const;
-  bool MakeQueueSpace(Group& group,
-                      Priority priority,
-                      AdmissionActions& actions);
-  bool EvictLowerPriority(Group& group,
-                          std::size_t priority,
-                          AdmissionActions& actions);
+  bool MakeQueueSpace(Group& group, CallRank rank, AdmissionActions& actions);
+  bool EvictLowerRank(Group& group, CallRank rank, AdmissionActions& actions);
   Group* FindLongestQueue(const Group& incoming);
-  void Enqueue(const AdmissionOffer& offer,
-               Group& group,
-               ServiceTimeStats* call_class,
-               Time now);
+  void Enqueue(CallId id, const Call& call);
   void Start(CallId id, Call& call, Time now);
   void StartQueued(Time now, AdmissionActions& actions);
-  CallId SelectNext(Group& group);
+  std::optional<CallId> SelectNext(Group& group, Time now);
   void Refuse(CallId id, AdmissionRefusal reason, AdmissionActions& actions);
   void Dequeue(CallId id, const Call& call);
   void SetTag(Group& group, Tag start_tag);
   void Charge(Group& group, Duration time);
   void ChargeRunning(Time now);
+  void AddToShare(const Call& call, Duration time, Time now);
   void RecordServiceTime(const Call& call, Duration time, Time now);
-  void AddSample(ServiceTimeStats& stats, Duration time) const;
   void EndBusyPeriod();
   void RebaseTags();
   void RemoveIdleGroups();
@@ -276,11 +327,13 @@
   Tag virtual_time_ = 0;  // Start tag of the last call that started.
   Tag highest_tag_ = 0;
   std::uint64_t next_group_id_ = 0;
-  // When the last call of each priority arrived.
-  std::array<std::optional<Time>, kPriorities> last_offered_;
+  std::uint64_t arrivals_ = 0;
+  QueuePolicy policy_;
+  GroupShares shares_;
+  RoomInputs refusal_inputs_;
   std::uint64_t backlogged_weight_ = 0;
-  ServiceTimeStats service_time_;  // Across all groups.
-  std::map<std::string, ServiceTimeStats, std::less<>> call_classes_;
+  ServiceTime service_time_;  // Across all groups.
+  std::map<std::string, CallClass, std::less<>> call_classes_;
   std::map<std::string, Group, std::less<>> groups_;
   std::unordered_map<std::uint64_t, Group*> groups_by_id_;
   std::unordered_map<CallId, Call> calls_;
--- a/src/core/route_table.cc
+++ b/src/core/route_table.cc
@@ -33,8 +33,15 @@
   }
   table.index_ = RouteIndex(table.document_.rules);
   table.group_keys_ = GroupKeys(table.document_.groups);
+  double largest_quota = 0;
   for (const Group& group : table.document_.groups) {
     table.group_weights_[group.name] = group.weight;
+    largest_quota = std::max(largest_quota, group.requests.per_second);
+  }
+  for (const Group& group : table.document_.groups) {
+    const double quota = group.requests.per_second;
+    table.slot_weights_[group.name] =
+        (quota > 0 ? quota : std::max(largest_quota, 1.0)) * group.weight;
   }
   for (const Service& service : table.document_.services) {
     table.services_.insert(service.name);
@@ -56,6 +63,11 @@
   return found == group_weights_.end() ? 1 : found->second;
 }
 
+double RouteTable::SlotWeight(std::string_view group) const {
+  const auto found = slot_weights_.find(group);
+  return found == slot_weights_.end() ? 1 : found->second;
+}
+
 const Group* RouteTable::FindGroupByKey(std::string_view key) const {
   const auto found = group_keys_.Find(key);
   return found ? &document_.groups[*found] : nullptr;
--- a/src/core/route_table.h
+++ b/src/core/route_table.h
@@ -50,6 +50,12 @@
   // Returns the fair-share weight of `group`; 1 when it is not declared.
   std::uint32_t GroupWeight(std::string_view group) const;
 
+  // Returns the weight of the share of slots of `group`: its quota of requests
+  // per second, so that groups within their quotas are cut alike, times its
+  // declared weight. A group without a quota counts like the one with the
+  // largest.
+  double SlotWeight(std::string_view group) const;
+
   // Returns the group that `key` belongs to, or null when no group has it. The
   // pointer is valid for the lifetime of the table.
   const Group* FindGroupByKey(std::string_view key) const;
@@ -66,6 +72,7 @@
   RouteIndex index_;
   GroupKeys group_keys_;
   std::map<std::string, std::uint32_t, std::less<>> group_weights_;
+  std::map<std::string, double, std::less<>> slot_weights_;
   std::set<std::string, std::less<>> services_;
 };
 
--- a/src/mesh/inbound_proxy.cc
+++ b/src/mesh/inbound_proxy.cc
@@ -100,7 +100,8 @@
     Refuse(id, RefusalReason::kOtherService, Duration::zero());
   } else if (!MayRun(entry, Judge(entry))) {
     Refuse(id, RefusalReason::kCrashSuspect, Duration::zero());
-  } else if (entry.request.only_if_free && !admission_.CanStartNow(now)) {
+  } else if (entry.request.only_if_free &&
+             !admission_.CanStartNow(OfferOf(id, entry, now), now)) {
     Refuse(id, RefusalReason::kBusy, Duration::zero());
   } else if (IsTooSlow(entry, now)) {
     Refuse(id, RefusalReason::kSlow, Duration::zero());
@@ -172,14 +173,28 @@
                                    : over_budget;
 }
 
-void InboundProxy::Admit(CallId id, Call& call, Time now) {
+// Calls of groups, and calls of instances where callers have groups, are queued
+// by what they can still wait for.
+AdmissionOffer InboundProxy::OfferOf(CallId id,
+                                     const Call& call,
+                                     Time now) const {
   AdmissionOffer offer;
   offer.id = id;
+  offer.group_priority = call.request.group_priority;
   offer.priority = call.request.priority;
   offer.deadline = call.deadline;
   offer.soft_deadline = now + call.request.objective;
   offer.call_class = call.request.rule;
-  const AdmissionResult result = admission_.Offer(offer, now);
+  offer.caller_group = call.request.group;
+  if (!call.request.group.empty() && init_.group_weight) {
+    offer.caller_weight = init_.group_weight(call.request.group);
+  }
+  offer.by_slack = !call.request.group.empty() || call.request.group_priority;
+  return offer;
+}
+
+void InboundProxy::Admit(CallId id, Call& call, Time now) {
+  const AdmissionResult result = admission_.Offer(OfferOf(id, call, now), now);
   if (result.verdict != AdmissionVerdict::kRefused &&
       call.path == ResponsePath::kLink) {
     link_forecast_.OnCallAccepted(id, rule_profiles_.Find(call.request.rule));
--- a/src/mesh/inbound_proxy.h
+++ b/src/mesh/inbound_proxy.h
@@ -46,6 +46,8 @@
     CallHeaderNames headers;
     // The configuration in force on this node.
     std::function<PeerConfiguration()> configuration;
+    // The weight of a group's share of the slots.
+    std::function<double(std::string_view group)> group_weight;
     // How long queued calls may still start after the instance began to leave.
     std::function<Duration()> leaving_start_period;
     // Called when a connection to the instance failed, or when another instance
@@ -136,6 +138,7 @@
   bool IsTooSlow(const Call& call, Time now) const;
   Duration LinkDelay(const Call& call) const;
   void Remove(CallId id);
+  AdmissionOffer OfferOf(CallId id, const Call& call, Time now) const;
   void Admit(CallId id, Call& call, Time now);
   void SendToInstance(CallId id);
   HttpHeaders BuildHeaders(const Call& call, Time now) const;
--- a/src/mesh/outbound_proxy.cc
+++ b/src/mesh/outbound_proxy.cc
@@ -330,6 +330,10 @@
   if (call.group != nullptr) {
     request.group = call.group->name;
     request.group_priority = call.group->priority;
+  } else if (call.table->document().callers_need_keys) {
+    // Without a key it is a call of an instance, whose own call holds a slot
+    // until this one ends.
+    request.group_priority = Priority::kHigh;
   }
   request.remaining = call.deadline - now;
   request.objective = std::max(
--- a/src/mesh/sidecar.cc
+++ b/src/mesh/sidecar.cc
@@ -111,6 +111,10 @@
   init.metrics = &metrics_;
   init.headers = platform::kCallHeaders;
   init.configuration = [this] { return ConfigurationInForce(); };
+  init.group_weight = [this](std::string_view group) {
+    const auto table = applier_.table();
+    return table ? table->SlotWeight(group) : 1;
+  };
   init.leaving_start_period = [this] {
     return bounds_.drain_period / kDrainDivisor;
   };
--- a/tests/inbound_proxy_test.cc
+++ b/tests/inbound_proxy_test.cc
@@ -22,6 +22,9 @@
     .caller_service = "X-Caller",
     .rate_limit = "X-Rate-Limit",
     .leaving = "X-Leaving",
+    .key = "X-Key",
+    .key_scheme = "Key",
+    .group = "X-Group",
 };
 
 struct InboundProxyFixture {
--- a/tests/route_index_test.cc
+++ b/tests/route_index_test.cc
@@ -86,7 +86,10 @@
 
 SCENARIO("undeclared groups share one fair-share bucket") {
   RuleDocument document;
-  document.groups.push_back({"rowing", 3, {}, {}});
+  Group rowing;
+  rowing.name = "rowing";
+  rowing.weight = 3;
+  document.groups.push_back(rowing);
   const RouteTable table = MustSucceed(
       [&] { return RouteTable::Compile(MakeSnapshot(1, document)); });
   CHECK(table.FairShareGroup("rowing") == "rowing");
