--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -154,6 +154,7 @@
 // What decides whether a call is queued.
 struct RoomInputs {
   CallRank rank = 0;
+  bool over_share = false;
   Duration expected_wait{0};
   Duration wait_limit{0};
   Duration service_time{0};
--- a/src/mesh/inbound_proxy.cc
+++ b/src/mesh/inbound_proxy.cc
@@ -11,6 +11,9 @@
 namespace {
 
 constexpr std::string_view kLogComponent = "gate";
+constexpr std::string_view kRoomLogComponent = "room";
+// Shortest interval at which refusals for lack of room are logged.
+constexpr Duration kRoomLogInterval = std::chrono::milliseconds(200);
 
 // A link counts as free while a large response waits for it for at most 1/4 of
 // its latency objective.
@@ -51,6 +54,7 @@
       http_client_(*init.io, {}),
       instance_probe_(*init.io),
       admission_(kInitialSlots),
+      room_metrics_(init.metrics),
       crash_numbers_(init.seed),
       started_(init.metrics->Counter("gate_started_total")),
       refused_(init.metrics->Counter("gate_refused_total")),
@@ -203,10 +207,42 @@
   if (result.verdict == AdmissionVerdict::kAdmitted) {
     SendToInstance(id);
   } else if (result.verdict == AdmissionVerdict::kRefused) {
+    LogRoomRefusal(call, result);
     Refuse(id, RefusalReason::kBusy, result.retry_after);
   }
 }
 
+// Logs what decided about a call of a group, or about a nested one.
+void InboundProxy::LogRoomRefusal(const Call& call,
+                                  const AdmissionResult& result) {
+  const GateCall& request = call.request;
+  if (request.group.empty() && !request.group_priority) {
+    return;
+  }
+  room_metrics_.OnRefused(request);
+  const Time now = SteadyNow();
+  if (now - room_refusal_logged_at_ < kRoomLogInterval) {
+    ++unlogged_room_refusals_;
+    return;
+  }
+  room_refusal_logged_at_ = now;
+  const RoomInputs& inputs = admission_.last_refusal_inputs();
+  Log(LogLevel::kInfo, kRoomLogComponent, "Refused for room.",
+      {{"request", request.request_id},
+       {"rule", request.rule},
+       {"group", request.group},
+       {"over_share", inputs.over_share},
+       {"why", ToString(result.refusal)},
+       {"rank", inputs.rank},
+       {"expected_wait_ms", ToMilliseconds(inputs.expected_wait)},
+       {"wait_limit_ms", ToMilliseconds(inputs.wait_limit)},
+       {"service_time_ms", ToMilliseconds(inputs.service_time)},
+       {"busy", admission_.busy()},
+       {"slots", admission_.slots()},
+       {"queued", admission_.queued()},
+       {"not_logged", std::exchange(unlogged_room_refusals_, 0)}});
+}
+
 void InboundProxy::SendToInstance(CallId id) {
   Call& call = calls_.at(id);
   const Time now = SteadyNow();
@@ -229,6 +265,9 @@
   call.started = now;
   call.instance_id = report.id;
   init_.metrics->Add(started_);
+  if (!call.request.group.empty() || call.request.group_priority) {
+    room_metrics_.OnStarted(call.request);
+  }
   init_.metrics->Observe(queue_wait_,
                          static_cast<double>((now - call.arrived).count()));
   Http1Call http;
--- a/src/mesh/inbound_proxy.h
+++ b/src/mesh/inbound_proxy.h
@@ -30,6 +30,7 @@
 #include "io/http1_client.h"
 #include "mesh/call_header_names.h"
 #include "mesh/link_frames.h"
+#include "mesh/room_metrics.h"
 
 namespace verbenastile {
 
@@ -140,6 +141,7 @@
   void Remove(CallId id);
   AdmissionOffer OfferOf(CallId id, const Call& call, Time now) const;
   void Admit(CallId id, Call& call, Time now);
+  void LogRoomRefusal(const Call& call, const AdmissionResult& result);
   void SendToInstance(CallId id);
   HttpHeaders BuildHeaders(const Call& call, Time now) const;
   void OnResponseHead(CallId id, const Http1Head& head);
@@ -180,6 +182,9 @@
   Http1Client http_client_;
   ConnectProbe instance_probe_;
   Admission admission_;
+  RoomMetrics room_metrics_;
+  Time room_refusal_logged_at_;
+  std::uint64_t unlogged_room_refusals_ = 0;
   InstanceRateLimit rate_limit_;
   // The rate limit that was logged last, and when.
   std::optional<double> logged_rate_limit_;
