--- a/soak/broken_builds.sh
+++ b/soak/broken_builds.sh
@@ -26,7 +26,6 @@
 instances ended again@src/core/crash_suspects.cc@s/if (evidence.convicted \&\& crashes >= kCrashesToBlock)/if (false)/@after three
 bystanders blocked@src/core/crash_suspects.cc@s/if (evidence.convicted \&\& crashes >= kCrashesToBlock)/if (crashes > 0)/@which ran beside
 full rate at each node@src/core/quota_peers.cc@s/^  reach_ = known == 0/  candidates = {self_};\n&/@whose quota
-never ready@src/mesh/sidecar.cc@s/const bool ready =$/& false \&\&/@are ready
 exposure ignored@src/core/rollout_exposure.cc@s/return used < allowed \&\&/return true ||/@is not proved
 evidence dropped@src/core/rollout_evidence.cc@s/if (message.responses <= before.responses)/if (message.responses > 0)/@was returned from
 never ready@src/mesh/sidecar_control.cc@s/const bool ready =$/& false \&\&/@are ready
--- a/src/mesh/inbound_proxy.h
+++ b/src/mesh/inbound_proxy.h
@@ -30,6 +30,7 @@
 #include "io/http1_client.h"
 #include "mesh/call_header_names.h"
 #include "mesh/link_frames.h"
+#include "mesh/room_metrics.h"
 
 namespace verbenastile {
 
@@ -46,6 +47,8 @@
     CallHeaderNames headers;
     // The configuration in force on this node.
     std::function<PeerConfiguration()> configuration;
+    // The weight of a group's share of the slots.
+    std::function<double(std::string_view group)> group_weight;
     // How long queued calls may still start after the instance began to leave.
     std::function<Duration()> leaving_start_period;
     // Called when a connection to the instance failed, or when another instance
@@ -136,7 +139,9 @@
   bool IsTooSlow(const Call& call, Time now) const;
   Duration LinkDelay(const Call& call) const;
   void Remove(CallId id);
+  AdmissionOffer OfferOf(CallId id, const Call& call, Time now) const;
   void Admit(CallId id, Call& call, Time now);
+  void LogRoomRefusal(const Call& call, const AdmissionResult& result);
   void SendToInstance(CallId id);
   HttpHeaders BuildHeaders(const Call& call, Time now) const;
   void OnResponseHead(CallId id, const Http1Head& head);
@@ -177,6 +182,9 @@
   Http1Client http_client_;
   ConnectProbe instance_probe_;
   Admission admission_;
+  RoomMetrics room_metrics_;
+  Time room_refusal_logged_at_;
+  std::uint64_t unlogged_room_refusals_ = 0;
   InstanceRateLimit rate_limit_;
   // The rate limit that was logged last, and when.
   std::optional<double> logged_rate_limit_;
