Quotas: members whose instance has left and that are not linked are not counted

Cause: records of members that were scaled in stay in the store without the state of their node, and reserved R / N each. Change: such a record counts only while its member is linked.

--- a/src/mesh/quota_service.cc
+++ b/src/mesh/quota_service.cc
@@ -119,8 +119,12 @@
   for (const auto& [name, entry] : init_.member_registry->entries()) {
     const bool reachable = entry.linked || name == init_.node_name;
     const MemberState state = entry.record.member.state;
-    // A member that left as planned admits nothing.
-    members.known += reachable || state <= MemberState::kSuspect ? 1 : 0;
+    // A member that left as planned admits nothing. Its record stays until the
+    // store is listed; after a restart of all nodes, for longer.
+    const bool left = state >= MemberState::kLeaving ||
+                      entry.record.instance_leaving ||
+                      entry.record.instance_gone;
+    members.known += reachable || !left ? 1 : 0;
     members.linked += reachable ? 1 : 0;
     if (reachable && state <= MemberState::kSuspect) {
       members.candidates.push_back(name);
