--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -13,7 +13,6 @@
 #define CORE_ADMISSION_H_
 
 #include <array>
-#include <compare>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -21,6 +20,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <unordered_map>
 #include <utility>
 #include <variant>
@@ -238,7 +238,10 @@
     CallRank rank = 0;
     Time order;  // When the call arrived, or has to start.
     std::uint64_t arrival = 0;
-    auto operator<=>(const QueueKey&) const = default;
+    bool operator<(const QueueKey& other) const {
+      return std::tie(rank, order, arrival) <
+             std::tie(other.rank, other.order, other.arrival);
+    }
   };
 
   // Slot time divided by weight, in microseconds times `kTagScale`.
