Fault soak: groups with keys

Cause: nothing checked keys of callers in real processes under faults. Change: soak/fault_groups.py adds, withdraws and guesses keys on kept and new connections, cuts a node off from the store while a key is withdrawn, and looks for keys at instances, on links, in logs and in metrics. No deliberate fault has been run against it yet.

--- a/soak/fault_quotas.py
+++ b/soak/fault_quotas.py
@@ -19,6 +19,19 @@
 RATES = (2, 4, 6)  # Requests a second; the burst is one second's.
 
 
+async def send_steadily(soak, rng, prefix, longest_pause, one_request):
+    """Sends until the soak is over, and waits for what is under way."""
+    number = 0
+    tasks = set()
+    while not soak.over:
+        number += 1
+        task = asyncio.create_task(one_request(f"{prefix}{number:x}"))
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
+        await asyncio.sleep(rng.uniform(0.0, longest_pause))
+    await asyncio.gather(*tasks)
+
+
 class Quotas:
     def __init__(self, soak, seed):
         self.soak = soak
@@ -26,6 +39,7 @@
         self.rng = random.Random(seed + 3_000_000)
         self.rate = RATES[-1]
         self.sent = {}  # Request id -> when it was sent.
+        self.ids = set()  # Of all requests so far.
         self.ran = collections.deque()  # (sent, ran), by `ran`.
         self.statuses = collections.Counter()
 
@@ -33,9 +47,13 @@
         """Adds the group. Other callers have no keys, and need none."""
         for route in configuration["routes"].values():
             route["public"] = True
-        configuration["tenants"] = protocol.tenant(NAME, KEY, self.rate, self.rate)
+        configuration["tenants"] = protocol.tenant(NAME, [KEY], self.rate, self.rate)
         return configuration
 
+    def group_of(self, request):
+        """The group in whose name a request has to run."""
+        return NAME if request in self.ids else None
+
     def on_run(self, request):
         sent = self.sent.pop(request, None)
         if sent is None:
@@ -56,6 +74,7 @@
     async def one_request(self, request):
         node = self.rng.choice(self.soak.nodes)
         self.sent[request] = time.monotonic()
+        self.ids.add(request)
         await self.soak.one_request(
             node,
             self.soak.routes[0],
@@ -68,15 +87,7 @@
 
     async def callers(self):
         """About 60 requests a second, ten times the highest rate."""
-        number = 0
-        tasks = set()
-        while not self.soak.over:
-            number += 1
-            task = asyncio.create_task(self.one_request(f"q{number:x}"))
-            tasks.add(task)
-            task.add_done_callback(tasks.discard)
-            await asyncio.sleep(self.rng.uniform(0.0, 0.033))
-        await asyncio.gather(*tasks)
+        await send_steadily(self.soak, self.rng, "q", 0.033, self.one_request)
 
     async def changes(self, end):
         while time.monotonic() < end:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -20,9 +20,11 @@
 import typing
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "platform"))
+import fault_groups  # noqa: E402
 import fault_quotas  # noqa: E402
 import fault_rollouts  # noqa: E402
 import protocol  # noqa: E402
+from fault_http import call, format_answer, read_message  # noqa: E402
 
 GRACE = 6.0  # Seconds from SIGTERM to SIGKILL.
 DRAIN = 2.0  # Seconds in which a leaving instance may still get new work.
@@ -39,54 +41,6 @@
 WORK = 0.02  # Mean seconds that a request takes.
 
 
-class HttpError(Exception):
-    """What was read is no whole message."""
-
-
-async def read_message(reader):
-    """The first line, the headers and the body of one message."""
-    head = await reader.readuntil(b"\r\n\r\n")
-    lines = head.decode("latin-1").split("\r\n")
-    headers = {}
-    for line in lines[1:]:
-        if ":" in line:
-            name, value = line.split(":", 1)
-            headers[name.strip().lower()] = value.strip()
-    if headers.get("transfer-encoding") == "chunked":
-        body = b""
-        while True:
-            size = int(await reader.readuntil(b"\r\n"), 16)
-            body += (await reader.readexactly(size + 2))[:size]
-            if size == 0:
-                return lines[0], headers, body
-    length = int(headers.get("content-length", "0"))
-    return lines[0], headers, await reader.readexactly(length)
-
-
-def format_answer(status, headers, body):
-    text = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n"
-    text += "".join(f"{name}: {value}\r\n" for name, value in headers.items())
-    return text.encode() + b"\r\n" + body
-
-
-async def call(address, method, target, headers=None, body=b"", timeout=2.0):
-    """One request on a connection of its own: status, headers, body."""
-
-    async def exchange():
-        reader, writer = await asyncio.open_connection(*address)
-        try:
-            text = f"{method} {target} HTTP/1.1\r\nContent-Length: {len(body)}\r\n"
-            for name, value in (headers or {}).items():
-                text += f"{name}: {value}\r\n"
-            writer.write(text.encode() + b"\r\n" + body)
-            line, got, answer = await read_message(reader)
-            return int(line.split()[1]), got, answer
-        finally:
-            writer.close()
-
-    return await asyncio.wait_for(exchange(), timeout)
-
-
 class Store:
     """The platform's store: objects, revisions, watches, and its faults."""
 
@@ -244,8 +198,9 @@
 class Proxy:
     """Passes bytes on to `target`, unless told to misbehave."""
 
-    def __init__(self, target):
+    def __init__(self, target, on_bytes=None):
         self.disturbed = 0.0  # When the mode changed last.
+        self.on_bytes = on_bytes  # Looks at what passes.
         self.target = target
         self.mode = "pass"  # "delay", "one_way", "silent" or "reset".
         self.writers = set()
@@ -266,8 +221,11 @@
         self.writers -= {writer, far_writer}
 
     async def pump(self, reader, writer, forward):
+        tail = b""
         try:
             while data := await reader.read(65536):
+                if self.on_bytes:
+                    tail = self.on_bytes(data, tail)
                 while self.mode == "silent" or (self.mode == "one_way" and forward):
                     await asyncio.sleep(0.05)
                 if self.mode == "delay":
@@ -540,6 +498,7 @@
                             fault_rollouts.SLACK,
                             fault_rollouts.ROLLBACK,
                         ),
+                        (self.soak.groups.fail_closed, fault_groups.REVOKE),
                     ),
                 },
                 "requests": requests or {},
@@ -635,16 +594,19 @@
         self.lose_answers = 0.0
         self.version = 1
         self.routes = ["p1"]
-        self.acked = {"p1": time.monotonic()}
+        self.acked = {"p1": time.monotonic(), fault_groups.ROUTE: time.monotonic()}
         self.last_fault = time.monotonic()
         self.served = []  # (time, whether it was served)
         self.quotas = fault_quotas.Quotas(self, options.seed)
+        self.groups = fault_groups.Groups(self, options.seed)
         self.store = Store(self.rng)
         self.rollouts = fault_rollouts.Rollouts(self, options.seed)
         self.nodes = [Node(self, i) for i in range(options.nodes)]
         self.instances = [Instance(self, node) for node in self.nodes]
         self.store_proxies = [Proxy((n.ip, self.base_port + 8)) for n in self.nodes]
-        self.link_proxies = [Proxy(n.links) for n in self.nodes]
+        self.link_proxies = [
+            Proxy(n.links, self.groups.on_link_bytes) for n in self.nodes
+        ]
 
     def fail(self, text):
         if len(self.failures) < 20:
@@ -661,9 +623,8 @@
                     f"/{name}/{kind}/", kind, "booking"
                 )
         services = ["booking", "library"]
-        return self.quotas.extend(
-            protocol.configuration(self.version, routes, services)
-        )
+        configuration = protocol.configuration(self.version, routes, services)
+        return self.groups.extend(self.quotas.extend(configuration))
 
     async def write_configuration(self):
         await self.store.change(*protocol.CONFIGURATION, self.configuration())
@@ -671,6 +632,7 @@
     def on_run(self, instance, request, line, headers):
         self.runs[request] = self.runs.get(request, 0) + 1
         self.quotas.on_run(request)
+        self.groups.on_run(instance, request, line, headers)
         unsafe = "/unsafe/" in line
         if request not in self.sent:
             self.fail(f"an instance ran {request}, which no client sent")
@@ -764,7 +726,7 @@
             await asyncio.sleep(self.rng.uniform(0.0, 0.06))
 
     async def one_request(
-        self, node, route, unsafe, request, path=None, headers=None
+        self, node, route, unsafe, request, path=None, headers=None, kept=None
     ):
         """Returns whether it was served. `path`: the last part of the target."""
         self.sent[request] = (unsafe, None)
@@ -784,6 +746,7 @@
                     **(headers or {}),
                 },
                 timeout=2.5,
+                kept=kept,
             )
             self.check_answer(node, route, request, begin, status, headers, body)
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
@@ -1081,15 +1044,19 @@
             for i in range(self.options.ending_requests)
         ]
         clients.append(asyncio.create_task(self.quotas.callers()))
+        clients.append(asyncio.create_task(self.groups.callers()))
+        clients.append(asyncio.create_task(self.groups.changes()))
         end = self.begin + self.options.warm_up + self.options.seconds
         await asyncio.gather(
             self.inject(),
             self.inject_notices(),
             self.rollouts.inject(end),
             self.quotas.changes(end),
+            self.groups.cut_off(),
         )
         self.last_fault = time.monotonic()
         await self.check_recovery()
+        await self.groups.check_metrics()
         self.over = True
         await asyncio.gather(*clients)
         for task in self.tasks:
@@ -1100,6 +1067,7 @@
         await asyncio.gather(*keepers)
         self.check_refusals()
         self.quotas.check()
+        self.groups.check()
         for server in servers:
             server.close()
 
