The share of calls that leaves the failure domain is decided by room

Cause: each call alone preferred an instance elsewhere by the load reports of three sampled instances; one slow instance at home was reason enough, and domains short alike swapped calls.

Change: each node moves a share for each service and target domain in damped steps with hysteresis, from reported room (core/domain_spill). Calls outside of the share pay a quarter of their objective more; calls that were refused at home may leave where there is more room. Settings domains.hop and domains.price_of_kilobyte, metrics domain_*, log component domain.

--- a/src/config/sidecar_settings.cc
+++ b/src/config/sidecar_settings.cc
@@ -40,6 +40,17 @@
       static_cast<std::int64_t>(mbps * kBytesPerMegabit);
 }
 
+// The price of leaving the failure domain.
+void ReadDomains(YamlReader domains, SidecarSettings& settings) {
+  constexpr Duration kMaxPrice = std::chrono::seconds(10);
+  DomainPrice& price = settings.domain_price;
+  price.hop =
+      domains.DurationValue("hop", Duration::zero(), kMaxPrice, price.hop);
+  price.per_kilobyte = domains.DurationValue(
+      "price_of_kilobyte", Duration::zero(), kMaxPrice, price.per_kilobyte);
+  domains.RejectUnknownKeys();
+}
+
 void ReadRequests(YamlReader& reader, SidecarSettings& settings) {
   reader.ForEachPair(
       "requests", [&](const std::string& key, const std::string& value) {
@@ -80,6 +91,7 @@
   platform.RejectUnknownKeys();
   ReadLinkBandwidth(reader, settings);
   ReadRequests(reader, settings);
+  ReadDomains(reader.Section("domains"), settings);
   settings.log_level = static_cast<LogLevel>(
       reader.Choice("log_level", {"debug", "info", "warning", "error"},
                     static_cast<std::size_t>(settings.log_level)));
--- a/src/config/sidecar_settings.h
+++ b/src/config/sidecar_settings.h
@@ -9,6 +9,7 @@
 
 #include "config/settings.h"
 #include "core/digest.h"
+#include "core/domain_spill.h"
 
 namespace verbenastile {
 
@@ -40,6 +41,7 @@
   std::map<std::string, std::string> bounds;
   // Operators' decisions, by the digest of the request's content.
   std::map<Digest, RequestOverride> requests;
+  DomainPrice domain_price;
   LogLevel log_level = LogLevel::kInfo;
 };
 
--- a/src/core/balancer.cc
+++ b/src/core/balancer.cc
@@ -425,7 +425,7 @@
           std::max(query.objective, kDefaultServiceTime).count();
       const std::int64_t risk =
           expected * std::min(expected, kMaxExpectedLatencyUs) / objective +
-          query.remote_cost->count() * static_cast<std::int64_t>(tier);
+          TierCostUs(upstreams_[index], query);
       if (best == kNoIndex || risk < best_risk) {
         best = index;
         best_risk = risk;
--- a/src/core/balancer.h
+++ b/src/core/balancer.h
@@ -27,6 +27,7 @@
 
 #include "base/time.h"
 #include "core/attempt_outcome.h"
+#include "core/domain_spill.h"
 #include "core/member_directory.h"
 #include "core/state_chart.h"
 
@@ -108,6 +109,10 @@
   std::optional<Duration> remote_cost = std::nullopt;
   // The fields below are used only with `remote_cost`.
   //
+  // If set, instances in any failure domain but this one and that of this node
+  // cost `closed_cost` more; empty: in any other one.
+  std::optional<std::string_view> open_domain = std::nullopt;
+  Duration closed_cost{0};
   // The mean service time of such a call.
   Duration service_time{0};
   // The transfer time of a large answer over the link of this machine. Such an
@@ -173,6 +178,13 @@
                      Duration mean,
                      Time now);
 
+  // The room of the service in each failure domain with an instance in
+  // rotation.
+  std::vector<DomainRoom> RoomByDomain(std::string_view service,
+                                       Time now) const;
+  // Whether the instance is in the failure domain of this node.
+  bool IsNear(UpstreamHandle handle) const;
+
   // Returns null if the handle is no longer valid. The pointer is valid until
   // the next `Sync`.
   const Member* Find(UpstreamHandle handle) const;
@@ -276,6 +288,10 @@
                                 const ChooseQuery& query,
                                 Time now,
                                 std::mt19937_64& random);
+  // The cost of sending a call to the instance's tier and failure domain, in
+  // microseconds of risk.
+  static std::int64_t TierCostUs(const Upstream& upstream,
+                                 const ChooseQuery& query);
   std::int64_t ExpectedLatencyUs(const Upstream& upstream,
                                  const ChooseQuery& query,
                                  Time now) const;
--- a/src/mesh/outbound_proxy.cc
+++ b/src/mesh/outbound_proxy.cc
@@ -34,12 +34,6 @@
 // Instances are warm this long after their start.
 constexpr Duration kWarmUp = std::chrono::seconds(3);
 constexpr std::uint32_t kColdSharePermille = 300;
-// Cost of a response from another failure domain, as time: the network round
-// trip, and its bytes, because operators pay for traffic between failure
-// domains.
-constexpr Duration kRemoteCost = std::chrono::milliseconds(3);
-constexpr Duration kRemoteCostPerKilobyte = std::chrono::milliseconds(12);
-constexpr std::int64_t kKilobyte = 1'000;
 
 BalancerLimits MakeBalancerLimits() {
   BalancerLimits limits;
@@ -77,6 +71,7 @@
       deadline_timer_(*init.io),
       balancer_({init.health_chart, init.failure_domain, init.region,
                  MakeBalancerLimits(), init.node_name}),
+      domain_spill_(init.failure_domain),
       retry_allowance_(init.allowance, SteadyNow()),
       balancer_random_(init.seed),
       retry_after_random_(init.seed),
@@ -281,6 +276,7 @@
     }
     balancer_.OnStarted(upstream, now);
     NoteRolloutSent(call, attempt, now);
+    NoteDomain(call, *member);
     call.attempt = std::move(attempt);
     return;
   }
@@ -314,8 +310,7 @@
         TransferTime(profile.response_bytes, init_.link_bytes_per_second);
   }
   query.objective = LatencyObjective(call);
-  query.remote_cost =
-      kRemoteCost + kRemoteCostPerKilobyte * profile.response_bytes / kKilobyte;
+  PriceOtherDomains(call, profile.response_bytes, now, query);
   return balancer_.Choose(query, now, balancer_random_);
 }
 
--- a/src/mesh/outbound_proxy.h
+++ b/src/mesh/outbound_proxy.h
@@ -26,6 +26,7 @@
 #include "core/balancer.h"
 #include "core/config_apply.h"
 #include "core/crash_suspects.h"
+#include "core/domain_spill.h"
 #include "core/fleet_retry_budget.h"
 #include "core/key_check.h"
 #include "core/member_registry.h"
@@ -65,6 +66,7 @@
     CallHeaderNames headers;
     FleetRetryBudgetLimits allowance;
     std::uint64_t seed = 0;
+    DomainPrice domain_price;
     // The service that the callers on this machine belong to.
     std::function<std::string()> caller_service;
     // Time since the platform's store last confirmed the configuration.
@@ -131,6 +133,12 @@
     std::optional<RolloutPart> rollout;
   };
 
+  struct DomainMetrics {
+    GaugeHandle share_permille;
+    CounterHandle calls;
+    Time logged_at;
+  };
+
   struct FailedResponse {
     int status = 0;
     HttpHeaders headers;
@@ -225,6 +233,17 @@
                         AttemptOutcome outcome,
                         bool reached,
                         Time now);
+  // The functions below are in outbound_domains.cc.
+  //
+  // Sets what the call pays for leaving the failure domain.
+  void PriceOtherDomains(const Call& call,
+                         std::int64_t bytes,
+                         Time now,
+                         ChooseQuery& query);
+  void UpdateDomainShares(const std::string& service, Time now);
+  DomainMetrics* MetricsOfDomain(const std::string& service,
+                                 std::string_view domain);
+  void NoteDomain(const Call& call, const Member& member);
   Duration LatencyObjective(const Call& call) const;
   GateCall BuildCall(const Call& call, const Member& member, Time now) const;
   void OnReply(CallId id, LinkBody body);
@@ -256,6 +275,10 @@
   Init init_;
   asio::steady_timer deadline_timer_;
   Balancer balancer_;
+  DomainSpill domain_spill_;
+  // By service and failure domain.
+  std::map<std::pair<std::string, std::string>, DomainMetrics> domain_metrics_;
+  std::array<CounterHandle, kSpillReasonCount> domain_changes_{};
   PeerNotices peer_notices_;
   FleetRetryBudget retry_allowance_;
   RuleProfiles rule_profiles_;
--- a/src/mesh/sidecar.cc
+++ b/src/mesh/sidecar.cc
@@ -262,6 +262,7 @@
   init.headers = platform::kCallHeaders;
   init.allowance = AllowanceLimits();
   init.seed = NondeterministicSeed();
+  init.domain_price = settings_.domain_price;
   init.caller_service = [this] { return settings_.service; };
   init.configuration_age = [this] { return ConfigurationAge(); };
   init.rollouts = rollouts_.get();
