--- a/src/core/group_quotas.h
+++ b/src/core/group_quotas.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -73,8 +74,9 @@
   void OnLoans(std::string_view member,
                std::span<const QuotaLoan> loans,
                Time now);
-  // To be called about every 100 ms.
-  void Tick(Time now) { borrower_.Tick(now); }
+  // To be called about every 100 ms. Returns the coordinators that did not
+  // answer in time.
+  std::set<std::string> Tick(Time now) { return borrower_.Tick(now); }
 
   const QuotaBorrower& borrower() const { return borrower_; }
   const QuotaCoordinator& coordinator() const { return coordinator_; }
--- a/src/core/key_check.cc
+++ b/src/core/key_check.cc
@@ -81,4 +81,11 @@
   return {key ? KeyVerdict::kUnknownKey : KeyVerdict::kNoKey, nullptr};
 }
 
+KeyVerdict VerdictForGroup(const KeyDecision& decision,
+                           std::string_view group) {
+  const bool same = decision.group != nullptr && decision.group->name == group;
+  return same || !MaySend(decision.verdict) ? decision.verdict
+                                            : KeyVerdict::kInDoubt;
+}
+
 }  // namespace verbenastile
--- a/src/core/key_check.h
+++ b/src/core/key_check.h
@@ -74,6 +74,11 @@
                      const ConfigurationBelief& belief,
                      const KeyLimits& limits);
 
+// The verdict on a further attempt of a request that was accepted for `group`:
+// it is not sent in the name of a group that the key does not belong to any
+// more, also where the rule needs no key.
+KeyVerdict VerdictForGroup(const KeyDecision& decision, std::string_view group);
+
 }  // namespace verbenastile
 
 #endif  // CORE_KEY_CHECK_H_
--- a/src/core/quota_borrower.cc
+++ b/src/core/quota_borrower.cc
@@ -320,11 +320,13 @@
   }
 }
 
-void QuotaBorrower::Tick(Time now) {
+std::set<std::string> QuotaBorrower::Tick(Time now) {
+  std::set<std::string> silent;
   for (auto& [name, state] : groups_) {
     if (state.asked_at && now - *state.asked_at >= kAnswerTimeout) {
       state.asked_at.reset();
       state.may_use_spare = true;
+      silent.insert(state.coordinator);
     }
     if (state.waiting > 0 && now >= state.denied_until) {
       Ask(state);
@@ -340,6 +342,7 @@
     return entry.second.waiting == 0 &&
            now - entry.second.last_request > kForgetPeriod;
   });
+  return silent;
 }
 
 std::uint64_t QuotaBorrower::tokens_held() const {
--- a/src/core/quota_borrower.h
+++ b/src/core/quota_borrower.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -75,8 +76,9 @@
   // The link to the member broke: what it was asked is not answered. `silent`:
   // it may still be running, and then reserves the spare tokens that it lent.
   void OnMemberLost(std::string_view member, bool silent, Time now);
-  // To be called about every 100 ms.
-  void Tick(Time now);
+  // To be called about every 100 ms. Returns the coordinators that did not
+  // answer in time.
+  std::set<std::string> Tick(Time now);
 
   std::uint64_t tokens_held() const;
 
--- a/src/mesh/link_hub.cc
+++ b/src/mesh/link_hub.cc
@@ -497,6 +497,13 @@
   }
 }
 
+void LinkHub::SuspectSilence(std::string_view member) {
+  const auto found = outgoing_.find(member);
+  if (found != outgoing_.end()) {
+    found->second->watch.OnPeerSuspected();
+  }
+}
+
 void LinkHub::AnnounceSelf() {
   const LinkFrame frame{0, LinkMember{init_.self()}};
   for (const auto& [name, peer] : outgoing_) {
--- a/src/mesh/link_hub.h
+++ b/src/mesh/link_hub.h
@@ -90,6 +90,8 @@
   void UpdateLinks();
   // Returns false if there is no open link to the member.
   bool Send(std::string_view member, const LinkFrame& frame);
+  // A message to the member got no answer: its link is probed soon.
+  void SuspectSilence(std::string_view member);
   // Sends the current member record of this node on all links.
   void AnnounceSelf();
   // Sends the load and the active configuration of this node on all incoming
--- a/src/mesh/outbound_keys.cc
+++ b/src/mesh/outbound_keys.cc
@@ -82,15 +82,10 @@
 // it since the request arrived.
 KeyVerdict OutboundProxy::RecheckKey(const Call& call) const {
   const auto table = init_.applier->table();
-  if (call.group == nullptr || table == call.table ||
-      !table->document().callers_need_keys) {
+  if (call.group == nullptr || !table->document().callers_need_keys) {
     return KeyVerdict::kAccepted;
   }
-  const KeyDecision decision = CheckKeyOf(call, *table);
-  const bool same_group =
-      decision.group != nullptr && decision.group->name == call.group->name;
-  return same_group || decision.group == nullptr ? decision.verdict
-                                                 : KeyVerdict::kInDoubt;
+  return VerdictForGroup(CheckKeyOf(call, *table), call.group->name);
 }
 
 void OutboundProxy::FailForKey(CallId id, KeyVerdict verdict) {
--- a/src/mesh/outbound_proxy.cc
+++ b/src/mesh/outbound_proxy.cc
@@ -394,6 +394,10 @@
       (status == kUnavailable || status == kUnauthorized)) {
     status = kBadGateway;
   }
+  if (status == kGatewayTimeout && !call.may_have_run) {
+    // It reached no instance, so that the caller may send it again.
+    status = kUnavailable;
+  }
   if (call.streaming) {
     init_.metrics->Add(failed_);
     call.exchange->Abort();
--- a/src/mesh/quota_service.cc
+++ b/src/mesh/quota_service.cc
@@ -100,7 +100,9 @@
     return;
   }
   UpdateMembers(now);
-  quotas_.Tick(now);
+  for (const std::string& member : quotas_.Tick(now)) {
+    init_.on_unanswered(member);
+  }
   SettleWaiters(now);
   SendNeeds(now);
   init_.metrics->Set(tokens_held_,
--- a/src/mesh/quota_service.h
+++ b/src/mesh/quota_service.h
@@ -27,6 +27,9 @@
     // Returns false if there is no open link to the member.
     std::function<bool(std::string_view member, const LinkFrame&)> send;
     Metrics* metrics = nullptr;
+    // The member did not answer in time: its link may be silent.
+    std::function<void(std::string_view member)> on_unanswered =
+        [](std::string_view) {};
   };
   // Receives the decision on a request that had to wait; never `kWait`.
   using Callback = std::function<void(const QuotaVerdict&)>;
--- a/src/mesh/sidecar.cc
+++ b/src/mesh/sidecar.cc
@@ -235,6 +235,9 @@
   init.send = [this](std::string_view member, const LinkFrame& frame) {
     return links_.Send(member, frame);
   };
+  init.on_unanswered = [this](std::string_view member) {
+    links_.SuspectSilence(member);
+  };
   init.metrics = &metrics_;
   return init;
 }
--- a/tests/key_check_test.cc
+++ b/tests/key_check_test.cc
@@ -256,5 +256,26 @@
   CHECK(bounds.revoke_period == seconds(4));
 }
 
+SCENARIO("a further attempt is not sent in the name of another group") {
+  Group rowing;
+  rowing.name = "rowing";
+  GIVEN("a key that still belongs to the group") {
+    CHECK(VerdictForGroup({KeyVerdict::kAccepted, &rowing}, "rowing") ==
+          KeyVerdict::kAccepted);
+  }
+  GIVEN("a key that has moved to another group") {
+    CHECK(VerdictForGroup({KeyVerdict::kAccepted, &rowing}, "library") ==
+          KeyVerdict::kInDoubt);
+  }
+  GIVEN("a withdrawn key") {
+    CHECK(VerdictForGroup({KeyVerdict::kUnknownKey, nullptr}, "rowing") ==
+          KeyVerdict::kUnknownKey);
+    THEN("a rule that needs no key does not send it for the group either") {
+      CHECK(VerdictForGroup({KeyVerdict::kNotNeeded, nullptr}, "rowing") ==
+            KeyVerdict::kInDoubt);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace verbenastile
--- a/tests/quota_test.cc
+++ b/tests/quota_test.cc
@@ -201,6 +201,21 @@
   CHECK(quotas.TakeNeeds(Time(kSecond)).empty());
 }
 
+SCENARIO("a coordinator that does not answer is reported") {
+  constexpr Duration kAnswerTimeout = std::chrono::milliseconds(400);
+  GroupQuotas quotas("n1", Limits());
+  Group group;
+  group.name = "tenant";
+  group.requests = {10, 10};
+  quotas.SetGroups({&group, 1}, Time());
+  quotas.SetMembers({{"n2"}, 2, 2}, Time());
+  const Time now = Time(100 * kSecond);
+  REQUIRE(quotas.Request(group, now).decision == QuotaDecision::kWait);
+  REQUIRE(quotas.TakeNeeds(now).contains("n2"));
+  CHECK(quotas.Tick(now + kAnswerTimeout - Duration(1)).empty());
+  CHECK(quotas.Tick(now + kAnswerTimeout) == std::set<std::string>{"n2"});
+}
+
 SCENARIO("a request that did not run gives its token back") {
   constexpr double kRate = 10;
   GroupQuotas quotas("n1", {});
