--- a/src/core/version_holds.cc
+++ b/src/core/version_holds.cc
@@ -46,8 +46,8 @@
   for (const auto& [service, members] : services) {
     Versions& versions = services_[std::string(service)];
     if (versions.size() > kMaxVersions) {
-      std::erase_if(versions, [&](const auto& entry) {
-        return !members.contains(entry.first) &&
+      std::erase_if(versions, [&, &running = members](const auto& entry) {
+        return !running.contains(entry.first) &&
                entry.second.barred_until <= now;
       });
     }
--- a/src/io/http_status.h
+++ b/src/io/http_status.h
@@ -4,17 +4,17 @@
 
 namespace verbenastile {
 
-constexpr int kOk = 200;
-constexpr int kBadRequest = 400;
-constexpr int kUnauthorized = 401;
+constexpr int kHttpOk = 200;
+constexpr int kHttpBadRequest = 400;
+constexpr int kHttpUnauthorized = 401;
 constexpr int kHttpNotFound = 404;
-constexpr int kMisdirectedRequest = 421;
-constexpr int kTooManyRequests = 429;
+constexpr int kHttpMisdirectedRequest = 421;
+constexpr int kHttpTooManyRequests = 429;
 // Codes from here on are server errors.
-constexpr int kServerError = 500;
-constexpr int kBadGateway = 502;
-constexpr int kUnavailable = 503;
-constexpr int kGatewayTimeout = 504;
+constexpr int kHttpServerError = 500;
+constexpr int kHttpBadGateway = 502;
+constexpr int kHttpUnavailable = 503;
+constexpr int kHttpGatewayTimeout = 504;
 
 }  // namespace verbenastile
 
--- a/src/mesh/inbound_response.cc
+++ b/src/mesh/inbound_response.cc
@@ -41,13 +41,13 @@
   Call& call = found->second;
   call.response_head = head;
   call.not_executed =
-      head.status == kMisdirectedRequest ||
+      head.status == kHttpMisdirectedRequest ||
       !FindHeader(head.headers, init_.headers.not_executed).empty();
   ResponseNotice notice = ParseResponseNotice(head.headers, init_.headers);
   notice.is_success = IsSuccess(head.status);
   // A misdirected request was answered by another instance, and a success
   // without a signature by none.
-  if (head.status != kMisdirectedRequest &&
+  if (head.status != kHttpMisdirectedRequest &&
       (notice.is_signed || !notice.is_success)) {
     OnNotice(call, notice);
   }
@@ -225,7 +225,7 @@
 
 void InboundProxy::OnResponseComplete(CallId id, Call& call) {
   if (call.not_executed) {
-    if (call.response_head.status == kMisdirectedRequest &&
+    if (call.response_head.status == kHttpMisdirectedRequest &&
         init_.tracker->OnIdentityMismatch(call.instance_id, SteadyNow())) {
       Log(LogLevel::kWarning, kLogComponent,
           "Another instance answered at the instance's address.",
@@ -234,7 +234,7 @@
     }
     init_.metrics->Add(shed_by_instance_);
     Refuse(id,
-           call.response_head.status == kMisdirectedRequest
+           call.response_head.status == kHttpMisdirectedRequest
                ? RefusalReason::kNoInstance
                : RefusalReason::kShed,
            Duration::zero());
--- a/src/mesh/link_codec.cc
+++ b/src/mesh/link_codec.cc
@@ -282,7 +282,6 @@
     if (call.group_priority) {
       body.setGroupPriority(static_cast<std::uint8_t>(*call.group_priority));
     }
-    body.setCopy(call.is_copy);
     if (call.notice) {
       WriteNotice(*call.notice, body.initNotice());
     }
@@ -406,7 +405,6 @@
   if (in.getGroupPriority() <= static_cast<int>(Priority::kLow)) {
     call.group_priority = static_cast<Priority>(in.getGroupPriority());
   }
-  call.is_copy = in.getCopy();
   if (in.hasNotice()) {
     call.notice = ReadNotice(in.getNotice());
   }
--- a/src/mesh/link_frames.h
+++ b/src/mesh/link_frames.h
@@ -56,8 +56,6 @@
   std::string group;  // Of the caller; empty: none.
   // Precedes `priority`; empty: the group has none.
   std::optional<Priority> group_priority;
-  // Another instance is already running the request.
-  bool is_copy = false;
   Duration remaining{0};  // Until the caller gets an error instead.
   Duration objective{0};  // Until the response is late; <= 0: already late.
   bool idempotent = false;
--- a/src/mesh/outbound_keys.cc
+++ b/src/mesh/outbound_keys.cc
@@ -105,7 +105,7 @@
        {"newer_known", behind.has_value()},
        {"behind_ms", ToMilliseconds(behind.value_or(Duration::zero()))},
        {"fail_closed", init_.key_limits().fail_closed}});
-  Fail(id, in_doubt ? kUnavailable : kUnauthorized, ReasonFor(verdict));
+  Fail(id, in_doubt ? kHttpUnavailable : kHttpUnauthorized, ReasonFor(verdict));
 }
 
 }  // namespace verbenastile
--- a/src/mesh/outbound_proxy.cc
+++ b/src/mesh/outbound_proxy.cc
@@ -134,7 +134,7 @@
 bool OutboundProxy::MatchRule(CallId id, Call& call) {
   call.table = init_.applier->table();
   if (!call.table) {
-    Fail(id, kUnavailable, "no configuration yet");
+    Fail(id, kHttpUnavailable, "no configuration yet");
     return false;
   }
   const Http1Head& head = call.exchange->head();
@@ -146,7 +146,7 @@
   call.rule = call.table->FindRule(view);
   if (call.rule == nullptr) {
     const bool fresh = init_.configuration_age() < kMaxConfigurationAge;
-    Fail(id, fresh ? kHttpNotFound : kUnavailable,
+    Fail(id, fresh ? kHttpNotFound : kHttpUnavailable,
          fresh ? "no rule matches" : "the configuration may be old");
     return false;
   }
@@ -188,9 +188,9 @@
   init_.quotas->LogRefusal(*call.group, call.request_id, verdict);
   call.retry_after = verdict.retry_after;
   if (verdict.decision == QuotaDecision::kUnknown) {
-    Fail(id, kUnavailable, "the quota of the group is not known");
+    Fail(id, kHttpUnavailable, "the quota of the group is not known");
   } else {
-    Fail(id, kTooManyRequests, "the group has used up its quota");
+    Fail(id, kHttpTooManyRequests, "the group has used up its quota");
   }
 }
 
@@ -228,7 +228,7 @@
   while (true) {
     const Time now = SteadyNow();
     if (call.deadline <= now) {
-      Fail(id, kGatewayTimeout, "the deadline has passed");
+      Fail(id, kHttpGatewayTimeout, "the deadline has passed");
       return;
     }
     if (const KeyVerdict verdict = RecheckKey(call); !MaySend(verdict)) {
@@ -239,7 +239,7 @@
     if (verdict == SuspectVerdict::kBlocked) {
       init_.metrics->Add(blocked_);
       call.retry_after = kBlockedRetryAfter;
-      Fail(id, kUnavailable, "instances ended under this request");
+      Fail(id, kHttpUnavailable, "instances ended under this request");
       return;
     }
     balancer_.Sync(init_.member_registry->directory(), now);
@@ -253,7 +253,7 @@
     }
     const Member* member = balancer_.Find(upstream);
     if (member == nullptr) {
-      Fail(id, kUnavailable,
+      Fail(id, kHttpUnavailable,
            fmt::format("no instance of {} can take it", call.service));
       return;
     }
@@ -391,12 +391,12 @@
 void OutboundProxy::Fail(CallId id, int status, std::string_view reason) {
   Call& call = calls_.at(id);
   if (call.may_have_run &&
-      (status == kUnavailable || status == kUnauthorized)) {
-    status = kBadGateway;
+      (status == kHttpUnavailable || status == kHttpUnauthorized)) {
+    status = kHttpBadGateway;
   }
-  if (status == kGatewayTimeout && !call.may_have_run) {
+  if (status == kHttpGatewayTimeout && !call.may_have_run) {
     // It reached no instance, so that the caller may send it again.
-    status = kUnavailable;
+    status = kHttpUnavailable;
   }
   if (call.streaming) {
     init_.metrics->Add(failed_);
@@ -416,7 +416,7 @@
     return;
   }
   HttpHeaders headers = {{"Content-Type", "text/plain"}};
-  if (status == kUnavailable || status == kTooManyRequests) {
+  if (status == kHttpUnavailable || status == kHttpTooManyRequests) {
     if (call.retry_after == Duration::zero()) {
       call.retry_after = RetryAfterFor(call);
     }
@@ -425,24 +425,24 @@
     headers.push_back({std::string(init_.headers.retry_after),
                        fmt::format("{:.3f}", seconds)});
   }
-  if (status == kUnauthorized && call.table->document().callers_need_keys) {
+  if (status == kHttpUnauthorized && call.table->document().callers_need_keys) {
     headers.push_back(
         {"WWW-Authenticate", std::string(init_.headers.key_scheme)});
   }
-  init_.metrics->Add(status == kUnavailable ? refused_ : failed_);
+  init_.metrics->Add(status == kHttpUnavailable ? refused_ : failed_);
   call.exchange->Send(status, headers, fmt::format("{}\n", reason));
   FinishCall(id, reason, status);
 }
 
 void OutboundProxy::RecordOutcome(const Call& call, int status, Time now) {
-  if (call.took_quota && status == kUnavailable) {
+  if (call.took_quota && status == kHttpUnavailable) {
     init_.quotas->GiveBack(call.group->name);
   }
-  if (call.rule == nullptr || status == kTooManyRequests) {
+  if (call.rule == nullptr || status == kHttpTooManyRequests) {
     return;
   }
-  return_times_.OnOutcome(call.rule->id, status == kUnavailable, now);
-  if (status >= kServerError) {
+  return_times_.OnOutcome(call.rule->id, status == kHttpUnavailable, now);
+  if (status >= kHttpServerError) {
     returning_callers_.OnRequestFailed(call.key, call.first_requested, now);
   }
 }
@@ -504,7 +504,7 @@
       call.attempt->rollout->failed = true;
     }
     CancelAttempt(id, call, AttemptOutcome::kUnknown);
-    Fail(id, kGatewayTimeout, "the deadline has passed");
+    Fail(id, kHttpGatewayTimeout, "the deadline has passed");
   }
 }
 
--- a/src/mesh/outbound_response.cc
+++ b/src/mesh/outbound_response.cc
@@ -80,7 +80,7 @@
   EndAttempt(call, outcome, shed);
   ++call.refusals;
   if (refusal.reason == RefusalReason::kCrashSuspect) {
-    Fail(id, kUnavailable, ToString(refusal.reason));
+    Fail(id, kHttpUnavailable, ToString(refusal.reason));
     return;
   }
   if (refusal.retry_delay > Duration::zero()) {
@@ -103,7 +103,7 @@
     StartAttempt(id);
     return;
   }
-  Fail(id, kUnavailable, ToString(refusal.reason));
+  Fail(id, kHttpUnavailable, ToString(refusal.reason));
 }
 
 // Whether the refusal only reflects the instance's load, so that it must not
@@ -132,7 +132,7 @@
   // retried; one that was suspected before is not.
   const bool suspected = Judge(call) != SuspectVerdict::kUnsuspected;
   if (call.streaming || suspected || !RetryAfterRun(id, broken.detail)) {
-    Fail(id, kBadGateway, broken.detail);
+    Fail(id, kHttpBadGateway, broken.detail);
   }
 }
 
@@ -241,7 +241,7 @@
     OnBroken(id, {"the answer is not whole", std::nullopt});
     return;
   }
-  const bool failed = call.status >= kServerError;
+  const bool failed = call.status >= kHttpServerError;
   if (!failed) {
     RecordServiceTime(call, SteadyNow());
   }
@@ -333,7 +333,7 @@
     Call& call = found->second;
     CancelAttempt(id, call, AttemptOutcome::kUnknown);
     if (call.streaming || !RetryAfterRun(id, "the instance's node is silent")) {
-      Fail(id, kBadGateway, "the instance's node is silent");
+      Fail(id, kHttpBadGateway, "the instance's node is silent");
     }
   }
 }
--- a/src/mesh/outbound_rollout.cc
+++ b/src/mesh/outbound_rollout.cc
@@ -92,7 +92,7 @@
   rollout->old_in_flight -= part->old && rollout->old_in_flight > 0 ? 1 : 0;
   const bool answered = outcome == AttemptOutcome::kAnswered ||
                         (outcome == AttemptOutcome::kFailed && reached &&
-                         call.status >= kServerError);
+                         call.status >= kHttpServerError);
   if (part->exposed && !answered) {
     rollout->targets.OnRefused(call.attempt->member, now);
   }
--- a/src/mesh/rollout_service.cc
+++ b/src/mesh/rollout_service.cc
@@ -389,10 +389,11 @@
     if (rollout.removed()) {
       continue;
     }
-    const auto set = [&](std::string_view name, double value) {
-      metrics.Set(metrics.Gauge(fmt::format("rollout_{}{{service=\"{}\"}}",
-                                            name, service)),
-                  value);
+    const auto set = [&metrics, &of = service](std::string_view name,
+                                               double value) {
+      metrics.Set(
+          metrics.Gauge(fmt::format("rollout_{}{{service=\"{}\"}}", name, of)),
+          value);
     };
     set("state", static_cast<double>(rollout.state));
     set("settled", rollout.settled() ? 1 : 0);
--- a/src/mesh/sidecar_control.cc
+++ b/src/mesh/sidecar_control.cc
@@ -33,7 +33,7 @@
   } else if (const auto* error = std::get_if<platform::FormatError>(&call)) {
     Log(LogLevel::kWarning, "control", "Cannot parse a control call.",
         {{"target", head.target}, {"error", error->reason}});
-    exchange->Send(kBadRequest, JsonHeaders(), "{}");
+    exchange->Send(kHttpBadRequest, JsonHeaders(), "{}");
   } else {
     exchange->Send(kHttpNotFound, JsonHeaders(), "{}");
   }
@@ -42,14 +42,14 @@
 void Sidecar::OnReadyCheck(const ExchangePointer& exchange) {
   const bool ready =
       lifecycle_.state() == "serving" && member_follower_.listed();
-  exchange->Send(ready ? kOk : kUnavailable, JsonHeaders(), "{}");
+  exchange->Send(ready ? kHttpOk : kHttpUnavailable, JsonHeaders(), "{}");
 }
 
 void Sidecar::OnHeartbeat(const ExchangePointer& exchange,
                           const InstanceReport& report) {
   const ReportVerdict verdict = tracker_.OnReport(report, SteadyNow());
   if (verdict == ReportVerdict::kUnchanged) {
-    exchange->Send(kOk, JsonHeaders(), "{}");
+    exchange->Send(kHttpOk, JsonHeaders(), "{}");
     return;
   }
   Log(verdict == ReportVerdict::kChanged ? LogLevel::kInfo : LogLevel::kWarning,
@@ -63,14 +63,14 @@
        {"sequence", report.sequence},
        {"started_ms", report.started_ms}});
   if (verdict != ReportVerdict::kChanged) {
-    exchange->Send(kOk, JsonHeaders(), "{}");
+    exchange->Send(kHttpOk, JsonHeaders(), "{}");
     return;
   }
   OnInstanceChanged("report");
   if (report.leaving) {
     AcknowledgeWhenPublished(exchange);
   } else {
-    exchange->Send(kOk, JsonHeaders(), "{}");
+    exchange->Send(kHttpOk, JsonHeaders(), "{}");
   }
 }
 
@@ -80,7 +80,7 @@
   Log(LogLevel::kInfo, "control", "The instance deregistered.",
       {{"instance", id}, {"verdict", ToString(verdict)}});
   if (verdict != ReportVerdict::kChanged) {
-    exchange->Send(kOk, JsonHeaders(), "{}");
+    exchange->Send(kHttpOk, JsonHeaders(), "{}");
     return;
   }
   OnInstanceChanged("deregistered");
@@ -91,7 +91,7 @@
   const auto answered = std::make_shared<bool>(false);
   const auto answer = [exchange, answered] {
     if (!std::exchange(*answered, true)) {
-      exchange->Send(kOk, JsonHeaders(), "{}");
+      exchange->Send(kHttpOk, JsonHeaders(), "{}");
     }
   };
   const auto timer = std::make_shared<asio::steady_timer>(io_);
@@ -115,7 +115,7 @@
                static_cast<double>(suspects_.blocked()));
   metrics_.Set(metrics_.Gauge("log_lines_dropped"),
                static_cast<double>(DroppedLogLines()));
-  exchange->Send(kOk, {{"Content-Type", "text/plain; version=0.0.4"}},
+  exchange->Send(kHttpOk, {{"Content-Type", "text/plain; version=0.0.4"}},
                  metrics_.RenderPrometheus());
 }
 
--- a/src/wire/link.capnp
+++ b/src/wire/link.capnp
@@ -162,7 +162,6 @@
   notice @13 :InstanceNotice;
   group @14 :Text;
   groupPriority @15 :UInt8 = 255;  # 255: the group has none.
-  copy @16 :Bool;
 }
 
 struct Refusal {
--- a/src/wire/link.capnp.h
+++ b/src/wire/link.capnp.h
@@ -2125,8 +2125,6 @@
 
   inline  ::uint8_t getGroupPriority() const;
 
-  inline bool getCopy() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2243,9 +2241,6 @@
   inline  ::uint8_t getGroupPriority();
   inline void setGroupPriority( ::uint8_t value);
 
-  inline bool getCopy();
-  inline void setCopy(bool value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5615,20 +5610,6 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value, 255u);
 }
 
-inline bool Call::Reader::getCopy() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
-}
-
-inline bool Call::Builder::getCopy() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
-}
-inline void Call::Builder::setCopy(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
-}
-
 inline  ::uint8_t Refusal::Reader::getReason() const {
   return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/tests/link_codec_test.cc
+++ b/tests/link_codec_test.cc
@@ -22,7 +22,6 @@
   call.notice = InstanceNotice{"i-1", 8.5};
   call.group = "academies";
   call.group_priority = Priority::kHigh;
-  call.is_copy = true;
   return call;
 }
 
@@ -83,7 +82,6 @@
   CHECK(call.priority == Priority::kLow);
   CHECK(call.group == "academies");
   CHECK(call.group_priority == Priority::kHigh);
-  CHECK(call.is_copy);
   CHECK(call.objective == std::chrono::milliseconds(-5));
   CHECK(call.rule == "r-1");
   CHECK(call.idempotent);
