--- a/tests/domain_spill_test.cc
+++ b/tests/domain_spill_test.cc
@@ -136,6 +136,7 @@
         }
       }
       std::vector<DomainRoom> rooms;
+      rooms.reserve(calls.size());
       for (const auto& [name, count] : calls) {
         rooms.push_back(Room(name.c_str(), 40, count));
       }
