--- a/src/mesh/inbound_proxy.cc
+++ b/src/mesh/inbound_proxy.cc
@@ -344,26 +344,28 @@
   });
 }
 
-void InboundProxy::Cancel(CallId id) {
+bool InboundProxy::Cancel(CallId id) {
   const auto found = calls_.find(id);
   if (found == calls_.end()) {
-    return;
+    return true;
   }
   Call& call = found->second;
   const Time now = SteadyNow();
-  if (admission_.OnCancelled(id, now) != CancelVerdict::kRunning) {
+  const CancelVerdict verdict = admission_.OnCancelled(id, now);
+  if (verdict != CancelVerdict::kRunning) {
     LogCall(id, call, "cancelled_before_start");
     Remove(id);
-    return;
+    return verdict != CancelVerdict::kNotRun;
   }
   if (!call.request.idempotent) {
     call.abandoned = true;
     if (std::exchange(call.paused, false)) {
       http_client_.Resume(call.http_call_id);
     }
-    return;
+    return true;
   }
   BreakOff(id, "cancelled");
+  return true;
 }
 
 void InboundProxy::BreakOff(CallId id, std::string_view outcome) {
--- a/src/mesh/inbound_proxy.h
+++ b/src/mesh/inbound_proxy.h
@@ -84,8 +84,9 @@
   CallId Start(GateCall call, ResponsePath path, ReplyHandler reply);
   // The caller no longer waits for the call. A queued call is dropped, and a
   // running idempotent call is cancelled at the instance. A running call that
-  // is not idempotent completes there.
-  void Cancel(CallId id);
+  // is not idempotent completes there. Returns false if the call was still
+  // queued: it has not run and never will.
+  bool Cancel(CallId id);
   // Flow control: the caller consumed `bytes` of the response body.
   void GrantCredit(CallId id, std::uint32_t bytes);
 
--- a/src/mesh/outbound_response.cc
+++ b/src/mesh/outbound_response.cc
@@ -295,13 +295,14 @@
   if (!call.attempt) {
     return;
   }
-  call.may_have_run = true;
+  bool reached = true;
   if (call.attempt->local) {
-    init_.inbound_proxy->Cancel(call.attempt->local_call_id);
+    reached = init_.inbound_proxy->Cancel(call.attempt->local_call_id);
   } else {
     init_.links->Send(call.attempt->member, {id, LinkCancel{}});
   }
-  EndAttempt(call, outcome, true);
+  call.may_have_run = call.may_have_run || reached;
+  EndAttempt(call, outcome, reached);
 }
 
 // The calls with an attempt in progress on a link to `member`.
--- a/tests/inbound_proxy_test.cc
+++ b/tests/inbound_proxy_test.cc
@@ -183,6 +183,16 @@
       }
     }
   }
+  GIVEN("a call that waits for the only slot, and that the caller cancels") {
+    fixture.Start(true);
+    RawConnection instance = fixture.listener.Accept();
+    instance.ReadRequest();
+    fixture.Start(false);
+    THEN("it is known not to have run") {
+      CHECK_FALSE(fixture.loop.Call(
+          [&] { return fixture.proxy->Cancel(fixture.last_call_id); }));
+    }
+  }
   GIVEN("a call that is not idempotent and that the caller cancels") {
     const auto replies = fixture.Start(false);
     RawConnection instance = fixture.listener.Accept();
