--- a/tests/outbound_keys_test.cc
+++ b/tests/outbound_keys_test.cc
@@ -150,7 +150,7 @@
   std::string Refused(std::string_view path, std::string_view headers) {
     RawConnection caller = Connect();
     Ask(caller, path, headers);
-    const std::string answer = caller.ReadAll();
+    std::string answer = caller.ReadAll();
     CHECK_FALSE(listener.TryAccept().has_value());
     return answer;
   }
@@ -167,7 +167,7 @@
     RawConnection caller = Connect();
     Ask(caller, path, headers);
     RawConnection instance = listener.Accept();
-    const std::string request = instance.ReadRequest();
+    std::string request = instance.ReadRequest();
     instance.Write(
         "HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nX-Attempt-Id: r1\r\n"
         "Connection: close\r\nContent-Length: 2\r\n\r\nok");
--- a/tests/quota_fleet.h
+++ b/tests/quota_fleet.h
@@ -248,13 +248,13 @@
     if (side_[from] != side_[to]) {
       return;
     }
-    At(now_ + kLinkDelay, [this, event = std::move(event),
-                           at_from = std::weak_ptr<Node>(nodes_[from]),
-                           at_to = std::weak_ptr<Node>(nodes_[to])] {
-      if (!at_from.expired() && !at_to.expired()) {
-        event();
-      }
-    });
+    At(now_ + kLinkDelay,
+       [event = std::move(event), at_from = std::weak_ptr<Node>(nodes_[from]),
+        at_to = std::weak_ptr<Node>(nodes_[to])] {
+         if (!at_from.expired() && !at_to.expired()) {
+           event();
+         }
+       });
   }
 
   QuotaLimits limits_;
