Soak: a node that is still cut off from the store writes no record

The check takes a node as calm when its path to the store last changed three seconds before; the cut of seven seconds that keys brought had begun before that and still held, as the node's log shows (three writes timed out, the restore heard at its end). Change: the check asks whether the path passes, as the one for nodes in touch does.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -917,6 +917,8 @@
             calm = max(node.disturbed, instance.changed, proxy.disturbed) < back - TOUCH
             if not calm or instance.changing or node.process.returncode is not None:
                 continue
+            if proxy.mode != "pass":
+                continue  # Cut off from the store since before it was back.
             record = self.store.objects.get((protocol.MEMBERS, f"node-{node.index}"))
             if record is None or record["spec"]["instance"] != instance.id:
                 self.fail(f"no record of {instance.id} after a restore of the store")
