Roll-outs: a node that reads orders itself waits for its own word on them

Cause: fault seed 304: cut off from the store, a node took a peer's confirmation of the configuration as a word that there is no order, and sent an unproved version 108 calls. Change: its own reading of the orders confirms them.

--- a/src/mesh/rollout_service.cc
+++ b/src/mesh/rollout_service.cc
@@ -264,8 +264,11 @@
     return;
   }
   next_refresh_ = now + kRefreshInterval;
-  if (book_.Update(init_.member_registry->directory(), init_.confirmed(),
-                   now)) {
+  // What confirms the configuration says nothing about orders if this node
+  // reads those from the store itself.
+  const std::optional<Time> confirmed =
+      following_ ? follower_.last_confirmed() : init_.confirmed();
+  if (book_.Update(init_.member_registry->directory(), confirmed, now)) {
     ++holds_revision_;
     Log(LogLevel::kInfo, kLogComponent, "Held instances changed.",
         {{"held", book_.held().size()},
