Roll-outs: calls that a window of exposure could not spend are sent after it

In a short roll-out two windows pass before the verdict, and what they could not send was lost. Change: what was allowed at the start of a window and is left at its end is sent until the next one; the bound on the share is as before.

--- a/src/core/rollout_exposure.cc
+++ b/src/core/rollout_exposure.cc
@@ -63,12 +63,16 @@
 }
 
 bool ExposureBudget::MaySend(std::string_view rule, Duration age) {
-  if (!IsExposureOpen(age)) {
+  if (age < Duration::zero()) {
     return false;
   }
   ForfeitOld(age);
   const std::uint64_t used = sent_ + forfeited_;
-  const std::uint64_t allowed = Allowed();
+  // Few or limited instances, or instances that were replaced, do not take all
+  // in a window. They take the rest after it: without it a sound version that
+  // hardly answered would be returned from.
+  const std::uint64_t allowed =
+      IsExposureOpen(age) ? Allowed() : current_.allowed;
   return used < allowed && IsTurnOf(rule, allowed - used);
 }
 
--- a/src/core/rollout_exposure.h
+++ b/src/core/rollout_exposure.h
@@ -19,8 +19,9 @@
 
 namespace verbenastile {
 
-// The share in which exposed calls are sent together, as the age of the order:
-// the first `kExposureOpen` of each `kExposurePeriod`.
+// Exposed calls are sent together in the first `kExposureOpen` of each
+// `kExposurePeriod` of the order's age. Only what was allowed at the start of
+// such a window and could not be sent in it is sent until the next one.
 constexpr Duration kExposurePeriod = std::chrono::seconds(3);
 constexpr Duration kExposureOpen = std::chrono::seconds(1);
 
--- a/tests/rollout_exposure_test.cc
+++ b/tests/rollout_exposure_test.cc
@@ -99,6 +99,36 @@
   CHECK(sent <= 2 * 3 * 8);  // Two periods of 100 calls a second.
 }
 
+// Two instances that are replaced or limited during a short roll-out.
+SCENARIO("what a window could not spend is spent after it") {
+  ExposureBudget budget(kUsedPermille);
+  Duration age{0};
+  int sent = 0;
+  const auto run = [&](Duration end, bool takes) {
+    for (; age < end; age += kStep) {
+      budget.OnAnswered("read");
+      if (takes && budget.MaySend("read", age)) {
+        budget.OnSent("read");
+        ++sent;
+      } else if (!takes) {
+        static_cast<void>(budget.MaySend("read", age));
+      }
+    }
+  };
+  GIVEN("no instance takes calls in the second window") {
+    run(4 * kSecond, false);
+    CHECK(sent == 0);
+    run(kExposurePeriod * 2 - kStep, true);
+    CHECK(sent == 100 * 3 * 8 / 100);
+  }
+  GIVEN("instances take all in each window") {
+    run(4 * kSecond, true);
+    const int before = sent;
+    run(kExposurePeriod * 2 - kStep, true);
+    CHECK(sent == before);
+  }
+}
+
 SCENARIO("all nodes fill the same instances, and not always the same first") {
   const std::vector<std::string> names{"a", "b", "c", "d", "e", "f"};
   Time now(100 * kSecond);
@@ -182,6 +212,11 @@
       service.confirmed = service.now;
       CHECK(service.Held(2 * kSecond) == 0);
     }
+    THEN("a version that is ordered again and proved is held no longer") {
+      service.holds.Bar("booking", "v2", service.now + 30 * kSecond);
+      service.SetOrder(RolloutState::kCompleted);
+      CHECK(service.Held() == 4);
+    }
     THEN("they stay held when all old instances are gone") {
       for (int i = 0; i < 4; ++i) {
         service.directory.Remove("v1-" + std::to_string(i));
