Roll-outs: only those who read orders say that there are none

Change: nodes that read orders say how old their reading is, in what they tell a new link and on a question, which is asked on the asker's own link 2 s after a new version was seen. An order that a restored store lost and got back keeps its deadline and evidence; a returned version is held for 30 s after its order was removed; a version ordered again is held by the order alone; reports with impossible numbers are ignored.

--- a/src/core/rollout_book.cc
+++ b/src/core/rollout_book.cc
@@ -18,6 +18,13 @@
 // unless their callers wait longer.
 constexpr Duration kMaxMove = std::chrono::seconds(4);
 constexpr Duration kMinMove = std::chrono::seconds(1);
+// Instances of a version that was returned from leave within this time. Until
+// then they get no calls, also if the order is removed.
+constexpr Duration kDrainTime = std::chrono::seconds(30);
+// The longest roll-out; what a peer tells of a longer one is malformed.
+constexpr Duration kMaxDuration = std::chrono::hours(24);
+// The same for one that was over longer ago.
+constexpr Duration kMaxOverdue = std::chrono::hours(24 * 36'500);
 // All nodes have reported within this time.
 constexpr Duration kReportAge = std::chrono::seconds(3);
 // Nodes try to write the status one after the other, this far apart.
@@ -26,6 +33,14 @@
 // The part of the margin that is left for the write.
 constexpr int kWriteDivisor = 4;
 
+bool IsWellFormed(const RolloutReport& report) {
+  const RolloutOrder& order = report.order;
+  const bool removed = order.target_version.empty();
+  return !order.service.empty() && order.duration <= kMaxDuration &&
+         (removed || order.duration > Duration::zero()) &&
+         report.remaining <= order.duration && report.remaining >= -kMaxOverdue;
+}
+
 }  // namespace
 
 RolloutBook::RolloutBook(Init init)
@@ -62,17 +77,35 @@
     }
     if (!known.removed() && known.state != RolloutState::kCompleted &&
         known.order.target_version != order.target_version) {
-      holds_.Bar(order.service, known.order.target_version, known.deadline);
+      const bool bad = known.state == RolloutState::kRolledBack;
+      holds_.Bar(
+          order.service, known.order.target_version,
+          bad ? std::max(known.deadline, now + kDrainTime) : known.deadline);
+    }
+    if (order.target_version.empty()) {
+      lost_.insert_or_assign(order.service, std::move(known));
     }
     rollouts_.erase(found);
   }
+  outdated_ = true;
+  const auto lost = lost_.find(order.service);
+  if (lost != lost_.end() && lost->second.order.id == order.id) {
+    Rollout& rollout =
+        rollouts_.insert_or_assign(order.service, std::move(lost->second))
+            .first->second;
+    lost_.erase(lost);
+    rollout.order = order;
+    rollout.recorded = false;
+    rollout.state_since = now;
+    rollout.old_in_flight = 0;
+    return &rollout;
+  }
   Rollout& rollout =
       rollouts_.try_emplace(order.service, order, init_.exposed_permille)
           .first->second;
   rollout.learned = now;
   rollout.state_since = now;
   rollout.deadline = deadline;
-  outdated_ = true;
   return &rollout;
 }
 
@@ -174,6 +207,9 @@
 RolloutBook::Heard RolloutBook::OnReport(const RolloutReport& report,
                                          Time now) {
   Heard heard;
+  if (!IsWellFormed(report)) {
+    return heard;
+  }
   const Rollout* before = Find(report.order.service);
   const bool known = before != nullptr && before->order.id == report.order.id;
   Rollout* rollout = Learn(report.order, now + report.remaining, now);
@@ -199,9 +235,11 @@
   return heard;
 }
 
-bool RolloutBook::Update(const MemberDirectory& directory,
-                         std::optional<Time> confirmed,
-                         Time now) {
+void RolloutBook::OnConfirmed(Time at) {
+  confirmed_ = std::max(confirmed_, std::optional(at));
+}
+
+bool RolloutBook::Update(const MemberDirectory& directory, Time now) {
   directory_revision_ = directory.revision();
   outdated_ = false;
   for (auto& [service, rollout] : rollouts_) {
@@ -223,7 +261,7 @@
   }
   VersionHolds::Knowledge known;
   known.informed = informed_;
-  known.confirmed = confirmed;
+  known.confirmed = confirmed_;
   known.order =
       [&](std::string_view service) -> std::optional<VersionHolds::Order> {
     const Rollout* rollout = Find(service);
--- a/src/core/rollout_book.h
+++ b/src/core/rollout_book.h
@@ -107,6 +107,8 @@
                                   Time now);
   // A peer knows all orders, and they are known to this node.
   void OnInformed() { informed_ = true; }
+  // At that time the store had no other orders than those known to this node.
+  void OnConfirmed(Time at);
   bool informed() const { return informed_; }
 
   struct Heard {
@@ -117,15 +119,17 @@
 
   // Updates which instances are held and which may be exposed. Returns whether
   // the held ones have changed.
-  bool Update(const MemberDirectory& directory,
-              std::optional<Time> confirmed,
-              Time now);
+  bool Update(const MemberDirectory& directory, Time now);
   bool IsUpToDate(const MemberDirectory& directory) const {
     return !outdated_ && directory_revision_ == directory.revision();
   }
   const std::set<std::string, std::less<>>& held() const {
     return holds_.held();
   }
+  // Whether a new version is held until `OnConfirmed`, and since when.
+  std::optional<Time> unconfirmed_since() const {
+    return holds_.unconfirmed_since();
+  }
 
   // Judges the evidence, if this node is a judge. Returns the services whose
   // state has changed thereby.
@@ -160,7 +164,11 @@
   Init init_;
   VersionHolds holds_;
   std::map<std::string, Rollout, std::less<>> rollouts_;
+  // Orders that were removed, by service: a store that lost one to a restore
+  // may get it back, with the deadline and the evidence of before.
+  std::map<std::string, Rollout, std::less<>> lost_;
   bool informed_ = false;
+  std::optional<Time> confirmed_;
   bool outdated_ = true;
   std::optional<std::uint64_t> directory_revision_;
 };
--- a/src/core/rollout_evidence.cc
+++ b/src/core/rollout_evidence.cc
@@ -19,6 +19,19 @@
   return counts;
 }
 
+// Whether a node may count `now` after it counted `before`.
+bool Follows(const OutcomeCounts& now, const OutcomeCounts& before) {
+  std::uint64_t answers = 0;
+  for (std::size_t i = 0; i < now.times.size(); ++i) {
+    if (now.times[i] < before.times[i]) {
+      return false;
+    }
+    answers += now.times[i];
+  }
+  return now.failures >= before.failures && now.failures <= now.responses &&
+         answers == now.responses - now.failures;
+}
+
 }  // namespace
 
 void OutcomeCounts::Add(const OutcomeCounts& other) {
@@ -98,6 +111,9 @@
       continue;  // As old as what is known, or older.
     }
     const OutcomeCounts counts = FromMessage(message);
+    if (!Follows(counts, before)) {
+      continue;
+    }
     OutcomeCounts& total = totals_[key];
     total.Subtract(before);
     total.Add(counts);
--- a/src/core/version_holds.cc
+++ b/src/core/version_holds.cc
@@ -43,6 +43,7 @@
     }
   }
   const auto before = std::exchange(held_, {});
+  unconfirmed_since_.reset();
   for (const auto& [service, members] : services) {
     Versions& versions = services_[std::string(service)];
     if (versions.size() > kMaxVersions) {
@@ -63,7 +64,8 @@
     }
     for (const auto& [software, version] : versions) {
       const auto found = members.find(software);
-      if (now < version.barred_until && found != members.end()) {
+      const bool ordered = order && order->target == software;
+      if (!ordered && now < version.barred_until && found != members.end()) {
         Hold(found->second);
       }
     }
@@ -170,6 +172,10 @@
     }
     if (!version.proven) {
       Hold(names);
+      if (!confirmed) {
+        unconfirmed_since_ =
+            std::max(unconfirmed_since_, std::optional(version.first_seen));
+      }
     }
   }
 }
--- a/src/core/version_holds.h
+++ b/src/core/version_holds.h
@@ -29,8 +29,8 @@
     std::function<std::optional<Order>(std::string_view service)> order;
     // All orders that exist are known.
     bool informed = false;
-    // When the store last confirmed the configuration to any node; unset:
-    // unknown.
+    // When the store last confirmed to this node, or to a peer that has told
+    // what it knows, that there are no other orders; unset: unknown.
     std::optional<Time> confirmed;
   };
 
@@ -47,6 +47,9 @@
 
   // Names of members.
   const std::set<std::string, std::less<>>& held() const { return held_; }
+  // When the newest version without an order was first seen that is held until
+  // the store confirms that there is none; unset: no version is.
+  std::optional<Time> unconfirmed_since() const { return unconfirmed_since_; }
 
  private:
   struct Version {
@@ -72,6 +75,7 @@
   Time started_;
   std::map<std::string, Versions, std::less<>> services_;
   std::set<std::string, std::less<>> held_;
+  std::optional<Time> unconfirmed_since_;
 };
 
 }  // namespace verbenastile
--- a/src/mesh/link_codec.cc
+++ b/src/mesh/link_codec.cc
@@ -254,6 +254,21 @@
   return report;
 }
 
+// A report without a service is about all orders.
+void WriteRolloutNote(const LinkRollouts& message,
+                      wire::RolloutReport::Builder out) {
+  out.setRecorded(message.age.has_value());
+  out.setRemainingUs(message.age.value_or(Duration(0)).count());
+}
+
+void ReadRolloutNote(wire::RolloutReport::Reader in, LinkRollouts& message) {
+  if (in.getRecorded()) {
+    message.age = std::max(Duration(in.getRemainingUs()), Duration(0));
+  } else {
+    message.asks = true;
+  }
+}
+
 // Encodes each type of frame.
 struct FrameWriter {
   wire::LinkFrame::Builder out;
@@ -369,10 +384,15 @@
     }
   }
   void operator()(const LinkRollouts& message) {
-    auto list = out.initRollouts(static_cast<unsigned>(message.reports.size()));
-    for (unsigned i = 0; i < list.size(); ++i) {
+    const bool has_note = message.age || message.asks;
+    auto list = out.initRollouts(
+        static_cast<unsigned>(message.reports.size() + (has_note ? 1 : 0)));
+    for (unsigned i = 0; i < message.reports.size(); ++i) {
       WriteRollout(message.reports[i], list[i]);
     }
+    if (has_note) {
+      WriteRolloutNote(message, list[list.size() - 1]);
+    }
   }
   void operator()(const LinkConfigurationRequest& request) {
     WriteHeldConfiguration(request.held, out.initConfigurationWanted());
@@ -498,7 +518,11 @@
     case Which::ROLLOUTS: {
       LinkRollouts message;
       for (const auto report : in.getRollouts()) {
-        message.reports.push_back(ReadRollout(report));
+        if (report.getService().size() == 0) {
+          ReadRolloutNote(report, message);
+        } else {
+          message.reports.push_back(ReadRollout(report));
+        }
       }
       return message;
     }
--- a/src/mesh/link_frames.h
+++ b/src/mesh/link_frames.h
@@ -152,6 +152,10 @@
 // What the sender knows of roll-outs.
 struct LinkRollouts {
   std::vector<RolloutReport> reports;
+  // If set, the reports name all orders that the store had this long ago.
+  std::optional<Duration> age = std::nullopt;
+  // Asks for all that the receiver knows, on the same link.
+  bool asks = false;
 };
 
 using LinkBody = std::variant<LinkHello,
--- a/src/mesh/link_hub.cc
+++ b/src/mesh/link_hub.cc
@@ -157,8 +157,10 @@
             }
           },
           [&](const LinkRollouts& message) {
-            if (init_.on_rollouts) {
-              init_.on_rollouts(peer->name, message.reports);
+            if (message.asks) {
+              ShareRollouts(*peer->link);
+            } else if (init_.on_rollouts) {
+              init_.on_rollouts(peer->name, message);
             }
           },
           [&](const LinkConfigurationRequest& request) {
@@ -365,7 +367,7 @@
           },
           [&](const LinkRollouts& message) {
             if (init_.on_rollouts) {
-              init_.on_rollouts(peer->name, message.reports);
+              init_.on_rollouts(peer->name, message);
             }
           },
           [](const auto&) {}},
@@ -470,8 +472,8 @@
   if (!init_.rollouts) {
     return;
   }
-  if (auto reports = init_.rollouts()) {
-    link.Send({0, LinkRollouts{std::move(*reports)}});
+  if (auto rollouts = init_.rollouts()) {
+    link.Send({0, std::move(*rollouts)});
   }
 }
 
--- a/src/mesh/link_hub.h
+++ b/src/mesh/link_hub.h
@@ -68,12 +68,11 @@
     std::function<void(std::string_view member, const std::vector<QuotaLoan>&)>
         on_quota_loans;
     // What the member knows of roll-outs.
-    std::function<void(std::string_view member,
-                       const std::vector<RolloutReport>&)>
+    std::function<void(std::string_view member, const LinkRollouts&)>
         on_rollouts;
-    // What a node that has just connected should know of roll-outs; empty:
-    // nothing can be said yet.
-    std::function<std::optional<std::vector<RolloutReport>>()> rollouts;
+    // What a node that has just connected, or asks, should know of roll-outs;
+    // empty: nothing can be said yet.
+    std::function<std::optional<LinkRollouts>()> rollouts;
     // A peer answered a request for its configuration.
     std::function<void(const ConfigurationDelta&)> on_configuration;
   };
--- a/src/mesh/rollout_service.cc
+++ b/src/mesh/rollout_service.cc
@@ -28,6 +28,12 @@
 // As if this many nodes watched: watches wait long, because orders are rare.
 constexpr std::size_t kWatchSpread = 100;
 constexpr Duration kRefreshInterval = std::chrono::milliseconds(500);
+// A node asks for orders for a new version when most of the time has passed in
+// which it would have heard of one, and again at this interval.
+constexpr Duration kAskAfter = std::chrono::seconds(2);
+constexpr Duration kAskInterval = std::chrono::milliseconds(500);
+// One of them may not answer.
+constexpr std::size_t kAskedFollowers = 2;
 constexpr Duration kMetricsInterval = std::chrono::seconds(1);
 // With more members than 100 the interval grows in proportion, so that a judge
 // gets at most 200 reports a second, up to the maximum.
@@ -50,6 +56,12 @@
                                     kPermille);
 }
 
+// Of the nodes that watch the configuration, those with the lowest scores watch
+// the orders too.
+std::uint64_t FollowerScore(std::string_view node) {
+  return DigestOf(fmt::format("orders {}", node)).low;
+}
+
 }  // namespace
 
 RolloutService::RolloutService(Init init)
@@ -90,14 +102,11 @@
 
 // A few of the nodes that watch the configuration watch the orders as well.
 void RolloutService::UpdateFollowing(Time now) {
-  const auto score = [](std::string_view name) {
-    return DigestOf(fmt::format("orders {}", name)).low;
-  };
-  const std::uint64_t own = score(init_.node_name);
+  const std::uint64_t own = FollowerScore(init_.node_name);
   const auto& readers = init_.readers();
   const auto rank = static_cast<std::size_t>(std::count_if(
       readers.begin(), readers.end(),
-      [&](const auto& entry) { return score(entry.first) < own; }));
+      [&](const auto& entry) { return FollowerScore(entry.first) < own; }));
   const bool follow =
       follows_store_ && rank < (following_ ? kMaxFollowers : kFollowers);
   if (follow == std::exchange(following_, follow)) {
@@ -222,19 +231,48 @@
   });
 }
 
-std::optional<std::vector<RolloutReport>> RolloutService::Shared(
-    Time now) const {
+std::optional<LinkRollouts> RolloutService::Shared(Time now) const {
   if (!book_.informed()) {
     return std::nullopt;
   }
-  return book_.Shared(now);
+  LinkRollouts shared{book_.Shared(now)};
+  const auto confirmed = follower_.last_confirmed();
+  if (following_ && confirmed) {
+    shared.age = now - *confirmed;
+  }
+  return shared;
+}
+
+void RolloutService::AskForConfirmation(Time now) {
+  const auto since = book_.unconfirmed_since();
+  if (!since || now < *since + kAskAfter || now < next_ask_) {
+    return;
+  }
+  next_ask_ = now + random_.Jitter10Percent(kAskInterval);
+  if (following_) {
+    follower_.ListNow();
+  }
+  std::vector<std::pair<std::uint64_t, std::string_view>> followers;
+  for (const auto& [name, confirmed] : init_.readers()) {
+    followers.emplace_back(FollowerScore(name), name);
+  }
+  std::sort(followers.begin(), followers.end());
+  followers.resize(std::min(followers.size(), kFollowers));
+  LinkRollouts question;
+  question.asks = true;
+  for (std::size_t i = 0; i < kAskedFollowers && !followers.empty(); ++i) {
+    const auto chosen =
+        followers.begin() + static_cast<long>(random_.Below(followers.size()));
+    init_.links->Send(chosen->second, {0, question});
+    followers.erase(chosen);
+  }
 }
 
 void RolloutService::OnReports(std::string_view member,
-                               const std::vector<RolloutReport>& reports) {
+                               const LinkRollouts& message) {
   const Time now = SteadyNow();
   book_.OnInformed();
-  for (const RolloutReport& report : reports) {
+  for (const RolloutReport& report : message.reports) {
     const RolloutBook::Heard heard = book_.OnReport(report, now);
     const Rollout* rollout = book_.Find(report.order.service);
     if (rollout == nullptr) {
@@ -256,6 +294,9 @@
       ++found->second.heard;
     }
   }
+  if (message.age) {
+    book_.OnConfirmed(now - *message.age);
+  }
 }
 
 void RolloutService::Refresh(Time now) {
@@ -264,11 +305,10 @@
     return;
   }
   next_refresh_ = now + kRefreshInterval;
-  // What confirms the configuration says nothing about orders if this node
-  // reads those from the store itself.
-  const std::optional<Time> confirmed =
-      following_ ? follower_.last_confirmed() : init_.confirmed();
-  if (book_.Update(init_.member_registry->directory(), confirmed, now)) {
+  if (const auto at = follower_.last_confirmed()) {
+    book_.OnConfirmed(*at);
+  }
+  if (book_.Update(init_.member_registry->directory(), now)) {
     ++holds_revision_;
     Log(LogLevel::kInfo, kLogComponent, "Held instances changed.",
         {{"held", book_.held().size()},
@@ -284,6 +324,7 @@
     UpdateMetrics(now);
   }
   Refresh(now);
+  AskForConfirmation(now);
   if (!book_.any()) {
     return;
   }
--- a/src/mesh/rollout_service.h
+++ b/src/mesh/rollout_service.h
@@ -38,9 +38,6 @@
     // The bound on the exposed share, over all nodes.
     double share = 0;
     std::uint64_t seed = 0;
-    // When the store last confirmed the configuration to any node; unset:
-    // unknown.
-    std::function<std::optional<Time>()> confirmed;
     // The peers that watch the configuration in the store, by name.
     std::function<const std::map<std::string, Time, std::less<>>&()> readers;
   };
@@ -54,10 +51,10 @@
   void OnFollowsStore(bool follows);
   void OnStoreRestored(StoreEra era) { follower_.OnStoreRestored(era); }
   void Tick(Time now);
-  void OnReports(std::string_view member,
-                 const std::vector<RolloutReport>& reports);
-  // What a new link is told; empty while this node does not know all orders.
-  std::optional<std::vector<RolloutReport>> Shared(Time now) const;
+  void OnReports(std::string_view member, const LinkRollouts& message);
+  // What a new link, or a peer that asks, is told; empty while this node does
+  // not know all orders.
+  std::optional<LinkRollouts> Shared(Time now) const;
 
   // The methods below are for the outbound proxy.
   //
@@ -81,6 +78,9 @@
 
   StoreFollower::Init FollowerInit();
   void UpdateFollowing(Time now);
+  // Asks the store or its followers whether there is an order for a version
+  // that is held until they say so.
+  void AskForConfirmation(Time now);
   void OnObject(const StoreObject& object);
   void OnListed(const std::vector<StoreObject>& items);
   void OnChange(const RolloutBook::Change& change);
@@ -105,6 +105,7 @@
   bool following_ = false;
   Time next_refresh_;
   Time next_report_;
+  Time next_ask_;
   Time next_metrics_;
   std::uint64_t report_number_ = 0;
   std::map<std::string, Pending, std::less<>> pending_;
--- a/src/mesh/sidecar.cc
+++ b/src/mesh/sidecar.cc
@@ -189,8 +189,8 @@
   };
   if (bounds_.canary_share) {
     init.on_rollouts = [this](std::string_view member,
-                              const std::vector<RolloutReport>& reports) {
-      rollouts_->OnReports(member, reports);
+                              const LinkRollouts& message) {
+      rollouts_->OnReports(member, message);
     };
     init.rollouts = [this] { return rollouts_->Shared(SteadyNow()); };
   }
@@ -220,7 +220,6 @@
   init.incarnation = incarnation_;
   init.share = *bounds_.canary_share;
   init.seed = NondeterministicSeed();
-  init.confirmed = [this] { return ConfigurationConfirmed(); };
   init.readers = [this]() -> const std::map<std::string, Time, std::less<>>& {
     return configuration_source_.readers();
   };
--- a/src/mesh/store_follower.cc
+++ b/src/mesh/store_follower.cc
@@ -65,6 +65,14 @@
   ScheduleRelist(kRelistSpread);
 }
 
+void StoreFollower::ListNow() {
+  if (machine_.state() == "watching") {
+    init_.store->Cancel(call_);
+    timer_.cancel();
+    HandleEvent("watch_too_old");
+  }
+}
+
 void StoreFollower::HandleEvent(std::string_view event) {
   for (const std::string& action : machine_.Fire(event).actions) {
     RunAction(action);
--- a/src/mesh/store_follower.h
+++ b/src/mesh/store_follower.h
@@ -55,6 +55,8 @@
   // watch from may name another change. Lists the objects again, unless they
   // are polled or were listed in that era.
   void OnStoreRestored(StoreEra era);
+  // Lists the objects now instead of waiting for the watch to end.
+  void ListNow();
 
   // The time of the last successful request; empty before the first one.
   std::optional<Time> last_confirmed() const { return last_confirmed_; }
--- a/src/wire/link.capnp
+++ b/src/wire/link.capnp
@@ -83,6 +83,8 @@
   provisional @5 :Bool;
 }
 
+# One without a service is about all orders: `recorded` says that the others are
+# all that the store had `remainingUs` ago, otherwise it asks for them.
 struct RolloutReport {
   service @0 :Text;
   targetVersion @1 :Text;
--- a/tests/link_codec_test.cc
+++ b/tests/link_codec_test.cc
@@ -190,8 +190,13 @@
   out.Append({0, LinkQuotaNeeds{{need}}});
   out.Append({0, LinkQuotaLoans{{loan, loan}}});
   out.Append({0, LinkRollouts{{report}}});
+  out.Append({0, LinkRollouts{{report}, std::chrono::seconds(3)}});
+  out.Append({0, LinkRollouts{{}, std::nullopt, true}});
   const auto frames = Decode(out.bytes, out.bytes.size());
-  REQUIRE(frames.size() == 3);
+  REQUIRE(frames.size() == 5);
+  CHECK(std::get<LinkRollouts>(frames[3].body).age == std::chrono::seconds(3));
+  CHECK(std::get<LinkRollouts>(frames[3].body).reports.size() == 1);
+  CHECK(std::get<LinkRollouts>(frames[4].body).asks);
   CHECK(std::get<LinkQuotaNeeds>(frames[0].body).needs ==
         std::vector<QuotaNeed>{need});
   CHECK(std::get<LinkQuotaLoans>(frames[1].body).loans ==
--- a/tests/rollout_book_test.cc
+++ b/tests/rollout_book_test.cc
@@ -30,7 +30,7 @@
   }
   void UpdateAll() {
     for (auto& [node, book] : books) {
-      book.Update(directory, std::nullopt, now);
+      book.Update(directory, now);
     }
   }
   // Each node that is not cut off reports to the judges, and they judge. They
@@ -72,6 +72,11 @@
                    : rollout.outcomes.AddAnswer(key, kSecond / 10);
     }
   }
+  RolloutReport OrderOf(int node) {
+    RolloutBook& book = books.at(node);
+    book.OnStored(MakeOrder(7, 500), std::nullopt, now);
+    return book.Summary(*book.Find("booking"), now);
+  }
   RolloutState State(int node) { return books.at(node).Find("booking")->state; }
   // The nodes that would write a status now.
   std::map<int, RolloutState> Writers() {
@@ -190,18 +195,50 @@
                   fleet.now);
     THEN("the status of the one before does not count, its target is held") {
       CHECK(book.Find("booking")->state == RolloutState::kRunning);
-      book.Update(fleet.directory, std::nullopt, fleet.now);
+      book.Update(fleet.directory, fleet.now);
       CHECK(book.held().size() == 2);
       RolloutReport old = fleet.books.at(1).Summary(
           *fleet.books.at(1).Find("booking"), fleet.now);
       CHECK(book.OnReport(old, fleet.now).sender_is_behind);
     }
   }
+  WHEN("a bad version's order is removed after its deadline") {
+    fleet.AddOutcomes(50);
+    fleet.Exchange(kSecond);
+    RolloutBook& book = fleet.books.at(0);
+    fleet.now += 60 * kSecond;
+    book.OnRemoved("booking", 1, 520, fleet.now);
+    book.OnConfirmed(fleet.now);
+    THEN("its instances get no calls while they are drained") {
+      fleet.now += 20 * kSecond;
+      book.Update(fleet.directory, fleet.now);
+      CHECK(book.held().size() == 2);
+    }
+  }
+  WHEN("a peer's report is malformed") {
+    RolloutBook& book = fleet.books.at(0);
+    RolloutReport report = book.Summary(*book.Find("booking"), fleet.now);
+    const Time deadline = book.Find("booking")->deadline;
+    report.state = RolloutState::kCompleted;
+    report.remaining = Duration::min();
+    book.OnReport(report, fleet.now);
+    CHECK(book.Find("booking")->deadline == deadline);
+    CHECK(fleet.State(0) == RolloutState::kRunning);
+  }
   WHEN("the order is removed") {
     RolloutBook& book = fleet.books.at(0);
     CHECK(book.OnStoredAll({}, 1, 520, fleet.now).size() == 1);
     CHECK(book.Find("booking")->removed());
     CHECK_FALSE(book.StatusToWrite(*book.Find("booking"), fleet.now));
+    THEN("the same order, if it comes back, keeps its deadline") {
+      const Time deadline = fleet.books.at(1).Find("booking")->deadline;
+      fleet.now += 10 * kSecond;
+      RolloutOrder again = MakeOrder(7, 525);
+      again.era = 2;
+      book.OnStored(again, std::nullopt, fleet.now);
+      CHECK(book.Find("booking")->deadline == deadline);
+      CHECK(book.StatusToWrite(*book.Find("booking"), fleet.now + kSecond * 9));
+    }
     THEN("peers hear of it") {
       RolloutBook& peer = fleet.books.at(1);
       peer.OnReport(book.Summary(*book.Find("booking"), fleet.now), fleet.now);
@@ -210,5 +247,55 @@
   }
 }
 
+// A node whose links to some peers are dead may hear neither the store nor an
+// announcement, but still talk to peers that do not know the order.
+SCENARIO("a new version is held until those who read orders know of none") {
+  BookFleet fleet;
+  RolloutBook& book = fleet.books.at(1);
+  book.OnInformed();
+  fleet.directory.Remove("n-3");
+  fleet.directory.Remove("n-4");
+  book.Update(fleet.directory, fleet.now);
+  const Time seen = fleet.now += 5 * kSecond;
+  for (int i = 3; i < 5; ++i) {
+    Member member;
+    member.name = "n-" + std::to_string(i);
+    member.service = "booking";
+    member.software = "v2";
+    fleet.directory.Put(member);
+  }
+  book.Update(fleet.directory, fleet.now);
+  CHECK(book.held().size() == 2);
+  REQUIRE(book.unconfirmed_since() == seen);
+  WHEN("peers report that do not read orders") {
+    fleet.now += 4 * kSecond;
+    book.OnInformed();
+    book.Update(fleet.directory, fleet.now);
+    CHECK(book.held().size() == 2);
+  }
+  WHEN("one that reads them has not read since") {
+    book.OnConfirmed(seen - kSecond);
+    fleet.now += 4 * kSecond;
+    book.Update(fleet.directory, fleet.now);
+    CHECK(book.held().size() == 2);
+  }
+  WHEN("one has, and knows of none") {
+    book.OnConfirmed(seen + 2 * kSecond);
+    book.Update(fleet.directory, fleet.now);
+    CHECK(book.held().size() == 2);
+    CHECK_FALSE(book.unconfirmed_since());
+    fleet.now += 4 * kSecond;
+    book.Update(fleet.directory, fleet.now);
+    CHECK(book.held().empty());
+  }
+  WHEN("one has, and knows the order") {
+    book.OnReport(fleet.OrderOf(2), fleet.now);
+    book.OnConfirmed(seen + 2 * kSecond);
+    fleet.now += 20 * kSecond;
+    book.Update(fleet.directory, fleet.now);
+    CHECK(book.held().size() == 2);
+  }
+}
+
 }  // namespace
 }  // namespace verbenastile
