Status: the roll-outs that a sidecar knows of

Tests assert that no node sees ten bad answers of those that condemn a version, and that answers of cold instances are no evidence.

--- a/src/cli/status_command.cc
+++ b/src/cli/status_command.cc
@@ -8,6 +8,7 @@
 
 #include "cli/admin_call.h"
 #include "cli/command_line.h"
+#include "cli/rollout_status.h"
 #include "config/yaml_reader.h"
 #include "node/status_page.h"
 
@@ -38,6 +39,20 @@
   return exit_code;
 }
 
+// Prints the roll-outs that each sidecar knows of.
+int PrintRollouts(const std::vector<std::string>& sidecars) {
+  int exit_code = kExitOk;
+  for (const std::string& sidecar : sidecars) {
+    const int code = RunReported([&]() -> leaf::result<int> {
+      BOOST_LEAF_AUTO(metrics, CallAdmin({sidecar, "GET", "/metrics", ""}));
+      fmt::print("{}", RenderRollouts(metrics));
+      return kExitOk;
+    });
+    exit_code = std::max(exit_code, code);
+  }
+  return exit_code;
+}
+
 // Prints the status of a node as one line, for logs and pipes.
 void PrintLine(const std::string& admin) {
   RunReported([&]() -> leaf::result<int> {
@@ -82,6 +97,10 @@
   TCLAP::MultiArg<std::string> admin("", "admin",
                                      "admin address of a node; may be repeated",
                                      true, "IP:PORT", cmd);
+  TCLAP::SwitchArg rollouts("", "rollouts",
+                            "show the roll-outs that sidecars know of; --admin "
+                            "names their metrics addresses",
+                            cmd);
   OutputArg output(cmd);
   TCLAP::SwitchArg watch("", "watch",
                          "repeat: as a live view on a terminal, as one "
@@ -96,6 +115,9 @@
   if (!ParseCommandLine(cmd, args, exit_code)) {
     return exit_code;
   }
+  if (rollouts.getValue()) {
+    return PrintRollouts(admin.getValue());
+  }
   const auto update_interval = ParseDuration(interval.getValue());
   if (!update_interval || *update_interval < kMinInterval) {
     PrintError("--interval: expected a duration of at least 100ms");
--- a/src/mesh/rollout_service.cc
+++ b/src/mesh/rollout_service.cc
@@ -430,15 +430,16 @@
   metrics.Set(metrics.Gauge("rollout_held_instances"),
               static_cast<double>(book_.held().size()));
   for (const auto& [service, rollout] : book_.rollouts()) {
-    if (rollout.removed()) {
-      continue;
-    }
     const auto set = [&metrics, &of = service](std::string_view name,
                                                double value) {
       metrics.Set(
           metrics.Gauge(fmt::format("rollout_{}{{service=\"{}\"}}", name, of)),
           value);
     };
+    set("ordered", rollout.removed() ? 0 : 1);
+    if (rollout.removed()) {
+      continue;
+    }
     set("state", static_cast<double>(rollout.state));
     set("settled", rollout.settled() ? 1 : 0);
     set("seconds_left",
--- a/tests/rollout_book_test.cc
+++ b/tests/rollout_book_test.cc
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include "cli/rollout_status.h"
 #include "core/rollout_book.h"
 
 namespace verbenastile {
@@ -247,6 +248,24 @@
   }
 }
 
+SCENARIO("operators see the roll-outs of a node") {
+  const std::string_view metrics =
+      "verbenastile_generation 7\n"
+      "verbenastile_rollout_held_instances 2\n"
+      "verbenastile_rollout_ordered{service=\"booking\"} 1\n"
+      "verbenastile_rollout_state{service=\"booking\"} 2\n"
+      "verbenastile_rollout_settled{service=\"booking\"} 0\n"
+      "verbenastile_rollout_seconds_left{service=\"booking\"} 31.4\n"
+      "verbenastile_rollout_exposed_calls{service=\"booking\"} 80\n"
+      "verbenastile_rollout_answered_calls{service=\"booking\"} 1200\n"
+      "verbenastile_rollout_ordered{service=\"video\"} 0\n";
+  CHECK(RenderRollouts(metrics) ==
+        "booking: rolled_back (not stored yet), 31 s until the deadline, this "
+        "node exposed 80 of 1200 calls\n"
+        "video: the order was removed\n");
+  CHECK(RenderRollouts("verbenastile_generation 7\n") == "no roll-outs\n");
+}
+
 // A node whose links to some peers are dead may hear neither the store nor an
 // announcement, but still talk to peers that do not know the order.
 SCENARIO("a new version is held until those who read orders know of none") {
--- a/tests/rollout_exposure_test.cc
+++ b/tests/rollout_exposure_test.cc
@@ -138,6 +138,7 @@
   other.Sync({names.rbegin(), names.rend()}, 2 * kSecond, now);
   const auto any = [](std::string_view) { return true; };
   CHECK(one.Pick(Duration(0), now, any).empty());  // All are cold.
+  CHECK_FALSE(one.IsWarm("a", now));  // Their answers are no evidence.
   now += 2 * kSecond;
   std::set<std::set<std::string_view>> pairs;
   for (int window = 0; window < 6; ++window) {
--- a/tests/rollout_judge_test.cc
+++ b/tests/rollout_judge_test.cc
@@ -17,6 +17,9 @@
     const auto time = fleet.TimeUntilBad(60, 60);
     REQUIRE(time);
     CHECK(*time <= kRollback);
+    for (const auto& [node, bad] : fleet.bad_by_node) {
+      CHECK(bad < 10);
+    }
   }
   GIVEN("a part of the answers is several times slower") {
     fleet.target.slow_permille = 250;
--- a/tests/rollout_support.h
+++ b/tests/rollout_support.h
@@ -37,12 +37,14 @@
     if (random.Below(1'000) < behavior.failures_permille) {
       nodes[node].AddFailure(key);
       bad += instance.empty() ? 0 : 1;
+      bad_by_node[node] += instance.empty() ? 0 : 1;
       return;
     }
     Duration time = mean / 2 + random.UpTo(mean);
     if (random.Below(1'000) < behavior.slow_permille) {
       time *= behavior.slow_factor;
       bad += instance.empty() ? 0 : 1;
+      bad_by_node[node] += instance.empty() ? 0 : 1;
     }
     nodes[node].AddAnswer(key, time);
   }
@@ -120,6 +122,7 @@
   RolloutJudge judge;
   RolloutFinding finding;
   std::uint64_t bad = 0;  // Bad answers of the target so far.
+  std::map<int, std::uint64_t> bad_by_node;
   std::optional<Time> fiftieth_bad;
   Time now{std::chrono::seconds(100)};
 };
