Roll-outs: a judge that was restarted is told all counts at once

Cause: nodes sent it only what had changed, and everything with each eighth report; at 690 nodes that is 16 s, in which it judged a part. A report whose link was down was lost until then. Change: full counts after a new incarnation of a judge, and after a report that could not be sent.

--- a/src/mesh/rollout_service.cc
+++ b/src/mesh/rollout_service.cc
@@ -355,18 +355,23 @@
 }
 
 void RolloutService::SendReport(Rollout& rollout, Time now) {
-  std::vector<std::string>& before = reported_to_[rollout.order.service];
-  const bool all =
-      before != rollout.judges || report_number_ % kFullReports == 0;
-  before = rollout.judges;
+  // A judge that was restarted has forgotten what it was told.
+  Judges judges;
+  for (const std::string& name : rollout.judges) {
+    const Member* member = init_.member_registry->directory().Find(name);
+    judges.emplace_back(name, member == nullptr ? 0 : member->incarnation);
+  }
+  Judges& before = reported_to_[rollout.order.service];
+  const bool all = before != judges || report_number_ % kFullReports == 0;
   const LinkFrame frame{0, LinkRollouts{{book_.TakeReport(rollout, all, now)}}};
   for (const std::string& judge : rollout.judges) {
     if (judge == init_.node_name) {
       book_.OnReport(std::get<LinkRollouts>(frame.body).reports.front(), now);
-    } else {
-      init_.links->Send(judge, frame);
+    } else if (!init_.links->Send(judge, frame)) {
+      judges.clear();
     }
   }
+  before = std::move(judges);
 }
 
 void RolloutService::WriteStatuses(Time now) {
--- a/src/mesh/rollout_service.h
+++ b/src/mesh/rollout_service.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "base/metrics.h"
@@ -110,7 +111,9 @@
   std::uint64_t report_number_ = 0;
   std::map<std::string, Pending, std::less<>> pending_;
   std::map<std::string, Writing, std::less<>> writing_;
-  std::map<std::string, std::vector<std::string>, std::less<>> reported_to_;
+  // The judges that have had all counts, with their incarnations, by service.
+  using Judges = std::vector<std::pair<std::string, std::uint64_t>>;
+  std::map<std::string, Judges, std::less<>> reported_to_;
   // Revisions of malformed orders that were logged, by name.
   std::map<std::string, StoreRevision> malformed_;
 };
