Roll-outs: a judge that is cut off does not return from a version for want of evidence

Change: a judge that hears less than half of the live members waits for the verdict of others until 2/5 of the last seconds are left; bad evidence counts at once as before. Result: the new sections fail without it (a good version returned from); unit tests pass.

--- a/src/core/rollout_book.cc
+++ b/src/core/rollout_book.cc
@@ -30,6 +30,9 @@
 // Nodes try to write the status one after the other, this far apart.
 constexpr Duration kWriteTurn = std::chrono::milliseconds(700);
 constexpr std::size_t kMaxWriters = 12;
+// The parts of the margin that are left when a judge that is cut off decides.
+constexpr int kLastVerdict = 2;
+constexpr int kVerdictParts = 5;
 // The part of the margin that is left for the write.
 constexpr int kWriteDivisor = 4;
 
@@ -289,6 +292,7 @@
   }
   std::sort(ranked.begin(), ranked.end());
   rollout.rank = ranked.size();
+  rollout.live_members = ranked.size();
   rollout.judges.clear();
   for (std::size_t i = 0; i < ranked.size(); ++i) {
     if (ranked[i].second == init_.self) {
@@ -317,13 +321,30 @@
     const bool may_change =
         (rollout.state == RolloutState::kRunning && has_reports) ||
         rollout.finding.opinion == RolloutOpinion::kBad;
-    if (verdict && may_change && SetState(rollout, *verdict, now)) {
+    // A judge that is cut off leaves a verdict for want of evidence to those
+    // that have it, while there is time for one of its own.
+    const bool waits =
+        verdict == RolloutState::kRolledBack &&
+        rollout.finding.opinion != RolloutOpinion::kBad &&
+        !HearsMost(rollout, now) &&
+        rollout.deadline - now > RolloutMargin(rollout.order.duration) *
+                                     kLastVerdict / kVerdictParts;
+    if (verdict && may_change && !waits && SetState(rollout, *verdict, now)) {
       changed.push_back(service);
     }
   }
   return changed;
 }
 
+// Whether at least half of the live members have reported lately.
+bool RolloutBook::HearsMost(const Rollout& rollout, Time now) const {
+  const auto fresh = static_cast<std::size_t>(std::count_if(
+      rollout.movers.begin(), rollout.movers.end(), [&](const auto& entry) {
+        return now - entry.second.reported <= kReportAge;
+      }));
+  return fresh * 2 >= rollout.live_members;
+}
+
 // Whether no node has calls at old instances, as far as nodes report.
 bool RolloutBook::HasMoved(const Rollout& rollout, Time now) const {
   const Duration moving = now - rollout.state_since;
--- a/src/core/rollout_book.h
+++ b/src/core/rollout_book.h
@@ -61,6 +61,7 @@
   std::map<std::string, Mover, std::less<>> movers;
   std::vector<std::string> judges;  // In the order in which they write.
   std::size_t rank = 0;             // Of this node in that order.
+  std::size_t live_members = 0;     // Those that may be judges.
   std::optional<Time> judge_since;  // Unset: this node is no judge.
 
   bool removed() const { return order.target_version.empty(); }
@@ -159,6 +160,7 @@
   bool SetState(Rollout& rollout, RolloutState state, Time now);
   bool Record(Rollout& rollout, RolloutState state, Time now);
   bool HasMoved(const Rollout& rollout, Time now) const;
+  bool HearsMost(const Rollout& rollout, Time now) const;
   void ChooseJudges(Rollout& rollout, const MemberDirectory& directory) const;
 
   Init init_;
--- a/tests/rollout_book_test.cc
+++ b/tests/rollout_book_test.cc
@@ -188,6 +188,30 @@
       CHECK(fleet.State(4) == RolloutState::kRolledBack);
     }
   }
+  WHEN("a judge is cut off from the evidence for a sound version") {
+    int judge = 1;
+    while (fleet.books.at(judge).Find("booking")->rank >=
+           RolloutBook::kJudges) {
+      ++judge;
+    }
+    fleet.cut = {judge};
+    fleet.AddOutcomes(0);
+    fleet.Exchange(kSecond);
+    fleet.Exchange(50 * kSecond);
+    THEN("it does not return from it while the others move to it") {
+      CHECK(fleet.State(0) == RolloutState::kCompleted);
+      CHECK(fleet.State(judge) == RolloutState::kRunning);
+      fleet.cut.clear();
+      fleet.Exchange(kSecond);
+      fleet.Exchange(kSecond);
+      CHECK(fleet.State(0) == RolloutState::kCompleted);
+      CHECK(fleet.State(judge) == RolloutState::kCompleted);
+    }
+    THEN("it returns from it in time, if nobody else decides") {
+      fleet.Exchange(4 * kSecond);
+      CHECK(fleet.State(judge) == RolloutState::kRolledBack);
+    }
+  }
   WHEN("the order is replaced") {
     RolloutOrder next = MakeOrder(8, 510);
     next.target_version = "v3";
