--- a/src/core/rollout_book.cc
+++ b/src/core/rollout_book.cc
@@ -18,14 +18,32 @@
 // unless their callers wait longer.
 constexpr Duration kMaxMove = std::chrono::seconds(4);
 constexpr Duration kMinMove = std::chrono::seconds(1);
+// Instances of a version that was returned from leave within this time. Until
+// then they get no calls, also if the order is removed.
+constexpr Duration kDrainTime = std::chrono::seconds(30);
+// The longest roll-out; what a peer tells of a longer one is malformed.
+constexpr Duration kMaxDuration = std::chrono::hours(24);
+// The same for one that was over longer ago.
+constexpr Duration kMaxOverdue = std::chrono::hours(24 * 36'500);
 // All nodes have reported within this time.
 constexpr Duration kReportAge = std::chrono::seconds(3);
 // Nodes try to write the status one after the other, this far apart.
 constexpr Duration kWriteTurn = std::chrono::milliseconds(700);
 constexpr std::size_t kMaxWriters = 12;
+// The parts of the margin that are left when a judge that is cut off decides.
+constexpr int kLastVerdict = 2;
+constexpr int kVerdictParts = 5;
 // The part of the margin that is left for the write.
 constexpr int kWriteDivisor = 4;
 
+bool IsWellFormed(const RolloutReport& report) {
+  const RolloutOrder& order = report.order;
+  const bool removed = order.target_version.empty();
+  return !order.service.empty() && order.duration <= kMaxDuration &&
+         (removed || order.duration > Duration::zero()) &&
+         report.remaining <= order.duration && report.remaining >= -kMaxOverdue;
+}
+
 }  // namespace
 
 RolloutBook::RolloutBook(Init init)
@@ -62,17 +80,35 @@
     }
     if (!known.removed() && known.state != RolloutState::kCompleted &&
         known.order.target_version != order.target_version) {
-      holds_.Bar(order.service, known.order.target_version, known.deadline);
+      const bool bad = known.state == RolloutState::kRolledBack;
+      holds_.Bar(
+          order.service, known.order.target_version,
+          bad ? std::max(known.deadline, now + kDrainTime) : known.deadline);
+    }
+    if (order.target_version.empty()) {
+      lost_.insert_or_assign(order.service, std::move(known));
     }
     rollouts_.erase(found);
   }
+  outdated_ = true;
+  const auto lost = lost_.find(order.service);
+  if (lost != lost_.end() && lost->second.order.id == order.id) {
+    Rollout& rollout =
+        rollouts_.insert_or_assign(order.service, std::move(lost->second))
+            .first->second;
+    lost_.erase(lost);
+    rollout.order = order;
+    rollout.recorded = false;
+    rollout.state_since = now;
+    rollout.old_in_flight = 0;
+    return &rollout;
+  }
   Rollout& rollout =
       rollouts_.try_emplace(order.service, order, init_.exposed_permille)
           .first->second;
   rollout.learned = now;
   rollout.state_since = now;
   rollout.deadline = deadline;
-  outdated_ = true;
   return &rollout;
 }
 
@@ -174,6 +210,9 @@
 RolloutBook::Heard RolloutBook::OnReport(const RolloutReport& report,
                                          Time now) {
   Heard heard;
+  if (!IsWellFormed(report)) {
+    return heard;
+  }
   const Rollout* before = Find(report.order.service);
   const bool known = before != nullptr && before->order.id == report.order.id;
   Rollout* rollout = Learn(report.order, now + report.remaining, now);
@@ -199,9 +238,11 @@
   return heard;
 }
 
-bool RolloutBook::Update(const MemberDirectory& directory,
-                         std::optional<Time> confirmed,
-                         Time now) {
+void RolloutBook::OnConfirmed(Time at) {
+  confirmed_ = std::max(confirmed_, std::optional(at));
+}
+
+bool RolloutBook::Update(const MemberDirectory& directory, Time now) {
   directory_revision_ = directory.revision();
   outdated_ = false;
   for (auto& [service, rollout] : rollouts_) {
@@ -223,7 +264,7 @@
   }
   VersionHolds::Knowledge known;
   known.informed = informed_;
-  known.confirmed = confirmed;
+  known.confirmed = confirmed_;
   known.order =
       [&](std::string_view service) -> std::optional<VersionHolds::Order> {
     const Rollout* rollout = Find(service);
@@ -251,6 +292,7 @@
   }
   std::sort(ranked.begin(), ranked.end());
   rollout.rank = ranked.size();
+  rollout.live_members = ranked.size();
   rollout.judges.clear();
   for (std::size_t i = 0; i < ranked.size(); ++i) {
     if (ranked[i].second == init_.self) {
@@ -279,13 +321,30 @@
     const bool may_change =
         (rollout.state == RolloutState::kRunning && has_reports) ||
         rollout.finding.opinion == RolloutOpinion::kBad;
-    if (verdict && may_change && SetState(rollout, *verdict, now)) {
+    // A judge that is cut off leaves a verdict for want of evidence to those
+    // that have it, while there is time for one of its own.
+    const bool waits =
+        verdict == RolloutState::kRolledBack &&
+        rollout.finding.opinion != RolloutOpinion::kBad &&
+        !HearsMost(rollout, now) &&
+        rollout.deadline - now > RolloutMargin(rollout.order.duration) *
+                                     kLastVerdict / kVerdictParts;
+    if (verdict && may_change && !waits && SetState(rollout, *verdict, now)) {
       changed.push_back(service);
     }
   }
   return changed;
 }
 
+// Whether at least half of the live members have reported lately.
+bool RolloutBook::HearsMost(const Rollout& rollout, Time now) const {
+  const auto fresh = static_cast<std::size_t>(std::count_if(
+      rollout.movers.begin(), rollout.movers.end(), [&](const auto& entry) {
+        return now - entry.second.reported <= kReportAge;
+      }));
+  return fresh * 2 >= rollout.live_members;
+}
+
 // Whether no node has calls at old instances, as far as nodes report.
 bool RolloutBook::HasMoved(const Rollout& rollout, Time now) const {
   const Duration moving = now - rollout.state_since;
