Domains: the share that leaves settles with many domains and late reports

Cause: each target domain's share rose by a step that would even out both alone, and fell by a fixed minimum for each target. With eight other domains, or with reports that show a step two intervals later, the sum of the shares swung between none and all of the calls.

Change: the domains that get calls together share one step, which aims at the middle between the thresholds instead of equal pressures; so does the step back. After a domain without instances gets one, the shares of several targets are scaled to a sum of one.

--- a/src/core/domain_spill.cc
+++ b/src/core/domain_spill.cc
@@ -16,6 +16,7 @@
 // `kRelaxed`, and rises only where the other domain has `kMinGap` fewer.
 constexpr std::int64_t kShort = 800;
 constexpr std::int64_t kRelaxed = 600;
+constexpr std::int64_t kAim = (kShort + kRelaxed) / 2;
 constexpr std::int64_t kMinGap = 250;
 // Domains that differ by less are short alike.
 constexpr std::int64_t kAlikeGap = 100;
@@ -24,8 +25,11 @@
 constexpr std::int64_t kMinRise = 5;
 constexpr std::int64_t kMinFall = 25;
 constexpr std::int64_t kFallDivisor = 8;
-// The part of the difference that a step removes.
-constexpr std::int64_t kDamping = 4;
+// The part of the calls that is taken to stay at home, at least.
+constexpr std::int64_t kMinRemainder = 100;
+// The part of the difference that a step removes. Its effect is seen in reports
+// two to three steps later.
+constexpr std::int64_t kDamping = 8;
 constexpr int kLatestUsefulDivisor = 4;
 constexpr std::size_t kMaxTargets = 64;
 
@@ -33,14 +37,44 @@
   return room.slots > 0 ? room.calls * kPermille / room.slots : 0;
 }
 
-// The share of the own domain's calls that makes both pressures equal.
-std::int64_t EveningShare(const DomainRoom& own, const DomainRoom& there) {
-  const std::int64_t gap = Pressure(own) - Pressure(there);
-  const std::int64_t relative_slots =
-      kPermille +
-      own.slots * kPermille / std::max<std::int64_t>(there.slots, 1);
-  return gap * kPermille / std::max<std::int64_t>(Pressure(own), 1) *
-         kPermille / relative_slots;
+bool IsReachable(const DomainRoom& room) {
+  return room.slots > 0 && room.lost_permille <= kMaxLostPermille;
+}
+
+// Whether the own domain is short and `there` has more room.
+bool MayRise(const DomainRoom& own, const DomainRoom& there) {
+  return IsReachable(there) && Pressure(own) >= kShort &&
+         Pressure(own) - Pressure(there) >= kMinGap;
+}
+
+// The step of the share of `there`. `elsewhere` is the sum of the domains that
+// get calls together. Aims at the middle between the thresholds or, if that is
+// not to be had, at equal pressures.
+std::int64_t Rise(const DomainRoom& own,
+                  const DomainRoom& there,
+                  const DomainRoom& elsewhere) {
+  const std::int64_t pressure = Pressure(own);
+  const std::int64_t evening = (pressure - Pressure(elsewhere)) * kPermille /
+                               pressure * elsewhere.slots /
+                               (own.slots + elsewhere.slots);
+  const std::int64_t surplus = (pressure - kAim) * kPermille / pressure;
+  const std::int64_t step =
+      std::max(std::min(evening, surplus) / kDamping, kMinRise);
+  return std::clamp<std::int64_t>(step * there.slots / elsewhere.slots, 1,
+                                  kMaxRise);
+}
+
+// The step back of a `share`, of which `total` leave in all.
+std::int64_t Fall(const DomainRoom& own,
+                  std::int64_t share,
+                  std::int64_t total) {
+  const std::int64_t pressure = std::max<std::int64_t>(Pressure(own), 1);
+  const std::int64_t missing =
+      std::max(kPermille - total, kMinRemainder) * (kAim - pressure) / pressure;
+  const std::int64_t step = std::max(missing / kDamping, kMinFall);
+  return std::clamp<std::int64_t>(
+      step * share / std::max<std::int64_t>(total, 1), 1,
+      std::max(kMinFall, share / kFallDivisor));
 }
 
 }  // namespace
@@ -96,6 +130,24 @@
         rooms.begin(), rooms.end(),
         [&](const DomainRoom& room) { return room.domain == target.first; });
   });
+  DomainRoom elsewhere;
+  std::int64_t total = 0;
+  for (const DomainRoom& room : rooms) {
+    if (room.domain != own_domain_ && MayRise(own, room)) {
+      elsewhere.slots += room.slots;
+      elsewhere.calls += room.calls;
+    }
+  }
+  for (const auto& [domain, target] : state.targets) {
+    total += target.share_permille;
+  }
+  if (own.instances > 0 && total > kPermille) {
+    // The own domain had no instance until now.
+    for (auto& [domain, target] : state.targets) {
+      target.share_permille = target.share_permille * kPermille / total;
+    }
+    total = kPermille;
+  }
   std::vector<Change> changes;
   for (const DomainRoom& room : rooms) {
     if (room.domain == own_domain_ || (state.targets.size() >= kMaxTargets &&
@@ -104,7 +156,7 @@
     }
     const auto entry = state.targets.try_emplace(room.domain).first;
     const std::int64_t before = entry->second.share_permille;
-    Step(entry->second, own, room);
+    Step(entry->second, own, room, elsewhere, total);
     if (entry->second.share_permille != before) {
       changes.push_back({entry->first, before, entry->second.share_permille,
                          entry->second.reason, Pressure(own), Pressure(room)});
@@ -115,11 +167,12 @@
 
 void DomainSpill::Step(Target& target,
                        const DomainRoom& own,
-                       const DomainRoom& there) {
+                       const DomainRoom& there,
+                       const DomainRoom& elsewhere,
+                       std::int64_t total) {
   const std::int64_t gap = Pressure(own) - Pressure(there);
   std::int64_t& share = target.share_permille;
-  const bool reachable =
-      there.slots > 0 && there.lost_permille <= kMaxLostPermille;
+  const bool reachable = IsReachable(there);
   const bool none_here = own.instances == 0;
   target.free_slots = reachable && (none_here || gap > kAlikeGap)
                           ? std::max<std::int64_t>(there.slots - there.calls, 1)
@@ -133,15 +186,15 @@
     share = kPermille;
   } else if (own.slots == 0) {
     target.reason = SpillReason::kUnknown;
-  } else if (Pressure(own) < kRelaxed || gap < kAlikeGap) {
-    target.reason = Pressure(own) < kRelaxed ? SpillReason::kOwnRoom
-                                             : SpillReason::kShortAlike;
+  } else if (Pressure(own) < kRelaxed) {
+    target.reason = SpillReason::kOwnRoom;
+    share -= std::min(share, Fall(own, share, total));
+  } else if (gap < kAlikeGap) {
+    target.reason = SpillReason::kShortAlike;
     share -= std::min(share, std::max(kMinFall, share / kFallDivisor));
-  } else if (Pressure(own) >= kShort && gap >= kMinGap) {
+  } else if (MayRise(own, there)) {
     target.reason = SpillReason::kOwnShort;
-    share = std::min(kPermille,
-                     share + std::clamp(EveningShare(own, there) / kDamping,
-                                        kMinRise, kMaxRise));
+    share = std::min(kPermille, share + Rise(own, there, elsewhere));
   } else {
     target.reason = SpillReason::kHeld;
   }
--- a/src/core/domain_spill.h
+++ b/src/core/domain_spill.h
@@ -100,7 +100,11 @@
     std::map<std::string, Target, std::less<>> targets;
   };
 
-  void Step(Target& target, const DomainRoom& own, const DomainRoom& there);
+  static void Step(Target& target,
+                   const DomainRoom& own,
+                   const DomainRoom& there,
+                   const DomainRoom& elsewhere,
+                   std::int64_t total);
 
   std::string own_domain_;
   std::map<std::string, Service, std::less<>> services_;
--- a/tests/domain_spill_test.cc
+++ b/tests/domain_spill_test.cc
@@ -99,8 +99,23 @@
       CHECK(picks["c"] > 0);
     }
   }
+  GIVEN("a domain whose only instance of the service comes back") {
+    node.Run({Room("b", 40, 10)}, 5);
+    CHECK(node.Share("b") == kPermille);
+    node.Run({Room("a", 40, 4), Room("b", 40, 10)}, 25);
+    THEN("calls stay at home again within five seconds") {
+      CHECK(node.Share("b") == 0);
+      CHECK(node.Picks(false)[""] == 1000);
+    }
+  }
   GIVEN("a domain that is short, with lossy links to one of two others") {
     node.Run({Room("a", 40, 80), Room("b", 40, 0, 300), Room("c", 40, 0)}, 5);
+    WHEN("the links are sound again") {
+      node.Run({Room("a", 40, 80), Room("b", 40, 0), Room("c", 40, 0)}, 5);
+      THEN("calls leave there too") {
+        CHECK(node.Share("b") > 0);
+      }
+    }
     THEN("calls leave only to the other one") {
       CHECK(node.Share("b") == 0);
       CHECK(node.Share("c") > 0);
@@ -115,17 +130,11 @@
   }
 }
 
-SCENARIO("domains that each decide alone settle without swinging") {
-  GIVEN("twice the usual load in one of three domains of 40 slots") {
-    std::map<std::string, DomainSpill> spills;
-    for (const char* name : {"a", "b", "c"}) {
-      spills.emplace(name, DomainSpill(name));
-    }
-    const std::map<std::string, std::int64_t> offered = {
-        {"a", 56}, {"b", 20}, {"c", 20}};
-    Time now{std::chrono::seconds(1)};
-    std::vector<std::int64_t> calls_of_a;
-    for (int i = 0; i < 100; ++i) {
+// Domains of 40 slots with `offered` calls each, in which each decides alone by
+// reports that are `delay` intervals old.
+struct Domains {
+  void Run(int intervals, std::size_t delay) {
+    for (int i = 0; i < intervals; ++i) {
       std::map<std::string, std::int64_t> calls = offered;
       for (const auto& [from, spill] : spills) {
         for (const auto& [to, unused] : offered) {
@@ -135,26 +144,60 @@
           calls[to] += moved;
         }
       }
+      calls_of_a.push_back(calls["a"]);
+      past.push_back(std::move(calls));
+      const auto& seen = past[past.size() - std::min(past.size(), delay + 1)];
       std::vector<DomainRoom> rooms;
-      rooms.reserve(calls.size());
-      for (const auto& [name, count] : calls) {
+      rooms.reserve(seen.size());
+      for (const auto& [name, count] : seen) {
         rooms.push_back(Room(name.c_str(), 40, count));
       }
       now += kInterval;
       for (auto& [name, spill] : spills) {
         spill.Update("booking", rooms, now);
       }
-      calls_of_a.push_back(calls["a"]);
     }
+  }
+  void Add(const std::string& name, std::int64_t calls) {
+    offered[name] = calls;
+    spills.emplace(name, DomainSpill(name));
+  }
+
+  std::map<std::string, std::int64_t> offered;
+  std::map<std::string, DomainSpill> spills;
+  std::vector<std::map<std::string, std::int64_t>> past;
+  std::vector<std::int64_t> calls_of_a;
+  Time now{std::chrono::seconds(1)};
+};
+
+SCENARIO("domains that each decide alone settle without swinging") {
+  Domains domains;
+  domains.Add("a", 56);
+  GIVEN("twice the usual load in one of three domains") {
+    domains.Add("b", 20);
+    domains.Add("c", 20);
+    domains.Run(100, 0);
     THEN("the load falls below the slots within two seconds and stays put") {
-      CHECK(calls_of_a[10] <= 40);
-      for (std::size_t i = 50; i < calls_of_a.size(); ++i) {
-        CHECK(calls_of_a[i] == calls_of_a[50]);
+      CHECK(domains.calls_of_a[10] <= 40);
+      for (std::size_t i = 50; i < 100; ++i) {
+        CHECK(domains.calls_of_a[i] == domains.calls_of_a[50]);
       }
     }
     THEN("nothing comes back") {
-      CHECK(spills.at("b").SharePermille("booking", "a") == 0);
-      CHECK(spills.at("b").SharePermille("booking", "c") == 0);
+      CHECK(domains.spills.at("b").SharePermille("booking", "a") == 0);
+      CHECK(domains.spills.at("b").SharePermille("booking", "c") == 0);
+    }
+  }
+  GIVEN("many domains, and reports that show a step two intervals later") {
+    for (char name = 'b'; name <= 'i'; ++name) {
+      domains.Add(std::string(1, name), 20);
+    }
+    domains.Run(100, 2);
+    THEN("no more calls leave than brings the load between the thresholds") {
+      CHECK(domains.calls_of_a[10] <= 40);
+      for (const std::int64_t calls : domains.calls_of_a) {
+        CHECK(calls >= 24);
+      }
     }
   }
 }
