Calls: fewer answers that leave open whether a request has run

Change: new calls avoid a member whose probe is out for 150 ms, or to which another node lost its link, as long as another instance can take them. A link writes synchronously and tells, when it breaks, which calls the kernel did not get whole: these have not run, and are sent elsewhere or refused with 503, also when they may not be repeated. A gate checks all queued calls, not only the one due first, and refuses those that cannot end in time early enough for the refusal to reach the caller's node.

--- a/src/core/admission.cc
+++ b/src/core/admission.cc
@@ -13,6 +13,7 @@
 constexpr std::int64_t kRebaseThreshold = std::int64_t{1} << 60;
 constexpr Duration kDefaultServiceTime = std::chrono::milliseconds(1);
 constexpr std::string_view kSharedQueueName = "";
+constexpr int kMinTransitDivisor = 8;
 
 }  // namespace
 
@@ -210,7 +211,10 @@
   if (call.deadline <= now) {
     return AdmissionRefusal::kDeadlinePassed;
   }
-  const Duration needed = RequiredTime(call, call.deadline - call.arrived);
+  const Duration whole = call.deadline - call.arrived;
+  const Duration needed = std::max(
+      RequiredTime(call, whole),
+      std::min(limits_.refusal_transit_time, whole / kMinTransitDivisor));
   if (limits_.refuse_early && call.deadline < now + needed) {
     return AdmissionRefusal::kWouldMissDeadline;
   }
@@ -451,13 +455,14 @@
 AdmissionActions Admission::Tick(Time now) {
   AdmissionActions actions;
   ChargeRunning(now);
-  while (!deadlines_.empty()) {
-    const CallId id = deadlines_.begin()->second;
+  // A call may need more time than one with an earlier deadline.
+  for (auto next = deadlines_.begin(); next != deadlines_.end();) {
+    const CallId id = next->second;
+    ++next;
     const AdmissionRefusal refusal = CheckStart(calls_[id], now);
-    if (refusal == AdmissionRefusal::kNone) {
-      break;
+    if (refusal != AdmissionRefusal::kNone) {
+      Refuse(id, refusal, actions);
     }
-    Refuse(id, refusal, actions);
   }
   StartQueued(now, actions);
   RemoveIdleGroups();
--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -66,6 +66,12 @@
   // overtaken.
   Duration priority_timeout = std::chrono::seconds(5);
   Duration estimate_max_age = std::chrono::seconds(1);
+  // Queued calls are refused this long before their deadline, or an eighth of
+  // their time if that is shorter, so that the refusal reaches the caller's
+  // node before it gives up and can only say that the call may have run. The
+  // bound covers one interval of the checks and the way there and back between
+  // regions.
+  Duration refusal_transit_time = std::chrono::milliseconds(60);
   // How long the objective of a call class is kept after it was last seen.
   Duration objective_max_age = std::chrono::seconds(5);
   // If false, calls stay queued until their deadline has passed. For
@@ -177,8 +183,8 @@
   // The upstream has finished the call, or provably does not execute it.
   AdmissionActions OnEnded(CallId id, Time now);
   CancelVerdict OnCancelled(CallId id, Time now);
-  // Refuses queued calls that would miss their deadline, and charges groups for
-  // running calls. Call it every `kTickInterval`.
+  // Refuses all queued calls that would miss their deadline, and charges groups
+  // for running calls. Call it every `kTickInterval`.
   AdmissionActions Tick(Time now);
 
   // Applies a new slot count. If it is lower than the number of running calls,
--- a/src/core/link_monitor.cc
+++ b/src/core/link_monitor.cc
@@ -11,6 +11,9 @@
 // A link is broken if a probe is not answered within this time, which covers
 // the retransmission of a few lost packets.
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(1'200);
+// A probe and its response take a few milliseconds, and some tens where event
+// loops are busy or regions are far apart.
+constexpr Duration kDoubtTime = std::chrono::milliseconds(150);
 constexpr Duration kMinIdleSilence = std::chrono::seconds(1);
 // Probes of idle links per second. A probe and its response take some 80 bytes
 // at each of the two ends; in total this rate uses 3.2 of the 4 KB per second
@@ -47,6 +50,11 @@
   }
 }
 
+bool LinkMonitor::IsDoubtful(Time now) const {
+  return suspected_ ||
+         (probe_sent_ != Time() && now - probe_sent_ > kDoubtTime);
+}
+
 LinkVerdict LinkMonitor::Check(const Query& query, Time now) {
   if (probe_sent_ != Time()) {
     if (now - probe_sent_ <= kProbeTimeout) {
--- a/src/core/link_monitor.h
+++ b/src/core/link_monitor.h
@@ -50,6 +50,11 @@
 
   LinkVerdict Check(const Query& query, Time now);
 
+  // A probe has been outstanding for longer than a sound peer takes, or another
+  // node lost its link to the peer. New calls are better sent elsewhere, since
+  // nobody could say whether they ran if the peer is gone.
+  bool IsDoubtful(Time now) const;
+
  private:
   Time probe_sent_;  // When the outstanding probe was sent; `Time()`: none.
   bool suspected_ = false;
--- a/src/mesh/link.cc
+++ b/src/mesh/link.cc
@@ -1,8 +1,8 @@
 #include "mesh/link.h"
 
 #include <asio/post.hpp>
-#include <asio/write.hpp>
 #include <utility>
+#include <variant>
 
 #include "io/shared_read.h"
 
@@ -42,7 +42,11 @@
   const std::size_t before = pending_.size();
   writer_.Append(frame, pending_);
   const std::size_t size = pending_.size() - before;
-  if (!writing_.empty() || std::exchange(flush_posted_, true)) {
+  encoded_bytes_ += size;
+  if (std::holds_alternative<GateCall>(frame.body)) {
+    unsent_calls_.emplace_back(frame.call, encoded_bytes_);
+  }
+  if (awaits_writable_ || std::exchange(flush_posted_, true)) {
     return size;
   }
   asio::post(socket_.get_executor(), [self = shared_from_this()] {
@@ -52,19 +56,50 @@
   return size;
 }
 
+// Writes synchronously, so that the number of bytes that the kernel has is
+// known at any time. A composed operation reports it only when it ends.
 void Link::Flush() {
-  if (!open_ || !writing_.empty() || pending_.empty()) {
+  if (!open_ || awaits_writable_) {
     return;
   }
   if (pending_.size() > kMaxUnsentBytes) {
     Fail("the peer does not read");
     return;
   }
-  writing_.swap(pending_);
-  asio::async_write(
-      socket_, asio::buffer(writing_),
-      [self = shared_from_this()](const asio::error_code& error, std::size_t) {
-        ClearBuffer(self->writing_);
+  while (true) {
+    if (written_ == writing_.size()) {
+      written_ = 0;
+      ClearBuffer(writing_);
+      writing_.swap(pending_);
+    }
+    if (writing_.empty()) {
+      break;
+    }
+    asio::error_code error;
+    const std::size_t count =
+        socket_.write_some(asio::buffer(writing_) + written_, error);
+    written_ += count;
+    written_bytes_ += count;
+    if (error == asio::error::would_block) {
+      FlushWhenWritable();
+      break;
+    }
+    if (error) {
+      Fail(error.message());
+      return;
+    }
+  }
+  std::erase_if(unsent_calls_, [this](const auto& call) {
+    return call.second <= written_bytes_;
+  });
+}
+
+void Link::FlushWhenWritable() {
+  awaits_writable_ = true;
+  socket_.async_wait(
+      Tcp::socket::wait_write,
+      [self = shared_from_this()](const asio::error_code& error) {
+        self->awaits_writable_ = false;
         if (error) {
           self->Fail(error.message());
         } else {
@@ -73,6 +108,16 @@
       });
 }
 
+std::vector<CallId> Link::UnsentCalls() const {
+  std::vector<CallId> unsent;
+  for (const auto& [id, end] : unsent_calls_) {
+    if (end > written_bytes_) {
+      unsent.push_back(id);
+    }
+  }
+  return unsent;
+}
+
 void Link::Read() {
   ReadWithSharedBuffer(
       socket_, [self = shared_from_this()](const asio::error_code& error,
--- a/src/mesh/link.h
+++ b/src/mesh/link.h
@@ -10,6 +10,8 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 #include "base/time.h"
 #include "mesh/link_codec.h"
@@ -42,22 +44,33 @@
 
   bool open() const { return open_; }
   Time last_received() const { return last_received_; }
+  // The calls sent of which the kernel did not get every byte. Once the link is
+  // closed, the peer has not received these calls and never will.
+  std::vector<CallId> UnsentCalls() const;
 
  private:
   void Read();
   bool DeliverFrames();
   void Flush();
+  void FlushWhenWritable();
   void Fail(std::string_view reason);
 
   Tcp::socket socket_;
   Events events_;
   LinkReader reader_;
   LinkWriter writer_;
-  std::string pending_;  // Encoded, not yet passed to the socket.
-  std::string writing_;  // Used by the write in progress.
+  std::string pending_;      // Encoded, none of it passed to the kernel.
+  std::string writing_;      // Passed to the kernel in part.
+  std::size_t written_ = 0;  // Of `writing_`.
+  // Calls with bytes in the two buffers, with the positions in the stream at
+  // which their frames end.
+  std::vector<std::pair<CallId, std::uint64_t>> unsent_calls_;
+  std::uint64_t encoded_bytes_ = 0;  // Of the stream.
+  std::uint64_t written_bytes_ = 0;  // Of the stream.
   Time last_received_;
   bool open_ = false;
   bool flush_posted_ = false;
+  bool awaits_writable_ = false;
 };
 
 }  // namespace verbenastile
--- a/src/mesh/link_hub.cc
+++ b/src/mesh/link_hub.cc
@@ -259,9 +259,10 @@
     if (is_stale) {
       const OutgoingPointer peer = it->second;
       it = outgoing_.erase(it);
+      const std::vector<CallId> unsent = UnsentCalls(*peer);
       Discard(*peer);
       init_.member_registry->SetLinked(peer->name, false, SteadyNow());
-      init_.on_link_down(peer->name);
+      init_.on_link_down(peer->name, unsent);
     } else {
       ++it;
     }
@@ -402,16 +403,21 @@
   }
   Log(LogLevel::kWarning, kLogComponent, "Outgoing link lost.",
       {{"peer", peer->name}, {"error", reason}, {"calls", peer->calls.size()}});
+  const std::vector<CallId> unsent = UnsentCalls(*peer);
   peer->link.reset();
   peer->handshake_done = false;
   peer->silent = false;
   peer->calls.clear();
   peer->non_idempotent_calls.clear();
   init_.member_registry->SetLinked(peer->name, false, SteadyNow());
-  init_.on_link_down(peer->name);
+  init_.on_link_down(peer->name, unsent);
   ScheduleReconnect(peer);
 }
 
+std::vector<CallId> LinkHub::UnsentCalls(const Outgoing& peer) {
+  return peer.link ? peer.link->UnsentCalls() : std::vector<CallId>();
+}
+
 void LinkHub::ScheduleReconnect(const OutgoingPointer& peer) {
   const unsigned doublings = std::min(peer->failures, kMaxReconnectDoublings);
   const Duration wait =
@@ -458,6 +464,12 @@
   return true;
 }
 
+bool LinkHub::IsDoubtful(std::string_view member) const {
+  const auto found = outgoing_.find(member);
+  return found != outgoing_.end() && found->second->handshake_done &&
+         found->second->watch.IsDoubtful(SteadyNow());
+}
+
 void LinkHub::AnnounceCrashEvidence(std::vector<CrashEvidence> evidence) {
   SendToAll({0, LinkCrashEvidence{std::move(evidence)}});
 }
--- a/src/mesh/link_hub.h
+++ b/src/mesh/link_hub.h
@@ -44,8 +44,11 @@
         configuration_delta;
     // A response frame to a call that this node sent to the member.
     std::function<void(std::string_view member, LinkFrame)> on_response;
-    // The link to the member failed; no response to its calls will come.
-    std::function<void(std::string_view member)> on_link_down;
+    // The link to the member failed; no response to its calls will come. The
+    // member has not received the calls in `unsent`.
+    std::function<void(std::string_view member,
+                       const std::vector<CallId>& unsent)>
+        on_link_down;
     // The member does not answer. Responses to its calls may still come.
     std::function<void(std::string_view member)> on_link_silent;
     // The member connected, was reached, or reported its load and its active
@@ -90,6 +93,8 @@
   void UpdateLinks();
   // Returns false if there is no open link to the member.
   bool Send(std::string_view member, const LinkFrame& frame);
+  // Whether new calls are better sent to other members: see `LinkMonitor`.
+  bool IsDoubtful(std::string_view member) const;
   // A message to the member got no answer: its link is probed soon.
   void SuspectSilence(std::string_view member);
   // Sends the current member record of this node on all links.
@@ -150,6 +155,7 @@
   void OnOutgoingFrame(const OutgoingPointer& peer, LinkFrame frame);
   void OnOutgoingHello(const OutgoingPointer& peer, const LinkHello& hello);
   void OnOutgoingClosed(const OutgoingPointer& peer, std::string_view reason);
+  static std::vector<CallId> UnsentCalls(const Outgoing& peer);
   void ScheduleReconnect(const OutgoingPointer& peer);
   void Discard(Outgoing& peer);
   LinkFrame HelloFrame() const;
--- a/src/mesh/outbound_proxy.cc
+++ b/src/mesh/outbound_proxy.cc
@@ -35,6 +35,10 @@
 constexpr Duration kWarmUp = std::chrono::seconds(3);
 constexpr std::uint32_t kColdSharePermille = 300;
 
+// Choices for one attempt while they fall on instances whose nodes do not
+// answer.
+constexpr int kMaxDoubtfulChoices = 16;
+
 BalancerLimits MakeBalancerLimits() {
   BalancerLimits limits;
   limits.warm_up = kWarmUp;
@@ -311,7 +315,29 @@
   }
   query.objective = LatencyObjective(call);
   PriceOtherDomains(call, profile.response_bytes, now, query);
-  return balancer_.Choose(query, now, balancer_random_);
+  return ChooseSound(query, now);
+}
+
+// Chooses an instance whose node answers, if there is one.
+UpstreamHandle OutboundProxy::ChooseSound(ChooseQuery query, Time now) {
+  const UpstreamHandle first = balancer_.Choose(query, now, balancer_random_);
+  UpstreamHandle chosen = first;
+  std::vector<UpstreamHandle> excluded;
+  for (int i = 0; i < kMaxDoubtfulChoices && IsDoubtful(chosen); ++i) {
+    if (excluded.empty()) {
+      excluded.assign(query.excluded.begin(), query.excluded.end());
+    }
+    excluded.push_back(chosen);
+    query.excluded = excluded;
+    chosen = balancer_.Choose(query, now, balancer_random_);
+  }
+  return chosen.valid() && !IsDoubtful(chosen) ? chosen : first;
+}
+
+bool OutboundProxy::IsDoubtful(UpstreamHandle upstream) const {
+  const Member* member = balancer_.Find(upstream);
+  return member != nullptr && member->name != init_.node_name &&
+         init_.links->IsDoubtful(member->name);
 }
 
 // The only instance that may run a request that is on trial; invalid if it has
--- a/src/mesh/outbound_proxy.h
+++ b/src/mesh/outbound_proxy.h
@@ -86,8 +86,9 @@
   void OnRequest(ExchangePointer exchange);
   // Handles a frame of the response to a call that was sent to `member`.
   void OnLinkFrame(std::string_view member, LinkFrame frame);
-  // The link to `member` broke: calls on it get no further frames.
-  void OnLinkDown(std::string_view member);
+  // The link to `member` broke: calls on it get no further frames, and
+  // `member` has not received those in `unsent`.
+  void OnLinkDown(std::string_view member, const std::vector<CallId>& unsent);
   // `member` does not answer. Sends the calls that may run again to other
   // instances; the others wait for its response until their deadline.
   void OnLinkSilent(std::string_view member);
@@ -218,6 +219,8 @@
   void StartAttempt(CallId id);
   void AllowQueueing(Call& call);
   UpstreamHandle ChooseUpstream(Call& call, Time now);
+  bool IsDoubtful(UpstreamHandle upstream) const;
+  UpstreamHandle ChooseSound(ChooseQuery query, Time now);
   UpstreamHandle TrialUpstream(const Call& call) const;
   // The functions below are in outbound_rollout.cc.
   //
@@ -250,6 +253,7 @@
   void OnRefusal(CallId id, const GateRefusal& refusal);
   static bool IsLoadRefusal(const Call& call, RefusalReason reason);
   void OnBroken(CallId id, const GateFailure& broken);
+  void OnNotSent(CallId id);
   void OnResponseHead(CallId id, GateResponse answer);
   void OnResponsePart(CallId id, GateResponseChunk part);
   void ReceiveBody(CallId id, std::string body, bool last);
--- a/src/mesh/outbound_response.cc
+++ b/src/mesh/outbound_response.cc
@@ -136,6 +136,13 @@
   }
 }
 
+// The attempt did not leave this node, so that another one is no retry.
+void OutboundProxy::OnNotSent(CallId id) {
+  EndAttempt(calls_.at(id), AttemptOutcome::kUnknown, false);
+  init_.metrics->Add(redirected_);
+  StartAttempt(id);
+}
+
 bool OutboundProxy::CanRetry(const Call& call, Time now) {
   const Duration left = call.deadline - now;
   return call.instances_reached <= call.route->retries &&
@@ -317,9 +324,15 @@
   return found;
 }
 
-void OutboundProxy::OnLinkDown(std::string_view member) {
+void OutboundProxy::OnLinkDown(std::string_view member,
+                               const std::vector<CallId>& unsent) {
   for (const CallId id : CallsAt(member)) {
-    if (calls_.contains(id)) {
+    if (!calls_.contains(id)) {
+      continue;
+    }
+    if (std::find(unsent.begin(), unsent.end(), id) != unsent.end()) {
+      OnNotSent(id);
+    } else {
       OnBroken(id, {"the link to the instance's node broke", std::nullopt});
     }
   }
--- a/src/mesh/sidecar.cc
+++ b/src/mesh/sidecar.cc
@@ -158,10 +158,11 @@
   init.on_response = [this](std::string_view member, LinkFrame frame) {
     outbound_.OnLinkFrame(member, std::move(frame));
   };
-  init.on_link_down = [this](std::string_view member) {
+  init.on_link_down = [this](std::string_view member,
+                             const std::vector<CallId>& unsent) {
     configuration_source_.OnPeerGone(member, SteadyNow());
     quotas_.OnMemberLost(member, false);
-    outbound_.OnLinkDown(member);
+    outbound_.OnLinkDown(member, unsent);
   };
   init.on_link_silent = [this](std::string_view member) {
     configuration_source_.OnPeerGone(member, SteadyNow());
--- a/tests/admission_test.cc
+++ b/tests/admission_test.cc
@@ -141,6 +141,41 @@
   }
 }
 
+SCENARIO("queued calls that cannot end in time are refused while that helps") {
+  Admission admission(1);
+  Time now = kStart;
+  const auto offer = [&](CallId id, std::string_view call_class,
+                         Duration time) {
+    AdmissionOffer call = OfferOf(id, "travel");
+    call.call_class = call_class;
+    call.deadline = now + time;
+    return admission.Offer(call, now).verdict;
+  };
+  GIVEN("a call that needs longer than one that is due before it") {
+    offer(1, "page", kSecond);
+    now += 20 * kMillisecond;
+    admission.OnEnded(1, now);
+    offer(2, "film", kSecond);
+    now += 300 * kMillisecond;
+    admission.OnEnded(2, now);
+    offer(3, "stream", 60 * kSecond);
+    REQUIRE(offer(4, "page", 900 * kMillisecond) == AdmissionVerdict::kQueued);
+    REQUIRE(offer(5, "film", kSecond) == AdmissionVerdict::kQueued);
+    THEN("it is refused first, once it has too little time left") {
+      CHECK(Refused(admission.Tick(now + 650 * kMillisecond)).empty());
+      CHECK(Refused(admission.Tick(now + 710 * kMillisecond)) == CallIds{5});
+    }
+  }
+  GIVEN("a queued call of which only the deadline is known") {
+    offer(1, "stream", 60 * kSecond);
+    REQUIRE(offer(2, "page", kSecond) == AdmissionVerdict::kQueued);
+    THEN("its refusal still reaches the caller's node before the deadline") {
+      CHECK(Refused(admission.Tick(now + 930 * kMillisecond)).empty());
+      CHECK(Refused(admission.Tick(now + 945 * kMillisecond)) == CallIds{2});
+    }
+  }
+}
+
 SCENARIO("a large number of short-lived groups") {
   AdmissionLimits limits;
   limits.max_idle_groups = 10;
--- /dev/null
+++ b/tests/link_break_test.cc
@@ -0,0 +1,210 @@
+// Tests what callers are told when the link to an instance's node breaks.
+#include <fmt/format.h>
+
+#include <catch2/catch.hpp>
+
+#include "core/node_charts.h"
+#include "mesh/outbound_proxy.h"
+#include "net_support.h"
+#include "platform/wire_names.h"
+#include "support.h"
+
+namespace verbenastile {
+namespace {
+
+constexpr std::uint32_t kMegabyte = 1'000'000;
+
+MemberRecord Record(const char* name, const SocketAddress& peer_address) {
+  MemberRecord record;
+  record.member.name = name;
+  record.member.incarnation = 1;
+  record.member.failure_domain = "a";
+  record.member.region = "r";
+  record.member.service = "wallet";
+  record.member.slots = 1;
+  record.member.peer_address = peer_address;
+  record.instance = "i-1";
+  return record;
+}
+
+// A caller's node and the node of the only instance, which the test plays.
+struct BreakFixture {
+  BreakFixture()
+      : charts(MustSucceed([] { return LoadNodeCharts(); })),
+        applier(&charts.config_apply, 7),
+        registry("near"),
+        sender(loop.io, {}) {
+    loop.Call([this] { Open(); });
+    far.emplace(far_listener.Accept());
+    SmallTextDeltas deltas;
+    std::string hello;
+    LinkWriter(&deltas).Append(
+        {0, LinkHello{Record("far", far_listener.address()), {}}}, hello);
+    far->Write(hello);
+    while (loop.Call([&] { return links->open_links(); }) == 0) {
+      std::this_thread::yield();
+    }
+  }
+  ~BreakFixture() {
+    loop.Call([this] {
+      callers.reset();
+      outbound.reset();
+      links.reset();
+      inbound.reset();
+    });
+  }
+
+  void Open() {
+    RuleDocument document;
+    document.services = {{"wallet", {}, {}}};
+    Rule rule;
+    rule.id = "pay";
+    rule.match.path_prefix = "/";
+    RouteAction action;
+    action.targets = {{"wallet", 1}};
+    rule.action = action;
+    document.rules.push_back(rule);
+    applier.Offer(1, std::move(document));
+    OpenInbound();
+    OpenLinks();
+    OpenOutbound();
+    registry.Merge(Record("far", far_listener.address()), SteadyNow());
+    links->UpdateLinks();
+  }
+
+  void OpenInbound() {
+    InboundProxy::Init init;
+    init.io = &loop.io;
+    init.tracker = &tracker;
+    init.metrics = &metrics;
+    init.headers = platform::kCallHeaders;
+    init.configuration = [] { return PeerConfiguration(); };
+    init.link = [] { return LinkState{}; };
+    init.node_name = "near";
+    init.suspects = &suspects;
+    inbound = std::make_unique<InboundProxy>(init);
+  }
+
+  void OpenLinks() {
+    LinkHub::Init init;
+    init.io = &loop.io;
+    init.member_registry = &registry;
+    init.gate = inbound.get();
+    init.seed = 1;
+    init.sender = &sender;
+    init.self = [] { return Record("near", {}); };
+    init.configuration = [] { return PeerConfiguration(); };
+    init.on_response = [this](std::string_view member, LinkFrame frame) {
+      outbound->OnLinkFrame(member, std::move(frame));
+    };
+    init.on_link_down = [this](std::string_view member,
+                               const std::vector<CallId>& unsent) {
+      outbound->OnLinkDown(member, unsent);
+    };
+    init.on_load = [](std::string_view, const GateLoad&) {};
+    init.on_member_record = [](const MemberRecord&) {};
+    init.crash_evidence = [] { return std::vector<CrashEvidence>(); };
+    links = std::make_unique<LinkHub>(std::move(init));
+  }
+
+  void OpenOutbound() {
+    OutboundProxy::Init init;
+    init.io = &loop.io;
+    init.node_name = "near";
+    init.failure_domain = "a";
+    init.region = "r";
+    init.applier = &applier;
+    init.member_registry = &registry;
+    init.health_chart = &charts.upstream_health;
+    init.inbound_proxy = inbound.get();
+    init.links = links.get();
+    init.suspects = &suspects;
+    init.metrics = &metrics;
+    init.headers = platform::kCallHeaders;
+    init.caller_service = [] { return std::string("plaza"); };
+    init.configuration_age = [] { return Duration::zero(); };
+    init.configuration_behind = [] { return std::optional<Duration>(); };
+    init.key_limits = [] { return KeyLimits(); };
+    outbound = std::make_unique<OutboundProxy>(init);
+    callers = std::make_unique<Http1Server>(
+        loop.io, [this](ExchangePointer exchange) {
+          outbound->OnRequest(std::move(exchange));
+        });
+    REQUIRE(callers->Open({kTestIp, 0}).empty());
+  }
+
+  // Sends a request that may not be repeated, and waits until it is passed to
+  // the link.
+  RawConnection Post(const std::string& body) {
+    RawConnection caller =
+        RawConnection::ConnectTo(client_io, callers->address());
+    caller.Write(fmt::format("POST /x HTTP/1.1\r\nHost: a.example\r\n"
+                             "X-Attempt-Id: r1\r\nConnection: close\r\n"
+                             "Content-Length: {}\r\n\r\n",
+                             body.size()) +
+                 body);
+    while (loop.Call([&] { return outbound->active(); }) == 0) {
+      std::this_thread::yield();
+    }
+    return caller;
+  }
+
+  // Reads a call at the other node.
+  void ReadCall() {
+    SmallTextDeltas deltas;
+    LinkReader reader(&deltas);
+    while (true) {
+      const auto next = reader.Next();
+      const auto& frame = std::get<std::optional<LinkFrame>>(next);
+      if (frame && std::holds_alternative<GateCall>(frame->body)) {
+        return;
+      }
+      if (!frame) {
+        const std::string byte = far->ReadBytes(1);
+        REQUIRE(byte.size() == 1);
+        reader.Append(byte.data(), 1);
+      }
+    }
+  }
+
+  asio::io_context client_io;
+  RawListener far_listener;
+  std::optional<RawConnection> far;
+  LoopThread loop;
+  Metrics metrics;
+  NodeCharts charts;
+  ConfigApplier applier;
+  InstanceTracker tracker{SocketAddress()};
+  CrashSuspects suspects;
+  MemberRegistry registry;
+  PacedSender sender;
+  std::unique_ptr<InboundProxy> inbound;
+  std::unique_ptr<LinkHub> links;
+  std::unique_ptr<OutboundProxy> outbound;
+  std::unique_ptr<Http1Server> callers;
+};
+
+SCENARIO("the link breaks under a request that may not be repeated") {
+  BreakFixture fixture;
+
+  GIVEN("a request that the other node has not received whole") {
+    RawConnection caller = fixture.Post(std::string(20 * kMegabyte, 'x'));
+    fixture.far->Close();
+    THEN("the caller is told that it has not run, and when to come back") {
+      const std::string answer = caller.ReadAll();
+      CHECK(answer.starts_with("HTTP/1.1 503"));
+      CHECK(answer.find("Retry-After: ") != std::string::npos);
+    }
+  }
+  GIVEN("a request that the other node has received") {
+    RawConnection caller = fixture.Post("one ticket");
+    fixture.ReadCall();
+    fixture.far->Close();
+    THEN("the caller is not told that it has not run") {
+      CHECK(caller.ReadAll().starts_with("HTTP/1.1 502"));
+    }
+  }
+}
+
+}  // namespace
+}  // namespace verbenastile
--- a/tests/link_monitor_test.cc
+++ b/tests/link_monitor_test.cc
@@ -69,10 +69,24 @@
   }
 }
 
+SCENARIO("new calls avoid a peer that is slow to answer a probe") {
+  LinkMonitor watch;
+  const LinkMonitor::Query query{kStart, true, 80};
+  CHECK(watch.Check(query, kStart + 301 * kMs) == LinkVerdict::kProbe);
+  CHECK_FALSE(watch.IsDoubtful(kStart + 451 * kMs));
+  CHECK(watch.IsDoubtful(kStart + 452 * kMs));
+  WHEN("it answers") {
+    watch.OnFrameReceived();
+    CHECK_FALSE(watch.IsDoubtful(kStart + 600 * kMs));
+  }
+}
+
 SCENARIO("a frame of the peer clears a suspicion") {
   LinkMonitor watch;
   watch.OnPeerSuspected();
+  CHECK(watch.IsDoubtful(kStart));
   watch.OnFrameReceived();
+  CHECK_FALSE(watch.IsDoubtful(kStart));
   CHECK(watch.Check({kStart, false, 80}, kStart + 3'000 * kMs) ==
         LinkVerdict::kHealthy);
 }
