--- a/tests/link_break_test.cc
+++ b/tests/link_break_test.cc
@@ -12,7 +12,7 @@
 namespace verbenastile {
 namespace {
 
-constexpr std::uint32_t kMegabyte = 1'000'000;
+constexpr std::size_t kMegabyte = 1'000'000;
 
 MemberRecord Record(const char* name, const SocketAddress& peer_address) {
   MemberRecord record;
@@ -27,7 +27,40 @@
   return record;
 }
 
-// A caller's node and the node of the only instance, which the test plays.
+// The node of an instance, which the test plays.
+struct FarNode {
+  explicit FarNode(const char* node_name) : name(node_name) {}
+
+  MemberRecord record() const { return Record(name, listener.address()); }
+  void Accept() {
+    connection.emplace(listener.Accept());
+    std::string hello;
+    LinkWriter(&deltas).Append({0, LinkHello{record(), {}}}, hello);
+    connection->Write(hello);
+  }
+  void ReadCall() {
+    while (true) {
+      const auto next = reader.Next();
+      const auto& frame = std::get<std::optional<LinkFrame>>(next);
+      if (frame && std::holds_alternative<GateCall>(frame->body)) {
+        return;
+      }
+      if (!frame) {
+        const std::string byte = connection->ReadBytes(1);
+        REQUIRE(byte.size() == 1);
+        reader.Append(byte.data(), 1);
+      }
+    }
+  }
+
+  const char* name;
+  RawListener listener;
+  SmallTextDeltas deltas;
+  LinkReader reader{&deltas};
+  std::optional<RawConnection> connection;
+};
+
+// The node of the callers, and one with an instance.
 struct BreakFixture {
   BreakFixture()
       : charts(MustSucceed([] { return LoadNodeCharts(); })),
@@ -35,15 +68,7 @@
         registry("near"),
         sender(loop.io, {}) {
     loop.Call([this] { Open(); });
-    far.emplace(far_listener.Accept());
-    SmallTextDeltas deltas;
-    std::string hello;
-    LinkWriter(&deltas).Append(
-        {0, LinkHello{Record("far", far_listener.address()), {}}}, hello);
-    far->Write(hello);
-    while (loop.Call([&] { return links->open_links(); }) == 0) {
-      std::this_thread::yield();
-    }
+    Add(far);
   }
   ~BreakFixture() {
     loop.Call([this] {
@@ -68,8 +93,18 @@
     OpenInbound();
     OpenLinks();
     OpenOutbound();
-    registry.Merge(Record("far", far_listener.address()), SteadyNow());
-    links->UpdateLinks();
+  }
+
+  void Add(FarNode& node) {
+    const std::size_t known = loop.Call([&] {
+      registry.Merge(node.record(), SteadyNow());
+      links->UpdateLinks();
+      return links->open_links();
+    });
+    node.Accept();
+    while (loop.Call([&] { return links->open_links(); }) == known) {
+      std::this_thread::yield();
+    }
   }
 
   void OpenInbound() {
@@ -136,6 +171,7 @@
   // Sends a request that may not be repeated, and waits until it is passed to
   // the link.
   RawConnection Post(const std::string& body) {
+    const std::size_t before = loop.Call([&] { return outbound->active(); });
     RawConnection caller =
         RawConnection::ConnectTo(client_io, callers->address());
     caller.Write(fmt::format("POST /x HTTP/1.1\r\nHost: a.example\r\n"
@@ -143,33 +179,14 @@
                              "Content-Length: {}\r\n\r\n",
                              body.size()) +
                  body);
-    while (loop.Call([&] { return outbound->active(); }) == 0) {
+    while (loop.Call([&] { return outbound->active(); }) == before) {
       std::this_thread::yield();
     }
     return caller;
   }
 
-  // Reads a call at the other node.
-  void ReadCall() {
-    SmallTextDeltas deltas;
-    LinkReader reader(&deltas);
-    while (true) {
-      const auto next = reader.Next();
-      const auto& frame = std::get<std::optional<LinkFrame>>(next);
-      if (frame && std::holds_alternative<GateCall>(frame->body)) {
-        return;
-      }
-      if (!frame) {
-        const std::string byte = far->ReadBytes(1);
-        REQUIRE(byte.size() == 1);
-        reader.Append(byte.data(), 1);
-      }
-    }
-  }
-
   asio::io_context client_io;
-  RawListener far_listener;
-  std::optional<RawConnection> far;
+  FarNode far{"far"};
   LoopThread loop;
   Metrics metrics;
   NodeCharts charts;
@@ -189,7 +206,7 @@
 
   GIVEN("a request that the other node has not received whole") {
     RawConnection caller = fixture.Post(std::string(20 * kMegabyte, 'x'));
-    fixture.far->Close();
+    fixture.far.connection->Close();
     THEN("the caller is told that it has not run, and when to come back") {
       const std::string answer = caller.ReadAll();
       CHECK(answer.starts_with("HTTP/1.1 503"));
@@ -198,13 +215,38 @@
   }
   GIVEN("a request that the other node has received") {
     RawConnection caller = fixture.Post("one ticket");
-    fixture.ReadCall();
-    fixture.far->Close();
+    fixture.far.ReadCall();
+    fixture.far.connection->Close();
     THEN("the caller is not told that it has not run") {
       CHECK(caller.ReadAll().starts_with("HTTP/1.1 502"));
     }
   }
 }
 
+SCENARIO("calls avoid a member that may have vanished") {
+  BreakFixture fixture;
+  const auto suspect = [&](const char* name) {
+    fixture.loop.Call([&] { fixture.links->SuspectSilence(name); });
+  };
+  suspect("far");
+  GIVEN("another one") {
+    FarNode other("other");
+    fixture.Add(other);
+    THEN("it gets all calls, also those that wait for its slot") {
+      std::vector<RawConnection> callers;
+      for (int i = 0; i < 4; ++i) {
+        callers.push_back(fixture.Post("one ticket"));
+        other.ReadCall();
+      }
+    }
+  }
+  GIVEN("no other one") {
+    RawConnection caller = fixture.Post("one ticket");
+    THEN("it gets the call") {
+      fixture.far.ReadCall();
+    }
+  }
+}
+
 }  // namespace
 }  // namespace verbenastile
