Copies of late requests: policy, race and wiring

Requests that a slow instance delays fail at their rule's timeout although another instance would have answered. A request that is later than nearly all of its kind is sent to a second instance; the first good response wins.

--- a/src/config/sidecar_settings.cc
+++ b/src/config/sidecar_settings.cc
@@ -92,6 +92,9 @@
   ReadLinkBandwidth(reader, settings);
   ReadRequests(reader, settings);
   ReadDomains(reader.Section("domains"), settings);
+  YamlReader calls = reader.Section("calls");
+  settings.copies = calls.Boolean("copies", settings.copies);
+  calls.RejectUnknownKeys();
   settings.log_level = static_cast<LogLevel>(
       reader.Choice("log_level", {"debug", "info", "warning", "error"},
                     static_cast<std::size_t>(settings.log_level)));
--- a/src/config/sidecar_settings.h
+++ b/src/config/sidecar_settings.h
@@ -42,6 +42,7 @@
   // Operators' decisions, by the digest of the request's content.
   std::map<Digest, RequestOverride> requests;
   DomainPrice domain_price;
+  bool copies = true;  // Late requests are sent to a second instance.
   LogLevel log_level = LogLevel::kInfo;
 };
 
--- a/src/core/fleet_retry_budget.cc
+++ b/src/core/fleet_retry_budget.cc
@@ -80,6 +80,15 @@
          limits_.usable_permille / kPermille / kPermille;
 }
 
+std::uint64_t FleetRetryBudget::ReservedFor(const Buckets& rule,
+                                            std::uint64_t fair_share,
+                                            std::int64_t index) {
+  const WindowTotals totals = SumWindow(rule, index);
+  const std::uint64_t expected =
+      std::min(kExpectedDemandFactor * totals.demand, fair_share);
+  return expected - std::min(expected, totals.retries);
+}
+
 FleetRetryBudget::Grant FleetRetryBudget::GrantFor(ServiceBudget& budget,
                                                    std::string_view rule,
                                                    std::uint64_t allowed,
@@ -98,9 +107,7 @@
     if (name == rule) {
       used_of_fair_share = totals.retries - totals.surplus;
     } else {
-      const std::uint64_t expected =
-          std::min(kExpectedDemandFactor * totals.demand, fair_share);
-      reserved_for_others += expected - std::min(expected, totals.retries);
+      reserved_for_others += ReservedFor(buckets, fair_share, index);
     }
   }
   if (used_of_fair_share + 1 <= fair_share) {
@@ -143,4 +150,30 @@
   return true;
 }
 
+bool FleetRetryBudget::TryTakeSpare(std::string_view service,
+                                    std::uint32_t reserve_permille,
+                                    std::size_t nodes,
+                                    Time now) {
+  ServiceBudget& budget = BudgetFor(service);
+  const std::int64_t index = BucketIndexAt(now);
+  const WindowTotals totals = SumWindow(budget.all, index);
+  const std::uint64_t allowed = Allowed(totals, nodes, now);
+  const std::uint64_t fair_share =
+      allowed / std::max(budget.rules.size(), kMinSharingRules);
+  std::uint64_t kept = allowed * reserve_permille / kPermille;
+  for (const auto& [name, buckets] : budget.rules) {
+    kept += ReservedFor(buckets, fair_share, index);
+  }
+  if (totals.retries + kept + 1 > allowed) {
+    return false;
+  }
+  ++BucketAt(budget.all, index).retries;
+  return true;
+}
+
+void FleetRetryBudget::GiveBackSpare(std::string_view service, Time now) {
+  Bucket& bucket = BucketAt(BudgetFor(service).all, BucketIndexAt(now));
+  bucket.retries -= bucket.retries > 0 ? 1 : 0;
+}
+
 }  // namespace verbenastile
--- a/src/core/fleet_retry_budget.h
+++ b/src/core/fleet_retry_budget.h
@@ -52,6 +52,16 @@
                std::size_t nodes,
                Time now);
 
+  // Takes a retry that no rule is expected to need, and leaves
+  // `reserve_permille` of the budget for such as may.
+  bool TryTakeSpare(std::string_view service,
+                    std::uint32_t reserve_permille,
+                    std::size_t nodes,
+                    Time now);
+
+  // A retry that was taken as spare reached no instance.
+  void GiveBackSpare(std::string_view service, Time now);
+
   void SetLimits(const FleetRetryBudgetLimits& limits) { limits_ = limits; }
 
  private:
@@ -93,6 +103,10 @@
   std::uint64_t Allowed(const WindowTotals& all,
                         std::size_t nodes,
                         Time now) const;
+  // Retries that `rule` may still take from its fair share.
+  static std::uint64_t ReservedFor(const Buckets& rule,
+                                   std::uint64_t fair_share,
+                                   std::int64_t index);
   static Grant GrantFor(ServiceBudget& budget,
                         std::string_view rule,
                         std::uint64_t allowed,
--- a/src/mesh/outbound_proxy.cc
+++ b/src/mesh/outbound_proxy.cc
@@ -73,6 +73,7 @@
                  MakeBalancerLimits(), init.node_name}),
       domain_spill_(init.failure_domain),
       retry_allowance_(init.allowance, SteadyNow()),
+      copies_(init.copies),
       balancer_random_(init.seed),
       retry_after_random_(init.seed),
       requests_(init.metrics->Counter("requests_total")),
@@ -85,6 +86,7 @@
       blocked_(init.metrics->Counter("requests_blocked_total")),
       latency_(init.metrics->Summary("request_microseconds")) {
   RegisterKeyMetrics();
+  RegisterCopyMetrics();
 }
 
 OutboundProxy::~OutboundProxy() {
@@ -125,6 +127,7 @@
   Call& call = calls_.at(id);
   call.service = target_rotation_.Next(call.rule->id, *call.route);
   retry_allowance_.OnRequest(call.service, call.begin);
+  copies_.OnRequest(call.rule->id);
   StartAttempt(id);
 }
 
@@ -264,11 +267,7 @@
       attempt.local_call_id = init_.inbound_proxy->Start(
           BuildCall(call, *member, now), ResponsePath::kLocal,
           [this, id, serial = ++call.local_attempt_serial](LinkBody body) {
-            const auto found = calls_.find(id);
-            if (found != calls_.end() && found->second.attempt &&
-                found->second.local_attempt_serial == serial) {
-              OnReply(id, std::move(body));
-            }
+            OnLocalReply(id, serial, std::move(body));
           });
     } else if (!init_.links->Send(attempt.member,
                                   {id, BuildCall(call, *member, now)})) {
@@ -278,6 +277,7 @@
     NoteRolloutSent(call, attempt, now);
     NoteDomain(call, *member);
     call.attempt = std::move(attempt);
+    ScheduleCopy(call, now);
     return;
   }
 }
@@ -451,6 +451,7 @@
                                std::string_view outcome,
                                int status) {
   const auto found = calls_.find(id);
+  CancelCopy(id, found->second, RaceEvent::kCallerGone);
   const Call& call = found->second;
   const Time now = SteadyNow();
   const Duration took = now - call.begin;
@@ -478,6 +479,7 @@
        {"bytes", call.response_bytes},
        {"runs", call.instances_reached},
        {"refusals", call.refusals},
+       {"copied", call.copied},
        {"took_ms", ToMilliseconds(took)},
        {"asked_before_ms",
         call.rule == nullptr
@@ -503,6 +505,7 @@
     if (call.attempt && call.attempt->rollout) {
       call.attempt->rollout->failed = true;
     }
+    CancelCopy(id, call, RaceEvent::kDeadline);
     CancelAttempt(id, call, AttemptOutcome::kUnknown);
     Fail(id, kHttpGatewayTimeout, "the deadline has passed");
   }
@@ -518,6 +521,7 @@
     if (!error) {
       ScheduleDeadlineCheck();
       FailOverdue();
+      SendDueCopies();
     }
   });
 }
--- a/src/mesh/outbound_proxy.h
+++ b/src/mesh/outbound_proxy.h
@@ -23,8 +23,10 @@
 
 #include "base/metrics.h"
 #include "base/random.h"
+#include "core/attempt_race.h"
 #include "core/balancer.h"
 #include "core/config_apply.h"
+#include "core/copy_policy.h"
 #include "core/crash_suspects.h"
 #include "core/domain_spill.h"
 #include "core/fleet_retry_budget.h"
@@ -67,6 +69,7 @@
     FleetRetryBudgetLimits allowance;
     std::uint64_t seed = 0;
     DomainPrice domain_price;
+    CopyLimits copies;
     // The service that the callers on this machine belong to.
     std::function<std::string()> caller_service;
     // Time since the platform's store last confirmed the configuration.
@@ -133,6 +136,18 @@
     std::optional<RolloutPart> rollout;
   };
 
+  // The second of two attempts that run at the same time. Its response is held
+  // back until it is complete or the first attempt has ended.
+  struct Copy {
+    Attempt attempt;
+    int status = 0;
+    HttpHeaders headers;
+    std::optional<std::uint64_t> content_length;
+    std::string body;
+    Duration slot_wait{0};
+    Time head_received;
+  };
+
   struct DomainMetrics {
     GaugeHandle share_permille;
     CounterHandle calls;
@@ -165,6 +180,12 @@
     // the caller.
     Time first_requested;
     std::optional<Attempt> attempt;
+    // Runs beside `attempt` while `race` is running.
+    std::optional<Copy> copy;
+    AttemptRace race;
+    std::optional<Time> copy_at;  // When a copy of the attempt leaves.
+    bool copied = false;
+    std::uint32_t copy_refusals = 0;
     std::vector<UpstreamHandle> tried_upstreams;
     // Number of the current local attempt. Replies to an earlier one carry
     // another number and are dropped.
@@ -244,6 +265,28 @@
   DomainMetrics* MetricsOfDomain(const std::string& service,
                                  std::string_view domain);
   void NoteDomain(const Call& call, const Member& member);
+  // The functions below are in outbound_copies.cc.
+  //
+  void RegisterCopyMetrics();
+  void ScheduleCopy(Call& call, Time now);
+  void SendDueCopies();
+  void SendCopy(CallId id, Call& call);
+  CopyVerdict JudgeCopy(Call& call, Time now);
+  bool HasRateLimit(std::string_view member) const;
+  bool SendCopyTo(CallId id, Call& call, const Member& member, Time now);
+  void OnLocalReply(CallId id, std::uint32_t serial, LinkBody body);
+  void OnCopyReply(CallId id, Call& call, LinkBody body);
+  void ReceiveCopyBody(CallId id, Call& call, std::string body, bool last);
+  void OnCopyComplete(CallId id, Call& call);
+  void OnCopyRefused(Call& call, const GateRefusal& refusal);
+  void OnCopyBroken(Call& call);
+  void EndCopy(Call& call, AttemptOutcome outcome, bool reached);
+  void CancelCopy(CallId id, Call& call, RaceEvent event);
+  // The first attempt has ended. Returns whether a copy takes its place.
+  bool ContinueWithCopy(Call& call, RaceEvent event);
+  void TakeOver(Call& call);
+  void EndCopiesAt(std::string_view member, bool cancel);
+  void LogCopy(CallId id, const Call& call);
   Duration LatencyObjective(const Call& call) const;
   GateCall BuildCall(const Call& call, const Member& member, Time now) const;
   void OnReply(CallId id, LinkBody body);
@@ -281,6 +324,9 @@
   std::array<CounterHandle, kSpillReasonCount> domain_changes_{};
   PeerNotices peer_notices_;
   FleetRetryBudget retry_allowance_;
+  CopyPolicy copies_;
+  Time copy_logged_at_;
+  std::uint64_t unlogged_copies_ = 0;
   RuleProfiles rule_profiles_;
   WeightedRoundRobin target_rotation_;
   // Of the directory and of the held instances when they were last applied.
@@ -300,6 +346,12 @@
   CounterHandle redirected_;
   CounterHandle callers_gone_;
   CounterHandle blocked_;
+  CounterHandle copies_sent_;
+  CounterHandle copies_won_;
+  CounterHandle copies_refused_;
+  CounterHandle copies_cancelled_;
+  // By `CopyVerdict`.
+  std::array<CounterHandle, kCopyVerdictCount> copies_withheld_;
   SummaryHandle latency_;
   // By `KeyVerdict`.
   std::array<CounterHandle, kKeyVerdictCount> key_verdicts_;
--- a/src/mesh/outbound_response.cc
+++ b/src/mesh/outbound_response.cc
@@ -38,9 +38,14 @@
 
 void OutboundProxy::OnLinkFrame(std::string_view member, LinkFrame frame) {
   const auto found = calls_.find(frame.call);
-  if (found != calls_.end() && found->second.attempt &&
-      found->second.attempt->member == member) {
+  if (found == calls_.end()) {
+    return;
+  }
+  Call& call = found->second;
+  if (call.attempt && call.attempt->member == member) {
     OnReply(frame.call, std::move(frame.body));
+  } else if (call.copy && call.copy->attempt.member == member) {
+    OnCopyReply(frame.call, call, std::move(frame.body));
   }
 }
 
@@ -79,6 +84,9 @@
   // like one that it ran.
   EndAttempt(call, outcome, shed);
   ++call.refusals;
+  if (ContinueWithCopy(call, RaceEvent::kRefused)) {
+    return;
+  }
   if (refusal.reason == RefusalReason::kCrashSuspect) {
     Fail(id, kHttpUnavailable, ToString(refusal.reason));
     return;
@@ -128,6 +136,9 @@
   }
   EndAttempt(call, AttemptOutcome::kUnknown, true);
   call.may_have_run = true;
+  if (ContinueWithCopy(call, RaceEvent::kBroken)) {
+    return;
+  }
   // One crash may be anyone's doing, so a request that was lost in it is
   // retried; one that was suspected before is not.
   const bool suspected = Judge(call) != SuspectVerdict::kUnsuspected;
@@ -207,6 +218,7 @@
 void OutboundProxy::StreamToCaller(CallId id) {
   Call& call = calls_.at(id);
   if (!call.streaming) {
+    CancelCopy(id, call, RaceEvent::kStreamed);
     call.streaming = true;
     call.exchange->Start(call.status, call.headers, call.content_length);
     call.exchange->OnDrained([this, id] {
@@ -243,6 +255,7 @@
   }
   const bool failed = call.status >= kHttpServerError;
   if (!failed) {
+    CancelCopy(id, call, RaceEvent::kAnswered);
     RecordServiceTime(call, SteadyNow());
   }
   ClearSuspect(call);
@@ -251,7 +264,8 @@
   if (failed && !call.streaming) {
     call.may_have_run = true;
     call.failed_response = {call.status, call.headers, call.body};
-    if (RetryAfterRun(id, "server error")) {
+    if (ContinueWithCopy(call, RaceEvent::kServerError) ||
+        RetryAfterRun(id, "server error")) {
       return;
     }
   }
@@ -282,6 +296,10 @@
   if (call.attempt) {
     const Time now = SteadyNow();
     call.instances_reached += reached ? 1 : 0;
+    if (reached) {
+      copies_.OnAttemptEnded(call.rule->id, now - call.attempt->begin,
+                             outcome == AttemptOutcome::kAnswered);
+    }
     NoteRolloutEnded(call, outcome, reached, now);
     balancer_.OnEnded(call.attempt->upstream, outcome,
                       now - call.attempt->begin, now);
@@ -318,6 +336,7 @@
 }
 
 void OutboundProxy::OnLinkDown(std::string_view member) {
+  EndCopiesAt(member, false);
   for (const CallId id : CallsAt(member)) {
     if (calls_.contains(id)) {
       OnBroken(id, {"the link to the instance's node broke", std::nullopt});
@@ -326,6 +345,7 @@
 }
 
 void OutboundProxy::OnLinkSilent(std::string_view member) {
+  EndCopiesAt(member, true);
   for (const CallId id : CallsAt(member)) {
     const auto found = calls_.find(id);
     if (found == calls_.end() || !found->second.route->repeatable) {
@@ -333,6 +353,9 @@
     }
     Call& call = found->second;
     CancelAttempt(id, call, AttemptOutcome::kUnknown);
+    if (ContinueWithCopy(call, RaceEvent::kBroken)) {
+      continue;
+    }
     if (call.streaming || !RetryAfterRun(id, "the instance's node is silent")) {
       Fail(id, kHttpBadGateway, "the instance's node is silent");
     }
--- a/src/mesh/sidecar.cc
+++ b/src/mesh/sidecar.cc
@@ -270,6 +270,7 @@
   init.allowance = AllowanceLimits();
   init.seed = NondeterministicSeed();
   init.domain_price = settings_.domain_price;
+  init.copies.enabled = settings_.copies;
   init.caller_service = [this] { return settings_.service; };
   init.configuration_age = [this] { return ConfigurationAge(); };
   init.rollouts = rollouts_.get();
