--- a/src/core/copy_policy.cc
+++ b/src/core/copy_policy.cc
@@ -55,40 +55,37 @@
   return "unknown";
 }
 
-// Returns null if too many rules are tracked.
-CopyPolicy::RuleTimes* CopyPolicy::FindOrAdd(std::string_view rule) {
+CopyPolicy::RuleTimes& CopyPolicy::FindOrAdd(std::string_view rule) {
   const auto found = rules_.find(rule);
   if (found != rules_.end()) {
-    return &found->second;
+    return found->second;
   }
   if (rules_.size() >= kMaxRules) {
-    return nullptr;
+    rules_.erase(rules_.begin());
   }
-  return &rules_.emplace(rule, RuleTimes{}).first->second;
+  return rules_.emplace(rule, RuleTimes{}).first->second;
 }
 
 void CopyPolicy::OnRequest(std::string_view rule) {
-  if (RuleTimes* times = FindOrAdd(rule)) {
-    times->tokens_milli =
-        std::min(times->tokens_milli + limits_.max_share_permille,
-                 limits_.burst * kMilliPerCopy);
-  }
+  RuleTimes& times = FindOrAdd(rule);
+  times.tokens_milli = std::min(times.tokens_milli + limits_.max_share_permille,
+                                limits_.burst * kMilliPerCopy);
 }
 
 void CopyPolicy::OnAttemptEnded(std::string_view rule,
                                 Duration taken,
                                 bool complete) {
-  RuleTimes* times = FindOrAdd(rule);
+  RuleTimes& times = FindOrAdd(rule);
   // Attempts that fail early say nothing about the time of the others.
-  if (times == nullptr || (!complete && taken < times->median)) {
+  if (!complete && taken < times.median) {
     return;
   }
-  times->times_ms[times->count % kTimes] =
+  times.times_ms[times.count % kTimes] =
       static_cast<std::uint32_t>(ToMilliseconds(taken));
-  ++times->count;
-  if (times->count >= kMinTimes &&
-      (times->count - kMinTimes) % kUpdateInterval == 0) {
-    UpdatePercentiles(*times);
+  ++times.count;
+  if (times.count >= kMinTimes &&
+      (times.count - kMinTimes) % kUpdateInterval == 0) {
+    UpdatePercentiles(times);
   }
 }
 
@@ -161,15 +158,11 @@
 }
 
 void CopyPolicy::OnSent(std::string_view rule) {
-  if (RuleTimes* times = FindOrAdd(rule)) {
-    times->tokens_milli -= kMilliPerCopy;
-  }
+  FindOrAdd(rule).tokens_milli -= kMilliPerCopy;
 }
 
 void CopyPolicy::OnNotRun(std::string_view rule) {
-  if (RuleTimes* times = FindOrAdd(rule)) {
-    times->tokens_milli += kMilliPerCopy;
-  }
+  FindOrAdd(rule).tokens_milli += kMilliPerCopy;
 }
 
 }  // namespace verbenastile
--- a/src/core/copy_policy.h
+++ b/src/core/copy_policy.h
@@ -29,8 +29,8 @@
   // Copies that a rule may save up while its requests are in time.
   std::uint32_t burst = 4;
   // Known load of the service, as a share of its slots, above which there are
-  // no copies.
-  std::int64_t max_load_permille = 750;
+  // no copies. What is known is some seconds old, in which a wave may rise.
+  std::int64_t max_load_permille = 600;
   // Share of the retry budget that copies leave to retries.
   std::uint32_t budget_reserve_permille = 150;
   std::size_t max_request_bytes = 65'536;
@@ -107,6 +107,7 @@
   const CopyLimits& limits() const { return limits_; }
   std::size_t rule_count() const { return rules_.size(); }
 
+  // Rules beyond this number take the place of others, which are learned anew.
   static constexpr std::size_t kMaxRules = 1'024;
   // With fewer times, the 95th percentile is the longest of them.
   static constexpr std::size_t kMinTimes = 20;
@@ -124,7 +125,7 @@
     std::int64_t tokens_milli = 0;  // Copies that the rule may send.
   };
 
-  RuleTimes* FindOrAdd(std::string_view rule);
+  RuleTimes& FindOrAdd(std::string_view rule);
   static void UpdatePercentiles(RuleTimes& rule);
 
   CopyLimits limits_;
--- a/tests/copy_policy_test.cc
+++ b/tests/copy_policy_test.cc
@@ -26,7 +26,7 @@
   query.repeatable = true;
   query.max_attempts = 2;
   query.slots = 100;
-  query.calls = 60;
+  query.calls = 50;
   return query;
 }
 
@@ -114,8 +114,8 @@
       CHECK(copies >= 490);
     }
   }
-  GIVEN("a service with over 75 in 100 of its slots taken, or unknown ones") {
-    query.calls = 75;
+  GIVEN("a service with over 60 in 100 of its slots taken, or unknown ones") {
+    query.calls = 60;
     CHECK(policy.Judge(query) == CopyVerdict::kShortOfRoom);
     query.slots = query.calls = 0;
     CHECK(policy.Judge(query) == CopyVerdict::kShortOfRoom);
