--- a/src/mesh/outbound_copies.cc
+++ b/src/mesh/outbound_copies.cc
@@ -60,29 +60,38 @@
 }
 
 void OutboundProxy::SendCopy(CallId id, Call& call) {
-  const Time now = SteadyNow();
-  CopyVerdict verdict = JudgeCopy(call, now);
-  if (verdict == CopyVerdict::kSend) {
-    balancer_.Sync(init_.member_registry->directory(), now);
-    ApplyHolds(now);
-    const UpstreamHandle upstream = ChooseUpstream(call, now);
-    const Member* member = balancer_.Find(upstream);
-    if (member == nullptr ||
-        balancer_.HealthOf(upstream) != UpstreamHealth::kHealthy) {
-      verdict = CopyVerdict::kNoInstance;
-    } else if (HasRateLimit(member->name)) {
-      verdict = CopyVerdict::kRateLimited;
-    } else if (!retry_allowance_.TryTakeSpare(
-                   call.service, copies_.limits().budget_reserve_permille,
-                   init_.member_registry->entries().size(), now)) {
-      verdict = CopyVerdict::kBudgetSpent;
-    } else if (SendCopyTo(id, call, *member, now)) {
-      return;
-    } else {
-      verdict = CopyVerdict::kNoInstance;
-    }
+  const CopyVerdict verdict = TrySendCopy(id, call, SteadyNow());
+  if (verdict != CopyVerdict::kSend) {
+    init_.metrics->Add(copies_withheld_.at(static_cast<std::size_t>(verdict)));
+  }
+}
+
+CopyVerdict OutboundProxy::TrySendCopy(CallId id, Call& call, Time now) {
+  const CopyVerdict verdict = JudgeCopy(call, now);
+  if (verdict != CopyVerdict::kSend) {
+    return verdict;
+  }
+  balancer_.Sync(init_.member_registry->directory(), now);
+  ApplyHolds(now);
+  const UpstreamHandle upstream = ChooseUpstream(call, now);
+  const Member* member = balancer_.Find(upstream);
+  if (member == nullptr ||
+      balancer_.HealthOf(upstream) != UpstreamHealth::kHealthy) {
+    return CopyVerdict::kNoInstance;
+  }
+  if (HasRateLimit(member->name)) {
+    return CopyVerdict::kRateLimited;
+  }
+  if (!retry_allowance_.TryTakeSpare(
+          call.service, copies_.limits().budget_reserve_permille,
+          init_.member_registry->entries().size(), now)) {
+    return CopyVerdict::kBudgetSpent;
+  }
+  if (!SendCopyTo(id, call, *member, now)) {
+    retry_allowance_.GiveBackSpare(call.service, now);
+    return CopyVerdict::kNoInstance;
   }
-  init_.metrics->Add(copies_withheld_.at(static_cast<std::size_t>(verdict)));
+  return CopyVerdict::kSend;
 }
 
 CopyVerdict OutboundProxy::JudgeCopy(Call& call, Time now) {
--- a/src/mesh/outbound_proxy.h
+++ b/src/mesh/outbound_proxy.h
@@ -271,6 +271,8 @@
   void ScheduleCopy(Call& call, Time now);
   void SendDueCopies();
   void SendCopy(CallId id, Call& call);
+  // Returns why the copy was not sent; `kSend` if it was.
+  CopyVerdict TrySendCopy(CallId id, Call& call, Time now);
   CopyVerdict JudgeCopy(Call& call, Time now);
   bool HasRateLimit(std::string_view member) const;
   bool SendCopyTo(CallId id, Call& call, const Member& member, Time now);
