Quotas: a refused request's token goes back to the coordinator

A request that instances refuse gives its token back. The caller's node kept it, while the coordinator counted it as used and refilled the bucket; while instances were full, tokens piled up at the nodes, and all ran at once afterwards.

The token is now returned with the next need, within the bucket's size and what may be unused; one that comes back after more than a second is lost.

Unit test, a group of 6 requests a second at 87 nodes, 10 times its limit: 77 in 5 s before where 59.6 are allowed, within the rule after; fails before, passes after.

--- a/src/core/group_quotas.h
+++ b/src/core/group_quotas.h
@@ -57,8 +57,10 @@
     return borrower_.Settle(group, until, now);
   }
   void StopWaiting(std::string_view group) { borrower_.StopWaiting(group); }
-  // A request that was admitted did not run and never will.
-  void GiveBack(std::string_view group) { borrower_.GiveBack(group); }
+  // A request that was admitted `age` ago did not run and never will.
+  void GiveBack(std::string_view group, Duration age) {
+    borrower_.GiveBack(group, age);
+  }
 
   // Needs could not be sent to the member: there is no link.
   void OnNotSent(std::string_view member, Time now) {
--- a/src/core/quota_borrower.cc
+++ b/src/core/quota_borrower.cc
@@ -21,6 +21,9 @@
 constexpr Duration kSpareLifetime = kQuotaTokenLifetime;
 // Tokens that no request has used for this long are returned.
 constexpr Duration kIdlePeriod = std::chrono::milliseconds(1'500);
+// A token that is given back later is lost: a window may admit what was taken
+// before it and comes back within it.
+constexpr Duration kMaxGivenBackAge = std::chrono::seconds(1);
 constexpr Duration kForgetPeriod = std::chrono::seconds(30);
 constexpr Duration kUnknownRetryAfter = std::chrono::milliseconds(500);
 constexpr Duration kMaxRetryAfter = std::chrono::seconds(5);
@@ -174,10 +177,11 @@
   }
 }
 
-void QuotaBorrower::GiveBack(std::string_view group) {
+void QuotaBorrower::GiveBack(std::string_view group, Duration age) {
   const auto found = groups_.find(group);
-  if (found != groups_.end()) {
-    ++found->second.tokens;
+  if (found != groups_.end() && age <= kMaxGivenBackAge) {
+    ++found->second.returned;
+    Ask(found->second);
   }
 }
 
--- a/src/core/quota_borrower.h
+++ b/src/core/quota_borrower.h
@@ -53,8 +53,9 @@
   QuotaVerdict Settle(std::string_view group, Time until, Time now);
   // A request that was told to wait does not any more.
   void StopWaiting(std::string_view group);
-  // A request that was admitted did not run and never will.
-  void GiveBack(std::string_view group);
+  // A request that was admitted `age` ago did not run and never will. Its token
+  // goes to the coordinator, which counts it as used.
+  void GiveBack(std::string_view group, Duration age);
   // Answers the need of a node that takes this one for the coordinator: lends
   // tokens that this node has, and asks the coordinator for the rest.
   QuotaLoan Relay(const QuotaNeed& need, const RequestQuota& quota, Time now);
--- a/src/core/quota_coordinator.cc
+++ b/src/core/quota_coordinator.cc
@@ -222,7 +222,9 @@
   bucket.outstanding -= borrower.outstanding;
   bucket.spare -= borrower.spare;
   bucket.demand += demand - borrower.demand;
-  bucket.level = std::min(bucket.level + need.returned, bucket.size) -
+  const double room = bucket.max_unused - bucket.outstanding - need.held;
+  bucket.level = std::max(bucket.level, std::min({bucket.level + need.returned,
+                                                  bucket.size, room})) -
                  static_cast<double>(need.spare_used);
   borrower.demand = demand;
   borrower.asked_at = now;
--- a/src/mesh/outbound_proxy.cc
+++ b/src/mesh/outbound_proxy.cc
@@ -436,7 +436,7 @@
 
 void OutboundProxy::RecordOutcome(const Call& call, int status, Time now) {
   if (call.took_quota && status == kHttpUnavailable) {
-    init_.quotas->GiveBack(call.group->name);
+    init_.quotas->GiveBack(call.group->name, now - call.begin);
   }
   if (call.rule == nullptr || status == kHttpTooManyRequests) {
     return;
--- a/src/mesh/quota_service.cc
+++ b/src/mesh/quota_service.cc
@@ -60,9 +60,9 @@
   }
 }
 
-void QuotaService::GiveBack(std::string_view group) {
+void QuotaService::GiveBack(std::string_view group, Duration age) {
   init_.metrics->Add(given_back_);
-  quotas_.GiveBack(group);
+  quotas_.GiveBack(group, age);
 }
 
 std::vector<QuotaLoan> QuotaService::OnNeeds(
--- a/src/mesh/quota_service.h
+++ b/src/mesh/quota_service.h
@@ -50,8 +50,8 @@
                        Duration remaining,
                        Callback callback);
   void StopWaiting(CallId call);
-  // A request that was admitted did not run and never will.
-  void GiveBack(std::string_view group);
+  // A request that was admitted `age` ago did not run and never will.
+  void GiveBack(std::string_view group, Duration age);
   // Logs why a request was refused.
   void LogRefusal(const Group& group,
                   std::string_view request,
--- a/tests/quota_fleet.h
+++ b/tests/quota_fleet.h
@@ -100,6 +100,8 @@
       UpdateMembers();
     });
   }
+  // The instances refuse all requests for `period`.
+  void RefuseAtInstances(Duration period) { refusing_until_ = now_ + period; }
   void SetQuota(double rate) {
     group_.requests = {rate, rate};
     ForEach([&](Node& node) { node.quotas.SetGroups({&group_, 1}, now_); });
@@ -147,6 +149,7 @@
 
  private:
   static constexpr Duration kLinkDelay = std::chrono::milliseconds(1);
+  static constexpr Duration kRefusalTime = std::chrono::milliseconds(2);
   static constexpr Duration kTick = std::chrono::milliseconds(100);
 
   struct Node {
@@ -207,12 +210,18 @@
     if (verdict.decision == QuotaDecision::kWait) {
       nodes_[i]->waiting.push_back(now_);
     } else {
-      Count(verdict);
+      Count(i, verdict);
     }
     Work(i);
   }
-  void Count(const QuotaVerdict& verdict) {
-    if (verdict.decision == QuotaDecision::kAdmit) {
+  void Count(std::size_t i, const QuotaVerdict& verdict) {
+    if (verdict.decision == QuotaDecision::kAdmit && now_ < refusing_until_) {
+      At(now_ + kRefusalTime, [this, weak = std::weak_ptr<Node>(nodes_[i])] {
+        if (const auto node = weak.lock()) {
+          node->quotas.GiveBack(group_.name, kRefusalTime);
+        }
+      });
+    } else if (verdict.decision == QuotaDecision::kAdmit) {
       admitted_.push_back(now_);
     } else {
       ++refused_;
@@ -226,7 +235,7 @@
       const QuotaVerdict verdict =
           node.quotas.Settle(group_.name, since + kMaxQuotaWait, now_);
       if (verdict.decision != QuotaDecision::kWait) {
-        Count(verdict);
+        Count(i, verdict);
         longest_wait_ = std::max(longest_wait_, now_ - since);
       }
       return verdict.decision != QuotaDecision::kWait;
@@ -262,6 +271,7 @@
   std::vector<std::shared_ptr<Node>> nodes_;
   std::vector<int> side_;
   Time now_ = Time(100 * kQuotaSecond);
+  Time refusing_until_;
   std::multimap<Time, std::function<void()>> events_;
   std::mt19937_64 random_{7};
   std::vector<Time> admitted_;
--- a/tests/quota_test.cc
+++ b/tests/quota_test.cc
@@ -105,6 +105,25 @@
   }
 }
 
+SCENARIO("tokens of refused requests do not pile up") {
+  const double rate = GENERATE(6.0, 60.0, 600.0);
+  const std::size_t nodes = GENERATE(std::size_t{6}, kNodes);
+  CAPTURE(rate, nodes);
+  QuotaFleet fleet(nodes, rate, Limits());
+  GIVEN("a group that sends ten times its limit while instances refuse it") {
+    fleet.Call(10 * rate, 0, nodes, 20 * kSecond);
+    fleet.RefuseAtInstances(6 * kSecond);
+    fleet.Run(6 * kSecond);
+    REQUIRE(fleet.admitted() == 0);
+    WHEN("the instances take requests again") {
+      fleet.Run(14 * kSecond);
+      THEN("no window has more than the rule allows") {
+        CHECK(static_cast<double>(fleet.MostInWindow()) <= fleet.Allowed());
+      }
+    }
+  }
+}
+
 SCENARIO("failures of nodes and links refuse few callers below the limit") {
   const double rate = GENERATE(5.0, 60.0, 600.0);
   CAPTURE(rate);
@@ -231,7 +250,7 @@
       if (quotas.Request(group, now).decision == QuotaDecision::kAdmit) {
         ++count;
         if (give_back) {
-          quotas.GiveBack(group.name);
+          quotas.GiveBack(group.name, Duration::zero());
         }
       }
     }
