--- a/src/core/group_quotas.cc
+++ b/src/core/group_quotas.cc
@@ -3,11 +3,18 @@
 #include <utility>
 
 namespace verbenastile {
+namespace {
+
+// When a node should ask again that asked one without a configuration.
+constexpr Duration kUnconfiguredPeriod = std::chrono::milliseconds(100);
+
+}  // namespace
 
 GroupQuotas::GroupQuotas(std::string self, const QuotaLimits& limits)
     : peers_(std::move(self)), coordinator_(limits), borrower_(&peers_) {}
 
 void GroupQuotas::SetGroups(std::span<const Group> groups, Time now) {
+  configured_ = true;
   quotas_.clear();
   std::vector<std::string> names;
   for (const Group& group : groups) {
@@ -24,7 +31,7 @@
   borrower_.OnCoordinatorsChanged(now);
   for (const auto& left : coordinator_.KeepOnly(peers_, now)) {
     if (!peers_.CoordinatorOf(left.group).empty()) {
-      borrower_.HandOver(left.group, left.quota, left.tokens, now);
+      borrower_.HandOver(left.group, left.quota, left.tokens, left.debt, now);
     }
   }
 }
@@ -82,16 +89,26 @@
                               Time now) {
   const auto quota = quotas_.find(need.group);
   if (quota == quotas_.end()) {
-    // The configuration in force here has no limit for the group.
-    QuotaLoan unlimited;
-    unlimited.group = need.group;
-    unlimited.tokens = need.waiting;
-    return unlimited;
+    QuotaLoan loan;
+    loan.group = need.group;
+    if (configured_) {
+      // The configuration in force here has no limit for the group.
+      loan.tokens = need.waiting;
+    } else {
+      spare_used_before_[need.group] += need.spare_used;
+      loan.provisional = true;
+      loan.next_token_in = kUnconfiguredPeriod;
+    }
+    return loan;
   }
   if (!peers_.Coordinates(need.group)) {
     return borrower_.Relay(need, quota->second, now);
   }
-  return coordinator_.Lend(member, need, quota->second,
+  QuotaNeed counted = need;
+  if (const auto before = spare_used_before_.extract(need.group)) {
+    counted.spare_used += before.mapped();
+  }
+  return coordinator_.Lend(member, counted, quota->second,
                            peers_.CoordinatedSince(need.group), peers_.reach(),
                            now);
 }
--- a/src/core/group_quotas.h
+++ b/src/core/group_quotas.h
@@ -4,6 +4,7 @@
 #ifndef CORE_GROUP_QUOTAS_H_
 #define CORE_GROUP_QUOTAS_H_
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <set>
@@ -93,6 +94,9 @@
   QuotaCoordinator coordinator_;
   QuotaBorrower borrower_;
   std::map<std::string, RequestQuota, std::less<>> quotas_;
+  bool configured_ = false;  // Whether a configuration is in force.
+  // Spare tokens that nodes used, as they said before that.
+  std::map<std::string, std::uint32_t, std::less<>> spare_used_before_;
 };
 
 }  // namespace verbenastile
--- a/src/core/quota_borrower.cc
+++ b/src/core/quota_borrower.cc
@@ -209,9 +209,11 @@
 void QuotaBorrower::HandOver(std::string_view group,
                              const RequestQuota& quota,
                              std::uint32_t tokens,
+                             std::uint32_t debt,
                              Time now) {
   State& state = StateOf(group, quota, now);
   state.returned += tokens;
+  state.spare_used += debt;
   Ask(state);
 }
 
--- a/src/core/quota_borrower.h
+++ b/src/core/quota_borrower.h
@@ -60,10 +60,12 @@
   // tokens that this node has, and asks the coordinator for the rest.
   QuotaLoan Relay(const QuotaNeed& need, const RequestQuota& quota, Time now);
 
-  // Gives `tokens` to the coordinator of the group: this node was it before.
+  // Gives `tokens` to the coordinator of the group, or tells it the `debt`: this
+  // node was it before.
   void HandOver(std::string_view group,
                 const RequestQuota& quota,
                 std::uint32_t tokens,
+                std::uint32_t debt,
                 Time now);
 
   // Returns what to ask for now. Each need goes to the coordinator of its
--- a/src/core/quota_coordinator.cc
+++ b/src/core/quota_coordinator.cc
@@ -97,6 +97,11 @@
                           std::min({bucket.level + added, bucket.size, room}));
 }
 
+double QuotaCoordinator::StartLevel(const RequestQuota& quota) const {
+  return std::min(
+      0.0, kStartSlack * limits_.slack - kStartDebtSeconds * quota.per_second);
+}
+
 QuotaCoordinator::Bucket& QuotaCoordinator::Refill(std::string_view group,
                                                    const RequestQuota& quota,
                                                    Time since,
@@ -106,8 +111,7 @@
   if (found == buckets_.end()) {
     found = buckets_.emplace(std::string(group), Bucket{}).first;
     Bucket& created = found->second;
-    created.level =
-        kStartSlack * limits_.slack - kStartDebtSeconds * quota.per_second;
+    created.level = StartLevel(quota);
     created.refilled = since;
     SetQuota(created, quota, reach);
   }
@@ -201,7 +205,14 @@
 std::uint32_t QuotaCoordinator::SpareFor(const Bucket& bucket,
                                          const Borrower& borrower) {
   const double share = std::min(borrower.demand, bucket.fair_rate);
-  const double left = kSpareSeconds * bucket.rate - bucket.spare;
+  double total = kSpareSeconds * bucket.rate;
+  if (bucket.demand > bucket.rate) {
+    // The group uses all that it may: a window has no room for more than what
+    // is saved up and what the next coordinator starts in debt.
+    total = std::min(total, std::max(0.0, bucket.level) +
+                                kStartDebtSeconds * bucket.rate);
+  }
+  const double left = total - bucket.spare;
   return static_cast<std::uint32_t>(
       std::max(0.0, std::min(std::ceil(share * kSpareSeconds), left)));
 }
@@ -266,9 +277,12 @@
       continue;
     }
     AddTokens(bucket, now);
-    if (bucket.level >= 1) {
+    const double debt = StartLevel(bucket.quota) - bucket.level;
+    if (bucket.level >= 1 || debt >= 1) {
       remainders.push_back(
-          {group, bucket.quota, static_cast<std::uint32_t>(bucket.level)});
+          {group, bucket.quota,
+           static_cast<std::uint32_t>(std::max(0.0, bucket.level)),
+           static_cast<std::uint32_t>(std::max(0.0, debt))});
     }
     it = buckets_.erase(it);
   }
--- a/src/core/quota_coordinator.h
+++ b/src/core/quota_coordinator.h
@@ -51,14 +51,16 @@
   void OnMemberGone(std::string_view member);
   // The member does not answer. It may use its spare tokens.
   void OnMemberSilent(std::string_view member);
-  // Tokens of a group that this node does not coordinate any more.
+  // What is left of a group that this node does not coordinate any more.
   struct Remainder {
     std::string group;
     RequestQuota quota;
     std::uint32_t tokens = 0;
+    // Tokens that were used beyond the debt with which a coordinator starts.
+    std::uint32_t debt = 0;
   };
-  // Forgets the groups that this node does not coordinate. Returns the tokens
-  // that were left of them.
+  // Forgets the groups that this node does not coordinate. Returns what is left
+  // of them.
   std::vector<Remainder> KeepOnly(const QuotaPeers& peers, Time now);
 
   void SetLimits(const QuotaLimits& limits) { limits_ = limits; }
@@ -89,6 +91,7 @@
     Time summed_at;
   };
 
+  double StartLevel(const RequestQuota& quota) const;
   Bucket& Refill(std::string_view group,
                  const RequestQuota& quota,
                  Time since,
--- a/tests/quota_test.cc
+++ b/tests/quota_test.cc
@@ -208,6 +208,49 @@
   }
 }
 
+SCENARIO("a coordinator that restarts again and again forgets no debt") {
+  const double rate = GENERATE(6.0, 60.0, 600.0);
+  const auto up = GENERATE(200, 500, 1'200, 2'000) * kSecond / 1'000;
+  const std::size_t nodes = GENERATE(std::size_t{6}, kNodes);
+  CAPTURE(rate, nodes, up.count());
+  QuotaFleet fleet(nodes, rate, Limits());
+  const std::size_t coordinator = fleet.Coordinator();
+  GIVEN("a group that sends ten times its limit to the other nodes") {
+    fleet.Call(10 * rate, 0, nodes, 30 * kSecond);
+    fleet.Run(5 * kSecond);
+    WHEN("the coordinator is killed repeatedly") {
+      for (int i = 0; i < 6; ++i) {
+        fleet.Restart(coordinator, coordinator + 1, 300 * kSecond / 1'000);
+        fleet.Run(300 * kSecond / 1'000 + up);
+      }
+      fleet.Run(8 * kSecond);
+      THEN("no window has more than the rule allows") {
+        CHECK(static_cast<double>(fleet.MostInWindow()) <= fleet.Allowed());
+      }
+    }
+  }
+}
+
+SCENARIO("a node without a configuration lends nothing") {
+  GroupQuotas quotas("n1", Limits());
+  quotas.SetMembers({{"n1", "n2"}, 2, 2}, Time());
+  const Time now = Time(100 * kSecond);
+  QuotaNeed need;
+  need.group = "tenant";
+  need.waiting = 5;
+  const std::vector<QuotaLoan> loans = quotas.OnNeeds("n2", {&need, 1}, now);
+  REQUIRE(loans.size() == 1);
+  CHECK(loans[0].tokens == 0);
+  CHECK(loans[0].provisional);
+
+  WHEN("its configuration has no limit for the group") {
+    quotas.SetGroups({}, now);
+    THEN("it lends what is asked") {
+      CHECK(quotas.OnNeeds("n2", {&need, 1}, now)[0].tokens == need.waiting);
+    }
+  }
+}
+
 SCENARIO("a group without a quota costs nothing") {
   GroupQuotas quotas("n1", Limits());
   Group group;
