--- a/src/core/group_quotas.cc
+++ b/src/core/group_quotas.cc
@@ -7,6 +7,8 @@
 
 // When a node should ask again that asked one without a configuration.
 constexpr Duration kUnconfiguredPeriod = std::chrono::milliseconds(100);
+// A fleet that was restarted whole has its links after this long.
+constexpr Duration kFleetStart = std::chrono::seconds(2);
 
 }  // namespace
 
@@ -37,6 +39,8 @@
 }
 
 void GroupQuotas::SetMembers(QuotaMembers members, Time now) {
+  started_ = started_.value_or(now);
+  members_are_new_ = members.all_new;
   if (peers_.SetMembers(std::move(members.candidates), members.linked,
                         members.known, now)) {
     OnCoordinatorsChanged(now);
@@ -108,9 +112,11 @@
   if (const auto before = spare_used_before_.extract(need.group)) {
     counted.spare_used += before.mapped();
   }
+  const Time since = peers_.CoordinatedSince(need.group);
+  const bool fleet_is_new =
+      members_are_new_ && started_ && since - *started_ <= kFleetStart;
   return coordinator_.Lend(member, counted, quota->second,
-                           peers_.CoordinatedSince(need.group), peers_.reach(),
-                           now);
+                           {since, peers_.reach(), fleet_is_new}, now);
 }
 
 void GroupQuotas::OnLoans(std::string_view member,
--- a/src/core/group_quotas.h
+++ b/src/core/group_quotas.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -30,6 +31,8 @@
   std::vector<std::string> candidates;
   std::size_t linked = 0;  // With this node.
   std::size_t known = 0;   // With this node.
+  // Whether most members are linked, and none of these ran before this node.
+  bool all_new = false;
 };
 
 class GroupQuotas {
@@ -94,6 +97,8 @@
   QuotaCoordinator coordinator_;
   QuotaBorrower borrower_;
   std::map<std::string, RequestQuota, std::less<>> quotas_;
+  std::optional<Time> started_;
+  bool members_are_new_ = false;
   bool configured_ = false;  // Whether a configuration is in force.
   // Spare tokens that nodes used, as they said before that.
   std::map<std::string, std::uint32_t, std::less<>> spare_used_before_;
--- a/src/core/quota_borrower.h
+++ b/src/core/quota_borrower.h
@@ -60,8 +60,8 @@
   // tokens that this node has, and asks the coordinator for the rest.
   QuotaLoan Relay(const QuotaNeed& need, const RequestQuota& quota, Time now);
 
-  // Gives `tokens` to the coordinator of the group, or tells it the `debt`: this
-  // node was it before.
+  // Gives `tokens` to the coordinator of the group, or tells it the `debt`:
+  // this node was it before.
   void HandOver(std::string_view group,
                 const RequestQuota& quota,
                 std::uint32_t tokens,
--- a/src/core/quota_coordinator.cc
+++ b/src/core/quota_coordinator.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 #include <vector>
 
 namespace verbenastile {
@@ -18,7 +19,14 @@
 // platform's slack.
 constexpr double kStartDebtSeconds = 0.5;
 constexpr double kStartSlack = 0.3;
+// When no member holds tokens of an earlier coordinator, a new one starts with
+// this part of the margin instead: a window that spans the restart of all
+// admits that much beyond what the processes before could.
+constexpr double kNewFleetMargin = 0.3;
 constexpr Duration kProvisionalPeriod = std::chrono::milliseconds(1'500);
+// After a restart of all, callers that found no node come at once.
+constexpr Duration kNewFleetProvisionalPeriod =
+    std::chrono::milliseconds(2'500);
 // Tokens are lent ahead for a time within these limits. Borrowers with less
 // demand than `kMinDemandAhead` ask when a request arrives.
 constexpr double kMinAheadSeconds = 0.25;
@@ -74,13 +82,16 @@
 
 }  // namespace
 
+double QuotaCoordinator::MarginOf(const RequestQuota& quota) const {
+  return limits_.slack +
+         limits_.over *
+             (quota.per_second * ToSeconds(limits_.window) + quota.burst);
+}
+
 void QuotaCoordinator::SetQuota(Bucket& bucket,
                                 const RequestQuota& quota,
                                 double reach) const {
-  const double margin =
-      limits_.slack +
-      limits_.over *
-          (quota.per_second * ToSeconds(limits_.window) + quota.burst);
+  const double margin = MarginOf(quota);
   bucket.quota = quota;
   bucket.rate = quota.per_second * reach;
   bucket.size = std::max(1.0, (quota.burst + kBucketMargin * margin) * reach);
@@ -97,27 +108,31 @@
                           std::min({bucket.level + added, bucket.size, room}));
 }
 
-double QuotaCoordinator::StartLevel(const RequestQuota& quota) const {
-  return std::min(
-      0.0, kStartSlack * limits_.slack - kStartDebtSeconds * quota.per_second);
+double QuotaCoordinator::StartDebt(const RequestQuota& quota) const {
+  return std::max(
+      0.0, kStartDebtSeconds * quota.per_second - kStartSlack * limits_.slack);
 }
 
 QuotaCoordinator::Bucket& QuotaCoordinator::Refill(std::string_view group,
                                                    const RequestQuota& quota,
-                                                   Time since,
-                                                   double reach,
+                                                   const Place& place,
                                                    Time now) {
   auto found = buckets_.find(group);
   if (found == buckets_.end()) {
     found = buckets_.emplace(std::string(group), Bucket{}).first;
     Bucket& created = found->second;
-    created.level = StartLevel(quota);
-    created.refilled = since;
-    SetQuota(created, quota, reach);
+    created.start_debt = StartDebt(quota);
+    created.level = -created.start_debt;
+    created.refilled = place.since;
+    SetQuota(created, quota, place.reach);
   }
   Bucket& bucket = found->second;
+  if (place.fleet_is_new && !std::exchange(bucket.fleet_is_new, true)) {
+    bucket.level += std::exchange(bucket.start_debt, 0) +
+                    kNewFleetMargin * MarginOf(quota) * place.reach;
+  }
   AddTokens(bucket, now);
-  SetQuota(bucket, quota, reach);
+  SetQuota(bucket, quota, place.reach);
   if (now - bucket.summed_at >= kSumInterval) {
     SumBorrowers(bucket, now);
   }
@@ -209,8 +224,8 @@
   if (bucket.demand > bucket.rate) {
     // The group uses all that it may: a window has no room for more than what
     // is saved up and what the next coordinator starts in debt.
-    total = std::min(total, std::max(0.0, bucket.level) +
-                                kStartDebtSeconds * bucket.rate);
+    total = std::min(
+        total, std::max(0.0, bucket.level) + kStartDebtSeconds * bucket.rate);
   }
   const double left = total - bucket.spare;
   return static_cast<std::uint32_t>(
@@ -220,10 +235,9 @@
 QuotaLoan QuotaCoordinator::Lend(std::string_view member,
                                  const QuotaNeed& need,
                                  const RequestQuota& quota,
-                                 Time since,
-                                 double reach,
+                                 const Place& place,
                                  Time now) {
-  Bucket& bucket = Refill(need.group, quota, since, reach, now);
+  Bucket& bucket = Refill(need.group, quota, place, now);
   auto found = bucket.borrowers.find(member);
   if (found == bucket.borrowers.end()) {
     found = bucket.borrowers.emplace(std::string(member), Borrower{}).first;
@@ -234,9 +248,10 @@
   bucket.spare -= borrower.spare;
   bucket.demand += demand - borrower.demand;
   const double room = bucket.max_unused - bucket.outstanding - need.held;
-  bucket.level = std::max(bucket.level, std::min({bucket.level + need.returned,
-                                                  bucket.size, room})) -
-                 static_cast<double>(need.spare_used);
+  bucket.level =
+      std::max(bucket.level,
+               std::min({bucket.level + need.returned, bucket.size, room})) -
+      static_cast<double>(need.spare_used);
   borrower.demand = demand;
   borrower.asked_at = now;
 
@@ -256,8 +271,12 @@
   const bool shared = IsScarce(bucket) && loan.tokens < std::floor(wanted);
   if (loan.tokens < need.waiting || has_none || shared) {
     loan.next_token_in = NextTokenIn(bucket);
-    loan.overloaded = bucket.demand > kOverload * bucket.rate;
-    loan.provisional = now - since < kProvisionalPeriod;
+    // What is asked of a new coordinator includes what was refused before.
+    loan.overloaded = bucket.demand > kOverload * bucket.rate &&
+                      now - place.since >= limits_.window;
+    loan.provisional =
+        now - place.since <
+        (bucket.fleet_is_new ? kNewFleetProvisionalPeriod : kProvisionalPeriod);
   }
   // While this coordinator is new, borrowers have those of the one before.
   borrower.spare = loan.spare =
@@ -277,7 +296,7 @@
       continue;
     }
     AddTokens(bucket, now);
-    const double debt = StartLevel(bucket.quota) - bucket.level;
+    const double debt = -bucket.start_debt - bucket.level;
     if (bucket.level >= 1 || debt >= 1) {
       remainders.push_back(
           {group, bucket.quota,
--- a/src/core/quota_coordinator.h
+++ b/src/core/quota_coordinator.h
@@ -38,13 +38,21 @@
  public:
   explicit QuotaCoordinator(const QuotaLimits& limits) : limits_(limits) {}
 
-  // Answers the need of `member`. This node has coordinated the group since
-  // `since`, and may lend the fraction `reach` of its quota.
+  // What a coordinator knows of the fleet and of its place in it.
+  struct Place {
+    Time since;  // When it became the coordinator.
+    // The fraction of the quota that it may lend.
+    double reach = 0;
+    // All members started a moment ago, so that none holds tokens of an earlier
+    // coordinator.
+    bool fleet_is_new = false;
+  };
+
+  // Answers the need of `member`.
   QuotaLoan Lend(std::string_view member,
                  const QuotaNeed& need,
                  const RequestQuota& quota,
-                 Time since,
-                 double reach,
+                 const Place& place,
                  Time now);
   // The member's process has ended or has another coordinator: it uses no more
   // spare tokens.
@@ -82,6 +90,8 @@
     double max_unused = 0;  // Tokens in the bucket and held by borrowers.
     double level = 0;
     Time refilled;
+    double start_debt = 0;
+    bool fleet_is_new = false;
     std::map<std::string, Borrower, std::less<>> borrowers;
     // Sums over the borrowers.
     double outstanding = 0;
@@ -91,11 +101,12 @@
     Time summed_at;
   };
 
-  double StartLevel(const RequestQuota& quota) const;
+  // By how much a window may exceed the quota.
+  double MarginOf(const RequestQuota& quota) const;
+  double StartDebt(const RequestQuota& quota) const;
   Bucket& Refill(std::string_view group,
                  const RequestQuota& quota,
-                 Time since,
-                 double reach,
+                 const Place& place,
                  Time now);
   static void AddTokens(Bucket& bucket, Time now);
   void SetQuota(Bucket& bucket, const RequestQuota& quota, double reach) const;
--- a/src/mesh/quota_service.cc
+++ b/src/mesh/quota_service.cc
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr Duration kLogInterval = std::chrono::seconds(1);
+// Members that start within this time of each other start at once.
+constexpr std::uint64_t kSameStartMilliseconds = 1'000;
 
 }  // namespace
 
@@ -118,6 +120,8 @@
   }
   members_revision_ = directory.revision();
   QuotaMembers members;
+  const auto* self = init_.member_registry->Find(init_.node_name);
+  bool older = self == nullptr;
   for (const auto& [name, entry] : init_.member_registry->entries()) {
     const bool reachable = entry.linked || name == init_.node_name;
     const MemberState state = entry.record.member.state;
@@ -128,10 +132,14 @@
                       entry.record.instance_gone;
     members.known += reachable || !left ? 1 : 0;
     members.linked += reachable ? 1 : 0;
+    older = older || (reachable &&
+                      entry.record.member.incarnation + kSameStartMilliseconds <
+                          self->record.member.incarnation);
     if (reachable && state <= MemberState::kSuspect) {
       members.candidates.push_back(name);
     }
   }
+  members.all_new = !older && 2 * members.linked > members.known;
   quotas_.SetMembers(std::move(members), now);
 }
 
--- a/tests/quota_fleet.h
+++ b/tests/quota_fleet.h
@@ -145,6 +145,7 @@
   Duration longest_wait() const { return longest_wait_; }
   std::size_t messages() const { return messages_; }
   Duration last_retry_after() const { return last_retry_after_; }
+  Duration longest_retry_after() const { return longest_retry_after_; }
   Time now() const { return now_; }
 
  private:
@@ -157,6 +158,7 @@
         : quotas(std::move(name), limits) {}
     GroupQuotas quotas;
     std::vector<Time> waiting;
+    Time started;
   };
 
   static std::string NameOf(std::size_t i) { return "n" + std::to_string(i); }
@@ -172,6 +174,7 @@
   }
   void Start(std::size_t i) {
     nodes_[i] = std::make_shared<Node>(NameOf(i), limits_);
+    nodes_[i]->started = now_;
     nodes_[i]->quotas.SetGroups({&group_, 1}, now_);
     Tick(i, nodes_[i]);
   }
@@ -196,6 +199,12 @@
         }
       }
       members.linked = members.candidates.size();
+      members.all_new = 2 * members.linked > members.known;
+      for (std::size_t j = 0; nodes_[i] && j < nodes_.size(); ++j) {
+        members.all_new =
+            members.all_new && !(nodes_[j] && side_[i] == side_[j] &&
+                                 nodes_[j]->started < nodes_[i]->started);
+      }
       if (nodes_[i]) {
         nodes_[i]->quotas.SetMembers(members, now_);
         Work(i);
@@ -226,6 +235,8 @@
     } else {
       ++refused_;
       last_retry_after_ = verdict.retry_after;
+      longest_retry_after_ =
+          std::max(longest_retry_after_, verdict.retry_after);
     }
   }
   // Settles what waits at the node and sends what it has to say.
@@ -278,6 +289,7 @@
   std::size_t refused_ = 0;
   std::size_t messages_ = 0;
   Duration last_retry_after_{0};
+  Duration longest_retry_after_{0};
   Duration longest_wait_{0};
 };
 
--- a/tests/quota_test.cc
+++ b/tests/quota_test.cc
@@ -173,6 +173,29 @@
   }
 }
 
+SCENARIO("callers below the limit of their group come after a whole restart") {
+  const double rate = GENERATE(6.0, 60.0, 600.0);
+  CAPTURE(rate);
+  QuotaFleet fleet(kNodes, rate, Limits());
+  GIVEN("a group below its limit") {
+    fleet.Call(rate / 1.6, 0, kNodes, 10 * kSecond);
+    fleet.Run(10 * kSecond);
+    fleet.Restart(0, kNodes, kSecond);
+    fleet.Run(kSecond);
+    const std::size_t refused = fleet.refused();
+    WHEN("its callers, and those who found no node, come at once") {
+      fleet.Call(3 * rate / 1.6, 0, kNodes, kSecond);
+      fleet.Run(kSecond);
+      fleet.Call(rate / 1.6, 0, kNodes, 20 * kSecond);
+      fleet.Run(22 * kSecond);
+      THEN("those beyond the limit wait, or come again before a window ends") {
+        CHECK(static_cast<double>(fleet.refused() - refused) < 0.9 * rate);
+        CHECK(fleet.longest_retry_after() < Limits().window);
+      }
+    }
+  }
+}
+
 SCENARIO("a quota is changed") {
   constexpr double kRate = 300;
   QuotaFleet fleet(kNodes, kRate, Limits());
