--- a/src/core/quota_coordinator.cc
+++ b/src/core/quota_coordinator.cc
@@ -121,7 +121,7 @@
   if (found == buckets_.end()) {
     found = buckets_.emplace(std::string(group), Bucket{}).first;
     Bucket& created = found->second;
-    created.start_debt = StartDebt(quota);
+    created.start_debt = StartDebt(quota) * place.reach;
     created.level = -created.start_debt;
     created.refilled = place.since;
     SetQuota(created, quota, place.reach);
--- a/src/mesh/quota_service.cc
+++ b/src/mesh/quota_service.cc
@@ -139,7 +139,8 @@
       members.candidates.push_back(name);
     }
   }
-  members.all_new = !older && 2 * members.linked > members.known;
+  members.all_new =
+      !older && members.linked > 1 && 2 * members.linked > members.known;
   quotas_.SetMembers(std::move(members), now);
 }
 
