--- a/src/core/group_quotas.cc
+++ b/src/core/group_quotas.cc
@@ -9,9 +9,41 @@
 constexpr Duration kUnconfiguredPeriod = std::chrono::milliseconds(100);
 // A fleet that was restarted whole has its links after this long.
 constexpr Duration kFleetStart = std::chrono::seconds(2);
+// Members that start within this time of each other start at once.
+constexpr std::uint64_t kSameStartMilliseconds = 1'000;
 
 }  // namespace
 
+QuotaMembers QuotaMembersOf(
+    const MemberRegistry& registry,
+    std::string_view self,
+    const std::set<std::string, std::less<>>& incoming) {
+  QuotaMembers members;
+  const MemberRegistry::Entry* own = registry.Find(self);
+  bool older = own == nullptr;
+  for (const auto& [name, entry] : registry.entries()) {
+    const bool reachable = entry.linked || name == self;
+    const MemberState state = entry.record.member.state;
+    // A member that left as planned admits nothing. Its record stays until the
+    // store is listed; after a restart of all nodes, for longer.
+    const bool left = state >= MemberState::kLeaving ||
+                      entry.record.instance_leaving ||
+                      entry.record.instance_gone;
+    const bool linked = name == self || (reachable && incoming.contains(name));
+    members.known += reachable || !left ? 1 : 0;
+    members.linked += linked ? 1 : 0;
+    older = older || (reachable &&
+                      entry.record.member.incarnation + kSameStartMilliseconds <
+                          own->record.member.incarnation);
+    if (reachable && state <= MemberState::kSuspect) {
+      members.candidates.push_back(name);
+    }
+  }
+  members.all_new =
+      !older && members.linked > 1 && 2 * members.linked > members.known;
+  return members;
+}
+
 GroupQuotas::GroupQuotas(std::string self, const QuotaLimits& limits)
     : peers_(std::move(self)), coordinator_(limits), borrower_(&peers_) {}
 
--- a/src/core/group_quotas.h
+++ b/src/core/group_quotas.h
@@ -17,6 +17,7 @@
 
 #include "base/time.h"
 #include "config/rules.h"
+#include "core/member_registry.h"
 #include "core/quota_borrower.h"
 #include "core/quota_coordinator.h"
 #include "core/quota_messages.h"
@@ -29,12 +30,19 @@
   // Members that may coordinate: linked and not leaving. With this node, unless
   // it leaves itself.
   std::vector<std::string> candidates;
-  std::size_t linked = 0;  // With this node.
-  std::size_t known = 0;   // With this node.
+  // That have links in both directions, with this node. A member that has none
+  // to this node has another coordinator.
+  std::size_t linked = 0;
+  std::size_t known = 0;  // With this node.
   // Whether most members are linked, and none of these ran before this node.
   bool all_new = false;
 };
 
+// `incoming`: the members that have an open link to this node.
+QuotaMembers QuotaMembersOf(const MemberRegistry& registry,
+                            std::string_view self,
+                            const std::set<std::string, std::less<>>& incoming);
+
 class GroupQuotas {
  public:
   // By coordinator.
--- a/src/mesh/link_hub.cc
+++ b/src/mesh/link_hub.cc
@@ -523,6 +523,14 @@
   }
 }
 
+std::set<std::string, std::less<>> LinkHub::incoming_members() const {
+  std::set<std::string, std::less<>> members;
+  for (const IncomingPointer& peer : incoming_) {
+    members.insert(peer->name);
+  }
+  return members;
+}
+
 std::size_t LinkHub::open_links() const {
   return static_cast<std::size_t>(std::count_if(
       outgoing_.begin(), outgoing_.end(),
--- a/src/mesh/link_hub.h
+++ b/src/mesh/link_hub.h
@@ -106,6 +106,8 @@
 
   // The number of outgoing links whose handshake is complete.
   std::size_t open_links() const;
+  // The members that have an open link to this node.
+  std::set<std::string, std::less<>> incoming_members() const;
 
  private:
   using Tcp = asio::ip::tcp;
--- a/src/mesh/quota_service.cc
+++ b/src/mesh/quota_service.cc
@@ -9,8 +9,6 @@
 namespace {
 
 constexpr Duration kLogInterval = std::chrono::seconds(1);
-// Members that start within this time of each other start at once.
-constexpr std::uint64_t kSameStartMilliseconds = 1'000;
 
 }  // namespace
 
@@ -101,6 +99,10 @@
   if (!quotas_.active()) {
     return;
   }
+  if (auto incoming = init_.incoming_members(); incoming != incoming_members_) {
+    incoming_members_ = std::move(incoming);
+    members_revision_ = 0;  // Of no directory.
+  }
   UpdateMembers(now);
   for (const std::string& member : quotas_.Tick(now)) {
     init_.on_unanswered(member);
@@ -119,29 +121,9 @@
     return;
   }
   members_revision_ = directory.revision();
-  QuotaMembers members;
-  const auto* self = init_.member_registry->Find(init_.node_name);
-  bool older = self == nullptr;
-  for (const auto& [name, entry] : init_.member_registry->entries()) {
-    const bool reachable = entry.linked || name == init_.node_name;
-    const MemberState state = entry.record.member.state;
-    // A member that left as planned admits nothing. Its record stays until the
-    // store is listed; after a restart of all nodes, for longer.
-    const bool left = state >= MemberState::kLeaving ||
-                      entry.record.instance_leaving ||
-                      entry.record.instance_gone;
-    members.known += reachable || !left ? 1 : 0;
-    members.linked += reachable ? 1 : 0;
-    older = older || (reachable &&
-                      entry.record.member.incarnation + kSameStartMilliseconds <
-                          self->record.member.incarnation);
-    if (reachable && state <= MemberState::kSuspect) {
-      members.candidates.push_back(name);
-    }
-  }
-  members.all_new =
-      !older && members.linked > 1 && 2 * members.linked > members.known;
-  quotas_.SetMembers(std::move(members), now);
+  quotas_.SetMembers(QuotaMembersOf(*init_.member_registry, init_.node_name,
+                                    incoming_members_),
+                     now);
 }
 
 void QuotaService::SendNeeds(Time now) {
--- a/src/mesh/quota_service.h
+++ b/src/mesh/quota_service.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -26,6 +27,8 @@
     const MemberRegistry* member_registry = nullptr;
     // Returns false if there is no open link to the member.
     std::function<bool(std::string_view member, const LinkFrame&)> send;
+    // The members that have an open link to this node.
+    std::function<std::set<std::string, std::less<>>()> incoming_members;
     Metrics* metrics = nullptr;
     // The member did not answer in time: its link may be silent.
     std::function<void(std::string_view member)> on_unanswered =
@@ -82,6 +85,7 @@
   std::map<CallId, Waiter> waiters_;  // In the order of arrival.
   std::map<std::string, Time, std::less<>> last_logged_;  // By group.
   std::uint64_t members_revision_ = 0;
+  std::set<std::string, std::less<>> incoming_members_;
   CounterHandle admitted_;
   CounterHandle admitted_spare_;
   CounterHandle refused_;
--- a/src/mesh/sidecar.cc
+++ b/src/mesh/sidecar.cc
@@ -235,6 +235,7 @@
   init.send = [this](std::string_view member, const LinkFrame& frame) {
     return links_.Send(member, frame);
   };
+  init.incoming_members = [this] { return links_.incoming_members(); };
   init.on_unanswered = [this](std::string_view member) {
     links_.SuspectSilence(member);
   };
--- a/tests/quota_test.cc
+++ b/tests/quota_test.cc
@@ -240,6 +240,21 @@
   }
 }
 
+SCENARIO("members without a link to a coordinator are not counted in reach") {
+  MemberRegistry registry("n1");
+  for (const char* name : {"n1", "n2", "n3"}) {
+    MemberRecord record;
+    record.member.name = name;
+    record.member.state = MemberState::kAlive;
+    registry.Merge(record, Time());
+    registry.SetLinked(name, true, Time());
+  }
+  CHECK(QuotaMembersOf(registry, "n1", {"n2", "n3"}).linked == 3);
+  const QuotaMembers cut = QuotaMembersOf(registry, "n1", {});
+  CHECK(cut.linked == 1);
+  CHECK(cut.known == 3);
+}
+
 SCENARIO("a node without a configuration lends nothing") {
   GroupQuotas quotas("n1", Limits());
   quotas.SetMembers({{"n1", "n2"}, 2, 2}, Time());
