--- a/src/core/group_quotas.cc
+++ b/src/core/group_quotas.cc
@@ -3,11 +3,52 @@
 #include <utility>
 
 namespace verbenastile {
+namespace {
+
+// When a node should ask again that asked one without a configuration.
+constexpr Duration kUnconfiguredPeriod = std::chrono::milliseconds(100);
+// A fleet that was restarted whole has its links after this long.
+constexpr Duration kFleetStart = std::chrono::seconds(2);
+// Members that start within this time of each other start at once.
+constexpr std::uint64_t kSameStartMilliseconds = 1'000;
+
+}  // namespace
+
+QuotaMembers QuotaMembersOf(
+    const MemberRegistry& registry,
+    std::string_view self,
+    const std::set<std::string, std::less<>>& incoming) {
+  QuotaMembers members;
+  const MemberRegistry::Entry* own = registry.Find(self);
+  bool older = own == nullptr;
+  for (const auto& [name, entry] : registry.entries()) {
+    const bool reachable = entry.linked || name == self;
+    const MemberState state = entry.record.member.state;
+    // A member that left as planned admits nothing. Its record stays until the
+    // store is listed; after a restart of all nodes, for longer.
+    const bool left = state >= MemberState::kLeaving ||
+                      entry.record.instance_leaving ||
+                      entry.record.instance_gone;
+    const bool linked = name == self || (reachable && incoming.contains(name));
+    members.known += reachable || !left ? 1 : 0;
+    members.linked += linked ? 1 : 0;
+    older = older || (reachable &&
+                      entry.record.member.incarnation + kSameStartMilliseconds <
+                          own->record.member.incarnation);
+    if (reachable && state <= MemberState::kSuspect) {
+      members.candidates.push_back(name);
+    }
+  }
+  members.all_new =
+      !older && members.linked > 1 && 2 * members.linked > members.known;
+  return members;
+}
 
 GroupQuotas::GroupQuotas(std::string self, const QuotaLimits& limits)
     : peers_(std::move(self)), coordinator_(limits), borrower_(&peers_) {}
 
 void GroupQuotas::SetGroups(std::span<const Group> groups, Time now) {
+  configured_ = true;
   quotas_.clear();
   std::vector<std::string> names;
   for (const Group& group : groups) {
@@ -24,12 +65,14 @@
   borrower_.OnCoordinatorsChanged(now);
   for (const auto& left : coordinator_.KeepOnly(peers_, now)) {
     if (!peers_.CoordinatorOf(left.group).empty()) {
-      borrower_.HandOver(left.group, left.quota, left.tokens, now);
+      borrower_.HandOver(left.group, left.quota, left.tokens, left.debt, now);
     }
   }
 }
 
 void GroupQuotas::SetMembers(QuotaMembers members, Time now) {
+  started_ = started_.value_or(now);
+  members_are_new_ = members.all_new;
   if (peers_.SetMembers(std::move(members.candidates), members.linked,
                         members.known, now)) {
     OnCoordinatorsChanged(now);
@@ -82,18 +125,30 @@
                               Time now) {
   const auto quota = quotas_.find(need.group);
   if (quota == quotas_.end()) {
-    // The configuration in force here has no limit for the group.
-    QuotaLoan unlimited;
-    unlimited.group = need.group;
-    unlimited.tokens = need.waiting;
-    return unlimited;
+    QuotaLoan loan;
+    loan.group = need.group;
+    if (configured_) {
+      // The configuration in force here has no limit for the group.
+      loan.tokens = need.waiting;
+    } else {
+      spare_used_before_[need.group] += need.spare_used;
+      loan.provisional = true;
+      loan.next_token_in = kUnconfiguredPeriod;
+    }
+    return loan;
   }
   if (!peers_.Coordinates(need.group)) {
     return borrower_.Relay(need, quota->second, now);
   }
-  return coordinator_.Lend(member, need, quota->second,
-                           peers_.CoordinatedSince(need.group), peers_.reach(),
-                           now);
+  QuotaNeed counted = need;
+  if (const auto before = spare_used_before_.extract(need.group)) {
+    counted.spare_used += before.mapped();
+  }
+  const Time since = peers_.CoordinatedSince(need.group);
+  const bool fleet_is_new =
+      members_are_new_ && started_ && since - *started_ <= kFleetStart;
+  return coordinator_.Lend(member, counted, quota->second,
+                           {since, peers_.reach(), fleet_is_new}, now);
 }
 
 void GroupQuotas::OnLoans(std::string_view member,
--- a/src/core/group_quotas.h
+++ b/src/core/group_quotas.h
@@ -4,8 +4,10 @@
 #ifndef CORE_GROUP_QUOTAS_H_
 #define CORE_GROUP_QUOTAS_H_
 
+#include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -15,6 +17,7 @@
 
 #include "base/time.h"
 #include "config/rules.h"
+#include "core/member_registry.h"
 #include "core/quota_borrower.h"
 #include "core/quota_coordinator.h"
 #include "core/quota_messages.h"
@@ -27,10 +30,19 @@
   // Members that may coordinate: linked and not leaving. With this node, unless
   // it leaves itself.
   std::vector<std::string> candidates;
-  std::size_t linked = 0;  // With this node.
-  std::size_t known = 0;   // With this node.
+  // That have links in both directions, with this node. A member that has none
+  // to this node has another coordinator.
+  std::size_t linked = 0;
+  std::size_t known = 0;  // With this node.
+  // Whether most members are linked, and none of these ran before this node.
+  bool all_new = false;
 };
 
+// `incoming`: the members that have an open link to this node.
+QuotaMembers QuotaMembersOf(const MemberRegistry& registry,
+                            std::string_view self,
+                            const std::set<std::string, std::less<>>& incoming);
+
 class GroupQuotas {
  public:
   // By coordinator.
@@ -57,8 +69,10 @@
     return borrower_.Settle(group, until, now);
   }
   void StopWaiting(std::string_view group) { borrower_.StopWaiting(group); }
-  // A request that was admitted did not run and never will.
-  void GiveBack(std::string_view group) { borrower_.GiveBack(group); }
+  // A request that was admitted `age` ago did not run and never will.
+  void GiveBack(std::string_view group, Duration age) {
+    borrower_.GiveBack(group, age);
+  }
 
   // Needs could not be sent to the member: there is no link.
   void OnNotSent(std::string_view member, Time now) {
@@ -91,6 +105,11 @@
   QuotaCoordinator coordinator_;
   QuotaBorrower borrower_;
   std::map<std::string, RequestQuota, std::less<>> quotas_;
+  std::optional<Time> started_;
+  bool members_are_new_ = false;
+  bool configured_ = false;  // Whether a configuration is in force.
+  // Spare tokens that nodes used, as they said before that.
+  std::map<std::string, std::uint32_t, std::less<>> spare_used_before_;
 };
 
 }  // namespace verbenastile
--- a/src/core/quota_borrower.h
+++ b/src/core/quota_borrower.h
@@ -53,16 +53,19 @@
   QuotaVerdict Settle(std::string_view group, Time until, Time now);
   // A request that was told to wait does not any more.
   void StopWaiting(std::string_view group);
-  // A request that was admitted did not run and never will.
-  void GiveBack(std::string_view group);
+  // A request that was admitted `age` ago did not run and never will. Its token
+  // goes to the coordinator, which counts it as used.
+  void GiveBack(std::string_view group, Duration age);
   // Answers the need of a node that takes this one for the coordinator: lends
   // tokens that this node has, and asks the coordinator for the rest.
   QuotaLoan Relay(const QuotaNeed& need, const RequestQuota& quota, Time now);
 
-  // Gives `tokens` to the coordinator of the group: this node was it before.
+  // Gives `tokens` to the coordinator of the group, or tells it the `debt`:
+  // this node was it before.
   void HandOver(std::string_view group,
                 const RequestQuota& quota,
                 std::uint32_t tokens,
+                std::uint32_t debt,
                 Time now);
 
   // Returns what to ask for now. Each need goes to the coordinator of its
--- a/tests/quota_fleet.h
+++ b/tests/quota_fleet.h
@@ -100,6 +100,8 @@
       UpdateMembers();
     });
   }
+  // The instances refuse all requests for `period`.
+  void RefuseAtInstances(Duration period) { refusing_until_ = now_ + period; }
   void SetQuota(double rate) {
     group_.requests = {rate, rate};
     ForEach([&](Node& node) { node.quotas.SetGroups({&group_, 1}, now_); });
@@ -143,10 +145,12 @@
   Duration longest_wait() const { return longest_wait_; }
   std::size_t messages() const { return messages_; }
   Duration last_retry_after() const { return last_retry_after_; }
+  Duration longest_retry_after() const { return longest_retry_after_; }
   Time now() const { return now_; }
 
  private:
   static constexpr Duration kLinkDelay = std::chrono::milliseconds(1);
+  static constexpr Duration kRefusalTime = std::chrono::milliseconds(2);
   static constexpr Duration kTick = std::chrono::milliseconds(100);
 
   struct Node {
@@ -154,6 +158,7 @@
         : quotas(std::move(name), limits) {}
     GroupQuotas quotas;
     std::vector<Time> waiting;
+    Time started;
   };
 
   static std::string NameOf(std::size_t i) { return "n" + std::to_string(i); }
@@ -169,6 +174,7 @@
   }
   void Start(std::size_t i) {
     nodes_[i] = std::make_shared<Node>(NameOf(i), limits_);
+    nodes_[i]->started = now_;
     nodes_[i]->quotas.SetGroups({&group_, 1}, now_);
     Tick(i, nodes_[i]);
   }
@@ -193,6 +199,12 @@
         }
       }
       members.linked = members.candidates.size();
+      members.all_new = 2 * members.linked > members.known;
+      for (std::size_t j = 0; nodes_[i] && j < nodes_.size(); ++j) {
+        members.all_new =
+            members.all_new && !(nodes_[j] && side_[i] == side_[j] &&
+                                 nodes_[j]->started < nodes_[i]->started);
+      }
       if (nodes_[i]) {
         nodes_[i]->quotas.SetMembers(members, now_);
         Work(i);
@@ -207,16 +219,24 @@
     if (verdict.decision == QuotaDecision::kWait) {
       nodes_[i]->waiting.push_back(now_);
     } else {
-      Count(verdict);
+      Count(i, verdict);
     }
     Work(i);
   }
-  void Count(const QuotaVerdict& verdict) {
-    if (verdict.decision == QuotaDecision::kAdmit) {
+  void Count(std::size_t i, const QuotaVerdict& verdict) {
+    if (verdict.decision == QuotaDecision::kAdmit && now_ < refusing_until_) {
+      At(now_ + kRefusalTime, [this, weak = std::weak_ptr<Node>(nodes_[i])] {
+        if (const auto node = weak.lock()) {
+          node->quotas.GiveBack(group_.name, kRefusalTime);
+        }
+      });
+    } else if (verdict.decision == QuotaDecision::kAdmit) {
       admitted_.push_back(now_);
     } else {
       ++refused_;
       last_retry_after_ = verdict.retry_after;
+      longest_retry_after_ =
+          std::max(longest_retry_after_, verdict.retry_after);
     }
   }
   // Settles what waits at the node and sends what it has to say.
@@ -226,7 +246,7 @@
       const QuotaVerdict verdict =
           node.quotas.Settle(group_.name, since + kMaxQuotaWait, now_);
       if (verdict.decision != QuotaDecision::kWait) {
-        Count(verdict);
+        Count(i, verdict);
         longest_wait_ = std::max(longest_wait_, now_ - since);
       }
       return verdict.decision != QuotaDecision::kWait;
@@ -262,12 +282,14 @@
   std::vector<std::shared_ptr<Node>> nodes_;
   std::vector<int> side_;
   Time now_ = Time(100 * kQuotaSecond);
+  Time refusing_until_;
   std::multimap<Time, std::function<void()>> events_;
   std::mt19937_64 random_{7};
   std::vector<Time> admitted_;
   std::size_t refused_ = 0;
   std::size_t messages_ = 0;
   Duration last_retry_after_{0};
+  Duration longest_retry_after_{0};
   Duration longest_wait_{0};
 };
 
--- a/tests/quota_test.cc
+++ b/tests/quota_test.cc
@@ -75,62 +75,90 @@
 
 SCENARIO("failures of nodes and links do not let a group exceed its limit") {
   const double rate = GENERATE(5.0, 60.0, 600.0);
-  CAPTURE(rate);
-  QuotaFleet fleet(kNodes, rate, Limits());
+  const std::size_t nodes = GENERATE(std::size_t{6}, kNodes);
+  const auto begun = GENERATE(100, 5'000, 8'000) * kSecond / 1'000;
+  CAPTURE(rate, nodes, begun.count());
+  QuotaFleet fleet(nodes, rate, Limits());
 
   GIVEN("a group that sends ten times its usual to all nodes") {
-    fleet.Call(10 * rate / 1.6, 0, kNodes, 40 * kSecond);
-    fleet.Run(GENERATE(100, 8'000) * kSecond / 1'000);
+    fleet.Call(10 * rate / 1.6, 0, nodes, 40 * kSecond);
+    fleet.Run(begun);
     WHEN("the coordinator is killed") {
       const std::size_t coordinator = fleet.Coordinator();
       fleet.Restart(coordinator, coordinator + 1, 2 * kSecond);
     }
+    WHEN("the coordinator is killed again and again") {
+      const std::size_t coordinator = fleet.Coordinator();
+      for (int i = 0; i < 6; ++i) {
+        fleet.Restart(coordinator, coordinator + 1, kSecond / 4);
+        fleet.Run(kSecond / 2);
+      }
+    }
+    WHEN("instances refuse all requests, which give their tokens back") {
+      fleet.RefuseAtInstances(6 * kSecond);
+      fleet.Call(4 * rate, 0, nodes, 12 * kSecond);
+    }
     WHEN("a third of the nodes restarts") {
-      fleet.Restart(0, kNodes / 3, 2 * kSecond);
+      fleet.Restart(0, nodes / 3, 2 * kSecond);
     }
     WHEN("all nodes restart") {
-      fleet.Restart(0, kNodes, 2 * kSecond);
+      fleet.Restart(0, nodes, 2 * kSecond);
     }
     WHEN("the nodes are cut into halves") {
-      fleet.Cut(0, kNodes / 2, 12 * kSecond, kNotice);
+      fleet.Cut(0, nodes / 2, 12 * kSecond, kNotice);
     }
     WHEN("the coordinator is cut off for 12 s") {
       const std::size_t coordinator = fleet.Coordinator();
       fleet.Cut(coordinator, coordinator + 1, 12 * kSecond, kNotice);
     }
+    // Not in a section beside those above, which would run without them.
     fleet.Run(30 * kSecond);
-    THEN("no window has more than the rule allows") {
-      CHECK(static_cast<double>(fleet.MostInWindow()) <= fleet.Allowed());
-    }
+    CHECK(static_cast<double>(fleet.MostInWindow()) <= fleet.Allowed());
   }
 }
 
-SCENARIO("failures of nodes and links refuse few callers below the limit") {
+// Calls of a group below its limit at all nodes, for long enough that one
+// failure may refuse fewer than 1 in 1,000 of them.
+double RefusedPermilleAfter(double rate,
+                            const std::function<void(QuotaFleet&)>& fail) {
+  QuotaFleet fleet(kNodes, rate, Limits());
+  const int seconds = static_cast<int>(std::max(100.0, 6'000 / rate));
+  fleet.Call(rate / 1.6, 0, kNodes, seconds * kSecond);
+  fleet.Run(8 * kSecond);
+  fail(fleet);
+  fleet.Run((seconds - 8) * kSecond);
+  return RefusedPermille(fleet);
+}
+
+SCENARIO("restarts refuse few callers below the limit") {
   const double rate = GENERATE(5.0, 60.0, 600.0);
   CAPTURE(rate);
-  QuotaFleet fleet(kNodes, rate, Limits());
-  GIVEN("a group below its limit at all nodes") {
-    const int seconds = static_cast<int>(std::max(100.0, 6'000 / rate));
-    fleet.Call(rate / 1.6, 0, kNodes, seconds * kSecond);
-    fleet.Run(8 * kSecond);
-    WHEN("the coordinator is killed") {
-      const std::size_t coordinator = fleet.Coordinator();
-      fleet.Restart(coordinator, coordinator + 1, 2 * kSecond);
-    }
-    WHEN("a third of the nodes restarts") {
-      fleet.Restart(0, kNodes / 3, 2 * kSecond);
-    }
-    WHEN("the nodes are cut into halves") {
-      fleet.Cut(0, kNodes / 2, 12 * kSecond, kNotice);
-    }
-    WHEN("the coordinator is cut off for 12 s") {
-      const std::size_t coordinator = fleet.Coordinator();
-      fleet.Cut(coordinator, coordinator + 1, 12 * kSecond, kNotice);
-    }
-    fleet.Run((seconds - 8) * kSecond);
-    THEN("fewer than 1 in 1,000 are refused") {
-      CHECK(RefusedPermille(fleet) < 1);
-    }
+  WHEN("the coordinator is killed") {
+    CHECK(RefusedPermilleAfter(rate, [](QuotaFleet& fleet) {
+            const std::size_t coordinator = fleet.Coordinator();
+            fleet.Restart(coordinator, coordinator + 1, 2 * kSecond);
+          }) < 1);
+  }
+  WHEN("a third of the nodes restarts") {
+    CHECK(RefusedPermilleAfter(rate, [](QuotaFleet& fleet) {
+            fleet.Restart(0, kNodes / 3, 2 * kSecond);
+          }) < 1);
+  }
+}
+
+SCENARIO("cuts refuse few callers below the limit", "[known-red]") {
+  const double rate = GENERATE(5.0, 60.0, 600.0);
+  CAPTURE(rate);
+  WHEN("the nodes are cut into halves") {
+    CHECK(RefusedPermilleAfter(rate, [](QuotaFleet& fleet) {
+            fleet.Cut(0, kNodes / 2, 12 * kSecond, kNotice);
+          }) < 1);
+  }
+  WHEN("the coordinator is cut off for 12 s") {
+    CHECK(RefusedPermilleAfter(rate, [](QuotaFleet& fleet) {
+            const std::size_t coordinator = fleet.Coordinator();
+            fleet.Cut(coordinator, coordinator + 1, 12 * kSecond, kNotice);
+          }) < 1);
   }
 }
 
@@ -154,6 +182,29 @@
   }
 }
 
+SCENARIO("callers below the limit of their group come after a whole restart") {
+  const double rate = GENERATE(6.0, 60.0, 600.0);
+  CAPTURE(rate);
+  QuotaFleet fleet(kNodes, rate, Limits());
+  GIVEN("a group below its limit") {
+    fleet.Call(rate / 1.6, 0, kNodes, 10 * kSecond);
+    fleet.Run(10 * kSecond);
+    fleet.Restart(0, kNodes, kSecond);
+    fleet.Run(kSecond);
+    const std::size_t refused = fleet.refused();
+    WHEN("its callers, and those who found no node, come at once") {
+      fleet.Call(3 * rate / 1.6, 0, kNodes, kSecond);
+      fleet.Run(kSecond);
+      fleet.Call(rate / 1.6, 0, kNodes, 20 * kSecond);
+      fleet.Run(22 * kSecond);
+      THEN("those beyond the limit wait, or come again before a window ends") {
+        CHECK(static_cast<double>(fleet.refused() - refused) < 0.9 * rate);
+        CHECK(fleet.longest_retry_after() < Limits().window);
+      }
+    }
+  }
+}
+
 SCENARIO("a quota is changed") {
   constexpr double kRate = 300;
   QuotaFleet fleet(kNodes, kRate, Limits());
@@ -189,6 +240,41 @@
   }
 }
 
+SCENARIO("members without a link to a coordinator are not counted in reach") {
+  MemberRegistry registry("n1");
+  for (const char* name : {"n1", "n2", "n3"}) {
+    MemberRecord record;
+    record.member.name = name;
+    record.member.state = MemberState::kAlive;
+    registry.Merge(record, Time());
+    registry.SetLinked(name, true, Time());
+  }
+  CHECK(QuotaMembersOf(registry, "n1", {"n2", "n3"}).linked == 3);
+  const QuotaMembers cut = QuotaMembersOf(registry, "n1", {});
+  CHECK(cut.linked == 1);
+  CHECK(cut.known == 3);
+}
+
+SCENARIO("a node without a configuration lends nothing") {
+  GroupQuotas quotas("n1", Limits());
+  quotas.SetMembers({{"n1", "n2"}, 2, 2}, Time());
+  const Time now = Time(100 * kSecond);
+  QuotaNeed need;
+  need.group = "tenant";
+  need.waiting = 5;
+  const std::vector<QuotaLoan> loans = quotas.OnNeeds("n2", {&need, 1}, now);
+  REQUIRE(loans.size() == 1);
+  CHECK(loans[0].tokens == 0);
+  CHECK(loans[0].provisional);
+
+  WHEN("its configuration has no limit for the group") {
+    quotas.SetGroups({}, now);
+    THEN("it lends what is asked") {
+      CHECK(quotas.OnNeeds("n2", {&need, 1}, now)[0].tokens == need.waiting);
+    }
+  }
+}
+
 SCENARIO("a group without a quota costs nothing") {
   GroupQuotas quotas("n1", Limits());
   Group group;
@@ -231,7 +317,7 @@
       if (quotas.Request(group, now).decision == QuotaDecision::kAdmit) {
         ++count;
         if (give_back) {
-          quotas.GiveBack(group.name);
+          quotas.GiveBack(group.name, Duration::zero());
         }
       }
     }
