--- a/src/core/balancer.h
+++ b/src/core/balancer.h
@@ -29,6 +29,7 @@
 #include "core/attempt_outcome.h"
 #include "core/domain_spill.h"
 #include "core/member_directory.h"
+#include "core/pace_weight.h"
 #include "core/state_chart.h"
 
 namespace verbenastile {
@@ -80,6 +81,9 @@
   // The calls per second that the instance takes from all nodes together;
   // empty: no limit.
   std::optional<double> rate_limit = std::nullopt;
+  // The time that the instance takes for calls, relative to what they take
+  // usually; 0: unknown.
+  std::uint32_t slowness_permille = 0;
 };
 
 // The health of an upstream instance from the point of view of this node: the
@@ -121,6 +125,9 @@
   Duration link_time{0};
   // The latency objective: an answer after this time is late.
   Duration objective{0};
+  // The part of the slowness that instances report which counts: see
+  // core/pace_weight.h.
+  std::int64_t pace_weight_permille = 0;
 };
 
 struct BalancerStats {
@@ -182,6 +189,8 @@
   // rotation.
   std::vector<DomainRoom> RoomByDomain(std::string_view service,
                                        Time now) const;
+  // The paces that the instances of the service in rotation report.
+  PaceRange PacesOf(std::string_view service) const;
   // Whether the instance is in the failure domain of this node.
   bool IsNear(UpstreamHandle handle) const;
 
@@ -231,6 +240,8 @@
     // The measured time of answers, relative to the mean of their kind.
     std::int64_t slowness_permille = 1000;
     Time slowness_updated_at;
+    // As the instance's node tells; 0: unknown.
+    std::int64_t told_slowness_permille = 0;
   };
 
   // The instances of one service that are not leaving, as indexes into
@@ -292,6 +303,14 @@
   // microseconds of risk.
   static std::int64_t TierCostUs(const Upstream& upstream,
                                  const ChooseQuery& query);
+  std::int64_t RiskUs(const Upstream& upstream,
+                      const ChooseQuery& query,
+                      Time now,
+                      std::mt19937_64& random) const;
+  static std::int64_t KnownCalls(const Upstream& upstream, Time now);
+  static std::int64_t SlownessPermille(const Upstream& upstream,
+                                       const ChooseQuery& query,
+                                       Time now);
   std::int64_t ExpectedLatencyUs(const Upstream& upstream,
                                  const ChooseQuery& query,
                                  Time now) const;
--- a/src/core/balancer_room.cc
+++ b/src/core/balancer_room.cc
@@ -49,6 +49,20 @@
   return rooms;
 }
 
+PaceRange Balancer::PacesOf(std::string_view service) const {
+  PaceRange range;
+  const auto pool = pools_.find(service);
+  if (pool == pools_.end()) {
+    return range;
+  }
+  for (const auto& tier : pool->second.tiers) {
+    for (const std::uint32_t index : tier) {
+      range.Add(upstreams_[index].told_slowness_permille);
+    }
+  }
+  return range;
+}
+
 bool Balancer::IsNear(UpstreamHandle handle) const {
   const Upstream* upstream = Resolve(handle);
   return upstream != nullptr && upstream->tier == 0;
--- /dev/null
+++ b/src/core/pace_weight.cc
@@ -0,0 +1,65 @@
+#include "core/pace_weight.h"
+
+#include <algorithm>
+
+namespace verbenastile {
+namespace {
+
+constexpr std::int64_t kPermille = 1000;
+// Paces of equal instances differ by less, as measured over their last calls.
+constexpr std::int64_t kMinRatioPermille = 1'700;
+// Calls for each slot, in permille, up to which all of the weight counts and
+// from which on none does. A wave of half of the mean load takes a service from
+// the one to the other.
+constexpr std::int64_t kRoomLoad = 350;
+constexpr std::int64_t kShortLoad = 600;
+// Calls for each slot of an instance up to which all of its lead counts.
+constexpr std::int64_t kFullLeadLoad = 500;
+
+}  // namespace
+
+void PaceRange::Add(std::int64_t slowness_permille) {
+  if (slowness_permille == 0) {
+    return;
+  }
+  fastest_permille = fastest_permille == 0
+                         ? slowness_permille
+                         : std::min(fastest_permille, slowness_permille);
+  slowest_permille = std::max(slowest_permille, slowness_permille);
+}
+
+std::int64_t PaceWeightPermille(std::span<const DomainRoom> rooms,
+                                const PaceRange& paces) {
+  std::int64_t slots = 0;
+  std::int64_t calls = 0;
+  for (const DomainRoom& room : rooms) {
+    slots += room.slots;
+    calls += room.calls;
+  }
+  const bool differ = paces.slowest_permille * kPermille >=
+                      paces.fastest_permille * kMinRatioPermille;
+  if (slots == 0 || paces.fastest_permille == 0 || !differ) {
+    return 0;
+  }
+  const std::int64_t load = calls * kPermille / slots;
+  return kPermille * (kShortLoad - std::clamp(load, kRoomLoad, kShortLoad)) /
+         (kShortLoad - kRoomLoad);
+}
+
+std::int64_t CountedSlownessPermille(std::int64_t told_permille,
+                                     std::int64_t weight_permille,
+                                     std::int64_t calls_per_slot_permille) {
+  if (told_permille == 0) {
+    return kPermille;
+  }
+  const std::int64_t difference =
+      (told_permille - kPermille) * weight_permille / kPermille;
+  if (difference >= 0) {
+    return kPermille + difference;
+  }
+  const std::int64_t free =
+      kPermille - std::clamp(calls_per_slot_permille, kFullLeadLoad, kPermille);
+  return kPermille + difference * free / (kPermille - kFullLeadLoad);
+}
+
+}  // namespace verbenastile
--- a/src/mesh/inbound_proxy.cc
+++ b/src/mesh/inbound_proxy.cc
@@ -395,6 +395,7 @@
   if (report) {
     http_client_.CloseIdle(report->address);
     rate_limit_.OnInstance(report->id);
+    pace_.OnInstance(report->id);
     admission_.SetRateLimit(rate_limit_.calls_per_second(), SteadyNow());
     Execute(admission_.SetSlots(std::max<std::uint32_t>(report->slots, 1),
                                 SteadyNow()));
@@ -402,12 +403,12 @@
 }
 
 GateLoad InboundProxy::load() const {
-  return {
-      {admission_.busy(), static_cast<std::uint32_t>(admission_.queued()),
-       link_forecast_.QueueingDelay(init_.link()),
-       admission_.RateLimitDelay(SteadyNow()), rate_limit_.calls_per_second()},
-      init_.configuration(),
-      Notice()};
+  return {{admission_.busy(), static_cast<std::uint32_t>(admission_.queued()),
+           link_forecast_.QueueingDelay(init_.link()),
+           admission_.RateLimitDelay(SteadyNow()),
+           rate_limit_.calls_per_second(), pace_.slowness_permille()},
+          init_.configuration(),
+          Notice()};
 }
 
 void InboundProxy::Execute(const AdmissionActions& actions) {
--- a/src/mesh/inbound_proxy.h
+++ b/src/mesh/inbound_proxy.h
@@ -22,6 +22,7 @@
 #include "core/broken_calls.h"
 #include "core/crash_suspects.h"
 #include "core/instance_notice.h"
+#include "core/instance_pace.h"
 #include "core/instance_rate_limit.h"
 #include "core/instance_tracker.h"
 #include "core/link_forecast.h"
@@ -49,6 +50,8 @@
     std::function<PeerConfiguration()> configuration;
     // The weight of a group's share of the slots.
     std::function<double(std::string_view group)> group_weight;
+    // What calls of a rule take at all instances; 0: unknown.
+    std::function<Duration(std::string_view rule)> usual_time;
     // How long queued calls may still start after the instance began to leave.
     std::function<Duration()> leaving_start_period;
     // Called when a connection to the instance failed, or when another instance
@@ -192,6 +195,7 @@
   Time rate_limit_logged_at_;
   // The last rate limit of the instance that could not be parsed.
   std::string invalid_rate_limit_;
+  InstancePace pace_;
   RuleProfiles rule_profiles_;
   LinkForecast link_forecast_;
   std::map<CallId, Call> calls_;
--- a/src/mesh/inbound_response.cc
+++ b/src/mesh/inbound_response.cc
@@ -253,6 +253,12 @@
     SendPart(id, call, true);
   }
   const Duration ran = SteadyNow() - call.started;
+  const Duration usual =
+      init_.usual_time ? init_.usual_time(call.request.rule) : Duration(0);
+  // An instance that fails quickly is not fast.
+  if (IsSuccess(call.response_head.status) || ran > usual) {
+    pace_.OnRan(ran, usual);
+  }
   rule_profiles_.AddSample(call.request.rule, ran, call.sent_bytes);
   Remove(id);
 }
--- a/src/mesh/link_codec.cc
+++ b/src/mesh/link_codec.cc
@@ -92,6 +92,7 @@
   out.setQueued(load.upstream.queued);
   out.setLinkWaitUs(ToMicroseconds32(load.upstream.link_wait));
   out.setRateLimitDelayUs(ToMicroseconds32(load.upstream.rate_limit_delay));
+  out.setSlownessPermille(load.upstream.slowness_permille);
   WriteConfiguration(load.configuration, out);
   if (load.notice) {
     WriteNotice(*load.notice, out.initNotice());
@@ -100,8 +101,12 @@
 
 GateLoad ReadLoad(wire::Load::Reader in) {
   GateLoad load;
-  load.upstream = {in.getBusy(), in.getQueued(), Duration(in.getLinkWaitUs()),
-                   Duration(in.getRateLimitDelayUs()), std::nullopt};
+  load.upstream = {in.getBusy(),
+                   in.getQueued(),
+                   Duration(in.getLinkWaitUs()),
+                   Duration(in.getRateLimitDelayUs()),
+                   std::nullopt,
+                   in.getSlownessPermille()};
   load.configuration = ReadConfiguration(in);
   if (in.hasNotice()) {
     load.notice = ReadNotice(in.getNotice());
--- a/src/mesh/outbound_domains.cc
+++ b/src/mesh/outbound_domains.cc
@@ -36,8 +36,15 @@
   query.closed_cost = StayBonus(query.objective);
 }
 
+std::int64_t OutboundProxy::PaceWeight(std::string_view service) const {
+  const auto found = pace_weights_.find(service);
+  return found == pace_weights_.end() ? 0 : found->second;
+}
+
 void OutboundProxy::UpdateDomainShares(const std::string& service, Time now) {
   const std::vector<DomainRoom> rooms = balancer_.RoomByDomain(service, now);
+  pace_weights_[service] =
+      PaceWeightPermille(rooms, balancer_.PacesOf(service));
   for (const DomainSpill::Change& change :
        domain_spill_.Update(service, rooms, now)) {
     CounterHandle& changes =
--- a/src/mesh/outbound_proxy.cc
+++ b/src/mesh/outbound_proxy.cc
@@ -310,6 +310,7 @@
         TransferTime(profile.response_bytes, init_.link_bytes_per_second);
   }
   query.objective = LatencyObjective(call);
+  query.pace_weight_permille = PaceWeight(call.service);
   PriceOtherDomains(call, profile.response_bytes, now, query);
   return balancer_.Choose(query, now, balancer_random_);
 }
--- a/src/mesh/outbound_proxy.h
+++ b/src/mesh/outbound_proxy.h
@@ -103,6 +103,10 @@
     retry_allowance_.SetLimits(limits);
   }
 
+  // The mean time of calls of the rule at all instances; 0: unknown.
+  Duration UsualTime(std::string_view rule) const {
+    return rule_profiles_.Find(rule).service_time;
+  }
   // Number of requests without a complete response.
   std::size_t active() const { return calls_.size(); }
 
@@ -240,6 +244,7 @@
                          std::int64_t bytes,
                          Time now,
                          ChooseQuery& query);
+  std::int64_t PaceWeight(std::string_view service) const;
   void UpdateDomainShares(const std::string& service, Time now);
   DomainMetrics* MetricsOfDomain(const std::string& service,
                                  std::string_view domain);
@@ -279,6 +284,8 @@
   // By service and failure domain.
   std::map<std::pair<std::string, std::string>, DomainMetrics> domain_metrics_;
   std::array<CounterHandle, kSpillReasonCount> domain_changes_{};
+  // By service: see core/pace_weight.h.
+  std::map<std::string, std::int64_t, std::less<>> pace_weights_;
   PeerNotices peer_notices_;
   FleetRetryBudget retry_allowance_;
   RuleProfiles rule_profiles_;
--- a/src/mesh/sidecar.cc
+++ b/src/mesh/sidecar.cc
@@ -121,6 +121,9 @@
     const auto table = applier_.table();
     return table ? table->SlotWeight(group) : 1;
   };
+  init.usual_time = [this](std::string_view rule) {
+    return outbound_.UsualTime(rule);
+  };
   init.leaving_start_period = [this] {
     return bounds_.drain_period / kDrainDivisor;
   };
--- a/src/wire/link.capnp
+++ b/src/wire/link.capnp
@@ -44,6 +44,7 @@
   storeEra @5 :UInt64;
   rateLimitDelayUs @6 :UInt32;
   notice @7 :InstanceNotice;
+  slownessPermille @8 :UInt32;
 }
 
 struct InstanceNotice {
--- a/src/wire/link.capnp.h
+++ b/src/wire/link.capnp.h
@@ -100,7 +100,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e59ba452baee4d07, 5, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(e59ba452baee4d07, 6, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -753,6 +753,8 @@
   inline bool hasNotice() const;
   inline  ::verbenastile::wire::InstanceNotice::Reader getNotice() const;
 
+  inline  ::uint32_t getSlownessPermille() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -809,6 +811,9 @@
   inline void adoptNotice(::capnp::Orphan< ::verbenastile::wire::InstanceNotice>&& value);
   inline ::capnp::Orphan< ::verbenastile::wire::InstanceNotice> disownNotice();
 
+  inline  ::uint32_t getSlownessPermille();
+  inline void setSlownessPermille( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3778,6 +3783,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t Load::Reader::getSlownessPermille() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Load::Builder::getSlownessPermille() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setSlownessPermille( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool InstanceNotice::Reader::hasInstance() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
