--- a/soak/balance_experiment.h
+++ b/soak/balance_experiment.h
@@ -10,6 +10,9 @@
 
 // Prints one line for each fault and policy.
 void PrintBalanceExperiment(std::uint64_t seed);
+// Instances of unequal speed: prints one line for each fleet size and load,
+// without and with the paces that instances tell.
+void PrintUnevenExperiment(std::uint64_t seed);
 
 }  // namespace verbenastile
 
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -66,6 +66,7 @@
   }
   if (experiment.getValue() == "balance") {
     PrintBalanceExperiment(seed.getValue());
+    PrintUnevenExperiment(seed.getValue());
     return 0;
   }
   if (experiment.getValue() == "overload") {
--- a/src/core/pace_weight.cc
+++ b/src/core/pace_weight.cc
@@ -15,6 +15,9 @@
 constexpr std::int64_t kShortLoad = 600;
 // Calls for each slot of an instance up to which all of its lead counts.
 constexpr std::int64_t kFullLeadLoad = 500;
+// An instance without a free slot refuses the first attempts of a call: it is
+// behind by the weight over this.
+constexpr std::int64_t kFullPenaltyDivisor = 2;
 
 }  // namespace
 
@@ -54,6 +57,10 @@
   }
   const std::int64_t difference =
       (told_permille - kPermille) * weight_permille / kPermille;
+  if (calls_per_slot_permille >= kPermille) {
+    return kPermille + std::max<std::int64_t>(difference, 0) +
+           weight_permille / kFullPenaltyDivisor;
+  }
   if (difference >= 0) {
     return kPermille + difference;
   }
--- a/src/core/pace_weight.h
+++ b/src/core/pace_weight.h
@@ -29,8 +29,9 @@
                                 const PaceRange& paces);
 
 // The slowness of an instance that counts in a choice. An instance that is
-// faster than usual loses its lead as its slots fill: another call may find
-// none free there. 1,000: nothing counts.
+// faster than usual loses its lead as its slots fill, since the next call may
+// find none free there, and is behind when they are full. 1,000: nothing
+// counts.
 std::int64_t CountedSlownessPermille(std::int64_t told_permille,
                                      std::int64_t weight_permille,
                                      std::int64_t calls_per_slot_permille);
--- a/tests/link_codec_test.cc
+++ b/tests/link_codec_test.cc
@@ -64,7 +64,7 @@
   response.headers = {{"A", "b"}};
   response.body = "x";
   response.last = true;
-  response.load = {{3, 4, {}, std::chrono::milliseconds(6)},
+  response.load = {{3, 4, {}, std::chrono::milliseconds(6), {}, 1'250},
                    {12, std::chrono::seconds(2)},
                    InstanceNotice{"i-1", 0.0, true}};
   response.queue_time = std::chrono::milliseconds(7);
@@ -94,6 +94,7 @@
   CHECK(decoded_response.load.upstream.rate_limit_delay ==
         std::chrono::milliseconds(6));
   CHECK(decoded_response.load.upstream.rate_limit == 0.0);
+  CHECK(decoded_response.load.upstream.slowness_permille == 1'250);
   CHECK(decoded_response.load.notice == InstanceNotice{"i-1", 0.0, true});
   CHECK(decoded_response.load.configuration.generation == 12);
   CHECK(decoded_response.load.configuration.age ==
