--- a/soak/main.cc
+++ b/soak/main.cc
@@ -68,6 +68,7 @@
   }
   if (experiment.getValue() == "balance") {
     PrintBalanceExperiment(seed.getValue());
+    PrintUnevenExperiment(seed.getValue());
     return 0;
   }
   if (experiment.getValue() == "copies") {
--- a/tests/outbound_copies_test.cc
+++ b/tests/outbound_copies_test.cc
@@ -76,10 +76,13 @@
     hub.on_response = [this](std::string_view member, LinkFrame frame) {
       outbound->OnLinkFrame(member, std::move(frame));
     };
-    hub.on_link_down = [this](std::string_view member) {
-      outbound->OnLinkDown(member);
+    hub.on_link_down = [this](std::string_view member,
+                              const std::vector<CallId>& unsent) {
+      outbound->OnLinkDown(member, unsent);
+    };
+    hub.on_link_silent = [this](std::string_view member) {
+      outbound->OnLinkSilent(member);
     };
-    hub.on_link_silent = hub.on_link_down;
     hub.on_load = [this](std::string_view member, const GateLoad& load) {
       outbound->OnLoad(member, load);
     };
