What the review of copies, choice, quotas and links found

Cause, by reading: a group's token was given back for a request to which an instance itself had answered 503; a node's word on its instance's pace was used unchecked; the limit on unsent bytes of a link did not act while the peer did not read; a copy could go to a member in doubt, and the instances that refused copies were lost to later attempts; expired timers reached destroyed proxies; extremes among many equal instances could look like paces that differ. Change: each is mended; paces are compared at the tenth and ninetieth percentile.

--- a/src/core/balancer.cc
+++ b/src/core/balancer.cc
@@ -22,6 +22,9 @@
 constexpr int kMaxSampleAttempts = 4;
 constexpr std::uint32_t kMaxEjectionDoublings = 8;
 constexpr std::int64_t kMaxSlownessPermille = 20'000;
+// Bounds of what an instance's node tells of its slowness.
+constexpr std::int64_t kMinToldSlownessPermille = 250;
+constexpr std::int64_t kMaxToldSlownessPermille = 4'000;
 // Lower rate limits of instances count as this many calls per second.
 constexpr double kMinRateLimit = RateLimiter::kMinCallsPerSecond;
 
@@ -535,7 +538,12 @@
   upstream->link_wait = load.link_wait;
   upstream->rate_limit_delay = load.rate_limit_delay;
   upstream->rate_limit = load.rate_limit;
-  upstream->told_slowness_permille = load.slowness_permille;
+  upstream->told_slowness_permille =
+      load.slowness_permille == 0
+          ? 0
+          : std::clamp<std::int64_t>(load.slowness_permille,
+                                     kMinToldSlownessPermille,
+                                     kMaxToldSlownessPermille);
   if (!load.rate_limit) {
     upstream->next_within_rate_limit = now;
   }
--- a/src/core/balancer_room.cc
+++ b/src/core/balancer_room.cc
@@ -1,6 +1,8 @@
 // The part of failure domains in the choice of an instance: the room in each
 // and the cost of leaving this node's.
 #include <algorithm>
+#include <utility>
+#include <vector>
 
 #include "core/balancer.h"
 
@@ -50,17 +52,17 @@
 }
 
 PaceRange Balancer::PacesOf(std::string_view service) const {
-  PaceRange range;
+  std::vector<std::int64_t> paces;
   const auto pool = pools_.find(service);
   if (pool == pools_.end()) {
-    return range;
+    return {};
   }
   for (const auto& tier : pool->second.tiers) {
     for (const std::uint32_t index : tier) {
-      range.Add(upstreams_[index].told_slowness_permille);
+      paces.push_back(upstreams_[index].told_slowness_permille);
     }
   }
-  return range;
+  return PaceRangeOf(std::move(paces));
 }
 
 bool Balancer::IsNear(UpstreamHandle handle) const {
--- a/src/core/copy_policy.cc
+++ b/src/core/copy_policy.cc
@@ -114,7 +114,7 @@
   }
   const RuleTimes& times = found->second;
   const Duration earliest = times.median * kLateToMedian;
-  if (times.late < earliest) {
+  if (times.late < earliest || times.late == Duration::zero()) {
     return std::nullopt;
   }
   const Time leave = std::max(
--- a/src/core/group_quotas.cc
+++ b/src/core/group_quotas.cc
@@ -6,6 +6,8 @@
 namespace {
 
 // When a node should ask again that asked one without a configuration.
+// Groups whose used spare tokens are counted before there is a configuration.
+constexpr std::size_t kMaxGroupsBefore = 4'096;
 constexpr Duration kUnconfiguredPeriod = std::chrono::milliseconds(100);
 // A fleet that was restarted whole has its links after this long.
 constexpr Duration kFleetStart = std::chrono::seconds(2);
@@ -58,6 +60,9 @@
     }
   }
   peers_.SetGroups(std::move(names), now);
+  std::erase_if(spare_used_before_, [this](const auto& used) {
+    return !quotas_.contains(used.first);
+  });
   OnCoordinatorsChanged(now);
 }
 
@@ -131,7 +136,9 @@
       // The configuration in force here has no limit for the group.
       loan.tokens = need.waiting;
     } else {
-      spare_used_before_[need.group] += need.spare_used;
+      if (spare_used_before_.size() < kMaxGroupsBefore) {
+        spare_used_before_[need.group] += need.spare_used;
+      }
       loan.provisional = true;
       loan.next_token_in = kUnconfiguredPeriod;
     }
--- a/src/core/pace_weight.cc
+++ b/src/core/pace_weight.cc
@@ -8,6 +8,9 @@
 constexpr std::int64_t kPermille = 1000;
 // Paces of equal instances differ by less, as measured over their last calls.
 constexpr std::int64_t kMinRatioPermille = 1'700;
+// Among many equal instances the extremes of such measurements differ by more,
+// so a tenth is left out at either end.
+constexpr std::size_t kTailDivisor = 10;
 // Calls for each slot, in permille, up to which all of the weight counts and
 // from which on none does. A wave of half of the mean load takes a service from
 // the one to the other.
@@ -21,14 +24,15 @@
 
 }  // namespace
 
-void PaceRange::Add(std::int64_t slowness_permille) {
-  if (slowness_permille == 0) {
-    return;
+PaceRange PaceRangeOf(std::vector<std::int64_t> slowness_permille) {
+  std::erase(slowness_permille, 0);
+  if (slowness_permille.empty()) {
+    return {};
   }
-  fastest_permille = fastest_permille == 0
-                         ? slowness_permille
-                         : std::min(fastest_permille, slowness_permille);
-  slowest_permille = std::max(slowest_permille, slowness_permille);
+  std::sort(slowness_permille.begin(), slowness_permille.end());
+  const std::size_t left_out = slowness_permille.size() / kTailDivisor;
+  return {slowness_permille[left_out],
+          slowness_permille[slowness_permille.size() - 1 - left_out]};
 }
 
 std::int64_t PaceWeightPermille(std::span<const DomainRoom> rooms,
@@ -39,9 +43,9 @@
     slots += room.slots;
     calls += room.calls;
   }
-  const bool differ = paces.slowest_permille * kPermille >=
-                      paces.fastest_permille * kMinRatioPermille;
-  if (slots == 0 || paces.fastest_permille == 0 || !differ) {
+  const bool differ = paces.slow_permille * kPermille >=
+                      paces.fast_permille * kMinRatioPermille;
+  if (slots == 0 || paces.fast_permille == 0 || !differ) {
     return 0;
   }
   const std::int64_t load = calls * kPermille / slots;
--- a/src/core/pace_weight.h
+++ b/src/core/pace_weight.h
@@ -8,21 +8,22 @@
 
 #include <cstdint>
 #include <span>
+#include <vector>
 
 #include "core/domain_spill.h"
 
 namespace verbenastile {
 
-// The least and the most time that instances take, relative to what calls take
-// usually; 0: unknown.
+// The time that fast and slow instances take, relative to what calls take
+// usually: the tenth and the ninetieth percentile; 0: unknown.
 struct PaceRange {
-  std::int64_t fastest_permille = 0;
-  std::int64_t slowest_permille = 0;
-
-  // 0 is ignored.
-  void Add(std::int64_t slowness_permille);
+  std::int64_t fast_permille = 0;
+  std::int64_t slow_permille = 0;
 };
 
+// Unknown paces, which are 0, are ignored.
+PaceRange PaceRangeOf(std::vector<std::int64_t> slowness_permille);
+
 // 0 where paces do not differ, where they are not known, or where room is
 // short.
 std::int64_t PaceWeightPermille(std::span<const DomainRoom> rooms,
--- a/src/mesh/link.cc
+++ b/src/mesh/link.cc
@@ -46,7 +46,10 @@
   if (std::holds_alternative<GateCall>(frame.body)) {
     unsent_calls_.emplace_back(frame.call, encoded_bytes_);
   }
-  if (awaits_writable_ || std::exchange(flush_posted_, true)) {
+  const bool is_over_limit =
+      pending_.size() + writing_.size() - written_ > kMaxUnsentBytes;
+  if ((awaits_writable_ && !is_over_limit) ||
+      std::exchange(flush_posted_, true)) {
     return size;
   }
   asio::post(socket_.get_executor(), [self = shared_from_this()] {
@@ -59,11 +62,13 @@
 // Writes synchronously, so that the number of bytes that the kernel has is
 // known at any time. A composed operation reports it only when it ends.
 void Link::Flush() {
-  if (!open_ || awaits_writable_) {
+  if (!open_) {
     return;
   }
-  if (pending_.size() > kMaxUnsentBytes) {
-    Fail("the peer does not read");
+  if (awaits_writable_) {
+    if (pending_.size() + writing_.size() - written_ > kMaxUnsentBytes) {
+      Fail("the peer does not read");
+    }
     return;
   }
   while (true) {
--- a/src/mesh/link_hub.cc
+++ b/src/mesh/link_hub.cc
@@ -632,12 +632,13 @@
 
 void LinkHub::ScheduleCheck() {
   check_timer_.expires_after(kCheckInterval);
-  check_timer_.async_wait([this](const asio::error_code& error) {
-    if (!error) {
-      ScheduleCheck();
-      CheckLinks(SteadyNow());
-    }
-  });
+  check_timer_.async_wait(
+      [this, alive = std::weak_ptr(alive_)](const asio::error_code& error) {
+        if (!error && !alive.expired()) {
+          ScheduleCheck();
+          CheckLinks(SteadyNow());
+        }
+      });
 }
 
 }  // namespace verbenastile
--- a/src/mesh/link_hub.h
+++ b/src/mesh/link_hub.h
@@ -177,6 +177,9 @@
   std::map<std::string, OutgoingPointer, std::less<>> outgoing_;
   std::set<IncomingPointer> incoming_;
   Time last_check_;
+  // Timers that have expired run their handlers although they are cancelled;
+  // those that find this gone do nothing.
+  std::shared_ptr<const bool> alive_ = std::make_shared<const bool>(true);
 };
 
 }  // namespace verbenastile
--- a/src/mesh/outbound_copies.cc
+++ b/src/mesh/outbound_copies.cc
@@ -76,7 +76,8 @@
   const UpstreamHandle upstream = ChooseUpstream(call, now);
   const Member* member = balancer_.Find(upstream);
   if (member == nullptr ||
-      balancer_.HealthOf(upstream) != UpstreamHealth::kHealthy) {
+      balancer_.HealthOf(upstream) != UpstreamHealth::kHealthy ||
+      IsDoubtful(upstream)) {
     return CopyVerdict::kNoInstance;
   }
   if (HasRateLimit(member->name)) {
@@ -254,6 +255,10 @@
       call.copy_at = now;
     }
   }
+  if (refusal.reason == RefusalReason::kBusy ||
+      refusal.reason == RefusalReason::kSlow) {
+    call.busy_upstreams.push_back(call.copy->attempt.upstream);
+  }
   call.race.OnEvent(RaceEntrant::kCopy, RaceEvent::kRefused);
   // The first attempt would not have been sent there with such a load.
   EndCopy(call, failed ? AttemptOutcome::kFailed : AttemptOutcome::kCancelled,
--- a/src/mesh/outbound_proxy.cc
+++ b/src/mesh/outbound_proxy.cc
@@ -332,7 +332,11 @@
     query.excluded = excluded;
     chosen = balancer_.Choose(query, now, balancer_random_);
   }
-  return chosen.valid() && !IsDoubtful(chosen) ? chosen : first;
+  // An instance that is ejected is no better than one in doubt.
+  const auto health = balancer_.HealthOf(chosen);
+  const bool in_rotation =
+      health == UpstreamHealth::kHealthy || health == UpstreamHealth::kCold;
+  return in_rotation && !IsDoubtful(chosen) ? chosen : first;
 }
 
 bool OutboundProxy::IsDoubtful(UpstreamHandle upstream) const {
@@ -462,7 +466,9 @@
 }
 
 void OutboundProxy::RecordOutcome(const Call& call, int status, Time now) {
-  if (call.took_quota && status == kHttpUnavailable) {
+  const bool has_not_run =
+      status == kHttpUnavailable && !call.may_have_run && !call.streaming;
+  if (call.took_quota && has_not_run) {
     init_.quotas->GiveBack(call.group->name, now - call.begin);
   }
   if (call.rule == nullptr || status == kHttpTooManyRequests) {
@@ -544,13 +550,14 @@
     return;
   }
   deadline_timer_.expires_after(kDeadlineCheckInterval);
-  deadline_timer_.async_wait([this](const asio::error_code& error) {
-    if (!error) {
-      ScheduleDeadlineCheck();
-      FailOverdue();
-      SendDueCopies();
-    }
-  });
+  deadline_timer_.async_wait(
+      [this, alive = std::weak_ptr(alive_)](const asio::error_code& error) {
+        if (!error && !alive.expired()) {
+          ScheduleDeadlineCheck();
+          FailOverdue();
+          SendDueCopies();
+        }
+      });
 }
 
 }  // namespace verbenastile
--- a/src/mesh/outbound_proxy.h
+++ b/src/mesh/outbound_proxy.h
@@ -368,6 +368,9 @@
   SummaryHandle latency_;
   // By `KeyVerdict`.
   std::array<CounterHandle, kKeyVerdictCount> key_verdicts_;
+  // Timers that have expired run their handlers although they are cancelled;
+  // those that find this gone do nothing.
+  std::shared_ptr<const bool> alive_ = std::make_shared<const bool>(true);
 };
 
 }  // namespace verbenastile
--- a/src/mesh/outbound_response.cc
+++ b/src/mesh/outbound_response.cc
@@ -84,6 +84,11 @@
   // like one that it ran.
   EndAttempt(call, outcome, shed);
   ++call.refusals;
+  const bool busy = refusal.reason == RefusalReason::kBusy ||
+                    refusal.reason == RefusalReason::kSlow;
+  if (busy) {
+    call.busy_upstreams.push_back(call.tried_upstreams.back());
+  }
   if (ContinueWithCopy(call, RaceEvent::kRefused)) {
     return;
   }
@@ -97,12 +102,8 @@
             ? refusal.retry_delay
             : std::min(call.slot_wait_hint, refusal.retry_delay);
   }
-  if (refusal.reason == RefusalReason::kBusy ||
-      refusal.reason == RefusalReason::kSlow) {
-    call.busy_upstreams.push_back(call.tried_upstreams.back());
-    if (call.refusals == kFreeSlotAttempts) {
-      AllowQueueing(call);
-    }
+  if (busy && call.refusals == kFreeSlotAttempts) {
+    AllowQueueing(call);
   }
   const bool try_another =
       shed ? TakeRetry(call, now) : call.refusals < kMaxRefusals;
