Confirmation of a newer configuration does not renew an older one

Cause: a peer's report carries the time at which the store confirmed the peer's own configuration. A node took it as a confirmation of the one it has in force, also when the peer's was newer. A node cut off for longer than revoke_ms, which refused keys rightly, took withdrawn keys again from the moment a peer told it of a newer configuration until it had fetched it (up to 1.4 s). With fail_closed this broke revoke_ms.

Change: a confirmation counts for the generation that it names and for newer ones in force here. Those of generations that are not here yet are kept until they are. A peer that is lost takes no confirmation back: the age goes on from it. The belief is read for each request without a walk over the readers.

--- a/src/core/configuration_source.cc
+++ b/src/core/configuration_source.cc
@@ -32,6 +32,9 @@
 // Timeout of a request to a peer, after which another peer is asked. Covers the
 // round trip for a delta on a slow link that also carries queued responses.
 constexpr Duration kPeerRequestTimeout = std::chrono::milliseconds(500);
+// A node that is further behind takes the newest generation, so that only
+// confirmations of the last ones are of use.
+constexpr std::size_t kMaxNewerConfirmations = 32;
 
 }  // namespace
 
@@ -58,6 +61,9 @@
   } else {
     readers_.erase(reader);
   }
+  if (reported.age) {
+    OnConfirmed(reported.generation, now - *reported.age);
+  }
   if (reported.generation > held_generation_ && behind_since_ == Time()) {
     behind_since_ = now;
   }
@@ -83,8 +89,27 @@
   }
 }
 
+// Confirmations that are dropped only make the belief older than it is.
+void ConfigurationSource::OnConfirmed(std::uint64_t generation,
+                                      Time confirmed) {
+  if (generation <= held_generation_) {
+    last_confirmed_ = std::max(last_confirmed_, std::optional(confirmed));
+    return;
+  }
+  Time& newest = newer_confirmed_[generation];
+  newest = std::max(newest, confirmed);
+  if (newer_confirmed_.size() > kMaxNewerConfirmations) {
+    newer_confirmed_.erase(newer_confirmed_.begin());
+  }
+}
+
 void ConfigurationSource::OnApplied(std::uint64_t generation) {
   held_generation_ = std::max(held_generation_, generation);
+  const auto still_newer = newer_confirmed_.upper_bound(held_generation_);
+  for (auto it = newer_confirmed_.begin(); it != still_newer; ++it) {
+    last_confirmed_ = std::max(last_confirmed_, std::optional(it->second));
+  }
+  newer_confirmed_.erase(newer_confirmed_.begin(), still_newer);
   behind_since_ = Time();
   requested_at_ = Time();
 }
@@ -101,14 +126,6 @@
          now - reader_shortage_since_ >= kReaderShortageDelay;
 }
 
-std::optional<Time> ConfigurationSource::last_confirmed() const {
-  std::optional<Time> newest;
-  for (const auto& [name, confirmed] : readers_) {
-    newest = std::max(newest, std::optional(confirmed));
-  }
-  return newest;
-}
-
 std::optional<Duration> ConfigurationSource::BehindFor(Time now) const {
   return behind_since_ == Time() ? std::nullopt
                                  : std::optional(now - behind_since_);
--- a/src/core/configuration_source.h
+++ b/src/core/configuration_source.h
@@ -55,9 +55,10 @@
   }
   // Whether this node should watch the store itself.
   bool ShouldWatchStore(Time now) const;
-  // The latest time, as reported by peers, at which the store confirmed a
-  // peer's configuration; unset when no peer reports watching the store.
-  std::optional<Time> last_confirmed() const;
+  // The latest time, as reported by peers, at which the store confirmed that
+  // nothing newer exists than the configuration in force; unset if no peer
+  // reported one. What confirms a newer generation says nothing of this one.
+  std::optional<Time> last_confirmed() const { return last_confirmed_; }
   // How long a peer has been known to have a newer generation; empty if none
   // has.
   std::optional<Duration> BehindFor(Time now) const;
@@ -67,6 +68,7 @@
 
  private:
   void UpdateReaderShortage(Time now);
+  void OnConfirmed(std::uint64_t generation, Time confirmed);
 
   bool slow_link_;
   Time started_;
@@ -77,9 +79,13 @@
   // The generations of all peers.
   std::map<std::string, std::uint64_t, std::less<>> peers_;
   // When the store last confirmed the configuration of each peer that watches
-  // it. Few of the peers do on most fleets, and this is read for each request.
+  // it.
   std::map<std::string, Time, std::less<>> readers_;
   std::uint64_t held_generation_ = 0;
+  std::optional<Time> last_confirmed_;
+  // When the store last confirmed each generation newer than the one in force
+  // to a peer; counts once that generation is in force.
+  std::map<std::uint64_t, Time> newer_confirmed_;
   // When a peer was first seen to have a newer generation; `Time()` if none
   // has.
   Time behind_since_;
--- a/tests/key_check_test.cc
+++ b/tests/key_check_test.cc
@@ -244,6 +244,41 @@
   CHECK_FALSE(source.BehindFor(start + seconds(2)).has_value());
 }
 
+SCENARIO("what confirms a newer configuration does not confirm an older one") {
+  const Time start = Time(seconds(100));
+  ConfigurationSource source({125'000'000, start, kSeed});
+  source.OnApplied(3);
+  source.OnPeerConfiguration("r1", {3, milliseconds(200)}, start);
+  const Time later = start + seconds(6);
+  source.OnPeerConfiguration("r1", {4, milliseconds(100)}, later);
+  const RouteTable table = TableOf(GroupsSpec());
+  KeyLimits limits;
+  limits.fail_closed = true;
+  const auto verdict = [&](Time now) {
+    const ConfigurationBelief belief{now - source.last_confirmed().value(),
+                                     source.BehindFor(now)};
+    return CheckKey(table, RouteNamed(table, "shut"),
+                    table.DigestOfKey("car-1"), belief, limits)
+        .verdict;
+  };
+  THEN("a key that may have been withdrawn is refused") {
+    CHECK(source.last_confirmed() == start - milliseconds(200));
+    CHECK(verdict(later) == KeyVerdict::kInDoubt);
+  }
+  THEN("a lost peer takes nothing back that it confirmed") {
+    source.OnPeerGone("r1", later);
+    CHECK(source.last_confirmed() == start - milliseconds(200));
+  }
+  WHEN("the newer one is in force, and the peer has one that is newer still") {
+    source.OnPeerConfiguration("r1", {5, milliseconds(0)}, later + seconds(1));
+    source.OnApplied(4);
+    THEN("it is as old as what the peer said of it") {
+      CHECK(source.last_confirmed() == later - milliseconds(100));
+      CHECK(verdict(later + seconds(1)) == KeyVerdict::kAccepted);
+    }
+  }
+}
+
 SCENARIO("the platform bounds how long a withdrawn key may be accepted") {
   const auto parse = [](std::map<std::string, std::string> values) {
     const auto parsed = platform::ParseBounds(values);
