--- a/src/core/group_quotas.cc
+++ b/src/core/group_quotas.cc
@@ -5,9 +5,9 @@
 namespace verbenastile {
 namespace {
 
-// When a node should ask again that asked one without a configuration.
 // Groups whose used spare tokens are counted before there is a configuration.
 constexpr std::size_t kMaxGroupsBefore = 4'096;
+// When a node should ask again that asked one without a configuration.
 constexpr Duration kUnconfiguredPeriod = std::chrono::milliseconds(100);
 // A fleet that was restarted whole has its links after this long.
 constexpr Duration kFleetStart = std::chrono::seconds(2);
--- a/src/core/quota_coordinator.cc
+++ b/src/core/quota_coordinator.cc
@@ -128,8 +128,8 @@
   }
   Bucket& bucket = found->second;
   if (place.fleet_is_new && !std::exchange(bucket.fleet_is_new, true)) {
-    bucket.level += std::exchange(bucket.start_debt, 0) +
-                    kNewFleetMargin * MarginOf(quota) * place.reach;
+    bucket.start_credit = kNewFleetMargin * MarginOf(quota) * place.reach;
+    bucket.level += std::exchange(bucket.start_debt, 0) + bucket.start_credit;
   }
   AddTokens(bucket, now);
   SetQuota(bucket, quota, place.reach);
@@ -296,12 +296,13 @@
       continue;
     }
     AddTokens(bucket, now);
-    const double debt = -bucket.start_debt - bucket.level;
-    if (bucket.level >= 1 || debt >= 1) {
-      remainders.push_back(
-          {group, bucket.quota,
-           static_cast<std::uint32_t>(std::max(0.0, bucket.level)),
-           static_cast<std::uint32_t>(std::max(0.0, debt))});
+    // The next coordinator begins with a credit of its own.
+    const double left = bucket.level - bucket.start_credit;
+    const double debt = -bucket.start_debt - left;
+    if (left >= 1 || debt >= 1) {
+      remainders.push_back({group, bucket.quota,
+                            static_cast<std::uint32_t>(std::max(0.0, left)),
+                            static_cast<std::uint32_t>(std::max(0.0, debt))});
     }
     it = buckets_.erase(it);
   }
--- a/src/core/quota_coordinator.h
+++ b/src/core/quota_coordinator.h
@@ -90,7 +90,9 @@
     double max_unused = 0;  // Tokens in the bucket and held by borrowers.
     double level = 0;
     Time refilled;
+    // What the bucket began with: a debt, or a credit if the fleet is new.
     double start_debt = 0;
+    double start_credit = 0;
     bool fleet_is_new = false;
     std::map<std::string, Borrower, std::less<>> borrowers;
     // Sums over the borrowers.
--- a/tests/quota_test.cc
+++ b/tests/quota_test.cc
@@ -211,6 +211,27 @@
   CHECK(RefusedPermille(fleet) < 1);
 }
 
+// Links come up one by one, so that the group changes its coordinator.
+SCENARIO("the credit of a new fleet is not handed on") {
+  const Time now = Time(100 * kSecond);
+  QuotaCoordinator coordinator(Limits());
+  QuotaNeed need;
+  need.group = "tenant";
+  need.waiting = GENERATE(0U, 4U);
+  const RequestQuota quota{60, 60};
+  const QuotaLoan loan =
+      coordinator.Lend("n2", need, quota, {now, 1, true}, now);
+  CHECK(loan.tokens == need.waiting);
+  const auto left = coordinator.KeepOnly(QuotaPeers("n1"), now);
+  if (need.waiting == 0) {
+    CHECK(left.empty());
+  } else {
+    REQUIRE(left.size() == 1);
+    CHECK(left[0].tokens == 0);
+    CHECK(left[0].debt == need.waiting);
+  }
+}
+
 SCENARIO("a quota is changed") {
   constexpr double kRate = 300;
   QuotaFleet fleet(kNodes, kRate, Limits());
