Log and count how work for callers that left is ended

Neither logs nor metrics told a cancel that came late from one that had no way or from none at all: a cancelled call looked the same whether a cancel frame or the end of the link ended it, calls that were ended as overdue were not counted, and the first node's line did not say how the instance's node was told. Requests now log the way of the cancel, the gate counts cancelled calls by cause and state, how long they had run, and those that nobody ended in time.

--- a/src/mesh/inbound_proxy.cc
+++ b/src/mesh/inbound_proxy.cc
@@ -1,5 +1,7 @@
 #include "mesh/inbound_proxy.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <asio/post.hpp>
 #include <utility>
@@ -47,6 +49,16 @@
 
 }  // namespace
 
+std::string_view ToString(CancelCause cause) {
+  switch (cause) {
+    case CancelCause::kCancelled:
+      return "cancelled";
+    case CancelCause::kLinkEnded:
+      return "link_ended";
+  }
+  return "unknown";
+}
+
 InboundProxy::InboundProxy(const Init& init)
     : init_(init),
       tick_timer_(*init.io),
@@ -63,8 +75,18 @@
       limited_answers_(init.metrics->Counter("gate_limited_answers_total")),
       leaving_answers_(init.metrics->Counter("gate_leaving_answers_total")),
       instance_ends_(init.metrics->Counter("gate_instance_ends_total")),
+      overdue_(init.metrics->Counter("gate_overdue_total")),
+      cancelled_ran_(init.metrics->Summary("gate_cancelled_ran_microseconds")),
       queue_wait_(init.metrics->Summary("gate_wait_microseconds")),
-      service_time_(init.metrics->Summary("gate_service_microseconds")) {}
+      service_time_(init.metrics->Summary("gate_service_microseconds")) {
+  for (std::size_t i = 0; i < kCancelCauseCount; ++i) {
+    const std::string_view cause = ToString(static_cast<CancelCause>(i));
+    cancelled_queued_.at(i) = init_.metrics->Counter(fmt::format(
+        "gate_cancelled_total{{state=\"queued\",cause=\"{}\"}}", cause));
+    cancelled_running_.at(i) = init_.metrics->Counter(fmt::format(
+        "gate_cancelled_total{{state=\"running\",cause=\"{}\"}}", cause));
+  }
+}
 
 InboundProxy::~InboundProxy() {
   tick_timer_.cancel();
@@ -344,7 +366,7 @@
   });
 }
 
-bool InboundProxy::Cancel(CallId id) {
+bool InboundProxy::Cancel(CallId id, CancelCause cause) {
   const auto found = calls_.find(id);
   if (found == calls_.end()) {
     return true;
@@ -352,11 +374,16 @@
   Call& call = found->second;
   const Time now = SteadyNow();
   const CancelVerdict verdict = admission_.OnCancelled(id, now);
+  const auto index = static_cast<std::size_t>(cause);
   if (verdict != CancelVerdict::kRunning) {
-    LogCall(id, call, "cancelled_before_start");
+    init_.metrics->Add(cancelled_queued_.at(index));
+    LogCall(id, call, fmt::format("{}_before_start", ToString(cause)));
     Remove(id);
     return verdict != CancelVerdict::kNotRun;
   }
+  init_.metrics->Add(cancelled_running_.at(index));
+  init_.metrics->Observe(cancelled_ran_,
+                         static_cast<double>((now - call.started).count()));
   if (!call.request.idempotent) {
     call.abandoned = true;
     if (std::exchange(call.paused, false)) {
@@ -364,7 +391,7 @@
     }
     return true;
   }
-  BreakOff(id, "cancelled");
+  BreakOff(id, ToString(cause));
   return true;
 }
 
@@ -438,6 +465,7 @@
     if (!call.abandoned) {
       PostReply(call.reply, GateFailure{"the deadline has passed", load()});
     }
+    init_.metrics->Add(overdue_);
     BreakOff(id, "overdue");
   }
 }
--- a/src/mesh/inbound_proxy.h
+++ b/src/mesh/inbound_proxy.h
@@ -6,6 +6,7 @@
 #ifndef MESH_INBOUND_PROXY_H_
 #define MESH_INBOUND_PROXY_H_
 
+#include <array>
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 #include <cstdint>
@@ -14,6 +15,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/metrics.h"
@@ -39,6 +41,16 @@
 // process.
 enum class ResponsePath : std::uint8_t { kLink, kLocal };
 
+// Why the caller's node no longer waits for a call.
+enum class CancelCause : std::uint8_t {
+  kCancelled = 0,  // It said so.
+  kLinkEnded = 1,  // Its link was closed, or was silent for too long.
+};
+constexpr std::size_t kCancelCauseCount = 2;
+
+// Returns the name of `cause` in snake case.
+std::string_view ToString(CancelCause cause);
+
 class InboundProxy {
  public:
   struct Init {
@@ -85,11 +97,11 @@
 
   // Admits, queues or refuses the call.
   CallId Start(GateCall call, ResponsePath path, ReplyHandler reply);
-  // The caller no longer waits for the call. A queued call is dropped, and a
-  // running idempotent call is cancelled at the instance. A running call that
-  // is not idempotent completes there. Returns false if the call was still
-  // queued: it has not run and never will.
-  bool Cancel(CallId id);
+  // The caller no longer waits for the call, because of `cause`. A queued call
+  // is dropped, and a running idempotent call is cancelled at the instance. A
+  // running call that is not idempotent completes there. Returns false if the
+  // call was still queued: it has not run and never will.
+  bool Cancel(CallId id, CancelCause cause);
   // Flow control: the caller consumed `bytes` of the response body.
   void GrantCredit(CallId id, std::uint32_t bytes);
 
@@ -218,6 +230,10 @@
   CounterHandle limited_answers_;
   CounterHandle leaving_answers_;
   CounterHandle instance_ends_;
+  std::array<CounterHandle, kCancelCauseCount> cancelled_queued_{};
+  std::array<CounterHandle, kCancelCauseCount> cancelled_running_{};
+  CounterHandle overdue_;
+  SummaryHandle cancelled_ran_;
   SummaryHandle queue_wait_;
   SummaryHandle service_time_;
 };
--- a/src/mesh/link_hub.cc
+++ b/src/mesh/link_hub.cc
@@ -123,7 +123,7 @@
               const CallId gate_id = found->second;
               peer->calls.erase(found);
               peer->queued.erase(id);
-              init_.gate->Cancel(gate_id);
+              init_.gate->Cancel(gate_id, CancelCause::kCancelled);
             }
           },
           [&](const LinkCredit& credit) {
@@ -246,7 +246,7 @@
   incoming_.erase(peer);
   peer->queued.clear();
   for (const auto& [id, gate_id] : std::exchange(peer->calls, {})) {
-    init_.gate->Cancel(gate_id);
+    init_.gate->Cancel(gate_id, CancelCause::kLinkEnded);
   }
 }
 
--- a/src/mesh/outbound_copies.cc
+++ b/src/mesh/outbound_copies.cc
@@ -285,12 +285,7 @@
     return;
   }
   call.race.OnEvent(RaceEntrant::kFirst, event);
-  bool reached = true;
-  if (call.copy->attempt.local) {
-    reached = init_.inbound_proxy->Cancel(call.copy->attempt.local_call_id);
-  } else {
-    init_.links->Send(call.copy->attempt.member, {id, LinkCancel{}});
-  }
+  const bool reached = SendCancel(id, call.copy->attempt).reached;
   call.may_have_run = call.may_have_run || reached;
   init_.metrics->Add(copies_cancelled_);
   EndCopy(call, AttemptOutcome::kCancelled, reached);
@@ -332,10 +327,11 @@
     }
   }
   for (const CallId id : copied) {
+    Call& call = calls_.at(id);
     if (cancel) {
-      init_.links->Send(member, {id, LinkCancel{}});
+      SendCancel(id, call.copy->attempt);
     }
-    OnCopyBroken(calls_.at(id));
+    OnCopyBroken(call);
   }
 }
 
--- a/src/mesh/outbound_proxy.cc
+++ b/src/mesh/outbound_proxy.cc
@@ -87,6 +87,7 @@
       retried_(init.metrics->Counter("requests_sent_again_total")),
       redirected_(init.metrics->Counter("requests_moved_total")),
       callers_gone_(init.metrics->Counter("callers_gone_total")),
+      cancels_not_sent_(init.metrics->Counter("cancels_not_sent_total")),
       blocked_(init.metrics->Counter("requests_blocked_total")),
       latency_(init.metrics->Summary("request_microseconds")) {
   RegisterKeyMetrics();
@@ -513,6 +514,7 @@
        {"runs", call.instances_reached},
        {"refusals", call.refusals},
        {"copied", call.copied},
+       {"cancel", NameOf(call.cancel_path)},
        {"took_ms", ToMilliseconds(took)},
        {"asked_before_ms",
         call.rule == nullptr
--- a/src/mesh/outbound_proxy.h
+++ b/src/mesh/outbound_proxy.h
@@ -120,6 +120,20 @@
   // the choice was based on, so another upstream may still have a free slot.
   static constexpr std::uint32_t kFreeSlotAttempts = 2;
 
+  // How the node of the last attempt was told that the caller no longer waits.
+  enum class CancelPath : std::uint8_t {
+    kNone = 0,     // No attempt was in progress.
+    kLocal = 1,    // Within this process.
+    kLink = 2,     // On the link.
+    kNotSent = 3,  // The link was down: its end tells.
+  };
+  static std::string_view NameOf(CancelPath path);
+
+  struct CancelResult {
+    CancelPath path = CancelPath::kNone;
+    bool reached = true;  // The request may have reached the instance.
+  };
+
   // What an attempt counts as in the roll-out of the service.
   struct RolloutPart {
     std::uint64_t order = 0;  // ID of the order.
@@ -209,6 +223,7 @@
     // Of the request's content; computed when there are suspects.
     std::optional<Digest> digest;
     bool on_trial = false;  // In the current attempt.
+    CancelPath cancel_path = CancelPath::kNone;
     bool may_have_run = false;
     // Server error of an instance, sent to the caller unless a retry gets a
     // response.
@@ -315,6 +330,8 @@
   // `reached`: the request was delivered to the instance, which may have run
   // it.
   void EndAttempt(Call& call, AttemptOutcome outcome, bool reached);
+  // Tells the node of the attempt that its response is no longer awaited.
+  CancelResult SendCancel(CallId id, const Attempt& attempt);
   void CancelAttempt(CallId id, Call& call, AttemptOutcome outcome);
   void OnResponseComplete(CallId id);
   void RecordServiceTime(const Call& call, Time now);
@@ -358,6 +375,7 @@
   CounterHandle retried_;
   CounterHandle redirected_;
   CounterHandle callers_gone_;
+  CounterHandle cancels_not_sent_;
   CounterHandle blocked_;
   CounterHandle copies_sent_;
   CounterHandle copies_won_;
--- a/src/mesh/outbound_response.cc
+++ b/src/mesh/outbound_response.cc
@@ -319,18 +319,42 @@
   }
 }
 
+std::string_view OutboundProxy::NameOf(CancelPath path) {
+  switch (path) {
+    case CancelPath::kNone:
+      return "none";
+    case CancelPath::kLocal:
+      return "local";
+    case CancelPath::kLink:
+      return "link";
+    case CancelPath::kNotSent:
+      return "not_sent";
+  }
+  return "unknown";
+}
+
+OutboundProxy::CancelResult OutboundProxy::SendCancel(CallId id,
+                                                      const Attempt& attempt) {
+  if (attempt.local) {
+    return {CancelPath::kLocal,
+            init_.inbound_proxy->Cancel(attempt.local_call_id,
+                                        CancelCause::kCancelled)};
+  }
+  if (init_.links->Send(attempt.member, {id, LinkCancel{}})) {
+    return {CancelPath::kLink};
+  }
+  init_.metrics->Add(cancels_not_sent_);
+  return {CancelPath::kNotSent};
+}
+
 void OutboundProxy::CancelAttempt(CallId id,
                                   Call& call,
                                   AttemptOutcome outcome) {
   if (!call.attempt) {
     return;
   }
-  bool reached = true;
-  if (call.attempt->local) {
-    reached = init_.inbound_proxy->Cancel(call.attempt->local_call_id);
-  } else {
-    init_.links->Send(call.attempt->member, {id, LinkCancel{}});
-  }
+  const auto [path, reached] = SendCancel(id, *call.attempt);
+  call.cancel_path = path;
   call.may_have_run = call.may_have_run || reached;
   EndAttempt(call, outcome, reached);
 }
--- a/tests/inbound_proxy_test.cc
+++ b/tests/inbound_proxy_test.cc
@@ -175,7 +175,7 @@
     }
     WHEN("the caller cancels the call") {
       fixture.loop.Call([&] {
-        fixture.proxy->Cancel(fixture.last_call_id);
+        fixture.proxy->Cancel(fixture.last_call_id, CancelCause::kCancelled);
         return 0;
       });
       THEN("the connection to the instance is closed") {
@@ -189,8 +189,10 @@
     instance.ReadRequest();
     fixture.Start(false);
     THEN("it is known not to have run") {
-      CHECK_FALSE(fixture.loop.Call(
-          [&] { return fixture.proxy->Cancel(fixture.last_call_id); }));
+      CHECK_FALSE(fixture.loop.Call([&] {
+        return fixture.proxy->Cancel(fixture.last_call_id,
+                                     CancelCause::kCancelled);
+      }));
     }
   }
   GIVEN("a call that is not idempotent and that the caller cancels") {
@@ -198,7 +200,7 @@
     RawConnection instance = fixture.listener.Accept();
     instance.ReadRequest();
     fixture.loop.Call([&] {
-      fixture.proxy->Cancel(fixture.last_call_id);
+      fixture.proxy->Cancel(fixture.last_call_id, CancelCause::kCancelled);
       return 0;
     });
     THEN("it completes at the instance") {
@@ -214,7 +216,7 @@
     RawConnection instance = fixture.listener.Accept();
     instance.ReadRequest();
     fixture.loop.Call([&] {
-      fixture.proxy->Cancel(fixture.last_call_id);
+      fixture.proxy->Cancel(fixture.last_call_id, CancelCause::kCancelled);
       return 0;
     });
     instance.Write("HTTP/1.1 200 OK\r\nX-Signature: s\r\nX-Id: r1\r\n\r\n");
