Expired timers do not reach a sender or a server that is gone

Seen once: the tests of callers that left hung in a paced sender, whose timer had expired just before the sender was destroyed (a stack of the hung process shows the handler in the freed sender). A cancelled timer runs its handler without an error if it has expired. The handlers now find out, as others do, whether their owner is gone; the server's timer had the same fault. No caller met it: in a node both live as long as the process.

--- a/src/io/http1_server.cc
+++ b/src/io/http1_server.cc
@@ -476,12 +476,13 @@
 
 void Http1Server::ScheduleTimeoutCheck() {
   timeout_timer_.expires_after(kTimeoutCheckInterval);
-  timeout_timer_.async_wait([this](const asio::error_code& error) {
-    if (!error) {
-      CheckTimeouts();
-      ScheduleTimeoutCheck();
-    }
-  });
+  timeout_timer_.async_wait(
+      [this, alive = std::weak_ptr(alive_)](const asio::error_code& error) {
+        if (!error && !alive.expired()) {
+          CheckTimeouts();
+          ScheduleTimeoutCheck();
+        }
+      });
 }
 
 SocketAddress Http1Server::address() const {
--- a/src/io/http1_server.h
+++ b/src/io/http1_server.h
@@ -133,6 +133,9 @@
   std::uint64_t requests_ = 0;
   std::uint64_t rejected_ = 0;
   bool draining_ = false;
+  // Timers that have expired run their handlers although they are cancelled;
+  // those that find this gone do nothing.
+  std::shared_ptr<const bool> alive_ = std::make_shared<const bool>(true);
 };
 
 }  // namespace verbenastile
--- a/src/mesh/paced_sender.cc
+++ b/src/mesh/paced_sender.cc
@@ -27,11 +27,12 @@
     const std::size_t allowed = pacer_.Acquire(remaining, now);
     if (allowed == 0 && remaining > 0) {
       timer_.expires_after(pacer_.TimeUntilBurst(now));
-      timer_.async_wait([this](const asio::error_code& error) {
-        if (!error) {
-          SendQueued();
-        }
-      });
+      timer_.async_wait(
+          [this, alive = std::weak_ptr(alive_)](const asio::error_code& error) {
+            if (!error && !alive.expired()) {
+              SendQueued();
+            }
+          });
       return;
     }
     const bool is_final = allowed == remaining;
--- a/src/mesh/paced_sender.h
+++ b/src/mesh/paced_sender.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <memory>
 #include <string>
 
 #include "base/time.h"
@@ -51,6 +52,9 @@
   std::deque<Item> items_;
   std::size_t queued_bytes_ = 0;  // Not sent yet.
   bool sending_ = false;
+  // Timers that have expired run their handlers although they are cancelled;
+  // those that find this gone do nothing.
+  std::shared_ptr<const bool> alive_ = std::make_shared<const bool>(true);
 };
 
 }  // namespace verbenastile
