--- /dev/null
+++ b/src/io/socket_state.h
@@ -0,0 +1,19 @@
+// What the kernel knows of a connection before anything is read from it.
+#ifndef IO_SOCKET_STATE_H_
+#define IO_SOCKET_STATE_H_
+
+#include <asio/ip/tcp.hpp>
+
+namespace verbenastile {
+
+// Returns true if the peer has closed the connection or its sending direction,
+// even if bytes that it sent before are still unread. False says nothing about
+// a peer that cannot be reached.
+bool HasPeerClosed(asio::ip::tcp::socket& socket);
+
+// Returns true if bytes or the end of the connection wait to be read.
+bool HasUnreadInput(asio::ip::tcp::socket& socket);
+
+}  // namespace verbenastile
+
+#endif  // IO_SOCKET_STATE_H_
