A connection on which bytes wait is not used for another request

Cause: a kept connection was reused although bytes or its end were unread. Change: the kernel is asked before a connection is reused; a request without an id gets a new connection. Evidence: 'bytes on a connection at rest belong to no request' (four ways) and 'a call without an id has a connection of its own' failed before the change and pass now. 'an instance writes a refusal once more' passes on both: requests with an id were safe.

--- a/src/io/http1_client.cc
+++ b/src/io/http1_client.cc
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "io/shared_read.h"
+#include "io/socket_state.h"
 
 namespace verbenastile {
 namespace {
@@ -80,7 +81,9 @@
   const std::string& key() const { return key_; }
   Time idle_since() const { return idle_since_; }
   Duration server_idle_timeout() const { return server_idle_timeout_; }
-  bool open() const { return socket_.is_open(); }
+  // Whether a request may be sent on the connection, which is idle. Bytes that
+  // arrived before the request belong to an earlier one.
+  bool IsReusable() { return socket_.is_open() && !HasUnreadInput(socket_); }
 
  private:
   void OnConnected(const asio::error_code& error);
@@ -444,10 +447,10 @@
     connections.pop_back();
     const Duration idle = now - connection->idle_since();
     const Duration server_limit = connection->server_idle_timeout();
-    const bool is_reusable =
-        idle <= call.max_idle &&
+    const bool is_recent =
+        idle < call.max_idle &&
         (server_limit == Duration::zero() || idle <= server_limit);
-    if (connection->open() && is_reusable) {
+    if (is_recent && connection->IsReusable()) {
       return connection;
     }
     connection->Abort();
--- a/src/io/http1_client.h
+++ b/src/io/http1_client.h
@@ -41,7 +41,8 @@
   HttpHeaders headers;
   std::string body;
   Duration connect_timeout = std::chrono::seconds(1);
-  // A pooled connection that has been idle for longer is not reused.
+  // A pooled connection that has been idle for this long is not reused; 0: the
+  // call gets a new one.
   Duration max_idle = std::chrono::seconds(8);
   Http1EchoHeader echo;
   Http1Limits limits;
--- a/src/io/http1_server.cc
+++ b/src/io/http1_server.cc
@@ -6,8 +6,8 @@
 
 #include "base/log.h"
 #include "io/listen.h"
-#include "io/peer_closed.h"
 #include "io/shared_read.h"
+#include "io/socket_state.h"
 
 namespace verbenastile {
 namespace {
--- a/src/mesh/inbound_proxy.cc
+++ b/src/mesh/inbound_proxy.cc
@@ -306,6 +306,10 @@
   http.body = call.request.body;
   http.connect_timeout = std::min(kConnectTimeout, call.deadline - now);
   http.max_idle = call.request.idempotent ? kMaxIdle : kMaxIdleNonIdempotent;
+  if (call.request.request_id.empty()) {
+    // A late copy of an earlier response could not be told from the response.
+    http.max_idle = Duration::zero();
+  }
   http.echo = {init_.headers.request_id, call.request.request_id};
   http.on_head = [this, id](const Http1Head& head) {
     OnResponseHead(id, head);
--- a/src/mesh/link.h
+++ b/src/mesh/link.h
@@ -14,7 +14,7 @@
 #include <vector>
 
 #include "base/time.h"
-#include "io/peer_closed.h"
+#include "io/socket_state.h"
 #include "mesh/link_codec.h"
 
 namespace verbenastile {
--- a/tests/http1_test.cc
+++ b/tests/http1_test.cc
@@ -234,9 +234,15 @@
     call.on_end = [result](Http1CallResult end, std::string_view) {
       result->end = end;
     };
-    loop.Call([&] { return client->Start(std::move(call)); });
+    last_id = loop.Call([&] { return client->Start(std::move(call)); });
     return result;
   }
+  void Cancel() {
+    loop.Call([&] {
+      client->Cancel(last_id);
+      return 0;
+    });
+  }
   Http1CallResult Wait(const std::shared_ptr<CallResult>& result) {
     for (;;) {
       const auto end = loop.Call([&] { return result->end; });
@@ -249,6 +255,7 @@
 
   RawListener listener;
   LoopThread loop;
+  Http1CallId last_id = 0;
   std::unique_ptr<Http1Client> client =
       std::make_unique<Http1Client>(loop.io, Http1ClientInit{});
 };
@@ -400,5 +407,136 @@
   }
 }
 
+// Guards against instances that work on for callers that left (rule GONE).
+SCENARIO("a cancelled call ends its connection at once") {
+  ClientFixture fixture;
+  constexpr std::size_t kMoreThanBuffers = 50'000'000;
+
+  GIVEN("a call whose connection is being opened") {
+    fixture.loop.Call([&] {
+      Http1Call call;
+      call.address = fixture.listener.address();
+      fixture.client->Cancel(fixture.client->Start(std::move(call)));
+      return 0;
+    });
+    THEN("the server gets no request") {
+      if (auto connection = fixture.listener.TryAccept()) {
+        CHECK(connection->AtEnd());
+      }
+    }
+  }
+  GIVEN("a call whose request is being written") {
+    Http1Call call;
+    call.method = "POST";
+    call.body = std::string(kMoreThanBuffers, 'x');
+    fixture.Start(std::move(call));
+    RawConnection server = fixture.listener.Accept();
+    server.ReadUntil("\r\n\r\n");
+    fixture.Cancel();
+    THEN("the server does not get all of it") {
+      CHECK(server.ReadAll().size() < kMoreThanBuffers);
+    }
+  }
+  GIVEN("a call whose response is not read for now") {
+    fixture.Start({});
+    RawConnection server = fixture.listener.Accept();
+    server.ReadRequest();
+    fixture.loop.Call([&] {
+      fixture.client->Pause(fixture.last_id);
+      return 0;
+    });
+    server.Write("HTTP/1.1 200 OK\r\n\r\nsome of it");
+    fixture.Cancel();
+    THEN("the server sees the end") {
+      CHECK(server.AtEnd());
+    }
+  }
+}
+
+// Guards against an earlier response that is taken for that of a later request
+// (rules REFUSED and TWICE).
+SCENARIO("bytes on a connection at rest belong to no request") {
+  ClientFixture fixture;
+  const std::string refusal =
+      "HTTP/1.1 503 X\r\nX-Id: first\r\nContent-Length: 0\r\n\r\n";
+  const auto call = [](const char* id) {
+    Http1Call made;
+    made.echo = {"X-Id", id};
+    return made;
+  };
+  const auto refused = fixture.Start(call("first"));
+  RawConnection server = fixture.listener.Accept();
+  server.ReadRequest();
+  server.Write(refusal);
+  REQUIRE(fixture.Wait(refused) == Http1CallResult::kComplete);
+
+  const auto result = std::make_shared<CallResult>();
+  LoopPause pause(fixture.loop);
+  GIVEN("the refusal once more, not read when the next call starts") {
+    server.Write(refusal);
+  }
+  GIVEN("a part of it") {
+    server.Write(refusal.substr(0, 20));
+  }
+  GIVEN("a response that names no request") {
+    server.Write("HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n");
+  }
+  GIVEN("the end of the connection") {
+    server.Close();
+  }
+  asio::post(fixture.loop.io, [&] {
+    Http1Call next = call("second");
+    next.address = fixture.listener.address();
+    next.on_head = [result](const Http1Head& head) {
+      result->status = head.status;
+    };
+    next.on_end = [result](Http1CallResult end, std::string_view) {
+      result->end = end;
+    };
+    fixture.client->Start(std::move(next));
+  });
+  pause.Resume();
+  RawConnection fresh = fixture.listener.Accept();
+  fresh.ReadRequest();
+  fresh.Write("HTTP/1.1 200 OK\r\nX-Id: second\r\nContent-Length: 0\r\n\r\n");
+  CHECK(fixture.Wait(result) == Http1CallResult::kComplete);
+  CHECK(result->status == 200);
+}
+
+// Guards against a response that was cut off and looks complete (rules MIXED
+// and ORDER).
+SCENARIO("a response that ends early is not complete") {
+  const std::string whole = GENERATE(
+      std::string(
+          "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 4\r\n\r\nbody"),
+      std::string("HTTP/1.1 200 OK\r\nX-Id: a\r\n"
+                  "Transfer-Encoding: chunked\r\n\r\n"
+                  "2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n"));
+  ClientFixture fixture;
+
+  GIVEN("a server that closes after any number of bytes") {
+    for (std::size_t size = 0; size < whole.size(); ++size) {
+      const auto result = fixture.Start({});
+      RawConnection server = fixture.listener.Accept();
+      server.ReadRequest();
+      server.Write(whole.substr(0, size));
+      server.Close();
+      INFO(whole.substr(0, size));
+      CHECK(fixture.Wait(result) == Http1CallResult::kIncomplete);
+    }
+  }
+  GIVEN("a response without a length whose connection is reset") {
+    const auto result = fixture.Start({});
+    RawConnection server = fixture.listener.Accept();
+    server.ReadRequest();
+    server.Write("HTTP/1.1 200 OK\r\n\r\nhalf");
+    while (fixture.loop.Call([&] { return result->body.empty(); })) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    server.Reset();
+    CHECK(fixture.Wait(result) == Http1CallResult::kIncomplete);
+  }
+}
+
 }  // namespace
 }  // namespace verbenastile
--- a/tests/inbound_proxy_test.cc
+++ b/tests/inbound_proxy_test.cc
@@ -296,6 +296,60 @@
   }
 }
 
+// Guards against callers that are told "not run" for a request that ran (rule
+// REFUSED), since the instance wrote the refusal of an earlier one once more.
+SCENARIO("an instance writes a refusal once more") {
+  InboundProxyFixture fixture;
+  const std::string refusal =
+      "HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nX-Id: r1\r\n"
+      "Content-Length: 0\r\n\r\n";
+  const auto refused = fixture.Start(false);
+  RawConnection instance = fixture.listener.Accept();
+  instance.ReadRequest();
+  instance.Write(refusal);
+  REQUIRE(std::get<GateRefusal>(fixture.Reply(refused)).reason ==
+          RefusalReason::kShed);
+  const auto next = fixture.Start(false);
+  REQUIRE(instance.ReadRequest().starts_with("POST"));
+
+  WHEN("it comes before the answer to the next call") {
+    instance.Write(refusal + OkResponse("X-Signature: s\r\nX-Id: r2\r\n", "2"));
+    THEN("the next call has its own answer") {
+      CHECK(std::get<GateResponse>(fixture.Reply(next)).body == "2");
+    }
+  }
+  WHEN("it names no request") {
+    instance.Write(
+        "HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
+    THEN("the next call may have run") {
+      CHECK(std::holds_alternative<GateFailure>(fixture.Reply(next)));
+    }
+  }
+  WHEN("it comes, and the connection ends") {
+    instance.Write(refusal);
+    instance.Close();
+    THEN("the next call may have run") {
+      CHECK(std::holds_alternative<GateFailure>(fixture.Reply(next)));
+    }
+  }
+}
+
+// The same where a request carries no id that a response could name.
+SCENARIO("a call without an id has a connection of its own") {
+  InboundProxyFixture fixture;
+  const auto first = fixture.Start(false);
+  RawConnection instance = fixture.listener.Accept();
+  instance.ReadRequest();
+  instance.Write(OkResponse("X-Signature: s\r\nX-Id: r1\r\n", "1"));
+  fixture.Reply(first);
+  fixture.request_id = "";
+  const auto next = fixture.Start(false);
+  RawConnection fresh = fixture.listener.Accept();
+  fresh.ReadRequest();
+  fresh.Write(OkResponse("X-Signature: s\r\n", "2"));
+  CHECK(std::get<GateResponse>(fixture.Reply(next)).body == "2");
+}
+
 // The instance ends while it works on the request that it accepted; another one
 // takes its place after the node has noticed.
 void EndInstance(InboundProxyFixture& fixture,
--- a/tests/mesh_support.h
+++ b/tests/mesh_support.h
@@ -6,7 +6,6 @@
 #include <fmt/format.h>
 
 #include <catch2/catch.hpp>
-#include <latch>
 #include <memory>
 #include <optional>
 #include <thread>
@@ -163,32 +162,6 @@
   bool near = false;
 };
 
-// Keeps an event loop from running until the destructor or `Resume`.
-class LoopPause {
- public:
-  explicit LoopPause(LoopThread& loop) {
-    std::promise<void> paused;
-    asio::post(loop.io, [&paused, resumed = resumed_] {
-      paused.set_value();
-      resumed->wait();
-    });
-    paused.get_future().wait();
-  }
-  ~LoopPause() { Resume(); }
-  LoopPause(const LoopPause&) = delete;
-  LoopPause& operator=(const LoopPause&) = delete;
-
-  void Resume() {
-    if (!std::exchange(is_over_, true)) {
-      resumed_->count_down();
-    }
-  }
-
- private:
-  std::shared_ptr<std::latch> resumed_ = std::make_shared<std::latch>(1);
-  bool is_over_ = false;
-};
-
 // Two nodes, each on its own event loop; the callers are beside "near".
 struct Mesh {
   // `near_serves`: calls may also run at the instance of "near".
--- a/tests/net_support.h
+++ b/tests/net_support.h
@@ -3,6 +3,7 @@
 #ifndef TESTS_NET_SUPPORT_H_
 #define TESTS_NET_SUPPORT_H_
 
+#include <poll.h>
 #include <sys/socket.h>
 #include <sys/time.h>
 #include <asio/connect.hpp>
@@ -12,7 +13,10 @@
 #include <asio/post.hpp>
 #include <asio/write.hpp>
 #include <future>
+#include <latch>
+#include <memory>
 #include <optional>
+#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -56,6 +60,32 @@
   std::thread thread_;
 };
 
+// Keeps an event loop from running until the destructor or `Resume`.
+class LoopPause {
+ public:
+  explicit LoopPause(LoopThread& loop) {
+    std::promise<void> paused;
+    asio::post(loop.io, [&paused, resumed = resumed_] {
+      paused.set_value();
+      resumed->wait();
+    });
+    paused.get_future().wait();
+  }
+  ~LoopPause() { Resume(); }
+  LoopPause(const LoopPause&) = delete;
+  LoopPause& operator=(const LoopPause&) = delete;
+
+  void Resume() {
+    if (!std::exchange(is_over_, true)) {
+      resumed_->count_down();
+    }
+  }
+
+ private:
+  std::shared_ptr<std::latch> resumed_ = std::make_shared<std::latch>(1);
+  bool is_over_ = false;
+};
+
 // A TCP connection with blocking reads and writes.
 class RawConnection {
  public:
@@ -127,6 +157,12 @@
     socket_.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
     socket_.close(ignored);
   }
+  // Closes with a reset.
+  void Reset() {
+    asio::error_code ignored;
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    socket_.close(ignored);
+  }
 
  private:
   bool ReadMore() {
@@ -152,7 +188,14 @@
  public:
   RawListener() : acceptor_(io_, {asio::ip::make_address(kTestIp), 0}, true) {}
 
-  RawConnection Accept() { return RawConnection(acceptor_.accept()); }
+  // Throws if no connection comes in time.
+  RawConnection Accept() {
+    pollfd state = {acceptor_.native_handle(), POLLIN, 0};
+    if (poll(&state, 1, kSocketTimeoutSeconds * 1'000) <= 0) {
+      throw std::runtime_error("no connection came to " + ToString(address()));
+    }
+    return RawConnection(acceptor_.accept());
+  }
 
   // Accepts a connection from the queue without blocking, if there is one.
   std::optional<RawConnection> TryAccept() {
