Nodes drop requests whose caller left before they were read

'a request that a node reads after its caller left is not passed on' failed in both sections before the change and passes now.

--- a/src/io/http_server.cc
+++ b/src/io/http_server.cc
@@ -294,6 +294,10 @@
   }
 }
 
+bool HttpReply::HasClientLeft() const {
+  return !state_->connection || state_->connection->HasPeerClosed();
+}
+
 void HttpReply::OnDisconnect(std::function<void()> on_disconnect) {
   state_->on_disconnect = [state = std::weak_ptr<State>(state_),
                            on_disconnect = std::move(on_disconnect)] {
--- a/src/io/http_server.h
+++ b/src/io/http_server.h
@@ -68,6 +68,9 @@
   // lost.
   void Abort();
 
+  // Whether the client has closed the connection, also if the close is unread.
+  bool HasClientLeft() const;
+
   // `on_disconnect` runs once, on the event loop, if the connection closes
   // before the complete response has been sent. It never runs after the reply
   // is destroyed.
--- a/src/io/server_connections.cc
+++ b/src/io/server_connections.cc
@@ -7,6 +7,8 @@
 #include <asio/steady_timer.hpp>
 #include <utility>
 
+#include "io/socket_state.h"
+
 namespace verbenastile {
 namespace {
 
@@ -104,6 +106,10 @@
   }
 }
 
+bool ServerConnection::HasPeerClosed() const {
+  return socket == nullptr || verbenastile::HasPeerClosed(*socket);
+}
+
 void ServerConnections::Add(std::uint64_t id, ServerSocket* socket) {
   ++accepted_;
   auto connection = std::make_shared<ServerConnection>();
--- a/src/io/server_connections.h
+++ b/src/io/server_connections.h
@@ -44,6 +44,8 @@
   void RemovePendingResponse(PendingResponse* response);
   // Closes the socket without sending anything.
   void CloseNow();
+  // Whether the socket is closed at either end.
+  bool HasPeerClosed() const;
 };
 
 // All open connections of a server. Idle ones are ordered by their last use.
--- a/src/node/call_proxy.cc
+++ b/src/node/call_proxy.cc
@@ -30,14 +30,31 @@
       caller_side_({parts.io, parts.settings, parts.applier, parts.directory,
                     parts.health_chart, &gate_, &peer_link_, parts.metrics,
                     seed}),
-      peer_requests_counter_(parts.metrics->Counter("peer_requests_total")) {}
+      peer_requests_counter_(parts.metrics->Counter("peer_requests_total")),
+      callers_gone_unread_(
+          parts.metrics->Counter("callers_gone_unread_total")) {}
+
+// On a busy node a request and the close behind it may both wait to be read.
+bool CallProxy::DropAbandoned(HttpReply& reply) {
+  if (!reply.HasClientLeft()) {
+    return false;
+  }
+  deps_.metrics->Add(callers_gone_unread_);
+  reply.Abort();
+  return true;
+}
 
 void CallProxy::OnCallerRequest(HttpRequest request, HttpReply reply) {
-  caller_side_.OnRequest(std::move(request), std::move(reply));
+  if (!DropAbandoned(reply)) {
+    caller_side_.OnRequest(std::move(request), std::move(reply));
+  }
 }
 
 void CallProxy::OnPeerRequest(HttpRequest request, HttpReply reply) {
   deps_.metrics->Add(peer_requests_counter_);
+  if (DropAbandoned(reply)) {
+    return;
+  }
   const auto call = std::make_shared<PeerCall>();
   // The call owns the relay, so the relay's flow callbacks can safely hold a
   // raw pointer to the call.
--- a/src/node/call_proxy.h
+++ b/src/node/call_proxy.h
@@ -62,6 +62,8 @@
  private:
   struct PeerCall;
 
+  // Returns whether the client has left, so that its request is dropped.
+  bool DropAbandoned(HttpReply& reply);
   UpstreamRequest MakeUpstreamRequest(HttpRequest request) const;
   void StartPeerCall(const std::shared_ptr<PeerCall>& call,
                      UpstreamRequest request);
@@ -72,6 +74,7 @@
   PeerLink peer_link_;
   CallerSide caller_side_;
   CounterHandle peer_requests_counter_;
+  CounterHandle callers_gone_unread_;
   // Set to false on destruction, for callbacks that outlive the proxy.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/tests/call_path_test.cc
+++ b/tests/call_path_test.cc
@@ -242,6 +242,32 @@
   }
 }
 
+// Guards against work for callers that left (rule GONE).
+TEST_CASE("a request that a node reads after its caller left is not passed on",
+          "[calls]") {
+  RawListener upstream;
+  TestNode node("one", upstream);
+  node.AddMember(node.self);
+
+  SECTION("the caller's request") {
+    LoopPause pause(node.loop);
+    RawConnection caller = node.ConnectCaller();
+    caller.Write(MakeRequest("GET", "/film"));
+    caller.Close();
+  }
+  SECTION("another node's call") {
+    LoopPause pause(node.loop);
+    RawConnection peer = node.ConnectPeer();
+    peer.Write(MakeRequest("GET", "/film", "x-verbena-target: one\r\n"));
+    peer.Close();
+  }
+  while (node.CounterValue("callers_gone_unread_total") == 0) {
+    REQUIRE_FALSE(upstream.TryAccept());
+    std::this_thread::yield();
+  }
+  CHECK_FALSE(upstream.TryAccept());
+}
+
 TEST_CASE("calls wait for a slot and are refused at their deadline",
           "[calls]") {
   RawListener upstream;
