--- a/src/mesh/inbound_proxy.h
+++ b/src/mesh/inbound_proxy.h
@@ -44,7 +44,7 @@
 // Why the caller's node no longer waits for a call.
 enum class CancelCause : std::uint8_t {
   kCancelled = 0,  // It said so.
-  kLinkEnded = 1,  // Its link was closed, or was silent for too long.
+  kLinkEnded = 1,  // The link that brought the call has ended.
 };
 constexpr std::size_t kCancelCauseCount = 2;
 
@@ -102,7 +102,7 @@
   // running call that is not idempotent completes there. Returns false if the
   // call was still queued: it has not run and never will.
   bool Cancel(CallId id, CancelCause cause);
-  // A call that its node ended for `cause` before it was started here.
+  // Logs and counts a call that was ended for `cause` before `Start`.
   void OnCancelledUnread(const GateCall& call, CancelCause cause);
   // Flow control: the caller consumed `bytes` of the response body.
   void GrantCredit(CallId id, std::uint32_t bytes);
--- a/src/mesh/link_hub.cc
+++ b/src/mesh/link_hub.cc
@@ -199,6 +199,7 @@
   });
 }
 
+// Runs in an event of its own, after all frames that were read with the calls.
 void LinkHub::StartArrived(const IncomingPointer& peer) {
   if (peer->arrived.empty()) {
     return;
--- a/src/mesh/outbound_proxy.cc
+++ b/src/mesh/outbound_proxy.cc
@@ -105,8 +105,7 @@
   if (exchange->HasClientLeft()) {
     init_.metrics->Add(callers_gone_unread_);
     Log(LogLevel::kInfo, kLogComponent,
-        "The caller left before the request "
-        "was read.",
+        "Dropped a request whose caller had left.",
         {{"request",
           FindHeader(exchange->head().headers, init_.headers.request_id)},
          {"caller", exchange->remote_ip()},
