Only a link that is in use ends the earlier links of its node

Cause: a node that holds the record of a member that has gone opens links to that member's former address. Where another node has the address now, it hears the hello and gives the link up at once; that hello had ended the link in use. Change: a link is in use once more than its hello came, and a node sends a ping when it accepts a link; only then the earlier links of the same node end.

--- a/src/mesh/link_hub.cc
+++ b/src/mesh/link_hub.cc
@@ -91,6 +91,7 @@
 void LinkHub::AddIncoming(Tcp::socket socket) {
   const auto peer = std::make_shared<Incoming>();
   peer->link = std::make_shared<Link>(std::move(socket), &deltas_);
+  peer->number = ++last_incoming_;
   incoming_.insert(peer);
   const std::weak_ptr<Incoming> weak = peer;
   peer->link->Open({[this, weak](LinkFrame frame) {
@@ -107,11 +108,14 @@
 
 void LinkHub::OnIncomingFrame(const IncomingPointer& peer, LinkFrame frame) {
   const CallId id = frame.call;
+  if (!std::holds_alternative<LinkHello>(frame.body) &&
+      !std::exchange(peer->in_use, true)) {
+    DropEarlierLinks(peer);
+  }
   std::visit(
       Overload{
           [&](const LinkHello& hello) {
             peer->name = hello.self.member.name;
-            DropEarlierLinks(peer);
             init_.on_member_record(hello.self);
             peer->link->Send(HelloFrame());
             init_.on_load(peer->name, {{}, hello.configuration});
@@ -291,18 +295,19 @@
   }
 }
 
-// A node has one link to this one and ends its calls when it opens another. The
-// end of the earlier one may not arrive, if the network lost the connection.
+// A node uses one link to this one, and ends its calls when it uses another.
+// The end of the earlier one may not arrive, if the network lost the
+// connection.
 void LinkHub::DropEarlierLinks(const IncomingPointer& peer) {
   std::vector<IncomingPointer> earlier;
   for (const IncomingPointer& other : incoming_) {
-    if (other != peer && other->name == peer->name) {
+    if (other->name == peer->name && other->number < peer->number) {
       earlier.push_back(other);
     }
   }
   for (const IncomingPointer& other : earlier) {
     other->link->Close();
-    DropIncoming(other, "the peer has opened another link");
+    DropIncoming(other, "the peer uses another link");
   }
 }
 
@@ -452,6 +457,8 @@
   init_.on_load(name, {{}, hello.configuration});
   ShareCrashEvidence(*peer->link);
   ShareRollouts(*peer->link);
+  // Tells the peer that this link is in use.
+  peer->link->Send({0, LinkPing{}});
 }
 
 void LinkHub::OnOutgoingClosed(const OutgoingPointer& peer,
--- a/src/mesh/link_hub.h
+++ b/src/mesh/link_hub.h
@@ -139,7 +139,11 @@
   // A link that another node opened.
   struct Incoming {
     std::shared_ptr<Link> link;
-    std::string name;                // Empty until the hello of the peer.
+    std::uint64_t number = 0;  // In the order of opening.
+    std::string name;          // Empty until the hello of the peer.
+    // The peer sent more than its hello. It gives up a link at once that it
+    // opened to another node's former address.
+    bool in_use = false;
     std::map<CallId, CallId> calls;  // The gate's IDs by the peer's.
     std::set<CallId> queued;         // Calls with data in the paced sender.
     // Calls that start once all frames that were read with them are handled.
@@ -183,6 +187,7 @@
   Random random_;
   std::map<std::string, OutgoingPointer, std::less<>> outgoing_;
   std::set<IncomingPointer> incoming_;
+  std::uint64_t last_incoming_ = 0;
   Time last_check_;
   // Timers that have expired run their handlers although they are cancelled;
   // those that find this gone do nothing.
