Fault soak: callers that leave before they are answered

A caller asks for three seconds of work and leaves after 0.03 to 0.4 s. No more than a few requests may reach an instance, and go on there while both nodes are in touch, later than half a second after that.

--- a/soak/broken_builds.sh
+++ b/soak/broken_builds.sh
@@ -28,6 +28,7 @@
 full rate at each node@src/core/quota_peers.cc@s/^  reach_ = known == 0/  candidates = {self_};\n&/@whose quota
 exposure ignored@src/core/rollout_exposure.cc@s/return used < allowed \&\&/return true ||/@is not proved
 evidence dropped@src/core/rollout_evidence.cc@s/if (message.responses <= before.responses)/if (message.responses > 0)/@was returned from
+cancels not heard@src/mesh/link_hub.cc@s/\[&\](const LinkCancel\&) { OnIncomingCancel(peer, id); },/[](const LinkCancel\&) {},/@after their caller left
 never ready@src/mesh/sidecar_control.cc@s/const bool ready =$/& false \&\&/@are ready
 '
 # Faults that one guard alone would hide have the second one taken away too.
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -21,6 +21,7 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "platform"))
 import fault_groups  # noqa: E402
+import fault_leavers  # noqa: E402
 import fault_quotas  # noqa: E402
 import fault_rollouts  # noqa: E402
 import protocol  # noqa: E402
@@ -382,7 +383,7 @@
         try:
             while True:
                 line, headers, body = await read_message(reader)
-                await self.answer(mine, line, headers, body, writer)
+                await self.answer(mine, line, headers, reader, writer)
         except (asyncio.IncompleteReadError, ConnectionError, OSError):
             pass  # The node closed its connection.
         except asyncio.CancelledError:
@@ -391,7 +392,7 @@
             busy.discard(writer)
             writer.close()
 
-    async def answer(self, mine, line, headers, body, writer):
+    async def answer(self, mine, line, headers, reader, writer):
         request = protocol.header(headers, protocol.REQUEST_ID) or ""
         expected = protocol.header(headers, protocol.EXPECTED_INSTANCE)
         if expected not in (None, mine) or mine != self.id:
@@ -403,6 +404,8 @@
         running = self.soak.running.setdefault(mine, set())
         running.add(target)
         try:
+            if self.soak.leavers.is_leaver(request):
+                await self.soak.leavers.work(self, request, reader)
             await self.run(mine, request, line, headers, writer)
         finally:
             running.discard(target)
@@ -599,6 +602,7 @@
         self.served = []  # (time, whether it was served)
         self.quotas = fault_quotas.Quotas(self, options.seed)
         self.groups = fault_groups.Groups(self, options.seed)
+        self.leavers = fault_leavers.Leavers(self, options.seed)
         self.store = Store(self.rng)
         self.rollouts = fault_rollouts.Rollouts(self, options.seed)
         self.nodes = [Node(self, i) for i in range(options.nodes)]
@@ -632,6 +636,7 @@
     def on_run(self, instance, request, line, headers):
         self.runs[request] = self.runs.get(request, 0) + 1
         self.quotas.on_run(request)
+        self.leavers.on_run(request)
         self.groups.on_run(instance, request, line, headers)
         unsafe = "/unsafe/" in line
         if request not in self.sent:
@@ -660,6 +665,7 @@
             target
             for target in running
             if "/safe/" in target and "/ends-" not in target
+            if "/leave" not in target
         }
 
     def in_touch(self, node):
@@ -1047,6 +1053,7 @@
         ]
         clients.append(asyncio.create_task(self.quotas.callers()))
         clients.append(asyncio.create_task(self.groups.callers()))
+        clients.append(asyncio.create_task(self.leavers.callers()))
         clients.append(asyncio.create_task(self.groups.changes()))
         end = self.begin + self.options.warm_up + self.options.seconds
         await asyncio.gather(
@@ -1070,6 +1077,7 @@
         self.check_refusals()
         self.quotas.check()
         self.groups.check()
+        self.leavers.check()
         for server in servers:
             server.close()
 
