A frame without a hello ends no other link

Found by reading the change again; no caller met it. Cause: a link whose first frame is no hello has no name yet, and ended all earlier links that had not said hello either, since their names, both empty, were the same. Change: only a link that has said hello counts as in use. Measured: the section 'a frame without a hello ends no link that has yet to say hello' failed before the change and passes now, as do all unit tests.

--- a/src/mesh/link_hub.cc
+++ b/src/mesh/link_hub.cc
@@ -108,7 +108,8 @@
 
 void LinkHub::OnIncomingFrame(const IncomingPointer& peer, LinkFrame frame) {
   const CallId id = frame.call;
-  if (!std::holds_alternative<LinkHello>(frame.body) &&
+  const bool has_introduced_itself = !peer->name.empty();
+  if (has_introduced_itself && !std::holds_alternative<LinkHello>(frame.body) &&
       !std::exchange(peer->in_use, true)) {
     DropEarlierLinks(peer);
   }
--- a/tests/caller_gone_test.cc
+++ b/tests/caller_gone_test.cc
@@ -51,6 +51,12 @@
 struct PlayedNode {
   PlayedNode(asio::io_context& io, const SocketAddress& address)
       : connection(RawConnection::ConnectTo(io, address)) {
+    SendHello();
+  }
+  explicit PlayedNode(RawConnection connected)
+      : connection(std::move(connected)) {}
+
+  void SendHello() {
     MemberRecord record;
     record.member.name = "played";
     record.member.incarnation = 1;
@@ -216,6 +222,18 @@
     Mesh::Answer(*request);
     CHECK(before.ReadResponse().body == "ok");
   }
+  SECTION("a frame without a hello ends no link that has yet to say hello") {
+    PlayedNode silent(RawConnection::ConnectTo(mesh.client_io, links_at));
+    PlayedNode stranger(RawConnection::ConnectTo(mesh.client_io, links_at));
+    stranger.Send({0, LinkPing{}});
+    stranger.connection.ReadBytes(1);
+    silent.SendHello();
+    silent.Send(MakeGateCall(1, true));
+    auto request = mesh.Receive();
+    REQUIRE(request);
+    Mesh::Answer(*request);
+    CHECK(silent.ReadResponse().body == "ok");
+  }
   SECTION("calls on the new link run") {
     PlayedNode after(mesh.client_io, links_at);
     after.Send(MakeGateCall(1, true));
