A stopping node cuts off no request that it took late

Cause: a node stopped accepting connections 2.6 s after SIGTERM and closed those at rest, but went on to take requests on the others: one whose body was still under way, and one that was sent ahead behind a response that had begun before the stop. Both were passed on until 0.5 s before the end of the grace period. With a grace period of 3 s or less, requests were accepted until the exit. What was running then was cut without an answer.

Change: from the moment at which connections at rest are closed, a request that is read is refused at once with 503, before it is sent anywhere; a request that was sent ahead is not read, and its connection ends after the response under way. Requests are accepted for half of the grace period at most.

--- a/src/core/shutdown_schedule.cc
+++ b/src/core/shutdown_schedule.cc
@@ -1,5 +1,7 @@
 #include "core/shutdown_schedule.h"
 
+#include <algorithm>
+
 namespace verbenastile {
 namespace {
 
@@ -17,8 +19,10 @@
 ShutdownState ShutdownStateAt(Duration waited, bool busy, Duration grace) {
   ShutdownState state;
   state.accepts_calls = waited < kAcceptCallsTime;
-  state.accepts_requests = waited < kAcceptRequestsTime;
-  if (waited >= grace - kExitReserve) {
+  const Duration end = grace - kExitReserve;
+  // The last requests accepted have at least as long to complete.
+  state.accepts_requests = waited < std::min(kAcceptRequestsTime, end / 2);
+  if (waited >= end) {
     state.outcome =
         busy ? ShutdownOutcome::kTimedOut : ShutdownOutcome::kCompleted;
   } else if (!state.accepts_requests && !busy) {
--- a/src/io/http1_server.cc
+++ b/src/io/http1_server.cc
@@ -235,7 +235,7 @@
   on_drained = nullptr;
   wait_start_ = SteadyNow();
   SetBufferedBytes(0);
-  if (close_after_response_) {
+  if (close_after_response_ || server_->closing_) {
     Linger();
     return;
   }
@@ -460,6 +460,7 @@
 void Http1Server::CloseIdle() {
   asio::error_code ignored;  // The acceptor may not be open.
   acceptor_.close(ignored);
+  closing_ = true;
   for (const auto& connection : std::set(connections_)) {
     if (connection->idle()) {
       connection->Close();
--- a/src/io/http1_server.h
+++ b/src/io/http1_server.h
@@ -108,7 +108,8 @@
   // From now on, responses carry "Connection: close" and their connections are
   // closed after them.
   void BeginDrain() { draining_ = true; }
-  // Stops listening and closes connections that are waiting for a request.
+  // Stops listening and closes connections that are waiting for a request; the
+  // others are closed after the response to the request that they have begun.
   void CloseIdle();
 
   // The listening address, with the port the system assigned if 0 was given.
@@ -133,6 +134,7 @@
   std::uint64_t requests_ = 0;
   std::uint64_t rejected_ = 0;
   bool draining_ = false;
+  bool closing_ = false;  // `CloseIdle` was called.
   // Timers that have expired run their handlers although they are cancelled;
   // those that find this gone do nothing.
   std::shared_ptr<const bool> alive_ = std::make_shared<const bool>(true);
--- a/src/mesh/outbound_proxy.cc
+++ b/src/mesh/outbound_proxy.cc
@@ -119,6 +119,10 @@
   call.begin = SteadyNow();
   call.request_id =
       FindHeader(call.exchange->head().headers, init_.headers.request_id);
+  if (!accepts_requests_) {
+    Fail(id, kHttpUnavailable, "the node is stopping");
+    return;
+  }
   if (!MatchRule(id, call)) {
     return;
   }
@@ -553,12 +557,29 @@
     if (call.attempt && call.attempt->rollout) {
       call.attempt->rollout->failed = true;
     }
-    CancelCopy(id, call, RaceEvent::kDeadline);
-    CancelAttempt(id, call, AttemptOutcome::kUnknown);
-    Fail(id, kHttpGatewayTimeout, "the deadline has passed");
+    FailUnanswered(id, "the deadline has passed");
+  }
+}
+
+void OutboundProxy::FailAll(std::string_view reason) {
+  std::vector<CallId> ids;
+  ids.reserve(calls_.size());
+  for (const auto& [id, call] : calls_) {
+    ids.push_back(id);
+  }
+  for (const CallId id : ids) {
+    FailUnanswered(id, reason);
   }
 }
 
+// Ends a request for which no response is awaited any longer.
+void OutboundProxy::FailUnanswered(CallId id, std::string_view reason) {
+  Call& call = calls_.at(id);
+  CancelCopy(id, call, RaceEvent::kDeadline);
+  CancelAttempt(id, call, AttemptOutcome::kUnknown);
+  Fail(id, kHttpGatewayTimeout, reason);
+}
+
 void OutboundProxy::ScheduleDeadlineCheck() {
   deadline_check_scheduled_ = !calls_.empty();
   if (!deadline_check_scheduled_) {
--- a/src/mesh/outbound_proxy.h
+++ b/src/mesh/outbound_proxy.h
@@ -87,6 +87,11 @@
   OutboundProxy& operator=(const OutboundProxy&) = delete;
 
   void OnRequest(ExchangePointer exchange);
+  // From now on, requests are refused as not run.
+  void StopAccepting() { accepts_requests_ = false; }
+  // Ends all requests with an error response that says whether they may have
+  // run.
+  void FailAll(std::string_view reason);
   // Handles a frame of the response to a call that was sent to `member`.
   void OnLinkFrame(std::string_view member, LinkFrame frame);
   // The link to `member` broke: calls on it get no further frames, and
@@ -341,10 +346,12 @@
   void OnCallerDisconnected(CallId id);
   void FinishCall(CallId id, std::string_view outcome, int status);
   void FailOverdue();
+  void FailUnanswered(CallId id, std::string_view reason);
   void ScheduleDeadlineCheck();
 
   Init init_;
   asio::steady_timer deadline_timer_;
+  bool accepts_requests_ = true;
   Balancer balancer_;
   DomainSpill domain_spill_;
   // By service and failure domain.
--- a/src/mesh/sidecar.cc
+++ b/src/mesh/sidecar.cc
@@ -465,10 +465,12 @@
     // From now on callers find the address closed and send requests that were
     // not read to other nodes.
     caller_server_.CloseIdle();
+    outbound_.StopAccepting();
   }
   if (state.outcome == ShutdownOutcome::kTimedOut) {
     Log(LogLevel::kWarning, kLogComponent, "The drain timed out.",
         {{"requests", outbound_.active()}, {"calls", inbound_.active()}});
+    outbound_.FailAll("the node is stopping");
     FireEvent("drain_expired");
     return;
   }
--- a/tests/shutdown_schedule_test.cc
+++ b/tests/shutdown_schedule_test.cc
@@ -18,10 +18,10 @@
   ShutdownOutcome outcome = ShutdownOutcome::kInProgress;
 };
 
-ShutdownTimes RunShutdown(Duration busy_until) {
+ShutdownTimes RunShutdown(Duration busy_until, Duration grace = kGrace) {
   ShutdownTimes times;
-  for (Duration at{0}; at <= kGrace; at += kStep) {
-    const ShutdownState state = ShutdownStateAt(at, at < busy_until, kGrace);
+  for (Duration at{0}; at <= grace; at += kStep) {
+    const ShutdownState state = ShutdownStateAt(at, at < busy_until, grace);
     times.accepts_calls = state.accepts_calls ? at : times.accepts_calls;
     times.accepts_requests =
         state.accepts_requests ? at : times.accepts_requests;
@@ -56,6 +56,16 @@
   }
 }
 
+// Guards against requests that are cut off (LOST): with a short grace period, a
+// node accepted requests until it exited.
+SCENARIO("the last requests accepted have half of the grace period") {
+  for (const int grace_ms : {2'000, 3'000, 6'000, 10'000}) {
+    const Duration grace = grace_ms * kMs;
+    const ShutdownTimes times = RunShutdown(grace * 2, grace);
+    CHECK(times.exited - times.accepts_requests >= times.exited / 2);
+  }
+}
+
 // Guards against lost capacity during a rolling restart: the nodes of ten
 // machines are restarted in turn, one every two seconds. When a stopping node
 // accepted no calls for its instance, a fifth of the service was missing
