Nothing is rejected by a configuration that may be outdated

Cause: what a node may reject for good was bounded by two constants of 12 s, where the deployments' bound is 2 to 3 s. A request that no rule matches got 404 even when a peer had announced a newer configuration. And the age of the belief was counted from when a response was read: after a standstill, or on a slow store, it was younger than what it rests on. A reader that listed the store anew told its followers meanwhile that it had lost it, so that they did not ask it for what it had just got.

Change: `config_apply_ms` of the platform's bounds is the limit; a configuration that the store confirmed longer ago, or that a peer is known to have a newer one of, rejects nothing: 503 and Retry-After 0.5 s, before anything ran. This holds for rules that do not match, rules that reject and keys. A list is confirmed when it was requested, a watch without an event at the end of its wait, everything else when it was read less the time for which the process stood still. The pause between watches follows from the bound too. While a list takes the place of a lost watch, a node is still a reader.

Observability: the age, whether a newer one is known, and refusals in doubt are in the request's line, in metrics and in a line of their own.

Evidence: "a request is not rejected by a configuration that may be outdated" and "the store confirms what a response says when it makes the response"; before, the first got 404 at any age below 12 s and while a newer one was known, by reading of the code that it replaces. The test of 12 s in key_check_test.cc has the new limit: the old one was the fault.

--- a/src/core/key_check.cc
+++ b/src/core/key_check.cc
@@ -9,12 +9,6 @@
 
 constexpr std::string_view kBlanks = " \t";
 
-// Whether a configuration that this node does not have may say otherwise than
-// the one in force.
-bool MayBeOutdated(const ConfigurationBelief& belief, const KeyLimits& limits) {
-  return belief.behind || belief.age >= limits.max_age;
-}
-
 bool IsRevokePeriodOver(const ConfigurationBelief& belief,
                         const KeyLimits& limits) {
   const Duration unconfirmed =
@@ -75,7 +69,7 @@
   if (group != nullptr) {
     return {KeyVerdict::kAccepted, group};
   }
-  if (MayBeOutdated(belief, limits)) {
+  if (MayBeOutdated(belief, limits.apply_period)) {
     return {KeyVerdict::kInDoubt, nullptr};
   }
   return {key ? KeyVerdict::kUnknownKey : KeyVerdict::kNoKey, nullptr};
--- a/src/core/key_check.h
+++ b/src/core/key_check.h
@@ -10,6 +10,7 @@
 
 #include "base/time.h"
 #include "config/rules.h"
+#include "core/configuration_belief.h"
 #include "core/digest.h"
 #include "core/route_table.h"
 
@@ -33,15 +34,6 @@
 // For logs and metrics.
 std::string_view ToString(KeyVerdict verdict);
 
-// How far this node's configuration can be relied on.
-struct ConfigurationBelief {
-  // Since the store last confirmed that no newer one exists.
-  Duration age{0};
-  // Since a peer announced a newer one that this node does not have yet; empty
-  // if none did.
-  std::optional<Duration> behind;
-};
-
 struct KeyLimits {
   // Whether requests on rules that need a key are refused once the belief is
   // older than `revoke_period`. Else known keys are accepted at any age.
@@ -50,8 +42,8 @@
   // its withdrawal.
   Duration revoke_period = std::chrono::seconds(5);
   // An unknown key is refused for good only up to this age of the belief: it
-  // may have been added since.
-  Duration max_age = std::chrono::seconds(12);
+  // may have been added since, and have to be known.
+  Duration apply_period = ConfigurationLimits().apply_period;
 };
 
 // Returns the key in the value of a credentials header, such as "Token KEY";
--- a/src/mesh/outbound_keys.cc
+++ b/src/mesh/outbound_keys.cc
@@ -74,8 +74,7 @@
 KeyDecision OutboundProxy::CheckKeyOf(const Call& call,
                                       const RouteTable& table) const {
   return CheckKey(table, *call.route, call.key_digest,
-                  {init_.configuration_age(), init_.configuration_behind()},
-                  init_.key_limits());
+                  init_.configuration_belief(), init_.key_limits());
 }
 
 // Checks the key again by the configuration in force, which may have withdrawn
@@ -94,16 +93,16 @@
   if (in_doubt) {
     call.retry_after = kInDoubtRetryAfter;
   }
-  const auto behind = init_.configuration_behind();
+  const ConfigurationBelief belief = init_.configuration_belief();
   Log(LogLevel::kInfo, kLogComponent, "Refused a request for its key.",
       {{"request", call.request_id},
        {"key", ToString(verdict)},
        {"rule", call.rule->id},
        {"in_force", init_.applier->generation()},
        {"groups", init_.applier->table()->document().groups.size()},
-       {"config_age_ms", ToMilliseconds(init_.configuration_age())},
-       {"newer_known", behind.has_value()},
-       {"behind_ms", ToMilliseconds(behind.value_or(Duration::zero()))},
+       {"config_age_ms", ToMilliseconds(belief.age)},
+       {"newer_known", belief.behind.has_value()},
+       {"behind_ms", ToMilliseconds(belief.behind.value_or(Duration(0)))},
        {"fail_closed", init_.key_limits().fail_closed}});
   Fail(id, in_doubt ? kHttpUnavailable : kHttpUnauthorized, ReasonFor(verdict));
 }
--- a/src/mesh/outbound_proxy.cc
+++ b/src/mesh/outbound_proxy.cc
@@ -27,10 +27,9 @@
 // Retry-After of a blocked request, which is refused until an operator clears
 // it.
 constexpr Duration kBlockedRetryAfter = std::chrono::minutes(1);
-// When the store has not confirmed the configuration for this long, a request
-// that matches no rule gets 503 and not 404: its rule may have been added
-// since.
-constexpr Duration kMaxConfigurationAge = std::chrono::seconds(12);
+// Retry-After of a request that the configuration in force rejects while it may
+// be outdated. Covers a request to a peer for a newer one.
+constexpr Duration kOutdatedRetryAfter = std::chrono::milliseconds(500);
 // Instances are warm this long after their start.
 constexpr Duration kWarmUp = std::chrono::seconds(3);
 constexpr std::uint32_t kColdSharePermille = 300;
@@ -86,6 +85,7 @@
       failed_(init.metrics->Counter("requests_failed_total")),
       retried_(init.metrics->Counter("requests_sent_again_total")),
       redirected_(init.metrics->Counter("requests_moved_total")),
+      in_doubt_(init.metrics->Counter("requests_in_doubt_total")),
       callers_gone_(init.metrics->Counter("callers_gone_total")),
       callers_gone_unread_(init.metrics->Counter("callers_gone_unread_total")),
       cancels_not_sent_(init.metrics->Counter("cancels_not_sent_total")),
@@ -170,19 +170,38 @@
   view.method = head.method;
   call.rule = call.table->FindRule(view);
   if (call.rule == nullptr) {
-    const bool fresh = init_.configuration_age() < kMaxConfigurationAge;
-    Fail(id, fresh ? kHttpNotFound : kHttpUnavailable,
-         fresh ? "no rule matches" : "the configuration may be old");
+    Reject(id, kHttpNotFound, "no rule matches");
     return false;
   }
   if (const auto* reject = std::get_if<RejectAction>(&call.rule->action)) {
-    Fail(id, reject->status, reject->reason);
+    Reject(id, reject->status, reject->reason);
     return false;
   }
   call.route = &std::get<RouteAction>(call.rule->action);
   return true;
 }
 
+void OutboundProxy::Reject(CallId id, int status, std::string_view reason) {
+  Call& call = calls_.at(id);
+  const ConfigurationBelief belief = init_.configuration_belief();
+  if (!MayBeOutdated(belief, init_.key_limits().apply_period)) {
+    Fail(id, status, reason);
+    return;
+  }
+  Log(LogLevel::kInfo, kLogComponent,
+      "The configuration that rejects a request may be outdated.",
+      {{"request", call.request_id},
+       {"status", status},
+       {"reason", reason},
+       {"in_force", call.table->generation()},
+       {"config_age_ms", ToMilliseconds(belief.age)},
+       {"newer_known", belief.behind.has_value()},
+       {"behind_ms", ToMilliseconds(belief.behind.value_or(Duration(0)))}});
+  init_.metrics->Add(in_doubt_);
+  call.retry_after = kOutdatedRetryAfter;
+  Fail(id, kHttpUnavailable, "the configuration may be outdated");
+}
+
 // Takes a token of the quota of the caller's group. Returns false when the
 // request was answered here, or waits for tokens.
 bool OutboundProxy::TakeQuota(CallId id, Call& call) {
@@ -511,6 +530,7 @@
   }
   init_.metrics->Observe(latency_, static_cast<double>(took.count()));
   RecordOutcome(call, status, now);
+  const ConfigurationBelief belief = init_.configuration_belief();
   const Member* member = call.tried_upstreams.empty()
                              ? nullptr
                              : balancer_.Find(call.tried_upstreams.back());
@@ -521,7 +541,8 @@
        {"target", call.exchange->head().target},
        {"rule", call.rule == nullptr ? std::string_view() : call.rule->id},
        {"generation", call.table ? call.table->generation() : 0},
-       {"config_age_ms", ToMilliseconds(init_.configuration_age())},
+       {"config_age_ms", ToMilliseconds(belief.age)},
+       {"newer_known", belief.behind.has_value()},
        {"service", call.service},
        {"group", call.group == nullptr ? std::string_view() : call.group->name},
        {"member", member == nullptr ? std::string_view() : member->name},
--- a/src/mesh/outbound_proxy.h
+++ b/src/mesh/outbound_proxy.h
@@ -26,6 +26,7 @@
 #include "core/attempt_race.h"
 #include "core/balancer.h"
 #include "core/config_apply.h"
+#include "core/configuration_belief.h"
 #include "core/copy_policy.h"
 #include "core/crash_suspects.h"
 #include "core/domain_spill.h"
@@ -72,13 +73,12 @@
     CopyLimits copies;
     // The service that the callers on this machine belong to.
     std::function<std::string()> caller_service;
-    // Time since the platform's store last confirmed the configuration.
-    std::function<Duration()> configuration_age;
+    std::function<ConfigurationBelief()> configuration_belief = [] {
+      return ConfigurationBelief();
+    };
     // Null: calls are sent to instances of any software version.
     RolloutService* rollouts = nullptr;
-    // Since a peer announced a newer configuration; empty if none did.
-    std::function<std::optional<Duration>()> configuration_behind;
-    std::function<KeyLimits()> key_limits;
+    std::function<KeyLimits()> key_limits = [] { return KeyLimits(); };
   };
 
   explicit OutboundProxy(const Init& init);
@@ -249,6 +249,9 @@
 
   std::vector<CallId> CallsAt(std::string_view member) const;
   bool MatchRule(CallId id, Call& call);
+  // Rejects the request by the configuration in force, or refuses it for the
+  // time being if that may be outdated.
+  void Reject(CallId id, int status, std::string_view reason);
   bool FindGroup(CallId id, Call& call);
   KeyVerdict RecheckKey(const Call& call) const;
   KeyDecision CheckKeyOf(const Call& call, const RouteTable& table) const;
@@ -381,6 +384,7 @@
   CounterHandle failed_;
   CounterHandle retried_;
   CounterHandle redirected_;
+  CounterHandle in_doubt_;
   CounterHandle callers_gone_;
   CounterHandle callers_gone_unread_;
   CounterHandle cancels_not_sent_;
--- a/src/mesh/sidecar.cc
+++ b/src/mesh/sidecar.cc
@@ -38,10 +38,6 @@
 // their records, so the first lists follow each other more closely.
 constexpr Duration kDiscoveryPeriod = std::chrono::seconds(3);
 constexpr Duration kDiscoveryPoll = std::chrono::seconds(1);
-// Configurations change in bursts. The pause between watches merges a burst
-// into one call, and into one transfer on small links. Both fit well within the
-// two seconds that a change may take.
-constexpr Duration kConfigurationWatchPause = std::chrono::milliseconds(1'000);
 // Where keys may be accepted only for a limited time without a confirmation of
 // the store, the store confirms the configuration this often in that time.
 constexpr int kWatchesPerRevokePeriod = 2;
@@ -174,8 +170,9 @@
   };
   init.on_load = [this](std::string_view member, const GateLoad& load) {
     outbound_.OnLoad(member, load);
+    // The frame may have waited here while this process was not running.
     configuration_source_.OnPeerConfiguration(member, load.configuration,
-                                              SteadyNow());
+                                              SteadyNow() - ReadDelay());
     if (store_.OnPeerEra(load.configuration.store_era)) {
       OnStoreRestored(load.configuration.store_era, store_.era(), member);
     }
@@ -276,15 +273,13 @@
   init.domain_price = settings_.domain_price;
   init.copies.enabled = settings_.copies;
   init.caller_service = [this] { return settings_.service; };
-  init.configuration_age = [this] { return ConfigurationAge(); };
+  init.configuration_belief = [this] { return Belief(); };
   init.rollouts = rollouts_.get();
-  init.configuration_behind = [this] {
-    return configuration_source_.BehindFor(SteadyNow());
-  };
   init.key_limits = [this] {
     KeyLimits limits;
     limits.fail_closed = bounds_.refuse_unconfirmed_keys;
     limits.revoke_period = bounds_.revoke_period;
+    limits.apply_period = bounds_.configuration.apply_period;
     return limits;
   };
   return init;
@@ -302,7 +297,8 @@
 
 StoreFollower::Init Sidecar::ConfigurationInit() {
   StoreFollower::Init init = FollowerInit(platform::kConfigurationKind);
-  init.watch_delay = kConfigurationWatchPause;
+  init.watch_delay = [this] { return bounds_.configuration.WatchPause(); };
+  init.read_delay = [this] { return ReadDelay(); };
   init.watch_limit = [this] {
     return bounds_.refuse_unconfirmed_keys
                ? bounds_.revoke_period / kWatchesPerRevokePeriod
@@ -572,6 +568,14 @@
   }
 }
 
+// What had arrived before the tick before the last one has been handled since,
+// so that what is read now came later. Zero while the ticks come in time.
+Duration Sidecar::ReadDelay() const {
+  const Duration since = SteadyNow() - last_ticks_.back();
+  return std::max(since - 2 * (kPeriodicInterval + kMaxLoopLag),
+                  Duration::zero());
+}
+
 void Sidecar::SchedulePeriodicWork() {
   const Time due = SteadyNow() + kPeriodicInterval;
   periodic_timer_.expires_after(kPeriodicInterval);
@@ -580,6 +584,7 @@
       SchedulePeriodicWork();
       const Time now = SteadyNow();
       RecordLoopLag(now - due);
+      last_ticks_ = {now, last_ticks_.front()};
       UpdateConfigurationSource(now);
       if (rollouts_) {
         rollouts_->Tick(now);
--- a/src/mesh/sidecar.h
+++ b/src/mesh/sidecar.h
@@ -4,6 +4,7 @@
 #ifndef MESH_SIDECAR_H_
 #define MESH_SIDECAR_H_
 
+#include <array>
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
@@ -130,7 +131,9 @@
   bool StoreRecord(const MemberRecord& record);
   // When the store last confirmed the configuration to any node.
   std::optional<Time> ConfigurationConfirmed() const;
-  Duration ConfigurationAge() const;
+  ConfigurationBelief Belief() const;
+  // How long input that is read now may have waited in this process.
+  Duration ReadDelay() const;
   FleetRetryBudgetLimits AllowanceLimits() const;
   QuotaLimits RequestQuotaLimits() const;
   void RecordLoopLag(Duration lag);
@@ -177,6 +180,8 @@
   bool has_listed_members_ = false;
   // Runs when the first record is written, which awaits the first list.
   std::function<void()> on_first_publish_;
+  // When periodic work last ran, latest first.
+  std::array<Time, 2> last_ticks_{started_, started_};
   Time leaving_since_;
   bool leaving_ = false;  // Accepts no more calls for the instance.
   int exit_code_ = 0;
--- a/src/mesh/sidecar_configuration.cc
+++ b/src/mesh/sidecar_configuration.cc
@@ -78,7 +78,9 @@
     Log(LogLevel::kInfo, "config",
         follow_store ? "Following the store for the configuration."
                      : "Following peers for the configuration.",
-        {{"in_force", applier_.generation()}});
+        {{"in_force", applier_.generation()},
+         {"readers", configuration_source_.ReaderCount()},
+         {"config_age_ms", ToMilliseconds(Belief().age)}});
     follow_store ? configuration_follower_.Start()
                  : configuration_follower_.Stop();
   }
@@ -127,9 +129,11 @@
                   configuration_source_.last_confirmed());
 }
 
-Duration Sidecar::ConfigurationAge() const {
+ConfigurationBelief Sidecar::Belief() const {
+  const Time now = SteadyNow();
   const auto confirmed = ConfigurationConfirmed();
-  return confirmed ? SteadyNow() - *confirmed : Duration::max();
+  return {confirmed ? now - *confirmed : Duration::max(),
+          configuration_source_.BehindFor(now)};
 }
 
 }  // namespace verbenastile
--- a/src/mesh/sidecar_control.cc
+++ b/src/mesh/sidecar_control.cc
@@ -103,6 +103,14 @@
 void Sidecar::OnMetrics(const ExchangePointer& exchange) {
   metrics_.Set(metrics_.Gauge("generation"),
                static_cast<double>(applier_.generation()));
+  const ConfigurationBelief belief = Belief();
+  metrics_.Set(metrics_.Gauge("configuration_age_microseconds"),
+               static_cast<double>(belief.age.count()));
+  metrics_.Set(
+      metrics_.Gauge("configuration_behind_microseconds"),
+      static_cast<double>(belief.behind.value_or(Duration::zero()).count()));
+  metrics_.Set(metrics_.Gauge("configuration_readers"),
+               static_cast<double>(configuration_source_.ReaderCount()));
   metrics_.Set(metrics_.Gauge("members"),
                static_cast<double>(member_registry_.entries().size()));
   metrics_.Set(metrics_.Gauge("open_links"),
--- a/src/mesh/store_follower.cc
+++ b/src/mesh/store_follower.cc
@@ -119,10 +119,11 @@
     revision_ = list.revision;
     era_ = list.era;
     listed_ = true;
-    OnSuccess();
+    OnSuccess(sent_);
     init_.on_listed(list.items);
     HandleEvent("listed");
   };
+  sent_ = SteadyNow();
   call_ = init_.store->List(init_.kind, freshness, on_done);
 }
 
@@ -136,9 +137,10 @@
 }
 
 void StoreFollower::Watch() {
-  const Duration wait = std::min(WatchTimeout(init_.follower_count(), random_),
-                                 init_.watch_limit());
-  call_ = init_.store->Watch(init_.kind, revision_, wait,
+  wait_ = std::min(WatchTimeout(init_.follower_count(), random_),
+                   init_.watch_limit());
+  sent_ = SteadyNow();
+  call_ = init_.store->Watch(init_.kind, revision_, wait_,
                              [this](StoreResult<StoreEvents> result) {
                                OnWatchResult(std::move(result));
                              });
@@ -157,18 +159,19 @@
   }
   const auto& events = std::get<StoreEvents>(result);
   revision_ = std::max(revision_, events.revision);
-  OnSuccess();
+  OnSuccess(WatchConfirmed(events));
   for (const StoreEvent& event : events.events) {
     init_.on_event(event);
   }
   if (events.events.empty() && init_.on_unchanged) {
     init_.on_unchanged();
   }
-  if (events.events.empty() || init_.watch_delay == Duration::zero()) {
+  const Duration delay = init_.watch_delay();
+  if (events.events.empty() || delay == Duration::zero()) {
     HandleEvent("watch_ended");
     return;
   }
-  timer_.expires_after(init_.watch_delay);
+  timer_.expires_after(delay);
   timer_.async_wait([this](const asio::error_code& error) {
     if (!error) {
       HandleEvent("watch_ended");
@@ -176,13 +179,24 @@
   });
 }
 
-void StoreFollower::OnSuccess() {
+// Without an event the store answers when the wait is over. A response that
+// comes earlier, with events or since the store cut the watch off, was made
+// before it is read by at most the time that it waited here.
+Time StoreFollower::WatchConfirmed(const StoreEvents& events) const {
+  const Time now = SteadyNow();
+  const Time wait_over = sent_ + wait_;
+  return events.events.empty() && now >= wait_over
+             ? wait_over
+             : std::max(sent_, now - init_.read_delay());
+}
+
+void StoreFollower::OnSuccess(Time confirmed) {
   if (failures_ > 0) {
     Log(LogLevel::kInfo, kLogComponent, "Requests to the store succeed again.",
         {{"kind", init_.kind}, {"failures", failures_}});
   }
   failures_ = 0;
-  last_confirmed_ = SteadyNow();
+  last_confirmed_ = std::max(last_confirmed_, std::optional(confirmed));
 }
 
 void StoreFollower::OnError(const StoreError& error, std::string_view event) {
--- a/src/mesh/store_follower.h
+++ b/src/mesh/store_follower.h
@@ -28,7 +28,7 @@
     std::string kind;
     // The delay between an event and the next watch, so that a burst of events
     // costs one request.
-    Duration watch_delay = std::chrono::milliseconds(0);
+    std::function<Duration()> watch_delay = [] { return Duration::zero(); };
     // If set, objects are not watched but listed again after about this time.
     std::function<Duration()> poll_interval;
     // The number of nodes that watch these objects and notify each other of
@@ -36,6 +36,8 @@
     std::function<std::size_t()> follower_count = [] { return std::size_t{1}; };
     // The longest time that a watch may wait for an event.
     std::function<Duration()> watch_limit = [] { return Duration::max(); };
+    // How long a response that is read now may have waited in this process.
+    std::function<Duration()> read_delay = [] { return Duration::zero(); };
     std::uint64_t seed = 0;
     // Receives all objects after each list.
     std::function<void(const std::vector<StoreObject>&)> on_listed;
@@ -58,14 +60,15 @@
   // Lists the objects now instead of waiting for the watch to end.
   void ListNow();
 
-  // The time of the last successful request; empty before the first one.
+  // The latest time at which the store is known to have had nothing newer than
+  // what was reported; empty before the first successful request.
   std::optional<Time> last_confirmed() const { return last_confirmed_; }
   // Whether the objects have been listed at least once.
   bool listed() const { return listed_; }
   // Of the last list or watch.
   StoreRevision revision() const { return revision_; }
   // Whether the objects are listed and no request has failed since.
-  bool is_connected() const { return machine_.state() == "watching"; }
+  bool is_connected() const { return listed_ && failures_ == 0; }
 
  private:
   void HandleEvent(std::string_view event);
@@ -76,7 +79,9 @@
   Duration NextRetryDelay();
   void Watch();
   void OnWatchResult(StoreResult<StoreEvents> result);
-  void OnSuccess();
+  Time WatchConfirmed(const StoreEvents& events) const;
+  // `confirmed`: when the store made the response, at the earliest.
+  void OnSuccess(Time confirmed);
   void OnError(const StoreError& error, std::string_view event);
 
   Init init_;
@@ -87,6 +92,8 @@
   StoreRevision revision_ = 0;
   StoreEra era_ = 0;  // The era that `revision_` belongs to.
   std::optional<Time> last_confirmed_;
+  Time sent_;              // When the last request was sent.
+  Duration wait_{0};       // How long the last watch may wait for an event.
   unsigned failures_ = 0;  // Since the last successful request.
   bool listed_ = false;
 };
--- a/tests/key_check_test.cc
+++ b/tests/key_check_test.cc
@@ -201,7 +201,7 @@
     }
   }
   GIVEN("a node that has been cut off from the store for long") {
-    belief.age = limits.max_age;
+    belief.age = limits.apply_period;
     THEN("an unknown key may have been added since") {
       CHECK(verdict("shut", "new") == KeyVerdict::kInDoubt);
     }
@@ -290,6 +290,14 @@
   CHECK(bounds.revoke_period == seconds(4));
 }
 
+SCENARIO("the platform bounds how soon a configuration is in force") {
+  const auto parsed = platform::ParseBounds(
+      {{"config_apply_ms", "2500"}, {"max_stretch_ms", "6000"}});
+  const auto& limits = std::get<platform::Bounds>(parsed).configuration;
+  CHECK(limits.apply_period == milliseconds(2'500));
+  CHECK(limits.max_stretch == seconds(6));
+}
+
 SCENARIO("a further attempt is not sent in the name of another group") {
   Group rowing;
   rowing.name = "rowing";
--- a/tests/link_break_test.cc
+++ b/tests/link_break_test.cc
@@ -157,9 +157,6 @@
     init.metrics = &metrics;
     init.headers = platform::kCallHeaders;
     init.caller_service = [] { return std::string("plaza"); };
-    init.configuration_age = [] { return Duration::zero(); };
-    init.configuration_behind = [] { return std::optional<Duration>(); };
-    init.key_limits = [] { return KeyLimits(); };
     outbound = std::make_unique<OutboundProxy>(init);
     callers = std::make_unique<Http1Server>(
         loop.io, [this](ExchangePointer exchange) {
--- a/tests/mesh_support.h
+++ b/tests/mesh_support.h
@@ -107,7 +107,6 @@
     init.headers = platform::kCallHeaders;
     init.allowance.ratio_permille = 100'000;
     init.caller_service = [] { return std::string("plaza"); };
-    init.configuration_age = [] { return Duration(0); };
     outbound = std::make_unique<OutboundProxy>(init);
     applier.Offer(1, MakeMeshDocument());
     record.member.peer_address = links_at;
--- a/tests/outbound_keys_test.cc
+++ b/tests/outbound_keys_test.cc
@@ -111,8 +111,7 @@
     init.headers = platform::kCallHeaders;
     init.allowance.ratio_permille = 100'000;
     init.caller_service = [] { return std::string("plaza"); };
-    init.configuration_age = [this] { return belief.age; };
-    init.configuration_behind = [this] { return belief.behind; };
+    init.configuration_belief = [this] { return belief; };
     init.key_limits = [this] { return limits; };
     outbound = std::make_unique<OutboundProxy>(init);
     callers = std::make_unique<Http1Server>(
@@ -324,6 +323,46 @@
   }
 }
 
+// Guards against 404 and 401 by an older configuration: a node that knew of a
+// newer one answered 404 by the one it had, and one without a confirmation of
+// the store went on to do so for 12 s, whatever the deployment's bound.
+SCENARIO("a request is not rejected by a configuration that may be outdated") {
+  NodeFixture node(Lorries());
+  node.limits.apply_period = milliseconds(2'500);
+  const auto believe = [&](const ConfigurationBelief& belief) {
+    node.loop.Call([&] {
+      node.belief = belief;
+      return 0;
+    });
+  };
+  const std::string unknown_key = Credentials("next");
+
+  GIVEN("a configuration that was confirmed within the bound") {
+    believe({milliseconds(2'400), std::nullopt});
+    CHECK(HasStatus(node.Refused("/none/x", ""), 404));
+    CHECK(HasStatus(node.Refused("/shut/x", unknown_key), 401));
+  }
+  GIVEN("a configuration that was last confirmed before the bound") {
+    believe({milliseconds(2'500), std::nullopt});
+    for (const char* path : {"/none/x", "/shut/x"}) {
+      const std::string answer = node.Refused(path, unknown_key);
+      CHECK(HasStatus(answer, 503));
+      CHECK(Contains(answer, "Retry-After: 0.500\r\n"));
+    }
+    THEN("what it allows is sent") {
+      node.Sent("/shut/x", Credentials());
+    }
+  }
+  GIVEN("a peer that has a newer configuration") {
+    believe({milliseconds(10), milliseconds(10)});
+    for (const char* path : {"/none/x", "/shut/x"}) {
+      const std::string answer = node.Refused(path, unknown_key);
+      CHECK(HasStatus(answer, 503));
+      CHECK(Contains(answer, "Retry-After: 0.500\r\n"));
+    }
+  }
+}
+
 SCENARIO("a key is withdrawn while its request is at an instance") {
   NodeFixture node(Lorries());
   RawConnection caller = node.Connect();
--- a/tests/store_follower_test.cc
+++ b/tests/store_follower_test.cc
@@ -2,6 +2,7 @@
 #include <asio/io_context.hpp>
 #include <catch2/catch.hpp>
 #include <map>
+#include <thread>
 
 #include "core/state_chart.h"
 #include "core/watch_timeout.h"
@@ -100,6 +101,7 @@
     init.chart = &chart;
     init.kind = "config";
     init.seed = 7;
+    init.read_delay = [this] { return read_delay; };
     init.follower_count = [followers] { return followers; };
     init.on_listed = [this](const std::vector<StoreObject>& items) {
       listed_count += items.size();
@@ -129,6 +131,7 @@
   std::size_t listed_count = 0;
   std::vector<std::string> event_names;
   int unchanged_count = 0;
+  Duration read_delay{0};
   std::unique_ptr<StoreFollower> follower;
 };
 
@@ -173,6 +176,46 @@
   }
 }
 
+// Guards against beliefs that are younger than what they rest on: the age of a
+// configuration was counted from the reading of a response, however long before
+// the store had made it.
+SCENARIO("the store confirms what a response says when it makes the response") {
+  constexpr Duration kDelay = 30 * kMs;
+  FollowerFixture f;
+  const Time begin = SteadyNow();
+  f.follower->Start();
+  const Time listed = SteadyNow();
+  std::this_thread::sleep_for(kDelay);
+  f.store.CompleteList(StoreList{{{"main", 40, "{}"}}, 41});
+  THEN("a list is confirmed when it was requested") {
+    CHECK(f.follower->last_confirmed() >= begin);
+    CHECK(f.follower->last_confirmed() <= listed);
+  }
+  WHEN("a watch ends without an event, and is read late") {
+    const Time sent = SteadyNow();
+    std::this_thread::sleep_for(f.store.waits.back() + kDelay);
+    f.store.CompleteWatch(StoreEvents{{}, 44});
+    THEN("it is confirmed at the end of its wait") {
+      CHECK(f.follower->last_confirmed() <= sent + f.store.waits.front());
+      CHECK(f.follower->last_confirmed() > sent);
+    }
+  }
+  WHEN("a process that was suspended reads an event") {
+    std::this_thread::sleep_for(kDelay * 2);
+    f.read_delay = kDelay;
+    f.store.CompleteWatch(StoreEvents{{{{"main", 42, "{}"}, false}}, 42});
+    THEN("it may have waited all the while") {
+      CHECK(f.follower->last_confirmed() <= SteadyNow() - kDelay);
+      CHECK(f.follower->last_confirmed() > listed);
+    }
+  }
+  THEN("a list in place of a lost watch does not end the contact") {
+    f.store.CompleteWatch(
+        StoreError{StoreError::Kind::kHistoryGone, "410", {}});
+    CHECK(f.follower->is_connected());
+  }
+}
+
 SCENARIO("a follower lists again after the store was restored") {
   FollowerFixture f;
   f.store.current_era = 4;
