Nodes on small links replace readers that confirm nothing in time

Cause: a node on a small link counted the peers that had once reported an age as its readers, however old that age had grown, so that readers that stood still or that the store served with silence were relied on for ever; and where they were gone it waited for 4 s, a constant that was fitted to the stretched bound.

Change: what counts is the age of the newest confirmation of any reader. At two thirds of `config_apply_ms` up to three nodes follow the store in the place of the readers, in turns 50 ms apart in the order of a hash of the names of linked nodes; the others from the middle of the stretched bound on. They tell all others, as readers do, and stop when two others confirm. A node that follows the store and has had no answer of it for as long asks a peer at once.

The check of the fault soak for keys holds for each node in touch, whatever happens to others, within the deployment's bound; its check of 404 leaves out routes that were dropped, which nobody asked for before.

--- a/soak/broken_builds.sh
+++ b/soak/broken_builds.sh
@@ -17,6 +17,8 @@
 refused after a run@src/mesh/outbound_proxy.cc@s/kUnavailable \&\& call.may_have_run/false/@and has run
 cut answers passed on@src/mesh/inbound_response.cc@s/if (end == Http1CallResult::kComplete || call.not_executed) {/if (end == Http1CallResult::kComplete || !call.unsent_body.empty()) {/@or not whole
 changes not taken up@src/mesh/sidecar_configuration.cc@s/  const Generation offered = configuration.generation;/  if (applier_.generation() > 0) { return; }\n&/@got 404
+readers not replaced@src/core/configuration_source.cc@s/      substitute_since_ = now;/      (void)now;/@which is in force in time
+rejected while outdated@src/core/configuration_belief.h@s/return belief.behind.has_value() ||/return false \&\&/@which is in force in time
 another service@src/mesh/outbound_proxy.cc@s/query.service = call.service;/query.service = "library";/@wrong service
 work for leaving instances@src/core/member_registry.cc@s/!member.serving \&\&/false \&\&/@after it left
 stop not heard@src/mesh/sidecar.cc@s/    FireEvent("leave_requested");/    return;/@did not stop
@@ -55,7 +57,7 @@
   [ -n "$fault" ] || continue
   [ -z "$only" ] || [ "$only" = "$fault" ] || continue
   cp src/mesh/*.cc "$copy/src/mesh/"
-  cp src/core/*.cc "$copy/src/core/"
+  cp src/core/*.cc src/core/*.h "$copy/src/core/"
   sed -i "$expression" "$copy/$file"
   if cmp -s "$file" "$copy/$file"; then
     echo "broken builds: the fault '$fault' does not fit $file any more" >&2
--- a/soak/fault_groups.py
+++ b/soak/fault_groups.py
@@ -16,7 +16,6 @@
 from fault_quotas import send_steadily
 
 ROUTE = "keyed"  # The route on which callers need a key.
-IN_FORCE = 2.5  # Seconds until nodes in touch follow a change of keys.
 REVOKE = 5.0  # Seconds in which a node out of touch may take a withdrawn key.
 SLACK = 0.5  # Seconds for the scheduling of this process.
 GROUPS = ["trams", "ferries", "night buses"]
@@ -61,6 +60,10 @@
             configuration["tenants"] |= protocol.tenant(group, keys, 0, 0)
         return configuration
 
+    def in_force(self):
+        """Seconds until nodes in touch follow a change of keys."""
+        return self.soak.configurations.apply + SLACK
+
     def held(self, key, begin, end):
         """The groups, None for no group, that had the key at some time between."""
         changes = self.history.get(key, [])
@@ -87,11 +90,11 @@
         if named not in ever | ({None} if not sent.keyed else set()):
             self.soak.fail(f"{request} ran in the name of {named}, not of {ever}")
         node, _ = self.soak.origins[request]
-        if self.soak.in_touch(node):
-            may = self.held(sent.key, sent.at - IN_FORCE, time.monotonic())
+        if self.soak.is_in_touch(node, sent.at):
+            may = self.held(sent.key, sent.at - self.in_force(), time.monotonic())
             if named not in may:
                 self.soak.fail(
-                    f"{request} ran in the name of {named}, {IN_FORCE} s after its "
+                    f"{request} ran in the name of {named}, {self.in_force()} s after its "
                     f"key went to {may}"
                 )
         self.check_withdrawn(request, sent, named)
@@ -122,8 +125,8 @@
             self.soak.fail(f"{request} got 401 with a key that all groups' tables have")
         if not sent.keyed:
             self.soak.fail(f"{request} got 401 on a route without keys")
-        held = self.held(sent.key, sent.at - IN_FORCE, time.monotonic())
-        if None not in held and self.soak.in_touch(node):
+        held = self.held(sent.key, sent.at - self.in_force(), time.monotonic())
+        if None not in held and self.soak.is_in_touch(node, sent.at):
             self.soak.fail(f"{request} got 401 with a key in force since long")
 
     async def one_request(self, request, node=None, key=None):
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -20,6 +20,7 @@
 import typing
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "platform"))
+import fault_configurations  # noqa: E402
 import fault_groups  # noqa: E402
 import fault_leavers  # noqa: E402
 import fault_quotas  # noqa: E402
@@ -29,7 +30,6 @@
 
 GRACE = 6.0  # Seconds from SIGTERM to SIGKILL.
 DRAIN = 2.0  # Seconds in which a leaving instance may still get new work.
-APPLY = 2.0  # Seconds in which a configuration is in force, without faults.
 TOUCH = 3.0  # Seconds without faults after which bounds hold.
 REWRITE = 2.0  # Seconds from a restore of the store until records are back.
 RELOAD = 2.0  # Seconds until a changed settings file is read.
@@ -455,6 +455,7 @@
         self.ip = f"127.0.60.{index + 1}"
         self.domain = f"d{index % 3}"
         self.service = "booking" if index % 3 else "library"
+        self.reads_store = index % 3 == 0  # For the others.
         base = soak.base_port
         self.callers = (self.ip, base)
         self.links = (self.ip, base + 1)
@@ -487,7 +488,7 @@
                     "metrics": "%s:%d" % self.metrics,
                 },
                 # Most have small links, and take configurations from the others.
-                "link_mbps": 5 if self.index % 3 else 1000,
+                "link_mbps": 1000 if self.reads_store else 5,
                 "upstream": {"service": self.service, "address": "%s:%d" % self.app},
                 "platform": {
                     "address": "%s:%d" % self.store_proxy,
@@ -502,6 +503,10 @@
                             fault_rollouts.ROLLBACK,
                         ),
                         (self.soak.groups.fail_closed, fault_groups.REVOKE),
+                        (
+                            self.soak.configurations.apply,
+                            fault_configurations.STRETCH,
+                        ),
                     ),
                 },
                 "requests": requests or {},
@@ -515,6 +520,7 @@
         """Keeps a process running until the soak ends."""
         while not self.soak.over:
             self.starts += 1
+            self.disturbed = time.monotonic()
             self.told_to_stop = False
             log = self.soak.folder / f"node-{self.index}.{self.starts}.log"
             with open(log, "wb") as out:
@@ -601,6 +607,7 @@
         self.last_fault = time.monotonic()
         self.served = []  # (time, whether it was served)
         self.quotas = fault_quotas.Quotas(self, options.seed)
+        self.configurations = fault_configurations.Configurations(self, options.seed)
         self.groups = fault_groups.Groups(self, options.seed)
         self.leavers = fault_leavers.Leavers(self, options.seed)
         self.store = Store(self.rng)
@@ -675,6 +682,14 @@
         calm = all(p.mode == "pass" and p.disturbed < since for p in proxies)
         return calm and node.disturbed < since and not self.store.disturbed_since(since)
 
+    def is_in_touch(self, node, at):
+        """Whether no fault has touched this node, its links or the store since
+        well before the time `at`, whatever happened to other nodes."""
+        since = at - TOUCH
+        proxies = (self.store_proxies[node.index], self.link_proxies[node.index])
+        calm = all(p.mode == "pass" and p.disturbed < since for p in proxies)
+        return calm and node.disturbed < since and not self.store.disturbed_since(since)
+
     def check_resend(self, instance, line, headers):
         target = line.split(" ")[1]
         ends = self.ends.get(target, [])
@@ -739,6 +754,7 @@
         kind = "unsafe" if unsafe else "safe"
         begin = time.monotonic()
         self.origins[request] = (node, begin)
+        run = node.starts
         status = None
         try:
             status, headers, body = await call(
@@ -755,6 +771,7 @@
                 kept=kept,
             )
             self.check_answer(node, route, request, begin, status, headers, body)
+            self.configurations.on_answer(node, run, route, begin, status)
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
             pass  # No answer promises nothing.
         self.sent[request] = (unsafe, status)
@@ -773,9 +790,10 @@
                 self.note_told(node, f"limit {limit}", instance_id)
             if protocol.header(headers, protocol.LEAVING):
                 self.note_told(node, "leaving", instance_id)
-        calm = begin - max(self.last_fault, node.disturbed) > TOUCH + APPLY
-        in_force = begin - self.acked.get(route, begin) > APPLY + SLACK
-        if status == 404 and calm and in_force:
+        calm = begin - max(self.last_fault, node.disturbed) > TOUCH + self.configurations.apply
+        in_force = begin - self.acked.get(route, begin) > self.configurations.apply + SLACK
+        offered = route not in self.configurations.dropped
+        if status == 404 and calm and in_force and offered:
             self.fail(f"{request} got 404 on {route}, in force since long")
 
     async def ending_client(self, number):
@@ -951,9 +969,12 @@
     async def fault_configuration(self):
         self.version += self.rng.randint(1, 3)
         name = f"p{self.version}"
+        version, dropped = self.version, self.routes[1:]
         self.routes = self.routes[:1] + [name]
-        await self.store.change(*protocol.CONFIGURATION, self.configuration())
+        self.configurations.on_change(version, [name], dropped)
+        await self.write_configuration()
         self.acked[name] = time.monotonic()
+        self.configurations.on_change(version, [name], dropped, self.acked[name])
 
     async def inject(self):
         kinds = [getattr(self, name) for name in dir(self) if name.startswith("fault_")]
@@ -1055,6 +1076,7 @@
         clients.append(asyncio.create_task(self.groups.callers()))
         clients.append(asyncio.create_task(self.leavers.callers()))
         clients.append(asyncio.create_task(self.groups.changes()))
+        clients.append(asyncio.create_task(self.configurations.callers()))
         end = self.begin + self.options.warm_up + self.options.seconds
         await asyncio.gather(
             self.inject(),
@@ -1062,6 +1084,7 @@
             self.rollouts.inject(end),
             self.quotas.changes(end),
             self.groups.cut_off(),
+            self.configurations.inject(end),
         )
         self.last_fault = time.monotonic()
         await self.check_recovery()
@@ -1100,6 +1123,7 @@
         f"faults: seed {options.seed}: {len(soak.schedule)} faults, "
         f"{served} of {len(soak.served)} requests served, "
         f"{len(soak.failures)} broken promises; "
+        f"{soak.configurations.checked} answers told old and new routes apart; "
         f"roll-outs: {', '.join(soak.rollouts.done)}"
     )
     if not soak.failures:
--- a/src/core/configuration_source.cc
+++ b/src/core/configuration_source.cc
@@ -3,35 +3,31 @@
 #include <algorithm>
 #include <vector>
 
+#include "core/digest.h"
+
 namespace verbenastile {
 namespace {
 
 // 50 Mbit/s. A configuration of 1 MB, the size limit of the platform's objects,
 // takes a sixth of a second to transfer at this rate.
 constexpr std::int64_t kReaderLinkBytesPerSecond = 6'250'000;
-// A single reader may have stalled without noticing, so two are required.
+// Watching nodes that are enough for all others: one of them may have stalled.
 constexpr std::size_t kMinReaders = 2;
 // Time after start within which a node has links to the readers.
 constexpr Duration kStartupGrace = std::chrono::milliseconds(1'500);
 // The same for a node without any link: when all nodes start at once, it learns
 // of the others from its second or third list of the members.
 constexpr Duration kDiscoveryGrace = std::chrono::milliseconds(3'500);
-// How long a node waits for enough readers before it watches the store itself.
-// A store that the readers cannot reach is most likely unreachable for all
-// nodes, so watching it early would not help. The delay is bounded by the 5 s
-// that a change may take longer while the store rejects some machines, less
-// the time to transfer a configuration.
-constexpr Duration kReaderShortageDelay = std::chrono::seconds(4);
-// A node that watches the store requests a newer generation from a peer when
-// the store has not delivered it within this time, which covers the pause
-// between two watches and a transfer.
-constexpr Duration kPeerRequestDelay = std::chrono::milliseconds(1'400);
+// Nodes that take the place of readers at once. The store is most likely
+// unreachable for all nodes when the readers cannot reach it, so that the
+// others try later.
+constexpr std::size_t kFirstSubstitutes = 3;
+// Time between the attempts of two nodes to take the place of a reader. The
+// later one hears of it if the earlier one succeeds meanwhile.
+constexpr Duration kSubstituteInterval = std::chrono::milliseconds(50);
 // The same for a node without any configuration, which cannot serve until it
 // has one. Covers a response of the store that is not slow.
 constexpr Duration kFirstPeerRequestDelay = std::chrono::milliseconds(100);
-// Timeout of a request to a peer, after which another peer is asked. Covers the
-// round trip for a delta on a slow link that also carries queued responses.
-constexpr Duration kPeerRequestTimeout = std::chrono::milliseconds(500);
 // A node that is further behind takes the newest generation, so that only
 // confirmations of the last ones are of use.
 constexpr std::size_t kMaxNewerConfirmations = 32;
@@ -41,8 +37,10 @@
 ConfigurationSource::ConfigurationSource(const Init& init)
     : slow_link_(init.link_bytes_per_second < kReaderLinkBytesPerSecond),
       started_(init.started),
-      reader_shortage_since_(init.started),
-      next_peer_(init.seed) {}
+      node_name_(init.node_name),
+      limits_(init.limits),
+      next_peer_(init.seed),
+      last_reader_confirmation_(init.started) {}
 
 void ConfigurationSource::OnPeerConfiguration(std::string_view name,
                                               const PeerConfiguration& reported,
@@ -62,30 +60,21 @@
     readers_.erase(reader);
   }
   if (reported.age) {
+    last_reader_confirmation_ =
+        std::max(last_reader_confirmation_, now - *reported.age);
     OnConfirmed(reported.generation, now - *reported.age);
   }
   if (reported.generation > held_generation_ && behind_since_ == Time()) {
     behind_since_ = now;
   }
-  UpdateReaderShortage(now);
 }
 
-void ConfigurationSource::OnPeerGone(std::string_view name, Time now) {
-  const auto found = peers_.find(name);
-  if (found != peers_.end()) {
-    peers_.erase(found);
-    if (const auto reader = readers_.find(name); reader != readers_.end()) {
-      readers_.erase(reader);
-    }
-    UpdateReaderShortage(now);
+void ConfigurationSource::OnPeerGone(std::string_view name) {
+  if (const auto peer = peers_.find(name); peer != peers_.end()) {
+    peers_.erase(peer);
   }
-}
-
-void ConfigurationSource::UpdateReaderShortage(Time now) {
-  if (ReaderCount() >= kMinReaders) {
-    reader_shortage_since_ = Time();
-  } else if (reader_shortage_since_ == Time()) {
-    reader_shortage_since_ = now;
+  if (const auto reader = readers_.find(name); reader != readers_.end()) {
+    readers_.erase(reader);
   }
 }
 
@@ -114,16 +103,76 @@
   requested_at_ = Time();
 }
 
-bool ConfigurationSource::ShouldWatchStore(Time now) const {
+bool ConfigurationSource::ShouldWatchStore(Time now) {
   if (!slow_link_) {
     return true;
   }
   const Duration grace = peers_.empty() ? kDiscoveryGrace : kStartupGrace;
-  if (reader_shortage_since_ == Time() || now - started_ < grace) {
+  if (now - started_ < grace) {
+    return false;
+  }
+  return held_generation_ == 0 ? ReaderCount() < kMinReaders
+                               : IsSubstitute(now);
+}
+
+bool ConfigurationSource::IsSubstitute(Time now) {
+  const Duration max_age = limits_.MaxReaderAge();
+  if (substitute_since_ == Time()) {
+    const Duration unconfirmed = now - last_reader_confirmation_;
+    if (unconfirmed >= max_age && unconfirmed >= SubstituteDelay()) {
+      substitute_since_ = now;
+    }
+  } else if (ReadersSince(now - max_age) >= kMinReaders &&
+             now - substitute_since_ >= SubstituteTerm(now - max_age)) {
+    substitute_since_ = Time();
+  }
+  return substitute_since_ != Time();
+}
+
+// Nodes take their turns in the order of a hash of their names, in which those
+// that are not linked have none.
+std::size_t ConfigurationSource::SubstituteTurn() const {
+  const Digest own = DigestOf(node_name_);
+  return static_cast<std::size_t>(
+      std::count_if(peers_.begin(), peers_.end(), [&](const auto& peer) {
+        return !readers_.contains(peer.first) && DigestOf(peer.first) < own;
+      }));
+}
+
+Duration ConfigurationSource::SubstituteDelay() const {
+  const std::size_t turn = SubstituteTurn();
+  const Duration waits = kSubstituteInterval * static_cast<std::int64_t>(turn);
+  return turn < kFirstSubstitutes
+             ? limits_.MaxReaderAge() + waits
+             : (limits_.apply_period + limits_.max_stretch) / 2 + waits;
+}
+
+// Differs between substitutes, so that each sees which of the others are left.
+Duration ConfigurationSource::SubstituteTerm(Time fresh_since) const {
+  const auto readers_before = std::count_if(
+      readers_.begin(), readers_.lower_bound(node_name_),
+      [&](const auto& reader) { return reader.second >= fresh_since; });
+  return limits_.apply_period *
+         (1 + std::min<std::int64_t>(readers_before, kFirstSubstitutes));
+}
+
+std::size_t ConfigurationSource::ReadersSince(Time confirmed) const {
+  return static_cast<std::size_t>(std::count_if(
+      readers_.begin(), readers_.end(),
+      [&](const auto& reader) { return reader.second >= confirmed; }));
+}
+
+// The watches of a node rest for `ConfigurationLimits::WatchPause` at most. One
+// that the store has not answered for longer has lost it.
+bool ConfigurationSource::AwaitsStore(Time now) {
+  if (!ShouldWatchStore(now)) {
     return false;
   }
-  return held_generation_ == 0 ||
-         now - reader_shortage_since_ >= kReaderShortageDelay;
+  if (held_generation_ == 0) {
+    return now - behind_since_ < kFirstPeerRequestDelay;
+  }
+  return store_confirmed_ && now - *store_confirmed_ < limits_.MaxReaderAge() &&
+         now - behind_since_ < limits_.WatchPause();
 }
 
 std::optional<Duration> ConfigurationSource::BehindFor(Time now) const {
@@ -132,12 +181,9 @@
 }
 
 std::optional<std::string> ConfigurationSource::SelectPeerToQuery(Time now) {
-  const Duration store_delay =
-      held_generation_ == 0 ? kFirstPeerRequestDelay : kPeerRequestDelay;
-  const bool awaits_store =
-      ShouldWatchStore(now) && now - behind_since_ < store_delay;
-  if (behind_since_ == Time() || awaits_store ||
-      (requested_at_ != Time() && now - requested_at_ < kPeerRequestTimeout)) {
+  if (behind_since_ == Time() || AwaitsStore(now) ||
+      (requested_at_ != Time() &&
+       now - requested_at_ < limits_.PeerRequestTimeout())) {
     return std::nullopt;
   }
   std::vector<std::string_view> readers;
@@ -149,7 +195,7 @@
   }
   // Other peers have slow links, so they are asked only when the readers have
   // not answered in time.
-  const bool ask_others = now - behind_since_ >= kPeerRequestDelay;
+  const bool ask_others = now - behind_since_ >= limits_.WatchPause();
   if (ask_others) {
     readers.insert(readers.end(), others.begin(), others.end());
   }
--- a/src/core/configuration_source.h
+++ b/src/core/configuration_source.h
@@ -2,7 +2,8 @@
 // store, or from peers that watch it. On a slow link, transferring the full
 // configuration takes longer than a change may take to reach all nodes.
 // Nodes on slow links therefore receive deltas from readers, which are nodes
-// whose links are fast enough to watch the store.
+// whose links are fast enough to watch the store. When no reader confirms the
+// configuration any more, a few nodes on slow links take their place.
 #ifndef CORE_CONFIGURATION_SOURCE_H_
 #define CORE_CONFIGURATION_SOURCE_H_
 
@@ -13,6 +14,7 @@
 #include <string_view>
 
 #include "base/time.h"
+#include "core/configuration_belief.h"
 #include "core/store_era.h"
 
 namespace verbenastile {
@@ -20,8 +22,8 @@
 // The configuration state that a peer reports.
 struct PeerConfiguration {
   std::uint64_t generation = 0;
-  // Time since the store last confirmed this generation; unset when the peer is
-  // not a reader or cannot reach the store.
+  // Time since the store last confirmed this generation; unset when the peer
+  // does not watch the store or cannot reach it.
   std::optional<Duration> age;
   StoreEra store_era = 0;  // As the store last reported it to the peer.
 };
@@ -32,19 +34,27 @@
     std::int64_t link_bytes_per_second = 125'000'000;
     Time started;
     std::uint64_t seed = 0;
+    std::string node_name;
+    ConfigurationLimits limits;
   };
 
   explicit ConfigurationSource(const Init& init);
 
+  void SetLimits(const ConfigurationLimits& limits) { limits_ = limits; }
+
   void OnPeerConfiguration(std::string_view name,
                            const PeerConfiguration& reported,
                            Time now);
-  void OnPeerGone(std::string_view name, Time now);
+  void OnPeerGone(std::string_view name);
+  // The store confirmed at `confirmed` to this node itself that nothing newer
+  // exists than what it reported.
+  void OnStoreConfirmed(Time confirmed) { store_confirmed_ = confirmed; }
   // Records the generation that this node has in force. This completes a
   // pending request to a peer.
   void OnApplied(std::uint64_t generation);
 
-  // Whether this node watches the store on behalf of nodes with slow links.
+  // Whether this node always watches the store, on behalf of nodes with slow
+  // links.
   bool is_reader() const { return !slow_link_; }
   // The number of peers that last reported watching the store with success.
   std::size_t ReaderCount() const { return readers_.size(); }
@@ -54,7 +64,7 @@
     return readers_;
   }
   // Whether this node should watch the store itself.
-  bool ShouldWatchStore(Time now) const;
+  bool ShouldWatchStore(Time now);
   // The latest time, as reported by peers, at which the store confirmed that
   // nothing newer exists than the configuration in force; unset if no peer
   // reported one. What confirms a newer generation says nothing of this one.
@@ -67,12 +77,24 @@
   std::optional<std::string> SelectPeerToQuery(Time now);
 
  private:
-  void UpdateReaderShortage(Time now);
   void OnConfirmed(std::uint64_t generation, Time confirmed);
+  bool IsSubstitute(Time now);
+  // The number of nodes that take the place of a reader before this one does.
+  std::size_t SubstituteTurn() const;
+  // How long no reader has to have confirmed anything for this node to take
+  // the place of one.
+  Duration SubstituteDelay() const;
+  // How long this node takes the place of a reader at least. Readers that were
+  // confirmed after `fresh_since` count.
+  Duration SubstituteTerm(Time fresh_since) const;
+  std::size_t ReadersSince(Time confirmed) const;
+  // Whether the store should deliver a newer generation soon that a peer has.
+  bool AwaitsStore(Time now);
 
   bool slow_link_;
   Time started_;
-  Time reader_shortage_since_;  // `Time()` when there are enough readers.
+  std::string node_name_;
+  ConfigurationLimits limits_;
   // Round-robin position; seeded per node, so that the requests of many nodes
   // are spread over the readers.
   std::uint64_t next_peer_;
@@ -81,6 +103,12 @@
   // When the store last confirmed the configuration of each peer that watches
   // it.
   std::map<std::string, Time, std::less<>> readers_;
+  // The latest confirmation of any generation that a peer reported; the start
+  // of this node if none did.
+  Time last_reader_confirmation_;
+  std::optional<Time> store_confirmed_;
+  // Since when this node takes the place of a reader; `Time()` if it does not.
+  Time substitute_since_;
   std::uint64_t held_generation_ = 0;
   std::optional<Time> last_confirmed_;
   // When the store last confirmed each generation newer than the one in force
--- a/src/mesh/sidecar.cc
+++ b/src/mesh/sidecar.cc
@@ -71,7 +71,8 @@
       member_registry_(settings_.name),
       store_(io_, settings_.platform),
       configuration_source_({settings_.link_bytes_per_second, SteadyNow(),
-                             NondeterministicSeed()}),
+                             NondeterministicSeed(), settings_.name,
+                             bounds_.configuration}),
       sender_(io_, PacerInit()),
       inbound_(InboundProxyInit()),
       links_(HubInit()),
@@ -159,12 +160,12 @@
   };
   init.on_link_down = [this](std::string_view member,
                              const std::vector<CallId>& unsent) {
-    configuration_source_.OnPeerGone(member, SteadyNow());
+    configuration_source_.OnPeerGone(member);
     quotas_.OnMemberLost(member, false);
     outbound_.OnLinkDown(member, unsent);
   };
   init.on_link_silent = [this](std::string_view member) {
-    configuration_source_.OnPeerGone(member, SteadyNow());
+    configuration_source_.OnPeerGone(member);
     quotas_.OnMemberLost(member, true);
     outbound_.OnLinkSilent(member);
   };
@@ -317,9 +318,7 @@
       OnConfigurationObject(event.object);
     }
   };
-  if (configuration_source_.is_reader()) {
-    init.on_unchanged = [this] { links_.AnnounceConfiguration(); };
-  }
+  init.on_unchanged = [this] { links_.AnnounceConfiguration(); };
   return init;
 }
 
@@ -510,6 +509,7 @@
           bounds_ = *parsed;
           outbound_.SetRetryAllowance(AllowanceLimits());
           quotas_.SetLimits(RequestQuotaLimits());
+          configuration_source_.SetLimits(bounds_.configuration);
         }
         Log(LogLevel::kInfo, kLogComponent, "Reloaded the settings.",
             {{"why", why}, {"service", settings_.service}});
--- a/src/mesh/sidecar_configuration.cc
+++ b/src/mesh/sidecar_configuration.cc
@@ -40,6 +40,10 @@
   }
   const std::size_t bytes = text.size();
   configuration_archive_.Add(offered, std::move(text));
+  const Duration known =
+      configuration_source_.BehindFor(SteadyNow()).value_or(Duration::zero());
+  metrics_.Observe(metrics_.Summary("configuration_known_microseconds"),
+                   static_cast<double>(known.count()));
   configuration_source_.OnApplied(offered);
   caller_server_.SetLimits(configuration.limits);
   quotas_.SetGroups(applier_.table()->document().groups);
@@ -47,9 +51,10 @@
       {{"generation", offered},
        {"before", before},
        {"source", source},
+       {"known_ms", ToMilliseconds(known)},
        {"bytes", bytes},
        {"rules", applier_.table()->document().rules.size()}});
-  if (configuration_source_.is_reader()) {
+  if (follows_store_) {
     links_.AnnounceConfiguration();
   }
   FireEvent("config_in_force");
@@ -70,6 +75,9 @@
 }
 
 void Sidecar::UpdateConfigurationSource(Time now) {
+  if (const auto confirmed = configuration_follower_.last_confirmed()) {
+    configuration_source_.OnStoreConfirmed(*confirmed);
+  }
   const bool follow_store = configuration_source_.ShouldWatchStore(now);
   if (rollouts_) {
     rollouts_->OnFollowsStore(follow_store);
@@ -94,8 +102,7 @@
 
 PeerConfiguration Sidecar::ConfigurationInForce() const {
   PeerConfiguration in_force{applier_.generation(), std::nullopt, store_.era()};
-  if (configuration_source_.is_reader() &&
-      configuration_follower_.is_connected()) {
+  if (follows_store_ && configuration_follower_.is_connected()) {
     in_force.age =
         SteadyNow() - configuration_follower_.last_confirmed().value_or(Time());
   }
@@ -119,7 +126,7 @@
   if (rollouts_) {
     rollouts_->OnStoreRestored(era);
   }
-  if (configuration_source_.is_reader() && source == kStoreSource) {
+  if (follows_store_ && source == kStoreSource) {
     links_.AnnounceConfiguration();
   }
 }
