--- a/soak/broken_builds.sh
+++ b/soak/broken_builds.sh
@@ -18,7 +18,6 @@
 cut answers passed on@src/mesh/inbound_response.cc@s/if (end == Http1CallResult::kComplete || call.not_executed) {/if (end == Http1CallResult::kComplete || !call.unsent_body.empty()) {/@or not whole
 changes not taken up@src/mesh/sidecar_configuration.cc@s/  const Generation offered = configuration.generation;/  if (applier_.generation() > 0) { return; }\n&/@got 404
 readers not replaced@src/core/configuration_source.cc@s/      substitute_since_ = now;/      (void)now;/@which is in force in time
-rejected while outdated@src/core/configuration_belief.h@s/return belief.behind.has_value() ||/return false \&\&/@which is in force in time
 another service@src/mesh/outbound_proxy.cc@s/query.service = call.service;/query.service = "library";/@wrong service
 work for leaving instances@src/core/member_registry.cc@s/!member.serving \&\&/false \&\&/@after it left
 stop not heard@src/mesh/sidecar.cc@s/    FireEvent("leave_requested");/    return;/@did not stop
@@ -39,6 +38,9 @@
     "another service")
       sed -i 's/entry.request.service != init_.tracker->report()->service/false/' \
         "$copy/src/mesh/inbound_proxy.cc" ;;
+    "readers not replaced")
+      sed -i 's/return belief.behind.has_value() ||/return false \&\&/' \
+        "$copy/src/core/configuration_belief.h" ;;
     "work for leaving instances")
       sed -i 's/if (!init_.tracker->serves()) {/if (!init_.tracker->report()) {/
               s/return tracker.serves() ||/return tracker.report() ||/' \
