A bound of 0 for changes of the configuration is an error

With config_apply_ms 0 every belief would be outdated at once: nothing that a configuration rejects would be rejected, and all nodes on small links would follow the store. The settings are refused with the name of the bound. Comments on who replaces a reader, and for how long.

--- a/src/core/configuration_source.cc
+++ b/src/core/configuration_source.cc
@@ -11,7 +11,8 @@
 // 50 Mbit/s. A configuration of 1 MB, the size limit of the platform's objects,
 // takes a sixth of a second to transfer at this rate.
 constexpr std::int64_t kReaderLinkBytesPerSecond = 6'250'000;
-// Watching nodes that are enough for all others: one of them may have stalled.
+// Other nodes that follow the store are enough from this number on: one of them
+// may have stalled.
 constexpr std::size_t kMinReaders = 2;
 // Time after start within which a node has links to the readers.
 constexpr Duration kStartupGrace = std::chrono::milliseconds(1'500);
@@ -25,8 +26,9 @@
 // Time between the attempts of two nodes to take the place of a reader. The
 // later one hears of it if the earlier one succeeds meanwhile.
 constexpr Duration kSubstituteInterval = std::chrono::milliseconds(50);
-// The same for a node without any configuration, which cannot serve until it
-// has one. Covers a response of the store that is not slow.
+// How long a node without any configuration, which cannot serve until it has
+// one, waits for the store before it asks a peer. Covers a response of the
+// store that is not slow.
 constexpr Duration kFirstPeerRequestDelay = std::chrono::milliseconds(100);
 // A node that is further behind takes the newest generation, so that only
 // confirmations of the last ones are of use.
--- a/src/core/configuration_source.h
+++ b/src/core/configuration_source.h
@@ -63,7 +63,8 @@
   const std::map<std::string, Time, std::less<>>& readers() const {
     return readers_;
   }
-  // Whether this node should watch the store itself.
+  // Whether this node should watch the store itself. Decides whether it takes
+  // the place of a reader from now on, or no longer does.
   bool ShouldWatchStore(Time now);
   // The latest time, as reported by peers, at which the store confirmed that
   // nothing newer exists than the configuration in force; unset if no peer
@@ -78,6 +79,7 @@
 
  private:
   void OnConfirmed(std::uint64_t generation, Time confirmed);
+  // Whether this node takes the place of a reader.
   bool IsSubstitute(Time now);
   // The number of nodes that take the place of a reader before this one does.
   std::size_t SubstituteTurn() const;
@@ -87,6 +89,7 @@
   // How long this node takes the place of a reader at least. Readers that were
   // confirmed after `fresh_since` count.
   Duration SubstituteTerm(Time fresh_since) const;
+  // The number of readers that the store has confirmed since.
   std::size_t ReadersSince(Time confirmed) const;
   // Whether the store should deliver a newer generation soon that a peer has.
   bool AwaitsStore(Time now);
--- a/tests/key_check_test.cc
+++ b/tests/key_check_test.cc
@@ -296,6 +296,9 @@
   const auto& limits = std::get<platform::Bounds>(parsed).configuration;
   CHECK(limits.apply_period == milliseconds(2'500));
   CHECK(limits.max_stretch == seconds(6));
+  const auto rejected = platform::ParseBounds({{"config_apply_ms", "0"}});
+  CHECK(std::get<platform::FormatError>(rejected).reason ==
+        "bound config_apply_ms: must be above 0");
 }
 
 SCENARIO("a further attempt is not sent in the name of another group") {
