Fault soak: a frozen process is not told to stop, nor one that stops frozen

Trace: the readers stood still from 4.06 s on; SIGTERM came at 5.37 s and was read when they went on ("Leaving.", "The event loop lagged. lag_ms=1965"); at 9.51 s they were made to stand still again, past the end of the grace period. A process that does not run cannot stop in time: the check is as it was, and such pairs of faults are left out. Freezing is one function now.

--- a/soak/fault_configurations.py
+++ b/soak/fault_configurations.py
@@ -84,24 +84,22 @@
 
     async def disturb_readers(self, seconds):
         readers = [node for node in self.soak.nodes if node.reads_store]
-        how = self.rng.choice(["kill", "stop", "silent", "reset"])
+        how = self.rng.choice(["kill", "freeze", "silent", "reset"])
         at = time.monotonic() - self.soak.begin
         self.soak.schedule.append(f"{at:.3f} s: {how} the readers")
         proxies = [self.soak.store_proxies[node.index] for node in readers]
         if how == "kill":
             for node in readers:
                 node.signal(signal.SIGKILL)
-        elif how == "stop":
-            for node in readers:
-                node.signal(signal.SIGSTOP)
+            await asyncio.sleep(seconds)
+        elif how == "freeze":
+            # One that was told to stop would outlive its grace period.
+            running = [node for node in readers if not node.told_to_stop]
+            await asyncio.gather(*(node.freeze(seconds) for node in running))
         else:
             for proxy in proxies:
                 proxy.set_mode(how)
-        await asyncio.sleep(seconds)
-        if how == "stop":
-            for node in readers:
-                node.signal(signal.SIGCONT)
-        elif how != "kill":
+            await asyncio.sleep(seconds)
             for proxy in proxies:
                 proxy.set_mode("pass")
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -467,6 +467,7 @@
         self.store_proxy = (self.ip, base + 7)
         self.process = None
         self.told_to_stop = False
+        self.frozen = False  # A fault has stopped its process for a while.
         self.disturbed = time.monotonic()
         self.interrupted = 0.0  # When it last started, stopped or froze.
         self.starts = 0
@@ -552,6 +553,13 @@
             except ProcessLookupError:
                 pass  # It has ended, and `run` is about to hear of it.
 
+    async def freeze(self, seconds):
+        self.frozen = True
+        self.signal(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        self.signal(signal.SIGCONT)
+        self.frozen = False
+
     async def stop(self):
         self.told_to_stop = True
         process = self.process
@@ -878,14 +886,13 @@
             node.signal(signal.SIGKILL)
 
     async def fault_freeze(self):
-        node = self.rng.choice(self.nodes)
-        node.signal(signal.SIGSTOP)
-        await asyncio.sleep(self.rng.uniform(0.3, 3.0))
-        node.signal(signal.SIGCONT)
+        await self.rng.choice(self.nodes).freeze(self.rng.uniform(0.3, 3.0))
 
     async def fault_stop(self):
         node = self.rng.choice(self.nodes)
-        if not node.told_to_stop and node.process.returncode is None:
+        # The grace period of a frozen process may pass before it goes on.
+        idle = not node.told_to_stop and not node.frozen
+        if idle and node.process.returncode is None:
             await node.stop()
 
     async def fault_hup(self):
