Gate: end a call at the head of a success without a signature

Cause: the body of a success without a signature was collected until it was complete, 64 MiB a call, and never passed on, so that flow control did not apply.

The head says that the body will not be passed on. Before, the caller waited for the end of the body or its deadline.

--- a/src/mesh/inbound_proxy.cc
+++ b/src/mesh/inbound_proxy.cc
@@ -72,6 +72,7 @@
       refused_(init.metrics->Counter("gate_refused_total")),
       shed_by_instance_(init.metrics->Counter("gate_shed_by_instance_total")),
       broken_(init.metrics->Counter("gate_broken_total")),
+      rejected_(init.metrics->Counter("gate_responses_rejected_total")),
       limited_answers_(init.metrics->Counter("gate_limited_answers_total")),
       leaving_answers_(init.metrics->Counter("gate_leaving_answers_total")),
       instance_ends_(init.metrics->Counter("gate_instance_ends_total")),
@@ -419,7 +420,12 @@
   LogCall(id, call, outcome);
   AddBroken(id, true);
   http_client_.Cancel(call.http_call_id);
+  HoldSlot(id);
   Remove(id);
+}
+
+// The instance needs some time to notice that the connection was closed.
+void InboundProxy::HoldSlot(CallId id) {
   held_slots_.push_back({SteadyNow() + kCancelledSlotTime, id});
 }
 
--- a/src/mesh/inbound_proxy.h
+++ b/src/mesh/inbound_proxy.h
@@ -164,6 +164,7 @@
   void SendToInstance(CallId id);
   HttpHeaders BuildHeaders(const Call& call, Time now) const;
   void OnResponseHead(CallId id, const Http1Head& head);
+  void RejectResponse(CallId id, std::string_view why);
   void OnNotice(const Call& call, const ResponseNotice& notice);
   void OnPeerNotice(const GateCall& call);
   void ApplyRateLimit(std::string_view source);
@@ -190,6 +191,7 @@
   // Closes the connection of a running call; its slot stays occupied for a
   // short time.
   void BreakOff(CallId id, std::string_view outcome);
+  void HoldSlot(CallId id);
   void CancelOverdue(Time now);
   void Tick();
   void ScheduleTick();
@@ -230,6 +232,7 @@
   CounterHandle refused_;
   CounterHandle shed_by_instance_;
   CounterHandle broken_;
+  CounterHandle rejected_;
   CounterHandle limited_answers_;
   CounterHandle leaving_answers_;
   CounterHandle instance_ends_;
--- a/src/mesh/inbound_response.cc
+++ b/src/mesh/inbound_response.cc
@@ -45,14 +45,29 @@
       !FindHeader(head.headers, init_.headers.not_executed).empty();
   ResponseNotice notice = ParseResponseNotice(head.headers, init_.headers);
   notice.is_success = IsSuccess(head.status);
-  // A misdirected request was answered by another instance, and a success
-  // without a signature by none.
+  if (notice.is_success && !notice.is_signed && !call.not_executed) {
+    RejectResponse(id, "a success without a signature");
+    return;
+  }
+  // A misdirected request was answered by another instance.
   if (head.status != kHttpMisdirectedRequest &&
       (notice.is_signed || !notice.is_success)) {
     OnNotice(call, notice);
   }
 }
 
+// Ends a call whose response did not come from the instance. The body, which
+// may never end, is not read.
+void InboundProxy::RejectResponse(CallId id, std::string_view why) {
+  const Call& call = calls_.at(id);
+  init_.metrics->Add(rejected_);
+  init_.metrics->Observe(
+      service_time_, static_cast<double>((SteadyNow() - call.started).count()));
+  http_client_.Cancel(call.http_call_id);
+  HoldSlot(id);
+  FailBroken(id, why);
+}
+
 void InboundProxy::OnNotice(const Call& call, const ResponseNotice& notice) {
   if (!std::holds_alternative<NoRateLimit>(notice.rate_limit)) {
     init_.metrics->Add(limited_answers_);
@@ -150,12 +165,7 @@
     return;
   }
   call.unsent_body += part;
-  const bool success = IsSuccess(call.response_head.status);
-  const bool signed_answer =
-      !FindHeader(call.response_head.headers, init_.headers.signature).empty();
-  // A successful response without a signature did not come from the instance.
-  if ((call.head_sent || call.unsent_body.size() > kSingleFrameBytes) &&
-      (signed_answer || !success)) {
+  if (call.head_sent || call.unsent_body.size() > kSingleFrameBytes) {
     SendPart(id, call, false);
   }
 }
@@ -240,13 +250,8 @@
            Duration::zero());
     return;
   }
-  const bool is_signed =
-      !FindHeader(call.response_head.headers, init_.headers.signature).empty();
-  if (IsSuccess(call.response_head.status) && !is_signed) {
-    FailBroken(id, "a success without a signature");
-    return;
-  }
-  if (is_signed) {
+  if (!FindHeader(call.response_head.headers, init_.headers.signature)
+           .empty()) {
     ClearSuspect(call);
   }
   if (!call.abandoned) {
--- a/tests/net_support.h
+++ b/tests/net_support.h
@@ -110,6 +110,13 @@
     asio::write(socket_, asio::buffer(text), ignored);
   }
 
+  // Returns false if the connection has ended.
+  bool TryWrite(std::string_view text) {
+    asio::error_code error;
+    asio::write(socket_, asio::buffer(text), error);
+    return !error;
+  }
+
   // Reads through `end`. Returns what was received if the connection ends
   // first.
   std::string ReadUntil(std::string_view end) {
