--- a/src/core/group_quotas.h
+++ b/src/core/group_quotas.h
@@ -37,8 +37,9 @@
   std::size_t known = 0;  // With this node.
   // Whether most members are linked, and none of these ran before this node.
   bool all_new = false;
-  std::set<std::string, std::less<>> reachable = {};  // Have a link from here.
-  // Those that are known; candidates need not be named again.
+  // That this node has a link to.
+  std::set<std::string, std::less<>> reachable = {};
+  // All `known` members; candidates may be left out.
   std::set<std::string, std::less<>> names = {};
 };
 
--- a/src/core/quota_coordinator.cc
+++ b/src/core/quota_coordinator.cc
@@ -100,7 +100,7 @@
   bucket.level = std::min(bucket.level, bucket.size);
 }
 
-// Each part brings tokens for the time since which it is here.
+// Each part brings tokens for the time in which nobody else could lend it.
 void QuotaCoordinator::AddTokens(Bucket& bucket,
                                  std::span<const QuotaPart> parts,
                                  Time now) {
@@ -116,6 +116,8 @@
                           std::min({bucket.level + added, bucket.size, room}));
 }
 
+// Lends what the coordinator before returned as far as there is room, which
+// grows with the parts that come in.
 void QuotaCoordinator::AddHandedOver(Bucket& bucket,
                                      const Place& place,
                                      Time now) {
--- a/src/core/quota_part_holder.h
+++ b/src/core/quota_part_holder.h
@@ -35,8 +35,8 @@
   // `candidates`: the digests of the names of the members that this node takes
   // for coordinators.
   void SetCandidates(std::span<const std::uint64_t> candidates);
-  // The members with a link from this node that own parts of the quotas which
-  // this node coordinates.
+  // The members that own parts of the quotas which this node coordinates, with
+  // and without a link.
   void SetOwners(const std::set<std::string, std::less<>>& owners);
   // Returns what to send now to keep the parts of the owners, and to give back
   // the others.
