Quotas: ask owners every 500 ms, and look through candidates only on a change

Cause: 86 groups ask their owners three times a second, and each request made its owner look through all candidates, several times.

--- a/src/core/quota_part_giver.cc
+++ b/src/core/quota_part_giver.cc
@@ -39,11 +39,13 @@
       found->second.since_version = version_;
     }
   }
+  any_leaves_ = candidates_.size() > candidates.size();
   RemoveLeaving(now);
 }
 
 void QuotaPartGiver::AddChange(std::uint64_t digest, bool added) {
   changes_.push_back({++version_, digest, added});
+  all_known_ = false;
   if (changes_.size() > kMaxChangesKept) {
     changes_.pop_front();
   }
@@ -56,12 +58,14 @@
 
 // The others go on to see a candidate that left until it holds no part.
 void QuotaPartGiver::RemoveLeaving(Time now) {
-  for (auto it = candidates_.begin(); it != candidates_.end();) {
+  const bool any_leaves = std::exchange(any_leaves_, false);
+  for (auto it = candidates_.begin(); any_leaves && it != candidates_.end();) {
     if (it->second.leaves && !HoldsPart(it->first, now)) {
       AddChange(it->first, false);
       removed_until_ = std::max(removed_until_, it->second.last_until);
       it = candidates_.erase(it);
     } else {
+      any_leaves_ = any_leaves_ || it->second.leaves;
       ++it;
     }
   }
@@ -74,6 +78,14 @@
 }
 
 void QuotaPartGiver::UpdateKnownSince(Time now) {
+  const bool all_know =
+      std::all_of(holders_.begin(), holders_.end(), [&](const auto& entry) {
+        return entry.second.until <= now || entry.second.version == version_;
+      });
+  if (all_know && std::exchange(all_known_, true)) {
+    return;
+  }
+  all_known_ = all_know;
   for (auto& [digest, candidate] : candidates_) {
     if (!IsKnownToHolders(digest, candidate, now)) {
       candidate.known_since.reset();
--- a/src/core/quota_part_giver.h
+++ b/src/core/quota_part_giver.h
@@ -24,11 +24,11 @@
 namespace verbenastile {
 
 // How often a coordinator asks an owner again for its part.
-constexpr Duration kQuotaPartInterval = std::chrono::milliseconds(300);
+constexpr Duration kQuotaPartInterval = std::chrono::milliseconds(500);
 // For how long a coordinator counts the part that it was given. Shorter than
 // requests wait for tokens, so that the successor of a coordinator that has
 // ended can serve them.
-constexpr Duration kQuotaPartLifetime = std::chrono::milliseconds(800);
+constexpr Duration kQuotaPartLifetime = std::chrono::milliseconds(900);
 
 class QuotaPartGiver {
  public:
@@ -93,6 +93,8 @@
   Time started_;
   bool fleet_was_new_ = false;
   std::map<std::uint64_t, Candidate> candidates_;
+  bool any_leaves_ = false;
+  bool all_known_ = false;  // To all holders.
   std::uint64_t version_ = 0;
   std::deque<Change> changes_;  // The latest ones.
   // When all parts of candidates that were removed were free.
