--- a/src/core/quota_peers.h
+++ b/src/core/quota_peers.h
@@ -25,9 +25,9 @@
 std::uint64_t CoordinatorRank(std::uint64_t group, std::uint64_t member);
 // The number of owners, in fleets that have so many members. A coordinator asks
 // each of them for its part all the time, so that it does not grow with the
-// fleet. Two of the owners may be away without harm to groups that send as much
+// fleet. One of the owners may be away without harm to groups that send as much
 // of their quota as is usual.
-constexpr std::size_t kMaxQuotaOwners = 7;
+constexpr std::size_t kMaxQuotaOwners = 5;
 
 class QuotaPeers {
  public:
