--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -2,6 +2,7 @@
 clients, and the machines on which sidecars run. Python's standard library only,
 loopback addresses only. They speak what PROTOCOL.md says."""
 import asyncio
+import functools
 import json
 import os
 import pathlib
@@ -90,8 +91,8 @@
         self.events = []
         self.revision = 100
         self.changed = asyncio.Event()
-        self.refused = set()  # Addresses of machines that get 503.
-        self.fault = None  # "silent": takes calls and answers none.
+        self.writers = set()  # (name of the machine, its connection)
+        self.cut = set()  # Names of machines that do not reach the store.
 
     def put(self, kind, name, spec, status=None, deleted=False):
         self.revision += 1
@@ -109,30 +110,32 @@
         self.changed = asyncio.Event()
         return value
 
-    async def serve(self, reader, writer):
-        peer = writer.get_extra_info("peername")[0]
+    async def serve(self, reader, writer, machine):
+        self.writers.add((machine.name, writer))
         try:
             while True:
                 first, _, body = await read_message(reader)
                 method, target, _ = first.split(" ")
-                if self.fault == "silent":
-                    await asyncio.sleep(60)
-                    return
-                if self.fault == "busy" or peer in self.refused:
-                    status, value = 503, {}
-                else:
-                    status, value = await self.handle(method, target, body)
-                if self.fault == "silent":
-                    await asyncio.sleep(60)
+                if machine.name in self.cut:
+                    writer.transport.abort()
                     return
+                status, value = await self.handle(method, target, body)
                 writer.write(answer(status, {"Content-Type": "application/json"},
                                     json.dumps(value).encode()))
                 await writer.drain()
         except (Ended, ConnectionError, asyncio.CancelledError):
             pass
         finally:
+            self.writers.discard((machine.name, writer))
             writer.close()
 
+    def cut_off(self, names):
+        """The connections of these machines are reset, and all new ones."""
+        self.cut = set(names)
+        for name, writer in list(self.writers):
+            if name in self.cut:
+                writer.transport.abort()
+
     async def handle(self, method, target, body):
         path, _, query = target.partition("?")
         parts = path.removeprefix("/api/objects/").split("/")
@@ -185,6 +188,69 @@
                 pass
 
 
+class LinkProxy:
+    """Stands before a machine's address for links and passes bytes on, unless the
+    machine that opened the connection is parted from this one."""
+
+    def __init__(self, machine):
+        self.machine = machine
+        self.rig = machine.rig
+        self.pairs = {}  # Writers of an open connection -> the opener's name.
+
+    async def serve(self, reader, writer):
+        far = None
+        try:
+            opener = self.opener(*writer.get_extra_info("peername")[:2])
+            if opener is None or self.rig.parted(opener, self.machine.name):
+                writer.transport.abort()
+                return
+            far_reader, far = await asyncio.open_connection(*self.machine.links)
+            self.pairs[(writer, far)] = opener
+            await asyncio.gather(self.pump(reader, far), self.pump(far_reader, writer))
+        except (ConnectionError, OSError, asyncio.CancelledError):
+            pass
+        finally:
+            self.pairs.pop((writer, far), None)
+            for end in (writer, far):
+                if end:
+                    end.close()
+
+    def opener(self, ip, port):
+        """The name of the machine whose process holds this end of a connection;
+        None if it is gone."""
+        local = "%s:%04X" % (bytes(reversed(socket.inet_aton(ip))).hex().upper(), port)
+        inodes = {fields[9] for fields in map(str.split, open("/proc/net/tcp"))
+                  if fields[1] == local}
+        for machine in self.rig.machines:
+            if machine.process is None or machine.process.returncode is not None:
+                continue
+            folder = f"/proc/{machine.process.pid}/fd"
+            try:
+                for name in os.listdir(folder):
+                    target = os.readlink(f"{folder}/{name}")
+                    if target.startswith("socket:[") and target[8:-1] in inodes:
+                        return machine.name
+            except OSError:
+                continue
+        return None
+
+    async def pump(self, reader, writer):
+        try:
+            while data := await reader.read(65536):
+                writer.write(data)
+                await writer.drain()
+        except (ConnectionError, OSError):
+            pass
+        finally:
+            writer.close()
+
+    def reset_parted(self):
+        for (writer, far), opener in list(self.pairs.items()):
+            if self.rig.parted(opener, self.machine.name):
+                writer.transport.abort()
+                far.transport.abort()
+
+
 class Server:
     """The application server beside one sidecar: a sound one."""
 
@@ -299,6 +365,9 @@
         self.app = (self.ip, base + 3)
         self.links = (self.ip, base + 4)
         self.metrics = (self.ip, base + 5)
+        self.store = (self.ip, base + 6)  # Where this machine finds the store.
+        self.links_outside = (self.ip, base + 7)
+        self.link_proxy = None
         self.settings = rig.folder / f"{self.name}.yaml"
         self.process = None
         self.keeper = None
@@ -321,15 +390,29 @@
             "{{listen.ready}}": address % self.ready,
             "{{ip}}:{{internal_port_range.1}}": address % self.metrics,
             "{{service}}": self.service, "{{app_addr}}": address % self.app,
-            "{{platform.address}}": address % self.rig.store_address,
+            "{{platform.address}}": address % self.store,
             "{{bounds|json}}": json.dumps(self.rig.bounds),
             "{{limits.link_mbps}}": str(self.link_mbps),
         }.items():
             template = template.replace(key, value)
         if "{{" in template:
             raise RuntimeError("the template has a placeholder that is not known")
+        if self.link_proxy:
+            template = template.replace(
+                "  control:", f"  links_from_outside: {address % self.links_outside}\n"
+                "  control:")
         self.settings.write_text(template)
 
+    async def open(self, with_proxy=False):
+        """The store's address, and a proxy before the address for links."""
+        serve = functools.partial(self.rig.store.serve, machine=self)
+        self.rig.listeners.append(await asyncio.start_server(
+            serve, *self.store, limit=1 << 22))
+        if with_proxy:
+            self.link_proxy = LinkProxy(self)
+            self.rig.listeners.append(await asyncio.start_server(
+                self.link_proxy.serve, *self.links_outside))
+
     def start(self):
         self.write_settings()
         self.keeper = asyncio.create_task(self.keep())
@@ -471,16 +554,16 @@
         self.ids = 0
         self.runs = {}  # Attempt id -> [(time, server)].
         self.listeners = []
+        self.cut = set()  # Names of machines parted from the others.
         self.find_ports()
-        self.store_address = (f"127.61.{self.net}.250", self.port)
 
     def find_ports(self):
         for _ in range(50):
             self.net = self.rng.randint(1, 250)
             self.port = self.rng.randrange(21000, 31000, 10)
             try:
-                for last in (1, 2, 3, 4, 5, 6, 250):
-                    for offset in range(7):
+                for last in range(1, 9):
+                    for offset in range(8):
                         with socket.socket() as probe:
                             probe.bind((f"127.61.{self.net}.{last}",
                                         self.port + offset))
@@ -489,10 +572,16 @@
                 continue
         raise RuntimeError("no free ports")
 
-    async def open(self):
-        listener = await asyncio.start_server(self.store.serve, *self.store_address,
-                                              limit=1 << 22)
-        self.listeners.append(listener)
+    def parted(self, one, other):
+        return (one in self.cut) != (other in self.cut)
+
+    def part(self, names):
+        """These machines reach each other, but no other machine and no store;
+        what is open is reset. None: the cut heals."""
+        self.cut = set(names)
+        self.store.cut_off(names)
+        for machine in self.machines:
+            machine.link_proxy.reset_parted()
 
     def on_run(self, server, attempt, target, size):
         self.runs.setdefault(attempt, []).append((time.monotonic(), server.name))
