--- a/review/8/case.py
+++ b/review/8/case.py
@@ -69,7 +69,6 @@
 
     async def run(self):
         rig = self.rig
-        await rig.open()
         rig.configure(
             {"r-1": rig.route("/lohu930/", "safe", "huvo11a", timeout_ms=2000)},
             ["huvo11a"],
@@ -77,6 +76,7 @@
         for index in range(4):
             machine = rig_module.Machine(rig, index, "huvo11a", "kigali-a")
             rig.machines.append(machine)
+            await machine.open()
             machine.start()
             server = rig_module.Server(machine, f"i-{index}", 12, work=0.05, born=True)
             rig.servers.append(server)
