Review: a leaving that was acknowledged is forgotten (case 8)

Seen: a machine acknowledges that its server deregisters, while the store is silent; it is killed, starts again, and takes a heartbeat from before, which comes late, for news. It sends its clients' requests to that server until it exits (rule DRAIN). Cause: what a later process needs to know is acknowledged before the store has it, and peers tell it only with their calls. The stand-in of the store can be silent, or refuse single machines.

--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -72,7 +72,7 @@
     """What was sent, answered and run, in record.txt."""
 
     def __init__(self, path):
-        self.begin = time.monotonic()
+        self.begin = self.flushed = time.monotonic()
         self.file = open(path, "w", encoding="utf-8")
 
     def now(self):
@@ -80,7 +80,9 @@
 
     def __call__(self, text):
         self.file.write(f"{self.now():8.3f} s  {text}\n")
-        self.file.flush()
+        if time.monotonic() > self.flushed + 0.5:
+            self.file.flush()
+            self.flushed = time.monotonic()
 
 
 class Store:
@@ -93,6 +95,8 @@
         self.changed = asyncio.Event()
         self.writers = set()  # (name of the machine, its connection)
         self.cut = set()  # Names of machines that do not reach the store.
+        self.refused = set()  # Names of machines whose calls get 503.
+        self.silent = False  # It takes calls and answers none.
 
     def put(self, kind, name, spec, status=None, deleted=False):
         self.revision += 1
@@ -119,7 +123,15 @@
                 if machine.name in self.cut:
                     writer.transport.abort()
                     return
-                status, value = await self.handle(method, target, body)
+                while self.silent:
+                    await asyncio.sleep(0.05)
+                    if reader.at_eof():
+                        return
+                status, value = 503, {}
+                if machine.name not in self.refused:
+                    status, value = await self.handle(method, target, body)
+                if machine.name in self.refused:
+                    status, value = 503, {}  # A watch that waited is cut off.
                 writer.write(answer(status, {"Content-Type": "application/json"},
                                     json.dumps(value).encode()))
                 await writer.drain()
@@ -288,8 +300,7 @@
             await self.beat()
             await asyncio.sleep(1.5)
 
-    async def beat(self):
-        """Sends one heartbeat; returns whether it was acknowledged."""
+    def next_beat(self):
         self.sequence += 1
         body = {
             "address": "%s:%d" % self.machine.app,
@@ -300,7 +311,12 @@
         }
         if self.with_born:
             body["born"] = self.born_ms
-        return await self.tell(f"/api/Instances.Heartbeat/{self.name}", body)
+        return body
+
+    async def beat(self, body=None):
+        """Sends a heartbeat; returns whether it was acknowledged."""
+        return await self.tell(f"/api/Instances.Heartbeat/{self.name}",
+                               body or self.next_beat())
 
     async def tell(self, target, body):
         try:
@@ -562,7 +578,7 @@
             self.net = self.rng.randint(1, 250)
             self.port = self.rng.randrange(21000, 31000, 10)
             try:
-                for last in range(1, 9):
+                for last in range(1, 11):
                     for offset in range(8):
                         with socket.socket() as probe:
                             probe.bind((f"127.61.{self.net}.{last}",
@@ -624,6 +640,7 @@
         await asyncio.gather(*(m.stop() for m in self.machines))
         for listener in self.listeners:
             listener.close()
+        self.record.file.flush()
         if os.environ.get("KEEP"):
             print("logs:", self.folder)
         else:
