HTTP client: do not take a reset during an upload for the end of a response

Callers saw: a server that answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. They got that part as a whole response, signature and all.

Cause: the system reports a reset once, to the operation that asks first. With an upload under way that is the write, whose failure was left to the pending read; the read then finds a plain end of the connection, which ends a response without a length. A reset behind an orderly end is not reported to reads at all.

Change: a response without a length is complete only if the request was written, the socket has no error and the server has acknowledged the whole request; until that is known, the call waits. A failed write no longer ends a call whose reading rests, and its connection is not used again.

Why it works: a reset reaches the write, the socket's error or a later read, and each of the three now fails the call. Whoever ends its side in order and reads the upload to its end acknowledges all of it.

--- a/src/io/http1_client.cc
+++ b/src/io/http1_client.cc
@@ -26,6 +26,9 @@
 // Bytes of interim responses and of responses to earlier requests that are
 // skipped while a call waits for its response.
 constexpr std::size_t kMaxSkippedBytes = 4'194'304;
+// Interval at which output that the server has yet to acknowledge is checked
+// once the server has ended the connection.
+constexpr Duration kAcknowledgementCheckInterval = std::chrono::milliseconds(5);
 
 constexpr int kFirstFinalStatus = 200;
 
@@ -89,7 +92,9 @@
   void OnConnected(const asio::error_code& error);
   void Write();
   void Read();
+  void OnWritten(const asio::error_code& error);
   void OnRead(const asio::error_code& error, std::string_view bytes);
+  void OnEndOfStream();
   void Parse();
   bool LacksRequestId() const;
   bool SkipUnrelatedResponse();
@@ -120,6 +125,7 @@
   bool head_delivered_ = false;
   bool skipping_response_ = false;
   bool reached_eof_ = false;
+  asio::error_code write_error_;
 };
 
 void Http1ClientConnection::Connect(const SocketAddress& address) {
@@ -218,16 +224,22 @@
       socket_, asio::buffer(request_bytes_),
       [self = shared_from_this()](const asio::error_code& error, std::size_t) {
         self->writing_ = false;
-        // If a read is pending, it reports the failure too, after delivering
-        // whatever the server sent before.
-        if (error && self->id_ != 0 && !self->reading_) {
-          self->EndCall(Http1CallResult::kIncomplete, error.message(), false);
-        }
+        self->OnWritten(error);
       });
 }
 
+// A failure does not end the call: the read that follows delivers what the
+// server sent before, which may be a whole response. The system reports a reset
+// only once, so that this read may find an end without an error.
+void Http1ClientConnection::OnWritten(const asio::error_code& error) {
+  write_error_ = error;
+  if (id_ != 0 && reached_eof_) {
+    OnEndOfStream();
+  }
+}
+
 void Http1ClientConnection::Read() {
-  if (reading_ || paused_ || !socket_.is_open()) {
+  if (reading_ || paused_ || reached_eof_ || !socket_.is_open()) {
     return;
   }
   reading_ = true;
@@ -252,10 +264,10 @@
     return;
   }
   if (error) {
-    const bool clean_end = error == asio::error::eof;
-    if (clean_end && !skipping_response_ && parser_.FeedEnd()) {
+    const bool is_eof = error == asio::error::eof;
+    if (is_eof && !skipping_response_ && parser_.FeedEnd()) {
       reached_eof_ = true;
-      OnResponseComplete();
+      OnEndOfStream();
       return;
     }
     EndCall(Http1CallResult::kIncomplete, error.message(), false);
@@ -268,6 +280,32 @@
   }
 }
 
+// Ends a call whose response has no length. The response is complete only if
+// the server got all of the request and then ended the connection without a
+// failure; whether it did is not known before it has acknowledged the request.
+void Http1ClientConnection::OnEndOfStream() {
+  if (!write_error_) {
+    write_error_ = TakeSocketError(socket_);
+  }
+  if (write_error_) {
+    EndCall(Http1CallResult::kIncomplete, write_error_.message(), false);
+    return;
+  }
+  if (writing_) {
+    return;
+  }
+  if (!HasUnacknowledgedOutput(socket_)) {
+    OnResponseComplete();
+    return;
+  }
+  timer_.expires_after(kAcknowledgementCheckInterval);
+  timer_.async_wait([self = shared_from_this()](const asio::error_code& error) {
+    if (!error && self->id_ != 0) {
+      self->OnEndOfStream();
+    }
+  });
+}
+
 void Http1ClientConnection::Parse() {
   while (id_ != 0 && !unparsed_.empty() && !parser_.done()) {
     const std::size_t used = parser_.Feed(unparsed_);
@@ -361,8 +399,9 @@
   // The connection is not reused if the response arrived before the request was
   // fully written or if extra bytes followed it: a later response could then be
   // matched to the wrong request.
+  const bool is_written = !writing_ && !write_error_;
   const bool keep =
-      head.keep_alive && unparsed_.empty() && !writing_ && !reached_eof_;
+      head.keep_alive && unparsed_.empty() && is_written && !reached_eof_;
   EndCall(Http1CallResult::kComplete, {}, keep);
 }
 
--- a/src/io/socket_state.cc
+++ b/src/io/socket_state.cc
@@ -1,6 +1,11 @@
 #include "io/socket_state.h"
 
+#include <linux/sockios.h>
 #include <poll.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
+
+#include <cerrno>
 
 namespace verbenastile {
 namespace {
@@ -23,4 +28,19 @@
   return HasEvent(socket, POLLIN | POLLRDHUP);
 }
 
+asio::error_code TakeSocketError(asio::ip::tcp::socket& socket) {
+  int error = 0;
+  socklen_t size = sizeof(error);
+  if (getsockopt(socket.native_handle(), SOL_SOCKET, SO_ERROR, &error, &size) !=
+      0) {
+    error = errno;
+  }
+  return {error, asio::error::get_system_category()};
+}
+
+bool HasUnacknowledgedOutput(asio::ip::tcp::socket& socket) {
+  int bytes = 0;
+  return ioctl(socket.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0;
+}
+
 }  // namespace verbenastile
--- a/tests/http1_test.cc
+++ b/tests/http1_test.cc
@@ -538,5 +538,46 @@
   }
 }
 
+// Guards against an early failure that callers do not get because the upload
+// failed.
+SCENARIO("a whole response counts although the request cannot be written") {
+  constexpr std::size_t kMoreThanBuffers = 50'000'000;
+  constexpr std::size_t kMoreThanOneRead = 90'000;
+  ClientFixture fixture;
+  Http1Call call;
+  call.method = "POST";
+  call.body = std::string(kMoreThanBuffers, 'x');
+  const auto result = fixture.Start(std::move(call));
+  RawConnection server = fixture.listener.Accept();
+  server.ReadUntil("\r\n\r\n");
+  const auto pause = [&](bool paused) {
+    fixture.loop.Call([&] {
+      paused ? fixture.client->Pause(fixture.last_id)
+             : fixture.client->Resume(fixture.last_id);
+      return 0;
+    });
+  };
+  const auto body_size = [&] {
+    return fixture.loop.Call([&] { return result->body.size(); });
+  };
+
+  GIVEN("a reset while the client does not read on") {
+    pause(true);
+    server.Write("HTTP/1.1 413 X\r\nContent-Length: 90000\r\n\r\n" +
+                 std::string(kMoreThanOneRead, 'y'));
+    while (body_size() == 0) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    // Bytes that have not arrived are lost with the reset.
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    server.Reset();
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    CHECK(body_size() < kMoreThanOneRead);
+    pause(false);
+    CHECK(fixture.Wait(result) == Http1CallResult::kComplete);
+    CHECK(body_size() == kMoreThanOneRead);
+  }
+}
+
 }  // namespace
 }  // namespace verbenastile
--- a/tests/net_support.h
+++ b/tests/net_support.h
@@ -164,6 +164,11 @@
     socket_.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
     socket_.close(ignored);
   }
+  // Ends the output; input is still received.
+  void EndOutput() {
+    asio::error_code ignored;
+    socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  }
   // Closes with a reset.
   void Reset() {
     asio::error_code ignored;
