HTTP clients: reject responses with an invalid status

Callers saw: what stood behind a head with status 000 and "Content-Length: 0", or behind a 101, was passed on as the server's response; responses with statuses of 600 to 999 were passed on as they came, by the sidecar and by `verbenastile node`. A 000 without a length was waited for to the end of its connection.

Cause: each status under 200 was taken for an interim response, whose head is skipped, and http_parser and libcurl read any three digits.

Change: a status is valid from 100 to 599 and is not 101, which only follows a request with Upgrade (RFC 9110, 15); `IsResponseStatus` says so for the sidecar's parser (instances, the store) and for the libcurl client (upstreams, peers, the platform). A response with another one is malformed at its head: 502, retried only where a request may run twice.

--- a/src/io/http1_client.cc
+++ b/src/io/http1_client.cc
@@ -9,6 +9,7 @@
 #include <charconv>
 #include <utility>
 
+#include "io/http1_syntax.h"
 #include "io/shared_read.h"
 #include "io/socket_state.h"
 
@@ -30,8 +31,6 @@
 // once the server has ended the connection.
 constexpr Duration kAcknowledgementCheckInterval = std::chrono::milliseconds(5);
 
-constexpr int kFirstFinalStatus = 200;
-
 std::string FormatRequest(const Http1Call& call) {
   std::string text;
   text.reserve(512 + call.body.size());
--- a/src/io/http1_parser.cc
+++ b/src/io/http1_parser.cc
@@ -5,6 +5,8 @@
 #include <iterator>
 #include <utility>
 
+#include "io/http1_syntax.h"
+
 namespace verbenastile {
 namespace {
 
@@ -140,6 +142,9 @@
   head_.status = static_cast<int>(parser_.status_code);
   if (role_ == Role::kRequest) {
     head_.method = http_method_str(static_cast<http_method>(parser_.method));
+  } else if (!IsResponseStatus(head_.status)) {
+    error_ = Http1Error::kMalformed;
+    return -1;
   }
   if (head_.length.value_or(0) > limits_.max_body_bytes) {
     error_ = Http1Error::kBodyTooLarge;
--- a/src/io/http_client.cc
+++ b/src/io/http_client.cc
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "io/curl_driver.h"
+#include "io/http1_syntax.h"
 
 namespace verbenastile {
 namespace {
@@ -50,6 +51,7 @@
   bool paused = false;           // Libcurl has been told to pause.
   bool cancelled = false;
   bool too_large = false;
+  bool malformed = false;
   std::function<void(HttpOutcome)> on_done;
 };
 
@@ -90,8 +92,12 @@
 bool FinishHeaders(Transfer* transfer) {
   long status = 0;
   curl_easy_getinfo(transfer->easy.get(), CURLINFO_RESPONSE_CODE, &status);
-  if (status < 200) {
-    return true;  // Informational (1xx): the final response follows.
+  if (!IsResponseStatus(static_cast<int>(status))) {
+    transfer->malformed = true;
+    return false;
+  }
+  if (status < kFirstFinalStatus) {
+    return true;  // The final response follows.
   }
   transfer->headers_complete = true;
   transfer->response.status = static_cast<int>(status);
@@ -161,6 +167,9 @@
   if (transfer.too_large) {
     return HttpFailure::Kind::kTooLarge;
   }
+  if (transfer.malformed) {
+    return HttpFailure::Kind::kBroken;
+  }
   switch (code) {
     case CURLE_COULDNT_CONNECT:
     case CURLE_COULDNT_RESOLVE_HOST:
@@ -176,6 +185,14 @@
   }
 }
 
+std::string_view FailureDetail(CURLcode code, const Transfer& transfer) {
+  if (transfer.malformed) {
+    return "the response's head is malformed";
+  }
+  return code == CURLE_OK ? "the response ended in its head"
+                          : curl_easy_strerror(code);
+}
+
 long ToCurlMilliseconds(Duration duration) {
   return static_cast<long>(std::max<std::int64_t>(1, ToMilliseconds(duration)));
 }
@@ -421,8 +438,7 @@
       return std::move(transfer->response);
     }
     return HttpFailure{FailureKind(code, *transfer), transfer->send_count == 0,
-                       code == CURLE_OK ? "the answer ended in its headers"
-                                        : curl_easy_strerror(code)};
+                       std::string(FailureDetail(code, *transfer))};
   }
 
   std::map<std::uint64_t, std::unique_ptr<Transfer>> transfers_;
--- a/tests/broken_response_test.cc
+++ b/tests/broken_response_test.cc
@@ -1,5 +1,6 @@
 // Guards against a broken response that reaches a caller, or looks whole to it
 // (rule MIXED; issue 54). The instances are stand-ins that send each of them.
+#include "broken_responses.h"
 #include "mesh_support.h"
 
 namespace verbenastile {
@@ -178,4 +179,32 @@
   }
 }
 
+TEST_CASE("a response that is not valid reaches no caller",
+          "[broken-response]") {
+  const BrokenResponse broken =
+      GENERATE(from_range(MakeInvalidStatuses(kSigned)));
+  CAPTURE(broken.name);
+  Mesh mesh(false);
+  RawConnection caller = mesh.Ask("/unsafe/a");
+  auto request = mesh.Receive();
+  REQUIRE(request);
+  request->connection.Write(broken.bytes);
+  request->connection.Close();
+  const std::string response = caller.ReadAll();
+  CHECK(response.starts_with("HTTP/1.1 502"));
+  CHECK(response.find(kBrokenBody) == std::string::npos);
+}
+
+TEST_CASE("interim responses are skipped", "[broken-response]") {
+  const int status = GENERATE(100, 102, 103, 199);
+  CAPTURE(status);
+  Mesh mesh(false);
+  RawConnection caller = mesh.Ask("/unsafe/a");
+  auto request = mesh.Receive();
+  REQUIRE(request);
+  request->connection.Write(fmt::format("HTTP/1.1 {} X\r\n\r\n", status));
+  Mesh::Answer(*request);
+  CHECK(caller.ReadAll().ends_with("\r\n\r\nok"));
+}
+
 }  // namespace verbenastile
--- a/tests/call_path_test.cc
+++ b/tests/call_path_test.cc
@@ -3,6 +3,7 @@
 #include <memory>
 #include <optional>
 
+#include "broken_responses.h"
 #include "core/snapshot.h"
 #include "net_support.h"
 #include "node/call_headers.h"
@@ -404,6 +405,28 @@
   }
 }
 
+// Guards against a broken response that reaches a caller as one (issue 54).
+TEST_CASE("a node passes on no response that is not valid",
+          "[calls][broken-response]") {
+  const BrokenResponse broken = GENERATE(from_range(MakeInvalidStatuses({})));
+  const bool through_peer = GENERATE(false, true);
+  CAPTURE(broken.name, through_peer);
+  RawListener upstream;
+  RawListener unused;
+  TestNode one("one", through_peer ? unused : upstream);
+  TestNode two("two", upstream);
+  one.AddMember(through_peer ? two.self : one.self);
+  RawConnection caller = one.ConnectCaller();
+  caller.Write(MakeRequest("POST", "/reserve", "Connection: close\r\n"));
+  RawConnection upstream_peer = upstream.Accept();
+  upstream_peer.ReadRequest();
+  upstream_peer.Write(broken.bytes);
+  upstream_peer.Close();
+  const std::string answer = caller.ReadAll();
+  CHECK(answer.starts_with("HTTP/1.1 502"));
+  CHECK_FALSE(Contains(answer, kBrokenBody));
+}
+
 TEST_CASE("an unreachable upstream is reported as not run", "[calls]") {
   std::optional<RawListener> upstream(std::in_place);
   TestNode node("one", *upstream);
