HTTP: reject messages whose head is not valid

Callers saw: a response in whose head the name of a field held a blank was passed on with that line, or cut or framed by it ("Content-Length : 5" and "Transfer-Encoding : chunked" framed the message, "Content Length: 5" did not). The same with a control byte at the start of a value, lines folded into one, a CR that swallowed the next byte or ended the head, statuses such as 0200, other versions. With `verbenastile node`, control bytes and delimiters in names too. Instances saw requests with such heads: "X-Tenant : x" beside the right one, a tab in the target, two hosts.

Cause: what a parser accepts was taken for what the protocol allows. http_parser is built lenient, and libcurl passes header lines on as they are.

Change: `Http1LineChecker` checks each line of a head before http_parser gets it: control bytes, CR without LF, names as tokens, no folded lines, a status line with three digits; it also finds the end of the head, so that the parser's own idea of it does not count. Versions other than 1.x and requests with several hosts are malformed. The libcurl client checks the same of each line, and the server of `verbenastile node` the names and values that RESTinio gives it. Responses: 502. Requests: 400, the connection is closed.

Valid heads of an unusual form (LF alone, an empty line first, bytes over 127 in values, no reason) pass.

--- a/src/io/http1_parser.cc
+++ b/src/io/http1_parser.cc
@@ -2,11 +2,10 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <iterator>
 #include <utility>
 
-#include "io/http1_syntax.h"
-
 namespace verbenastile {
 namespace {
 
@@ -25,7 +24,11 @@
 }  // namespace
 
 Http1Parser::Http1Parser(Role role, const Http1Limits& limits)
-    : role_(role), limits_(limits) {
+    : role_(role),
+      head_checker_(role == Role::kRequest
+                        ? Http1LineChecker::Section::kRequestHead
+                        : Http1LineChecker::Section::kResponseHead),
+      limits_(limits) {
   Reset();
 }
 
@@ -33,6 +36,7 @@
   http_parser_init(&parser_,
                    role_ == Role::kRequest ? HTTP_REQUEST : HTTP_RESPONSE);
   parser_.data = this;
+  head_checker_.Reset();
   head_ = {};
   body_.clear();
   body_bytes_ = 0;
@@ -82,13 +86,34 @@
     return 0;
   }
   begun_ = true;
+  const std::size_t in_head = head_done_ ? 0 : FeedHead(bytes);
+  if (!head_done_ || done_ || error_ != Http1Error::kNone) {
+    return in_head;
+  }
+  return in_head + Execute(bytes.substr(in_head));
+}
+
+std::size_t Http1Parser::FeedHead(std::string_view bytes) {
+  const std::size_t size = head_checker_.Feed(bytes);
+  if (head_checker_.malformed()) {
+    error_ = Http1Error::kMalformed;
+    return size;
+  }
+  const std::size_t consumed = Execute(bytes.substr(0, size));
+  if (head_checker_.done() && !head_done_ && error_ == Http1Error::kNone) {
+    error_ = Http1Error::kMalformed;
+  }
+  return consumed;
+}
+
+std::size_t Http1Parser::Execute(std::string_view bytes) {
+  if (bytes.empty()) {
+    return 0;  // To http_parser, no bytes are the end of the stream.
+  }
   const std::size_t consumed =
       http_parser_execute(&parser_, &Callbacks(), bytes.data(), bytes.size());
   const auto code = HTTP_PARSER_ERRNO(&parser_);
-  if (done_) {
-    return consumed;
-  }
-  if (code != HPE_OK && error_ == Http1Error::kNone) {
+  if (!done_ && code != HPE_OK && error_ == Http1Error::kNone) {
     error_ = code == HPE_HEADER_OVERFLOW ? Http1Error::kHeaderTooLarge
                                          : Http1Error::kMalformed;
   }
@@ -142,7 +167,8 @@
   head_.status = static_cast<int>(parser_.status_code);
   if (role_ == Role::kRequest) {
     head_.method = http_method_str(static_cast<http_method>(parser_.method));
-  } else if (!IsResponseStatus(head_.status)) {
+  }
+  if (!IsValidHead()) {
     error_ = Http1Error::kMalformed;
     return -1;
   }
@@ -153,6 +179,19 @@
   return no_body_ ? kSkipBody : 0;
 }
 
+bool Http1Parser::IsValidHead() const {
+  if (parser_.http_major != 1) {
+    return false;
+  }
+  if (role_ == Role::kResponse) {
+    return IsResponseStatus(head_.status);
+  }
+  return std::count_if(head_.headers.begin(), head_.headers.end(),
+                       [](const HttpHeader& header) {
+                         return SameHeaderName(header.name, "host");
+                       }) <= 1;
+}
+
 int Http1Parser::OnBody(std::string_view part) {
   body_bytes_ += part.size();
   if (body_bytes_ > limits_.max_body_bytes) {
--- a/src/io/http1_parser.h
+++ b/src/io/http1_parser.h
@@ -1,4 +1,5 @@
-// Incremental HTTP/1.1 message parser, a wrapper around http_parser.
+// Incremental HTTP/1.1 message parser, a wrapper around http_parser, which
+// takes messages that are not valid.
 #ifndef IO_HTTP1_PARSER_H_
 #define IO_HTTP1_PARSER_H_
 
@@ -10,6 +11,7 @@
 #include <string_view>
 #include <utility>
 
+#include "io/http1_syntax.h"
 #include "io/http_message.h"
 
 namespace verbenastile {
@@ -75,14 +77,18 @@
   static Http1Parser& Self(http_parser* parser) {
     return *static_cast<Http1Parser*>(parser->data);
   }
+  std::size_t FeedHead(std::string_view bytes);
+  std::size_t Execute(std::string_view bytes);
   int OnHeaderField(std::string_view part);
   int OnHeaderValue(std::string_view part);
   int OnHeadersComplete();
   int OnBody(std::string_view part);
+  bool IsValidHead() const;
   bool CountHeaderBytes(std::size_t count);
 
   http_parser parser_ = {};
   Role role_;
+  Http1LineChecker head_checker_;
   Http1Limits limits_;
   Http1Head head_;
   std::string body_;
--- a/src/io/http1_syntax.h
+++ b/src/io/http1_syntax.h
@@ -3,6 +3,12 @@
 #ifndef IO_HTTP1_SYNTAX_H_
 #define IO_HTTP1_SYNTAX_H_
 
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "io/http_message.h"
+
 namespace verbenastile {
 
 // The first status code of a final response; lower ones are interim.
@@ -12,6 +18,59 @@
 // in 100 to 599, and not 101.
 bool IsResponseStatus(int status);
 
+// Whether `text` is a token, as methods and the names of headers have to be.
+bool IsToken(std::string_view text);
+
+// Whether `value` may be the value of a header: it has no control bytes other
+// than tabs.
+bool IsHeaderValue(std::string_view value);
+
+// Whether `header` has a valid name and value.
+bool IsValidHeader(const HttpHeader& header);
+
+// Whether `line`, without its line end, is a status line of HTTP/1.x with a
+// status of three digits.
+bool IsStatusLine(std::string_view line);
+
+// Finds the end of a head, or of the trailers of a chunked body, and checks the
+// syntax of its lines: their control bytes, the names of headers and the status
+// line. Folded lines are malformed. A line may end with LF alone.
+class Http1LineChecker {
+ public:
+  enum class Section : std::uint8_t { kRequestHead, kResponseHead, kTrailers };
+
+  explicit Http1LineChecker(Section section) : section_(section) { Reset(); }
+
+  // Returns how many of the bytes belong to the section. Nothing more may be
+  // fed once it is done or malformed.
+  std::size_t Feed(std::string_view bytes);
+  void Reset();
+
+  bool done() const { return state_ == State::kDone; }
+  bool malformed() const { return state_ == State::kMalformed; }
+
+ private:
+  enum class State : std::uint8_t {
+    kBeforeStartLine,  // Empty lines may precede it.
+    kStartLine,
+    kNameStart,
+    kName,
+    kValue,
+    kLineEnd,  // After CR.
+    kDone,
+    kMalformed,
+  };
+
+  State Next(char byte);
+  State NextInStartLine(char byte);
+  State EndLine();
+
+  Section section_;
+  State state_ = State::kBeforeStartLine;
+  State line_state_ = State::kBeforeStartLine;  // Before the CR.
+  std::string start_line_;  // As much of a status line as is checked.
+};
+
 }  // namespace verbenastile
 
 #endif  // IO_HTTP1_SYNTAX_H_
--- a/src/io/http_client.cc
+++ b/src/io/http_client.cc
@@ -46,6 +46,7 @@
   int send_count = 0;  // How often the request was handed to a connection.
   int stale_connections = 0;      // Found stale before the request was sent.
   bool connection_stale = false;  // Of the connection chosen last.
+  bool expects_status_line = true;
   bool headers_complete = false;
   bool pause_requested = false;  // No further body chunk may be delivered.
   bool paused = false;           // Libcurl has been told to pause.
@@ -55,23 +56,16 @@
   std::function<void(HttpOutcome)> on_done;
 };
 
-std::string_view Trimmed(std::string_view text) {
-  while (!text.empty() &&
-         (text.back() == '\r' || text.back() == '\n' || text.back() == ' ')) {
-    text.remove_suffix(1);
-  }
-  while (!text.empty() && text.front() == ' ') {
-    text.remove_prefix(1);
-  }
-  return text;
-}
-
 std::size_t OnBody(char* data, std::size_t, std::size_t size, void* user) {
   auto* transfer = static_cast<Transfer*>(user);
   const std::string_view chunk(data, size);
   if (transfer->cancelled) {
     return 0;
   }
+  if (!transfer->headers_complete) {
+    transfer->malformed = true;
+    return 0;
+  }
   if (transfer->pause_requested) {
     transfer->paused = true;
     return CURL_WRITEFUNC_PAUSE;
@@ -97,7 +91,8 @@
     return false;
   }
   if (status < kFirstFinalStatus) {
-    return true;  // The final response follows.
+    transfer->expects_status_line = true;  // Of the final response.
+    return true;
   }
   transfer->headers_complete = true;
   transfer->response.status = static_cast<int>(status);
@@ -107,6 +102,31 @@
   return !transfer->cancelled;
 }
 
+std::string_view WithoutLineEnd(std::string_view line) {
+  for (const char byte : {'\n', '\r'}) {
+    if (line.ends_with(byte)) {
+      line.remove_suffix(1);
+    }
+  }
+  return line;
+}
+
+// Returns false if the line is not valid.
+bool AddHeadLine(Transfer* transfer, std::string_view line) {
+  if (std::exchange(transfer->expects_status_line, false)) {
+    transfer->response.headers.clear();
+    return IsStatusLine(line);
+  }
+  const auto colon = line.find(':');
+  if (colon == std::string_view::npos) {
+    return false;
+  }
+  const HttpHeader header{std::string(line.substr(0, colon)),
+                          std::string(TrimWhitespace(line.substr(colon + 1)))};
+  transfer->response.headers.push_back(header);
+  return IsValidHeader(header);
+}
+
 std::size_t OnHeader(char* data, std::size_t, std::size_t size, void* user) {
   auto* transfer = static_cast<Transfer*>(user);
   const std::string_view line(data, size);
@@ -118,18 +138,12 @@
   if (transfer->headers_complete) {
     return size;  // Trailers are not passed on.
   }
-  if (line.starts_with("HTTP/")) {
-    transfer->response.headers.clear();
-    return size;
-  }
   if (line == "\r\n" || line == "\n") {
     return FinishHeaders(transfer) ? size : 0;
   }
-  const auto colon = line.find(':');
-  if (colon != std::string_view::npos) {
-    transfer->response.headers.push_back(
-        {std::string(line.substr(0, colon)),
-         std::string(Trimmed(line.substr(colon + 1)))});
+  if (!AddHeadLine(transfer, WithoutLineEnd(line))) {
+    transfer->malformed = true;
+    return 0;
   }
   return size;
 }
@@ -427,6 +441,7 @@
     CURL* easy = transfer->easy.get();
     ++transfer->stale_connections;
     transfer->connection_stale = false;
+    transfer->expects_status_line = true;
     curl_multi_remove_handle(driver_.multi(), easy);
     curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 0L);
     curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
--- a/src/io/http_server.cc
+++ b/src/io/http_server.cc
@@ -4,11 +4,11 @@
 
 #include <algorithm>
 #include <asio/post.hpp>
-#include <cctype>
 #include <restinio/all.hpp>
 #include <utility>
 #include <variant>
 
+#include "io/http1_syntax.h"
 #include "io/server_connections.h"
 
 namespace verbenastile {
@@ -106,23 +106,12 @@
   return request;
 }
 
-// Whether `name` is a token as HTTP requires of header names. The parser
-// accepts whitespace inside names, which allows request smuggling: a
+// The parser accepts whitespace inside names, which allows request smuggling: a
 // Content-Length that the parser does not recognize could still be honored by
-// an upstream.
-bool IsToken(std::string_view name) {
-  constexpr std::string_view kSymbols = "!#$%&'*+-.^_`|~";
-  return !name.empty() &&
-         std::all_of(name.begin(), name.end(), [&](unsigned char c) {
-           return std::isalnum(c) != 0 ||
-                  kSymbols.find(static_cast<char>(c)) != std::string_view::npos;
-         });
-}
-
-bool HasInvalidHeaderName(const HttpRequest& request) {
-  return std::any_of(
-      request.headers.begin(), request.headers.end(),
-      [](const HttpHeader& header) { return !IsToken(header.name); });
+// an upstream. It accepts a control byte that begins a value as well.
+bool HasInvalidHeader(const HttpRequest& request) {
+  return !std::all_of(request.headers.begin(), request.headers.end(),
+                      IsValidHeader);
 }
 
 bool HasNoBody(const restinio::request_t& request, int status) {
@@ -340,7 +329,7 @@
       state->connection->AddPendingResponse(state.get());
     }
     HttpRequest parsed = ConvertRequest(request);
-    if (HasInvalidHeaderName(parsed)) {
+    if (HasInvalidHeader(parsed)) {
       connections->CountBadRequest();
       state->draining = std::make_shared<bool>(true);
       HttpReply(std::move(state)).Send(kBadRequest, error_headers, {});
--- a/tests/broken_response_test.cc
+++ b/tests/broken_response_test.cc
@@ -181,8 +181,7 @@
 
 TEST_CASE("a response that is not valid reaches no caller",
           "[broken-response]") {
-  const BrokenResponse broken =
-      GENERATE(from_range(MakeInvalidStatuses(kSigned)));
+  const RawResponse broken = GENERATE(from_range(MakeBrokenResponses(kSigned)));
   CAPTURE(broken.name);
   Mesh mesh(false);
   RawConnection caller = mesh.Ask("/unsafe/a");
@@ -195,6 +194,22 @@
   CHECK(response.find(kBrokenBody) == std::string::npos);
 }
 
+TEST_CASE("a valid response of an unusual form reaches its caller",
+          "[broken-response]") {
+  const RawResponse unusual =
+      GENERATE(from_range(MakeUnusualResponses(kSigned)));
+  CAPTURE(unusual.name);
+  Mesh mesh(false);
+  RawConnection caller = mesh.Ask("/unsafe/a");
+  auto request = mesh.Receive();
+  REQUIRE(request);
+  request->connection.Write(unusual.bytes);
+  request->connection.Close();
+  const std::string response = caller.ReadAll();
+  CHECK(response.starts_with("HTTP/1.1 200"));
+  CHECK(response.ends_with(kWholeBody));
+}
+
 TEST_CASE("interim responses are skipped", "[broken-response]") {
   const int status = GENERATE(100, 102, 103, 199);
   CAPTURE(status);
--- a/tests/call_path_test.cc
+++ b/tests/call_path_test.cc
@@ -405,12 +405,8 @@
   }
 }
 
-// Guards against a broken response that reaches a caller as one (issue 54).
-TEST_CASE("a node passes on no response that is not valid",
-          "[calls][broken-response]") {
-  const BrokenResponse broken = GENERATE(from_range(MakeInvalidStatuses({})));
-  const bool through_peer = GENERATE(false, true);
-  CAPTURE(broken.name, through_peer);
+// Two nodes, one caller and one upstream: what the caller gets of a response.
+std::string PassOn(const RawResponse& response, bool through_peer) {
   RawListener upstream;
   RawListener unused;
   TestNode one("one", through_peer ? unused : upstream);
@@ -420,11 +416,30 @@
   caller.Write(MakeRequest("POST", "/reserve", "Connection: close\r\n"));
   RawConnection upstream_peer = upstream.Accept();
   upstream_peer.ReadRequest();
-  upstream_peer.Write(broken.bytes);
+  upstream_peer.Write(response.bytes);
   upstream_peer.Close();
-  const std::string answer = caller.ReadAll();
-  CHECK(answer.starts_with("HTTP/1.1 502"));
-  CHECK_FALSE(Contains(answer, kBrokenBody));
+  return caller.ReadAll();
+}
+
+// Guards against a broken response that reaches a caller as one (issue 54).
+TEST_CASE("a node passes on valid responses only", "[calls][broken-response]") {
+  const bool through_peer = GENERATE(false, true);
+
+  SECTION("one that is not valid") {
+    const RawResponse broken = GENERATE(from_range(MakeBrokenResponses({})));
+    CAPTURE(broken.name, through_peer);
+    const std::string answer = PassOn(broken, through_peer);
+    CHECK(answer.starts_with("HTTP/1.1 502"));
+    CHECK_FALSE(Contains(answer, kBrokenBody));
+  }
+  SECTION("one that is valid, of an unusual form") {
+    const RawResponse unusual =
+        GENERATE(from_range(MakeUnusualResponses({})));
+    CAPTURE(unusual.name, through_peer);
+    const std::string answer = PassOn(unusual, through_peer);
+    CHECK(answer.starts_with("HTTP/1.1 200"));
+    CHECK(Contains(answer, kWholeBody));
+  }
 }
 
 TEST_CASE("an unreachable upstream is reported as not run", "[calls]") {
--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -129,6 +129,10 @@
     request_text += "Transfer-Encoding: chunked, gzip\r\n\r\n0\r\n\r\n";
     status = "400";
   }
+  SECTION("a control byte that begins a value") {
+    request_text += "x-header: \x01x\r\n\r\n";
+    status = "400";
+  }
   SECTION("whitespace before the colon of a header") {
     request_text += "Content-Length : 5\r\n\r\nhello";
     status = "400";
