HTTP: frame bodies by valid lengths and chunks only

Callers saw: a body with a transfer encoding that nobody decoded, as if it were the server's; chunked bodies as whole whose line ends were other bytes, or whose sizes, extensions or trailers were not valid; with `verbenastile node`, bodies cut or framed by the last of two lengths that differ. Instances got requests framed like that, among them "Transfer-Encoding: rot13, chunked" undecoded.

Cause: as for heads, what http_parser and libcurl accept was taken for what the protocol allows; http_parser's lenient build skips the bytes where a line end of a chunk is due without a look.

Change: `ParseBodyHeaders` reads length and encoding from the headers: one of both, one line, a decimal number of 64 bits or "chunked". `ChunkDecoder` decodes chunks strictly, with bounds for a size line and for trailers. The sidecar's parser gives http_parser the head alone and frames bodies with these two; the libcurl client hands out undecoded bodies and decodes them the same way. What has no body by its status (1xx, 204, 304) has none whatever its length says. Responses: 502, or cut where their head was passed on. Requests: 400.

Blanks, zeros, extensions and trailers that are valid pass.

Not covered: chunks of requests to `verbenastile node`, which RESTinio decodes.

--- a/src/io/http1_parser.cc
+++ b/src/io/http1_parser.cc
@@ -6,13 +6,13 @@
 #include <iterator>
 #include <utility>
 
+#include "base/overload.h"
+
 namespace verbenastile {
 namespace {
 
-// Return value of on_headers_complete that makes http_parser skip the body.
+// Return value of on_headers_complete after which http_parser reads no body.
 constexpr int kSkipBody = 1;
-// Value of http_parser's content_length if the header is absent.
-constexpr std::uint64_t kNoContentLength = ~std::uint64_t{0};
 
 bool IsFramingHeader(std::string_view name) {
   return SameHeaderName(name, "content-length") ||
@@ -38,6 +38,7 @@
   parser_.data = this;
   head_checker_.Reset();
   head_ = {};
+  framing_ = NoBody();
   body_.clear();
   body_bytes_ = 0;
   header_bytes_ = 0;
@@ -68,14 +69,6 @@
     settings.on_headers_complete = [](http_parser* parser) {
       return Self(parser).OnHeadersComplete();
     };
-    settings.on_body = [](http_parser* parser, const char* at, size_t size) {
-      return Self(parser).OnBody({at, size});
-    };
-    settings.on_message_complete = [](http_parser* parser) {
-      Self(parser).done_ = true;
-      http_parser_pause(parser, 1);
-      return 0;
-    };
     return settings;
   }();
   return callbacks;
@@ -90,7 +83,7 @@
   if (!head_done_ || done_ || error_ != Http1Error::kNone) {
     return in_head;
   }
-  return in_head + Execute(bytes.substr(in_head));
+  return in_head + FeedBody(bytes.substr(in_head));
 }
 
 std::size_t Http1Parser::FeedHead(std::string_view bytes) {
@@ -99,30 +92,52 @@
     error_ = Http1Error::kMalformed;
     return size;
   }
-  const std::size_t consumed = Execute(bytes.substr(0, size));
-  if (head_checker_.done() && !head_done_ && error_ == Http1Error::kNone) {
+  http_parser_execute(&parser_, &Callbacks(), bytes.data(), size);
+  const auto code = HTTP_PARSER_ERRNO(&parser_);
+  if (error_ != Http1Error::kNone) {
+    return size;  // Set by a callback.
+  }
+  if (code == HPE_HEADER_OVERFLOW) {
+    error_ = Http1Error::kHeaderTooLarge;
+  } else if (code != HPE_OK || head_checker_.done() != head_done_) {
     error_ = Http1Error::kMalformed;
   }
-  return consumed;
+  return size;
 }
 
-std::size_t Http1Parser::Execute(std::string_view bytes) {
-  if (bytes.empty()) {
-    return 0;  // To http_parser, no bytes are the end of the stream.
-  }
-  const std::size_t consumed =
-      http_parser_execute(&parser_, &Callbacks(), bytes.data(), bytes.size());
-  const auto code = HTTP_PARSER_ERRNO(&parser_);
-  if (!done_ && code != HPE_OK && error_ == Http1Error::kNone) {
-    error_ = code == HPE_HEADER_OVERFLOW ? Http1Error::kHeaderTooLarge
-                                         : Http1Error::kMalformed;
-  }
-  return consumed;
+std::size_t Http1Parser::FeedBody(std::string_view bytes) {
+  const std::size_t before = body_.size();
+  const std::size_t used = std::visit(
+      Overload{[](NoBody) { return std::size_t{0}; },
+               [&](SizedBody& body) {
+                 const auto part = bytes.substr(
+                     0, std::min<std::uint64_t>(body.left, bytes.size()));
+                 body_.append(part);
+                 body.left -= part.size();
+                 done_ = body.left == 0;
+                 return part.size();
+               },
+               [&](ChunkDecoder& decoder) {
+                 const std::size_t count = decoder.Feed(bytes, body_);
+                 done_ = decoder.done();
+                 if (decoder.malformed()) {
+                   error_ = Http1Error::kMalformed;
+                 }
+                 return count;
+               },
+               [&](BodyUntilEnd) {
+                 body_.append(bytes);
+                 return bytes.size();
+               }},
+      framing_);
+  CountBody(body_.size() - before);
+  return used;
 }
 
 bool Http1Parser::FeedEnd() {
-  if (!done_ && head_done_ && error_ == Http1Error::kNone) {
-    http_parser_execute(&parser_, &Callbacks(), nullptr, 0);
+  if (head_done_ && error_ == Http1Error::kNone &&
+      std::holds_alternative<BodyUntilEnd>(framing_)) {
+    done_ = true;
   }
   return done_;
 }
@@ -158,25 +173,18 @@
   // Protocol upgrades are not supported: the body is parsed as usual.
   parser_.upgrade = 0;
   head_done_ = true;
-  head_.chunked = (parser_.flags & F_CHUNKED) != 0;
-  if ((parser_.flags & F_CONTENTLENGTH) != 0 &&
-      parser_.content_length != kNoContentLength) {
-    head_.length = parser_.content_length;
-  }
   head_.keep_alive = http_should_keep_alive(&parser_) != 0;
   head_.status = static_cast<int>(parser_.status_code);
   if (role_ == Role::kRequest) {
     head_.method = http_method_str(static_cast<http_method>(parser_.method));
   }
-  if (!IsValidHead()) {
+  if (!IsValidHead() || !SetFraming()) {
     error_ = Http1Error::kMalformed;
-    return -1;
-  }
-  if (head_.length.value_or(0) > limits_.max_body_bytes) {
+  } else if (const auto* body = std::get_if<SizedBody>(&framing_);
+             body != nullptr && body->left > limits_.max_body_bytes) {
     error_ = Http1Error::kBodyTooLarge;
-    return -1;
   }
-  return no_body_ ? kSkipBody : 0;
+  return error_ == Http1Error::kNone ? kSkipBody : -1;
 }
 
 bool Http1Parser::IsValidHead() const {
@@ -192,14 +200,40 @@
                        }) <= 1;
 }
 
-int Http1Parser::OnBody(std::string_view part) {
-  body_bytes_ += part.size();
+// Finds where the body ends (RFC 9112, 6.3). Returns false if the head leaves
+// it open.
+bool Http1Parser::SetFraming() {
+  const auto body = ParseBodyHeaders(head_.headers);
+  if (!body) {
+    return false;
+  }
+  head_.length = body->length;
+  head_.chunked = body->chunked;
+  const bool is_response = role_ == Role::kResponse;
+  const bool may_have_body =
+      !no_body_ && !(is_response && IsStatusWithoutBody(head_.status));
+  const std::uint64_t length = body->length.value_or(0);
+  if (may_have_body && body->chunked) {
+    framing_ = ChunkDecoder();
+    // HTTP/1.0 has no chunks, so that the sender may mean something else.
+    head_.keep_alive = head_.keep_alive && parser_.http_minor > 0;
+  } else if (may_have_body && length > 0) {
+    framing_ = SizedBody{length};
+  } else if (may_have_body && is_response && !body->length) {
+    framing_ = BodyUntilEnd();
+    head_.keep_alive = false;
+  } else {
+    framing_ = NoBody();
+  }
+  done_ = std::holds_alternative<NoBody>(framing_);
+  return true;
+}
+
+void Http1Parser::CountBody(std::size_t count) {
+  body_bytes_ += count;
   if (body_bytes_ > limits_.max_body_bytes) {
     error_ = Http1Error::kBodyTooLarge;
-    return -1;
   }
-  body_.append(part);
-  return 0;
 }
 
 std::string_view ReasonPhrase(int status) {
--- a/src/io/http1_parser.h
+++ b/src/io/http1_parser.h
@@ -10,7 +10,9 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <variant>
 
+#include "io/chunk_decoder.h"
 #include "io/http1_syntax.h"
 #include "io/http_message.h"
 
@@ -73,17 +75,24 @@
   std::size_t body_size() const { return body_.size(); }
 
  private:
+  struct NoBody {};
+  struct SizedBody {
+    std::uint64_t left = 0;  // Bytes still to be received.
+  };
+  struct BodyUntilEnd {};  // Of the connection.
+
   static const http_parser_settings& Callbacks();
   static Http1Parser& Self(http_parser* parser) {
     return *static_cast<Http1Parser*>(parser->data);
   }
   std::size_t FeedHead(std::string_view bytes);
-  std::size_t Execute(std::string_view bytes);
+  std::size_t FeedBody(std::string_view bytes);
   int OnHeaderField(std::string_view part);
   int OnHeaderValue(std::string_view part);
   int OnHeadersComplete();
-  int OnBody(std::string_view part);
   bool IsValidHead() const;
+  bool SetFraming();
+  void CountBody(std::size_t count);
   bool CountHeaderBytes(std::size_t count);
 
   http_parser parser_ = {};
@@ -91,6 +100,7 @@
   Http1LineChecker head_checker_;
   Http1Limits limits_;
   Http1Head head_;
+  std::variant<NoBody, SizedBody, ChunkDecoder, BodyUntilEnd> framing_;
   std::string body_;
   std::uint64_t body_bytes_ = 0;
   std::size_t header_bytes_ = 0;
--- a/src/io/http1_syntax.cc
+++ b/src/io/http1_syntax.cc
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
+
+#include "base/text.h"
 
 namespace verbenastile {
 namespace {
@@ -9,6 +12,8 @@
 constexpr int kMinStatus = 100;
 constexpr int kMaxStatus = 599;
 constexpr int kSwitchingProtocols = 101;
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
 
 // "?" stands for a digit.
 constexpr std::string_view kStatusLineStart = "HTTP/1.? ???";
@@ -50,6 +55,16 @@
   return byte == '\t' || !IsControlByte(byte);
 }
 
+std::optional<std::uint64_t> ParseLength(std::string_view text) {
+  std::uint64_t length = 0;
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, length);
+  if (parsed.ec != std::errc() || parsed.ptr != end) {
+    return std::nullopt;
+  }
+  return length;
+}
+
 }  // namespace
 
 bool IsResponseStatus(int status) {
@@ -57,6 +72,11 @@
          status != kSwitchingProtocols;
 }
 
+bool IsStatusWithoutBody(int status) {
+  return status < kFirstFinalStatus || status == kNoContent ||
+         status == kNotModified;
+}
+
 bool IsToken(std::string_view text) {
   return !text.empty() && std::all_of(text.begin(), text.end(), IsTokenByte);
 }
@@ -82,6 +102,30 @@
          (reason.empty() || reason.front() == ' ') && IsHeaderValue(reason);
 }
 
+std::optional<BodyHeaders> ParseBodyHeaders(
+    std::span<const HttpHeader> headers) {
+  BodyHeaders body;
+  for (const HttpHeader& header : headers) {
+    const bool is_length = SameHeaderName(header.name, "content-length");
+    if (!is_length && !SameHeaderName(header.name, "transfer-encoding")) {
+      continue;
+    }
+    if (body.length || body.chunked) {
+      return std::nullopt;
+    }
+    const auto value = TrimWhitespace(header.value);
+    if (is_length) {
+      body.length = ParseLength(value);
+    } else {
+      body.chunked = ToLower(value) == "chunked";
+    }
+    if (!body.length && !body.chunked) {
+      return std::nullopt;
+    }
+  }
+  return body;
+}
+
 void Http1LineChecker::Reset() {
   state_ = section_ == Section::kTrailers ? State::kNameStart
                                           : State::kBeforeStartLine;
--- a/src/io/http1_syntax.h
+++ b/src/io/http1_syntax.h
@@ -4,6 +4,8 @@
 #define IO_HTTP1_SYNTAX_H_
 
 #include <cstdint>
+#include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -18,6 +20,9 @@
 // in 100 to 599, and not 101.
 bool IsResponseStatus(int status);
 
+// Whether a response with the status has no body, whatever its headers say.
+bool IsStatusWithoutBody(int status);
+
 // Whether `text` is a token, as methods and the names of headers have to be.
 bool IsToken(std::string_view text);
 
@@ -32,6 +37,18 @@
 // status of three digits.
 bool IsStatusLine(std::string_view line);
 
+// What the headers of a message say about its body.
+struct BodyHeaders {
+  std::optional<std::uint64_t> length;
+  bool chunked = false;
+};
+
+// Returns nothing if the headers leave open where the body ends: several
+// lengths, one that is no decimal number, a length beside an encoding, an
+// encoding other than "chunked".
+std::optional<BodyHeaders> ParseBodyHeaders(
+    std::span<const HttpHeader> headers);
+
 // Finds the end of a head, or of the trailers of a chunked body, and checks the
 // syntax of its lines: their control bytes, the names of headers and the status
 // line. Folded lines are malformed. A line may end with LF alone.
@@ -41,8 +58,8 @@
 
   explicit Http1LineChecker(Section section) : section_(section) { Reset(); }
 
-  // Returns how many of the bytes belong to the section. Nothing more may be
-  // fed once it is done or malformed.
+  // Returns how many of the bytes belong to the section: none once it is done
+  // or malformed.
   std::size_t Feed(std::string_view bytes);
   void Reset();
 
--- a/src/io/http_client.cc
+++ b/src/io/http_client.cc
@@ -6,8 +6,10 @@
 #include <algorithm>
 #include <asio/post.hpp>
 #include <map>
+#include <optional>
 #include <vector>
 
+#include "io/chunk_decoder.h"
 #include "io/curl_driver.h"
 #include "io/http1_syntax.h"
 
@@ -48,6 +50,7 @@
   bool connection_stale = false;  // Of the connection chosen last.
   bool expects_status_line = true;
   bool headers_complete = false;
+  std::optional<ChunkDecoder> chunk_decoder;
   bool pause_requested = false;  // No further body chunk may be delivered.
   bool paused = false;           // Libcurl has been told to pause.
   bool cancelled = false;
@@ -56,6 +59,21 @@
   std::function<void(HttpOutcome)> on_done;
 };
 
+// Returns false to abort the call.
+bool DeliverBody(Transfer* transfer, std::string_view part) {
+  if (transfer->call.on_data) {
+    return part.empty() ||
+           (transfer->call.on_data(part) && !transfer->cancelled);
+  }
+  HttpResponse& response = transfer->response;
+  if (response.body.size() + part.size() > transfer->call.max_response_bytes) {
+    transfer->too_large = true;
+    return false;
+  }
+  response.body.append(part);
+  return true;
+}
+
 std::size_t OnBody(char* data, std::size_t, std::size_t size, void* user) {
   auto* transfer = static_cast<Transfer*>(user);
   const std::string_view chunk(data, size);
@@ -70,16 +88,15 @@
     transfer->paused = true;
     return CURL_WRITEFUNC_PAUSE;
   }
-  if (transfer->call.on_data) {
-    return transfer->call.on_data(chunk) && !transfer->cancelled ? size : 0;
-  }
-  HttpResponse& response = transfer->response;
-  if (response.body.size() + size > transfer->call.max_response_bytes) {
-    transfer->too_large = true;
-    return 0;
+  std::string decoded;
+  std::string_view part = chunk;
+  if (transfer->chunk_decoder) {
+    // Bytes behind the last chunk belong to no call.
+    transfer->chunk_decoder->Feed(chunk, decoded);
+    transfer->malformed = transfer->chunk_decoder->malformed();
+    part = decoded;
   }
-  response.body.append(chunk);
-  return size;
+  return !transfer->malformed && DeliverBody(transfer, part) ? size : 0;
 }
 
 // Handles the blank line after the headers. Returning false aborts the call.
@@ -94,6 +111,15 @@
     transfer->expects_status_line = true;  // Of the final response.
     return true;
   }
+  const auto body = ParseBodyHeaders(transfer->response.headers);
+  if (!body) {
+    transfer->malformed = true;
+    return false;
+  }
+  if (body->chunked && transfer->call.method != "HEAD" &&
+      !IsStatusWithoutBody(static_cast<int>(status))) {
+    transfer->chunk_decoder.emplace();
+  }
   transfer->headers_complete = true;
   transfer->response.status = static_cast<int>(status);
   if (transfer->call.on_headers) {
@@ -201,12 +227,17 @@
 
 std::string_view FailureDetail(CURLcode code, const Transfer& transfer) {
   if (transfer.malformed) {
-    return "the response's head is malformed";
+    return "the response is malformed";
   }
-  return code == CURLE_OK ? "the response ended in its head"
+  return code == CURLE_OK ? "the response ended early"
                           : curl_easy_strerror(code);
 }
 
+bool IsComplete(const Transfer& transfer) {
+  return transfer.headers_complete &&
+         (!transfer.chunk_decoder || transfer.chunk_decoder->done());
+}
+
 long ToCurlMilliseconds(Duration duration) {
   return static_cast<long>(std::max<std::int64_t>(1, ToMilliseconds(duration)));
 }
@@ -356,6 +387,8 @@
     curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
     curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
     curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, kDefaultBufferBytes);
+    // Libcurl decodes chunks that are not valid.
+    curl_easy_setopt(easy, CURLOPT_HTTP_TRANSFER_DECODING, 0L);
     curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, kMaxIdleSeconds);
     SetTimeouts(easy, call);
     curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, OnBeforeRequest);
@@ -449,7 +482,7 @@
   }
 
   static HttpOutcome MakeOutcome(Transfer* transfer, CURLcode code) {
-    if (code == CURLE_OK && transfer->headers_complete) {
+    if (code == CURLE_OK && IsComplete(*transfer)) {
       return std::move(transfer->response);
     }
     return HttpFailure{FailureKind(code, *transfer), transfer->send_count == 0,
--- a/src/io/http_server.cc
+++ b/src/io/http_server.cc
@@ -115,10 +115,8 @@
 }
 
 bool HasNoBody(const restinio::request_t& request, int status) {
-  constexpr int kNoContent = 204;
-  constexpr int kNotModified = 304;
   return request.header().method() == restinio::http_method_head() ||
-         status == kNoContent || status == kNotModified;
+         IsStatusWithoutBody(status);
 }
 
 std::string FormatHeaderLines(const HttpHeaders& headers) {
--- a/tests/broken_request_test.cc
+++ b/tests/broken_request_test.cc
@@ -56,11 +56,48 @@
   };
 }
 
+std::vector<RawRequest> InvalidBodies() {
+  const std::string chunked = "Transfer-Encoding: chunked\r\n";
+  return {
+      {"two lengths that differ",
+       WithLine("Content-Length: 4\r\nContent-Length: 2\r\n", "body")},
+      {"a length with a sign", WithLine("Content-Length: +4\r\n", "body")},
+      {"a length with a blank", WithLine("Content-Length: 4 4\r\n", "body")},
+      {"an empty length", WithLine("Content-Length:\r\n", "body")},
+      {"a length beside chunks",
+       WithLine("Content-Length: 4\r\n" + chunked, "0\r\n\r\n")},
+      {"an encoding that is not known",
+       WithLine("Transfer-Encoding: rot13\r\n", "body")},
+      {"an encoding before chunks",
+       WithLine("Transfer-Encoding: rot13, chunked\r\n",
+                "4\r\nbody\r\n0\r\n\r\n")},
+      {"an encoding behind chunks",
+       WithLine("Transfer-Encoding: chunked, rot13\r\n",
+                "4\r\nbody\r\n0\r\n\r\n")},
+      {"an empty encoding",
+       WithLine("Transfer-Encoding:\r\n", "4\r\nbody\r\n0\r\n\r\n")},
+      {"a blank in a chunk size",
+       WithLine(chunked, "4 0\r\nbody\r\n0\r\n\r\n")},
+      {"CR alone behind a chunk size",
+       WithLine(chunked, "4\rxbody\r\n0\r\n\r\n")},
+      {"other bytes in place of a chunk's line end",
+       WithLine(chunked, "4\r\nbodyxx0\r\n\r\n")},
+      {"a trailer with a blank in its name",
+       WithLine(chunked, "4\r\nbody\r\n0\r\nX Name: 1\r\n\r\n")},
+      {"other bytes in place of the last line end",
+       WithLine(chunked, "4\r\nbody\r\n0\r\n\rx")},
+  };
+}
+
 }  // namespace
 
 TEST_CASE("a request that is not valid reaches no instance",
           "[broken-request]") {
-  const RawRequest broken = GENERATE(from_range(InvalidHeads()));
+  std::vector<RawRequest> all = InvalidHeads();
+  for (RawRequest& request : InvalidBodies()) {
+    all.push_back(std::move(request));
+  }
+  const RawRequest broken = GENERATE_COPY(from_range(all));
   CAPTURE(broken.name);
   Mesh mesh(false);
   auto caller =
@@ -95,6 +132,10 @@
     caller.Write(
         "GET /unsafe/a HTTP/1.1\nHost: a.example\nX-Attempt-Id: r1\n\n");
   }
+  SECTION("chunks with extensions and trailers") {
+    caller.Write(WithLine("Transfer-Encoding: chunked\r\n",
+                          "4;a=b\r\nbody\r\n0\r\nX-Name: 1\r\n\r\n"));
+  }
   SECTION("version 1.0") {
     caller.Write(WithStartLine("GET /unsafe/a HTTP/1.0"));
   }
--- a/tests/broken_response_test.cc
+++ b/tests/broken_response_test.cc
@@ -181,7 +181,11 @@
 
 TEST_CASE("a response that is not valid reaches no caller",
           "[broken-response]") {
-  const RawResponse broken = GENERATE(from_range(MakeBrokenResponses(kSigned)));
+  std::vector<RawResponse> all = MakeBrokenResponses(kSigned);
+  for (RawResponse& response : MakeInvalidChunks(kSigned)) {
+    all.push_back(std::move(response));
+  }
+  const RawResponse broken = GENERATE_COPY(from_range(all));
   CAPTURE(broken.name);
   Mesh mesh(false);
   RawConnection caller = mesh.Ask("/unsafe/a");
@@ -194,6 +198,25 @@
   CHECK(response.find(kBrokenBody) == std::string::npos);
 }
 
+TEST_CASE("a chunk that is not valid ends a response that was begun",
+          "[broken-response]") {
+  Mesh mesh(false);
+  RawConnection caller = mesh.Ask("/unsafe/a");
+  auto request = mesh.Receive();
+  REQUIRE(request);
+  std::thread writer([&] {
+    request->connection.Write(
+        fmt::format("HTTP/1.1 200 OK\r\n{}Transfer-Encoding: chunked\r\n\r\n"
+                    "{:x}\r\n{}xx0\r\n\r\n",
+                    kSigned, kStreamedBytes, std::string(kStreamedBytes, 'x')));
+    request->connection.Close();
+  });
+  const std::string response = caller.ReadAll();
+  writer.join();
+  CHECK(response.starts_with("HTTP/1.1 200"));
+  CHECK_FALSE(response.ends_with("0\r\n\r\n"));
+}
+
 TEST_CASE("a valid response of an unusual form reaches its caller",
           "[broken-response]") {
   const RawResponse unusual =
--- a/tests/broken_responses.h
+++ b/tests/broken_responses.h
@@ -110,10 +110,88 @@
   };
 }
 
+inline std::vector<RawResponse> MakeInvalidLengths(const std::string& headers) {
+  const std::string chunks = "a\r\nnot-a-body\r\n0\r\n\r\n";
+  const auto framed_by = [&](const std::string& lines,
+                             const std::string& body = kBrokenBody) {
+    return "HTTP/1.1 200 OK\r\n" + headers + lines + "\r\n" + body;
+  };
+  return {
+      {"two lengths that differ",
+       framed_by("Content-Length: 10\r\nContent-Length: 4\r\n")},
+      {"two lengths in one line", framed_by("Content-Length: 10, 4\r\n")},
+      {"a length with a sign", framed_by("Content-Length: +10\r\n")},
+      {"a negative length", framed_by("Content-Length: -10\r\n")},
+      {"a length with a blank", framed_by("Content-Length: 1 0\r\n")},
+      {"a length in hexadecimal", framed_by("Content-Length: 0xa\r\n")},
+      {"an empty length", framed_by("Content-Length:\r\n")},
+      {"a length over 64 bits",
+       framed_by("Content-Length: 18446744073709551626\r\n")},
+      {"a length beside chunks",
+       framed_by("Content-Length: 10\r\nTransfer-Encoding: chunked\r\n",
+                 chunks)},
+      {"chunks beside a length",
+       framed_by("Transfer-Encoding: chunked\r\nContent-Length: 10\r\n",
+                 chunks)},
+      {"an encoding beside a length",
+       framed_by("Transfer-Encoding: rot13\r\nContent-Length: 10\r\n")},
+      {"an encoding that is not known",
+       framed_by("Transfer-Encoding: rot13\r\n")},
+      {"an encoding behind chunks",
+       framed_by("Transfer-Encoding: chunked, rot13\r\n", chunks)},
+      {"an encoding before chunks",
+       framed_by("Transfer-Encoding: rot13, chunked\r\n", chunks)},
+      {"an encoding in a line before chunks",
+       framed_by("Transfer-Encoding: rot13\r\nTransfer-Encoding: chunked\r\n",
+                 chunks)},
+      {"chunks twice",
+       framed_by("Transfer-Encoding: chunked, chunked\r\n", chunks)},
+      {"an empty encoding", framed_by("Transfer-Encoding:\r\n", chunks)},
+  };
+}
+
+// Their heads are valid, and may have been passed on.
+inline std::vector<RawResponse> MakeInvalidChunks(const std::string& headers) {
+  const auto chunked = [&](const std::string& body) {
+    return "HTTP/1.1 200 OK\r\n" + headers +
+           "Transfer-Encoding: chunked\r\n\r\n" + body;
+  };
+  return {
+      {"no size", chunked("\r\nnot-a-body\r\n0\r\n\r\n")},
+      {"a size with a sign", chunked("+a\r\nnot-a-body\r\n0\r\n\r\n")},
+      {"a size with a prefix", chunked("0xa\r\nnot-a-body\r\n0\r\n\r\n")},
+      {"a blank before the size", chunked(" a\r\nnot-a-body\r\n0\r\n\r\n")},
+      {"a blank in the size", chunked("a 0\r\nnot-a-body\r\n0\r\n\r\n")},
+      {"CR alone behind the size", chunked("a\rxnot-a-body\r\n0\r\n\r\n")},
+      {"LF alone behind the size", chunked("a\nnot-a-body\r\n0\r\n\r\n")},
+      {"a control byte in an extension",
+       chunked("a;\x01\r\nnot-a-body\r\n0\r\n\r\n")},
+      {"a chunk that is longer than its size",
+       chunked("8\r\nnot-a-body\r\n0\r\n\r\n")},
+      {"a chunk that is shorter than its size",
+       chunked("c\r\nnot-a-body\r\n0\r\n\r\n")},
+      {"a chunk without its line end", chunked("a\r\nnot-a-body0\r\n\r\n")},
+      {"other bytes in place of a line end",
+       chunked("a\r\nnot-a-bodyxx0\r\n\r\n")},
+      {"LF alone behind a chunk", chunked("a\r\nnot-a-body\n0\r\n\r\n")},
+      {"a size over 64 bits",
+       chunked("1000000000000000a\r\nnot-a-body\r\n0\r\n\r\n")},
+      {"a trailer with a blank in its name",
+       chunked("a\r\nnot-a-body\r\n0\r\nX Name: 1\r\n\r\n")},
+      {"a trailer without a colon",
+       chunked("a\r\nnot-a-body\r\n0\r\nX-Name\r\n\r\n")},
+      {"other bytes in place of the last line end",
+       chunked("a\r\nnot-a-body\r\n0\r\n\rx")},
+      {"no last line", chunked("a\r\nnot-a-body\r\n0\r\n")},
+  };
+}
+
+// Those of which not even the head is passed on.
 inline std::vector<RawResponse> MakeBrokenResponses(
     const std::string& headers) {
   std::vector<RawResponse> all;
-  for (const auto make : {MakeInvalidStatuses, MakeInvalidHeads}) {
+  for (const auto make :
+       {MakeInvalidStatuses, MakeInvalidHeads, MakeInvalidLengths}) {
     for (RawResponse& response : make(headers)) {
       all.push_back(std::move(response));
     }
@@ -133,6 +211,10 @@
     return "HTTP/1.1 200 OK\r\n" + headers + line +
            "Content-Length: 10\r\n\r\n" + kWholeBody;
   };
+  const auto with_framing = [&](const std::string& line,
+                                const std::string& body = kWholeBody) {
+    return "HTTP/1.1 200 OK\r\n" + headers + line + "\r\n" + body;
+  };
   return {
       {"no reason", with_status_line("HTTP/1.1 200 ")},
       {"no blank behind the status", with_status_line("HTTP/1.1 200")},
@@ -150,6 +232,14 @@
       {"lines that end with LF alone",
        "HTTP/1.1 200 OK\n" + headers + "Content-Length: 10\n\n" + kWholeBody},
       {"no length", "HTTP/1.1 200 OK\r\n" + headers + "\r\n" + kWholeBody},
+      {"blanks around a length", with_framing("Content-Length: \t 10 \r\n")},
+      {"zeros before a length", with_framing("Content-Length: 0010\r\n")},
+      {"chunks", with_framing("Transfer-Encoding: Chunked\r\n",
+                              "A\r\nwhole-body\r\n0\r\n\r\n")},
+      {"chunks with zeros, blanks, extensions and trailers",
+       with_framing("Transfer-Encoding: \tchunked \r\n",
+                    "00a \t;a=\"b;c\";d\r\nwhole-body\r\n"
+                    "000 ;e\r\nX-Name: 1\r\nX-Other:\r\n\r\n")},
   };
 }
 
--- a/tests/call_path_test.cc
+++ b/tests/call_path_test.cc
@@ -432,9 +432,13 @@
     CHECK(answer.starts_with("HTTP/1.1 502"));
     CHECK_FALSE(Contains(answer, kBrokenBody));
   }
+  SECTION("one whose chunks are not valid") {
+    const RawResponse broken = GENERATE(from_range(MakeInvalidChunks({})));
+    CAPTURE(broken.name, through_peer);
+    CHECK_FALSE(PassOn(broken, through_peer).ends_with("0\r\n\r\n"));
+  }
   SECTION("one that is valid, of an unusual form") {
-    const RawResponse unusual =
-        GENERATE(from_range(MakeUnusualResponses({})));
+    const RawResponse unusual = GENERATE(from_range(MakeUnusualResponses({})));
     CAPTURE(unusual.name, through_peer);
     const std::string answer = PassOn(unusual, through_peer);
     CHECK(answer.starts_with("HTTP/1.1 200"));
