HTTP server: send callers of version 1.0 no chunks

Callers saw: HTTP/1.0 callers got streamed responses without a length in chunks, which that version does not have: sizes and line ends as part of the body, and a response that was cut off ended like a whole one.

Cause: a response was chunked whenever its length was not known.

Change: for requests of version 1.0, such a response ends with its connection. As long as it is not complete, the socket is set to reset when it is closed, so that an abort, and the end of the process as well, do not look like the end of the body. "Connection: close" is sent whatever the caller asked for.

Not covered: callers of version 1.0 at `verbenastile node`; RESTinio sends chunks.

--- a/src/io/http1_parser.cc
+++ b/src/io/http1_parser.cc
@@ -175,6 +175,7 @@
   head_done_ = true;
   head_.keep_alive = http_should_keep_alive(&parser_) != 0;
   head_.status = static_cast<int>(parser_.status_code);
+  head_.minor_version = parser_.http_minor;
   if (role_ == Role::kRequest) {
     head_.method = http_method_str(static_cast<http_method>(parser_.method));
   }
@@ -216,7 +217,7 @@
   if (may_have_body && body->chunked) {
     framing_ = ChunkDecoder();
     // HTTP/1.0 has no chunks, so that the sender may mean something else.
-    head_.keep_alive = head_.keep_alive && parser_.http_minor > 0;
+    head_.keep_alive = head_.keep_alive && head_.minor_version > 0;
   } else if (may_have_body && length > 0) {
     framing_ = SizedBody{length};
   } else if (may_have_body && is_response && !body->length) {
@@ -242,7 +243,7 @@
 
 std::string FormatResponseHead(int status,
                                const HttpHeaders& headers,
-                               std::optional<std::uint64_t> length,
+                               const ResponseFraming& framing,
                                bool close) {
   std::string text;
   text.reserve(512);
@@ -253,9 +254,10 @@
       text.append(header.name).append(": ").append(header.value).append("\r\n");
     }
   }
-  if (length) {
-    fmt::format_to(std::back_inserter(text), "Content-Length: {}\r\n", *length);
-  } else {
+  if (framing.length) {
+    fmt::format_to(std::back_inserter(text), "Content-Length: {}\r\n",
+                   *framing.length);
+  } else if (framing.chunked) {
     text.append("Transfer-Encoding: chunked\r\n");
   }
   text.append(close ? "Connection: close\r\n\r\n" : "\r\n");
--- a/src/io/http1_parser.h
+++ b/src/io/http1_parser.h
@@ -20,9 +20,10 @@
 
 // Start line and headers of a message.
 struct Http1Head {
-  std::string method;  // Requests only.
-  std::string target;  // Requests only: path and query.
-  int status = 0;      // Responses only.
+  std::string method;     // Requests only.
+  std::string target;     // Requests only: path and query.
+  int status = 0;         // Responses only.
+  int minor_version = 1;  // Of HTTP/1.x.
   HttpHeaders headers;
   std::optional<std::uint64_t> length;  // From Content-Length.
   bool chunked = false;
@@ -115,12 +116,18 @@
 // Returns the standard reason phrase for `status`.
 std::string_view ReasonPhrase(int status);
 
-// Formats the status line and headers of a response. The framing header is
-// Content-Length if `length` is given, and chunked encoding otherwise. Framing
-// and connection headers in `headers` are dropped.
+// How a response delimits its body: by its length, in chunks, or by the end of
+// the connection if neither is set.
+struct ResponseFraming {
+  std::optional<std::uint64_t> length;
+  bool chunked = false;
+};
+
+// Formats the status line and headers of a response. Framing and connection
+// headers in `headers` are dropped.
 std::string FormatResponseHead(int status,
                                const HttpHeaders& headers,
-                               std::optional<std::uint64_t> length,
+                               const ResponseFraming& framing,
                                bool close);
 
 // Formats `part` as one chunk. An empty part yields the terminating chunk.
--- a/src/io/http1_server.cc
+++ b/src/io/http1_server.cc
@@ -80,6 +80,12 @@
   void CloseIfDraining() {
     close_after_response_ = close_after_response_ || server_->draining_;
   }
+  // The response under way ends with the connection, so that any other end has
+  // to be a reset, that of the process as well.
+  void EndResponseWithConnection() {
+    close_after_response_ = true;
+    SetResetOnClose(true);
+  }
 
   std::function<void()> on_disconnect;
   std::function<void()> on_drained;
@@ -94,6 +100,7 @@
   void Flush();
   void OnWritten(const asio::error_code& error);
   void Linger();
+  void SetResetOnClose(bool reset);
   void SetBufferedBytes(std::size_t size);
   void RemoveFromServer();
 
@@ -112,6 +119,7 @@
   bool responding_ = false;
   bool response_complete_ = false;
   bool close_after_response_ = false;
+  bool reset_on_close_ = false;
 };
 
 void Http1Connection::Read() {
@@ -183,7 +191,7 @@
   responding_ = true;
   close_after_response_ = true;
   const HttpHeaders headers = {{"Content-Type", "text/plain"}};
-  Send(FormatResponseHead(status, headers, 0, true), true);
+  Send(FormatResponseHead(status, headers, {.length = 0}, true), true);
 }
 
 void Http1Connection::Send(std::string bytes, bool ends_response) {
@@ -235,6 +243,9 @@
   on_drained = nullptr;
   wait_start_ = SteadyNow();
   SetBufferedBytes(0);
+  if (reset_on_close_) {
+    SetResetOnClose(false);
+  }
   if (close_after_response_ || server_->closing_) {
     Linger();
     return;
@@ -257,6 +268,12 @@
   Read();
 }
 
+void Http1Connection::SetResetOnClose(bool reset) {
+  reset_on_close_ = reset;
+  asio::error_code ignored;  // The connection may have failed already.
+  socket_.set_option(asio::socket_base::linger(reset, 0), ignored);
+}
+
 void Http1Connection::Close() {
   if (std::exchange(state_, State::kClosed) == State::kClosed) {
     return;
@@ -333,8 +350,9 @@
   finished_ = true;
   if (const auto connection = connection_.lock()) {
     connection->CloseIfDraining();
-    std::string text = FormatResponseHead(status, headers, body.size(),
-                                          connection->closes_after_response());
+    std::string text =
+        FormatResponseHead(status, headers, {.length = body.size()},
+                           connection->closes_after_response());
     if (head_.method != "HEAD") {
       text.append(body);
     }
@@ -345,10 +363,13 @@
 void Http1Exchange::Start(int status,
                           const HttpHeaders& headers,
                           std::optional<std::uint64_t> length) {
-  chunked_ = !length.has_value();
+  chunked_ = !length && head_.minor_version > 0;
   if (const auto connection = connection_.lock()) {
     connection->CloseIfDraining();
-    connection->Send(FormatResponseHead(status, headers, length,
+    if (!length && !chunked_) {
+      connection->EndResponseWithConnection();
+    }
+    connection->Send(FormatResponseHead(status, headers, {length, chunked_},
                                         connection->closes_after_response()),
                      false);
   }
--- a/src/io/http1_server.h
+++ b/src/io/http1_server.h
@@ -42,8 +42,9 @@
 class Http1Connection;
 
 // A request and its response. Respond either with `Send`, or with `Start`, any
-// number of `Write` calls and `Finish`. `Abort` closes the connection instead.
-// Calls made after the connection has closed have no effect.
+// number of `Write` calls and `Finish`. `Abort` closes the connection instead,
+// so that the client sees that a response under way is not complete. Calls made
+// after the connection has closed have no effect.
 class Http1Exchange {
  public:
   Http1Exchange(std::weak_ptr<Http1Connection> connection,
@@ -61,7 +62,8 @@
   const std::string& remote_ip() const { return remote_ip_; }
 
   void Send(int status, const HttpHeaders& headers, std::string_view body);
-  // Starts a streamed response, chunked if there is no `length`.
+  // Starts a streamed response, chunked if there is no `length`. HTTP/1.0 has
+  // no chunks; there, the body ends with the connection.
   void Start(int status,
              const HttpHeaders& headers,
              std::optional<std::uint64_t> length);
--- a/tests/broken_response_test.cc
+++ b/tests/broken_response_test.cc
@@ -245,4 +245,34 @@
   CHECK(caller.ReadAll().ends_with("\r\n\r\nok"));
 }
 
+TEST_CASE("a caller of version 1.0 gets no chunks", "[broken-response]") {
+  Mesh mesh(false);
+  auto caller =
+      RawConnection::ConnectTo(mesh.client_io, mesh.callers->address());
+  // Callers of this version may keep connections, but not for such a response.
+  const std::string keep_alive =
+      GENERATE(as<std::string>(), "", "Connection: keep-alive\r\n");
+  caller.Write("GET /unsafe/a HTTP/1.0\r\nHost: a.example\r\n" + keep_alive +
+               "X-Attempt-Id: r1\r\n\r\n");
+  auto request = mesh.Receive();
+  REQUIRE(request);
+  const std::string body(kStreamedBytes, 'x');
+  const bool whole = GENERATE(false, true);
+  CAPTURE(whole);
+  std::thread writer([&] {
+    request->connection.Write(
+        fmt::format("HTTP/1.1 200 OK\r\n{}Transfer-Encoding: chunked\r\n\r\n"
+                    "{:x}\r\n{}\r\n{}",
+                    kSigned, body.size(), body, whole ? "0\r\n\r\n" : ""));
+    request->connection.Close();
+  });
+  const std::string head = caller.ReadUntil("\r\n\r\n");
+  const std::string received = caller.ReadAll();
+  writer.join();
+  CHECK(head.find("Transfer-Encoding") == std::string::npos);
+  CHECK(head.find("Connection: close\r\n") != std::string::npos);
+  CHECK((received == body) == whole);
+  CHECK(caller.was_reset() != whole);
+}
+
 }  // namespace verbenastile
--- a/tests/net_support.h
+++ b/tests/net_support.h
@@ -155,6 +155,9 @@
     return request;
   }
 
+  // Whether the connection ended with a reset, as far as it was read.
+  bool was_reset() const { return was_reset_; }
+
   // Whether the peer has closed the connection and all data was read. Blocks
   // until data arrives or the connection ends.
   bool AtEnd() { return buffer_.empty() && !ReadMore(); }
@@ -182,6 +185,7 @@
     asio::error_code error;
     const std::size_t size = socket_.read_some(asio::buffer(data), error);
     buffer_.append(data, size);
+    was_reset_ = was_reset_ || error == asio::error::connection_reset;
     return !error && size > 0;
   }
 
@@ -193,6 +197,7 @@
 
   asio::ip::tcp::socket socket_;
   std::string buffer_;
+  bool was_reset_ = false;
 };
 
 // Listening socket on a port assigned by the system.
