Links: check the heads of messages that peers send

Callers saw: whatever head a peer's frame held was written to them, and to instances: any 16 bits as a status, line ends in names and values, a target with blanks, a body that is longer than its length.

Cause: the node at the other end of a link was taken to have checked the message.

Change: a response whose status is not final and valid, or whose headers are not, becomes a failure of its call, which is cancelled at the peer (502). A call with an invalid method, target or header, or with one that frames the body, gets a 400 and reaches no instance. A response that exceeds its length is broken off. The link and its other calls go on.

--- a/src/io/http1_syntax.cc
+++ b/src/io/http1_syntax.cc
@@ -81,6 +81,13 @@
   return !text.empty() && std::all_of(text.begin(), text.end(), IsTokenByte);
 }
 
+bool IsRequestTarget(std::string_view target) {
+  return !target.empty() &&
+         std::none_of(target.begin(), target.end(), [](char byte) {
+           return byte == ' ' || IsControlByte(byte);
+         });
+}
+
 bool IsHeaderValue(std::string_view value) {
   return std::all_of(value.begin(), value.end(), IsValueByte);
 }
--- a/src/io/http1_syntax.h
+++ b/src/io/http1_syntax.h
@@ -26,6 +26,9 @@
 // Whether `text` is a token, as methods and the names of headers have to be.
 bool IsToken(std::string_view text);
 
+// Whether `target` can stand between the blanks of a request line.
+bool IsRequestTarget(std::string_view target);
+
 // Whether `value` may be the value of a header: it has no control bytes other
 // than tabs.
 bool IsHeaderValue(std::string_view value);
--- a/src/mesh/link_hub.cc
+++ b/src/mesh/link_hub.cc
@@ -7,7 +7,9 @@
 
 #include "base/log.h"
 #include "base/overload.h"
+#include "io/http_status.h"
 #include "io/listen.h"
+#include "mesh/frame_check.h"
 
 namespace verbenastile {
 namespace {
@@ -187,6 +189,16 @@
 void LinkHub::OnIncomingCall(const IncomingPointer& peer,
                              CallId id,
                              GateCall call) {
+  if (!IsValidCall(call)) {
+    Log(LogLevel::kWarning, kLogComponent, "A peer's call is not valid.",
+        {{"peer", peer->name}, {"call", id}, {"request", call.request_id}});
+    GateResponse response;
+    response.status = kHttpBadRequest;
+    response.last = true;
+    response.load = init_.gate->load();
+    SendResponse(peer, id, std::move(response));
+    return;
+  }
   call.origin = peer->name;
   peer->arrived.emplace_back(id, std::move(call));
   if (peer->arrived.size() > 1) {
@@ -415,6 +427,7 @@
     init_.member_registry->SetLinked(peer->name, true, SteadyNow());
   }
   if (frame.call != 0) {
+    RejectInvalidResponse(*peer, frame);
     if (EndsCall(frame.body)) {
       peer->calls.erase(frame.call);
       peer->non_idempotent_calls.erase(frame.call);
@@ -454,6 +467,23 @@
       frame.body);
 }
 
+// Replaces a response that callers must not get by a failure, as if the
+// instance had broken it off.
+void LinkHub::RejectInvalidResponse(Outgoing& peer, LinkFrame& frame) {
+  const auto* response = std::get_if<GateResponse>(&frame.body);
+  if (response == nullptr || IsValidResponse(*response)) {
+    return;
+  }
+  Log(LogLevel::kWarning, kLogComponent, "A peer's response is not valid.",
+      {{"peer", peer.name},
+       {"call", frame.call},
+       {"status", response->status}});
+  if (!response->last) {
+    peer.link->Send({frame.call, LinkCancel{}});
+  }
+  frame.body = GateFailure{"the response is not valid", std::nullopt};
+}
+
 void LinkHub::OnOutgoingHello(const OutgoingPointer& peer,
                               const LinkHello& hello) {
   const std::string& name = hello.self.member.name;
--- a/src/mesh/link_hub.h
+++ b/src/mesh/link_hub.h
@@ -174,6 +174,7 @@
   void Connect(const OutgoingPointer& peer);
   void OnConnected(const OutgoingPointer& peer, const asio::error_code& error);
   void OnOutgoingFrame(const OutgoingPointer& peer, LinkFrame frame);
+  void RejectInvalidResponse(Outgoing& peer, LinkFrame& frame);
   void OnOutgoingHello(const OutgoingPointer& peer, const LinkHello& hello);
   void OnOutgoingClosed(const OutgoingPointer& peer, std::string_view reason);
   static std::vector<CallId> UnsentCalls(const Outgoing& peer);
--- a/src/mesh/outbound_response.cc
+++ b/src/mesh/outbound_response.cc
@@ -218,6 +218,11 @@
     OnResponseComplete(id);
     return;
   }
+  if (call.content_length && call.response_bytes > *call.content_length) {
+    SendCancel(id, *call.attempt);
+    OnBroken(id, {"the response is longer than its length", std::nullopt});
+    return;
+  }
   if (call.streaming || call.body.size() > kMaxBufferedResponseBytes) {
     StreamToCaller(id);
   } else {
--- a/tests/broken_request_test.cc
+++ b/tests/broken_request_test.cc
@@ -145,4 +145,42 @@
   CHECK(caller.ReadUntil("ok").starts_with("HTTP/1.1 200"));
 }
 
+TEST_CASE("a peer's call that is not valid reaches no instance",
+          "[broken-request]") {
+  Mesh mesh(false);
+  PlayedNode peer(mesh.client_io, mesh.far->record.member.peer_address);
+  LinkFrame frame = MakeGateCall(1, false);
+  auto& call = std::get<GateCall>(frame.body);
+
+  SECTION("a blank in a name") {
+    call.headers.push_back({"X-Tenant ", "x"});
+  }
+  SECTION("a line end in a value") {
+    call.headers.push_back({"X-Other", "a\r\nX-Tenant: x"});
+  }
+  SECTION("a header that frames the body") {
+    call.headers.push_back({"Transfer-Encoding", "chunked"});
+  }
+  SECTION("a length") {
+    call.headers.push_back({"Content-Length", "4"});
+  }
+  SECTION("a blank in the target") {
+    call.target = "/unsafe/a HTTP/1.1\r\nX-Tenant: x\r\n\r\n";
+  }
+  SECTION("no target") {
+    call.target.clear();
+  }
+  SECTION("a blank in the method") {
+    call.method = "GET /unsafe/b HTTP/1.1\r\n\r\nPOST";
+  }
+  peer.Send(frame);
+  CHECK(peer.ReadResponse().status == 400);
+  CHECK_FALSE(mesh.Receive(milliseconds(50)));
+  peer.Send(MakeGateCall(1, false));
+  auto request = mesh.Receive();
+  REQUIRE(request);
+  Mesh::Answer(*request);
+  CHECK(peer.ReadResponse().body == "ok");
+}
+
 }  // namespace verbenastile
--- a/tests/caller_gone_test.cc
+++ b/tests/caller_gone_test.cc
@@ -32,63 +32,6 @@
   return connection.AtEnd() && SteadyNow() - begin < kMaxWorkAfterLeaving;
 }
 
-LinkFrame MakeGateCall(CallId id, bool idempotent) {
-  GateCall call;
-  call.service = "wallet";
-  call.caller_service = "plaza";
-  call.request_id = fmt::format("r{}", id);
-  call.rule = idempotent ? "safe" : "unsafe";
-  call.method = idempotent ? "GET" : "POST";
-  call.target = "/safe/a";
-  call.headers = {{"Host", "a.example"}, {"X-Attempt-Id", call.request_id}};
-  call.remaining = seconds(10);
-  call.objective = seconds(5);
-  call.idempotent = idempotent;
-  return {id, std::move(call)};
-}
-
-// A node that the test plays, with a link to the node at `address`.
-struct PlayedNode {
-  PlayedNode(asio::io_context& io, const SocketAddress& address)
-      : connection(RawConnection::ConnectTo(io, address)) {
-    SendHello();
-  }
-  explicit PlayedNode(RawConnection connected)
-      : connection(std::move(connected)) {}
-
-  void SendHello() {
-    MemberRecord record;
-    record.member.name = "played";
-    record.member.incarnation = 1;
-    Send({0, LinkHello{record, {}}});
-  }
-  void Send(const LinkFrame& frame) {
-    std::string bytes;
-    writer.Append(frame, bytes);
-    connection.Write(bytes);
-  }
-  // Reads frames until the response to a call.
-  GateResponse ReadResponse() {
-    while (true) {
-      auto next = reader.Next();
-      auto& frame = std::get<std::optional<LinkFrame>>(next);
-      if (frame && std::holds_alternative<GateResponse>(frame->body)) {
-        return std::get<GateResponse>(std::move(frame->body));
-      }
-      if (!frame) {
-        const std::string byte = connection.ReadBytes(1);
-        REQUIRE(byte.size() == 1);
-        reader.Append(byte.data(), 1);
-      }
-    }
-  }
-
-  RawConnection connection;
-  SmallTextDeltas deltas;
-  LinkReader reader{&deltas};
-  LinkWriter writer{&deltas};
-};
-
 }  // namespace
 
 TEST_CASE("a request that is read after its caller left reaches no instance",
--- a/tests/link_break_test.cc
+++ b/tests/link_break_test.cc
@@ -34,16 +34,21 @@
   MemberRecord record() const { return Record(name, listener.address()); }
   void Accept() {
     connection.emplace(listener.Accept());
-    std::string hello;
-    LinkWriter(&deltas).Append({0, LinkHello{record(), {}}}, hello);
-    connection->Write(hello);
+    Send({0, LinkHello{record(), {}}});
   }
-  void ReadCall() {
+  void Send(const LinkFrame& frame) {
+    std::string bytes;
+    writer.Append(frame, bytes);
+    connection->Write(bytes);
+  }
+  // Reads frames until one of the type, and returns its call.
+  template <typename Body = GateCall>
+  CallId ReadCall() {
     while (true) {
       const auto next = reader.Next();
       const auto& frame = std::get<std::optional<LinkFrame>>(next);
-      if (frame && std::holds_alternative<GateCall>(frame->body)) {
-        return;
+      if (frame && std::holds_alternative<Body>(frame->body)) {
+        return frame->call;
       }
       if (!frame) {
         const std::string byte = connection->ReadBytes(1);
@@ -57,6 +62,7 @@
   RawListener listener;
   SmallTextDeltas deltas;
   LinkReader reader{&deltas};
+  LinkWriter writer{&deltas};
   std::optional<RawConnection> connection;
 };
 
@@ -245,5 +251,70 @@
   }
 }
 
+struct PeerResponse {
+  const char* name = "";
+  int status = 200;
+  HttpHeaders headers;
+};
+
+// Guards against a head that a peer did not check, and callers get (rule MIXED;
+// issue 54).
+SCENARIO("a peer's response that is not valid reaches no caller") {
+  const PeerResponse broken = GENERATE(values<PeerResponse>({
+      {"status 0", 0, {}},
+      {"an interim status", 103, {}},
+      {"status 101", 101, {}},
+      {"status 600", 600, {}},
+      {"a blank in a name", 200, {{"X Name", "a"}}},
+      {"an empty name", 200, {{"", "a"}}},
+      {"a line end in a name", 200, {{"X-Name: a\r\nX-Other", "a"}}},
+      {"a line end in a value", 200, {{"X-Name", "a\r\nX-Other: b"}}},
+      {"a NUL in a value", 200, {{"X-Name", std::string(1, '\0')}}},
+  }));
+  const bool last = GENERATE(false, true);
+  CAPTURE(broken.name, last);
+  BreakFixture fixture;
+  RawConnection caller = fixture.Post("one ticket");
+  GateResponse response;
+  const CallId id = fixture.far.ReadCall();
+  response.status = broken.status;
+  response.headers = broken.headers;
+  response.body = "a part";
+  response.last = last;
+  fixture.far.Send({id, response});
+  const std::string answer = caller.ReadAll();
+  CHECK(answer.starts_with("HTTP/1.1 502"));
+  CHECK(answer.find("a part") == std::string::npos);
+  if (!last) {
+    CHECK(fixture.far.ReadCall<LinkCancel>() == id);
+  }
+  THEN("the link goes on") {
+    RawConnection next = fixture.Post("one ticket");
+    GateResponse whole;
+    whole.status = 200;
+    whole.body = "whole";
+    whole.last = true;
+    fixture.far.Send({fixture.far.ReadCall(), whole});
+    CHECK(next.ReadAll().ends_with("whole"));
+  }
+}
+
+SCENARIO("a peer's response that is longer than its length is cut") {
+  BreakFixture fixture;
+  RawConnection caller = fixture.Post("one ticket");
+  const CallId id = fixture.far.ReadCall();
+  GateResponse response;
+  response.status = 200;
+  response.length = 2 * kMegabyte;
+  response.body = std::string(2 * kMegabyte, 'x');
+  fixture.far.Send({id, response});
+  const std::string head = caller.ReadUntil("\r\n\r\n");
+  CHECK(head.find("Content-Length: 2000000\r\n") != std::string::npos);
+  REQUIRE(caller.ReadBytes(2 * kMegabyte).size() == 2 * kMegabyte);
+  fixture.far.Send({id, GateResponseChunk{"HTTP/1.1 200 OK\r\n\r\n", false}});
+  CHECK(caller.AtEnd());
+  CHECK(fixture.far.ReadCall<LinkCancel>() == id);
+}
+
 }  // namespace
 }  // namespace verbenastile
