--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -102,6 +102,41 @@
   }
 }
 
+// Guards against a configuration that ends each node that reads it.
+SCENARIO("a configuration that is cut off or damaged ends no process") {
+  json spec = ConfigurationSpec();
+  spec["tenants"] = {{"a", {{"api_keys", {"k"}}, {"rate_per_s", 1.5}}}};
+  const std::string text = spec.dump();
+  REQUIRE(std::holds_alternative<Configuration>(ParseConfiguration(text)));
+
+  GIVEN("one that ends early") {
+    for (std::size_t size = 0; size < text.size(); ++size) {
+      CAPTURE(text.substr(0, size));
+      CHECK(std::holds_alternative<FormatError>(
+          ParseConfiguration(text.substr(0, size))));
+    }
+  }
+  GIVEN("one with a wrong byte") {
+    // Whatever is read from it.
+    std::size_t refused = 0;
+    for (std::size_t at = 0; at < text.size(); ++at) {
+      for (const char byte : std::string_view("{}[]:,\"\\0n \x01")) {
+        std::string damaged = text;
+        damaged[at] = byte;
+        refused +=
+            std::holds_alternative<FormatError>(ParseConfiguration(damaged))
+                ? 1
+                : 0;
+      }
+    }
+    CHECK(refused > 0);
+  }
+  GIVEN("one with bytes behind it") {
+    CHECK(std::holds_alternative<FormatError>(ParseConfiguration(text + "}")));
+    CHECK(std::holds_alternative<FormatError>(ParseConfiguration(text + "1")));
+  }
+}
+
 json HeartbeatBody() {
   return json::parse(R"({"address": "10.128.0.9:8080",
     "info": {"service": "booking", "version": "v1", "zone": "a", "slots": 6},
