HTTP client: an interim response before one to HEAD does not hide its end

Callers saw: a request with HEAD whose server sent an interim response first was answered only when the server closed the connection, with 502.

Cause: that a response to HEAD has no body was forgotten with the message that was skipped, so that the body its length names was waited for.

Change: the parser is told again for each message that follows.

--- a/src/io/http1_client.cc
+++ b/src/io/http1_client.cc
@@ -89,6 +89,7 @@
 
  private:
   void OnConnected(const asio::error_code& error);
+  void ExpectResponse();
   void Write();
   void Read();
   void OnWritten(const asio::error_code& error);
@@ -198,11 +199,8 @@
 void Http1ClientConnection::Begin(Http1CallId id, Http1Call call, bool reused) {
   id_ = id;
   call_ = std::move(call);
-  parser_.Reset();
   parser_.SetLimits(call_.limits);
-  if (call_.method == "HEAD") {
-    parser_.ExpectNoBody();
-  }
+  ExpectResponse();
   sent_ = false;
   head_delivered_ = false;
   skipping_response_ = false;
@@ -216,6 +214,14 @@
   }
 }
 
+// Prepares the parser for a response to the call.
+void Http1ClientConnection::ExpectResponse() {
+  parser_.Reset();
+  if (call_.method == "HEAD") {
+    parser_.ExpectNoBody();
+  }
+}
+
 void Http1ClientConnection::Write() {
   sent_ = true;
   writing_ = true;
@@ -372,7 +378,7 @@
   parser_.TakeBody();
   if (parser_.done()) {
     skipping_response_ = false;
-    parser_.Reset();
+    ExpectResponse();
   }
   return true;
 }
--- a/tests/http1_test.cc
+++ b/tests/http1_test.cc
@@ -339,6 +339,27 @@
       }
     }
   }
+  GIVEN("an interim response before one to HEAD") {
+    Http1Call call;
+    call.method = "HEAD";
+    const auto result = fixture.Start(std::move(call));
+    RawConnection server = fixture.listener.Accept();
+    server.ReadRequest();
+    server.Write(
+        "HTTP/1.1 103 Early Hints\r\n\r\n"
+        "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n");
+    THEN("the call ends at the head of the final one") {
+      const auto has_ended = [&] {
+        return fixture.loop.Call([&] { return result->end.has_value(); });
+      };
+      for (int i = 0; i < 5'000 && !has_ended(); ++i) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+      }
+      CHECK(has_ended());
+      server.Close();
+      CHECK(fixture.Wait(result) == Http1CallResult::kComplete);
+    }
+  }
   GIVEN("a server that sends interim responses without end") {
     const auto result = fixture.Start({});
     RawConnection server = fixture.listener.Accept();
