Fault soak: instances send broken answers

While answers are lost, an instance also sends some that are reset without a length, have an invalid status, name, value, length or chunk, or hide a second answer behind a head with status 000; clients check that they get none of it. They draw from a generator of their own, so that the schedules of seeds stay.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -20,6 +20,7 @@
 import typing
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "platform"))
+import fault_answers  # noqa: E402
 import fault_configurations  # noqa: E402
 import fault_groups  # noqa: E402
 import fault_leavers  # noqa: E402
@@ -430,7 +431,13 @@
         content = self.soak.content(request)
         answer = format_answer(200, self.echo(request), content)
         if roll < self.soak.lose_answers * 2:
-            writer.write(answer[: -len(content) // 2])
+            broken, resets = self.soak.broken_answers.make(
+                self.echo(request), content
+            )
+            writer.write(broken)
+            if resets:
+                await asyncio.sleep(0.005)
+                fault_answers.reset_on_close(writer)
             writer.close()
             return
         writer.write(answer)
@@ -622,6 +629,7 @@
         self.quotas = fault_quotas.Quotas(self, options.seed)
         self.configurations = fault_configurations.Configurations(self, options.seed)
         self.groups = fault_groups.Groups(self, options.seed)
+        self.broken_answers = fault_answers.BrokenAnswers(self, options.seed)
         self.leavers = fault_leavers.Leavers(self, options.seed)
         self.store = Store(self.rng)
         self.rollouts = fault_rollouts.Rollouts(self, options.seed)
@@ -793,6 +801,7 @@
         return status == 200
 
     def check_answer(self, node, route, request, begin, status, headers, body):
+        self.broken_answers.check(request, status, headers, body)
         if status == 200:
             if protocol.header(headers, protocol.SIGNATURE) != f"s.{request}":
                 self.fail(f"{request} got the answer of another request")
