--- a/src/io/http1_client.cc
+++ b/src/io/http1_client.cc
@@ -316,8 +316,11 @@
     const std::size_t used = parser_.Feed(unparsed_);
     unparsed_.erase(0, used);
     if (parser_.error() != Http1Error::kNone) {
+      const bool malformed = parser_.error() == Http1Error::kMalformed;
       EndCall(Http1CallResult::kIncomplete,
-              "the answer is malformed or too large", false);
+              malformed ? "the response is not valid HTTP/1.1"
+                        : "the response is too large",
+              false);
       return;
     }
     if (!parser_.head_done()) {
--- a/src/io/http_client.cc
+++ b/src/io/http_client.cc
@@ -227,7 +227,7 @@
 
 std::string_view FailureDetail(CURLcode code, const Transfer& transfer) {
   if (transfer.malformed) {
-    return "the response is malformed";
+    return "the response is not valid HTTP/1.1";
   }
   return code == CURLE_OK ? "the response ended early"
                           : curl_easy_strerror(code);
