libcurl client: a body without a length ends early under an unsent request

Callers of `verbenastile node` saw: the same as those of the sidecar, if the server ended the connection in order before it reset it: a part of a response without a length as the whole. (After a reset alone libcurl fails the call.)

Cause: libcurl stops sending a request when the server ends the connection, and calls the response complete.

Change: a response without a length is complete only if all of the request was handed to the connection.

Not covered: a failure behind the last byte handed to the system; a response that is no failure, by its length, from a server that never reads the upload, which libcurl waits for.

--- a/src/io/http_client.cc
+++ b/src/io/http_client.cc
@@ -51,8 +51,9 @@
   bool expects_status_line = true;
   bool headers_complete = false;
   std::optional<ChunkDecoder> chunk_decoder;
-  bool pause_requested = false;  // No further body chunk may be delivered.
-  bool paused = false;           // Libcurl has been told to pause.
+  bool ends_with_connection = false;  // The body of the response.
+  bool pause_requested = false;       // No further body chunk may be delivered.
+  bool paused = false;                // Libcurl has been told to pause.
   bool cancelled = false;
   bool too_large = false;
   bool malformed = false;
@@ -116,10 +117,13 @@
     transfer->malformed = true;
     return false;
   }
-  if (body->chunked && transfer->call.method != "HEAD" &&
-      !IsStatusWithoutBody(static_cast<int>(status))) {
+  const bool may_have_body = transfer->call.method != "HEAD" &&
+                             !IsStatusWithoutBody(static_cast<int>(status));
+  if (may_have_body && body->chunked) {
     transfer->chunk_decoder.emplace();
   }
+  transfer->ends_with_connection =
+      may_have_body && !body->chunked && !body->length;
   transfer->headers_complete = true;
   transfer->response.status = static_cast<int>(status);
   if (transfer->call.on_headers) {
@@ -233,9 +237,19 @@
                           : curl_easy_strerror(code);
 }
 
+// Whether the response is complete if libcurl says so. Libcurl stops sending
+// when the server ends the connection, so that the end of a body without a
+// length may be that of a connection that failed under the request.
 bool IsComplete(const Transfer& transfer) {
+  if (transfer.chunk_decoder) {
+    return transfer.chunk_decoder->done();
+  }
+  curl_off_t sent = 0;
+  curl_easy_getinfo(transfer.easy.get(), CURLINFO_SIZE_UPLOAD_T, &sent);
+  const bool is_sent =
+      static_cast<std::size_t>(sent) == transfer.call.body.size();
   return transfer.headers_complete &&
-         (!transfer.chunk_decoder || transfer.chunk_decoder->done());
+         (is_sent || !transfer.ends_with_connection);
 }
 
 long ToCurlMilliseconds(Duration duration) {
--- a/tests/http_client_test.cc
+++ b/tests/http_client_test.cc
@@ -1,3 +1,5 @@
+#include <fmt/format.h>
+
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <memory>
@@ -249,4 +251,52 @@
   CHECK(client.loop.Call([&] { return client.client->active(); }) == 0);
 }
 
+// Guards against a part of a response that is taken for the whole (issue 54).
+TEST_CASE("libcurl gets a response before the upload is written",
+          "[http][broken-response]") {
+  constexpr std::size_t kMoreThanBuffers = 24'000'000;
+  RawListener server;
+  ClientLoop client;
+  HttpCall call = CallTo(server, "POST");
+  call.body = std::string(kMoreThanBuffers, 'x');
+  auto done = client.Start(std::move(call));
+  RawConnection connection = server.Accept();
+  connection.ReadUntil("\r\n\r\n");
+  const int status = GENERATE(200, 413);
+  const std::string head = fmt::format("HTTP/1.1 {} X\r\n", status);
+  CAPTURE(status);
+
+  SECTION("a part of one without a length, and a reset") {
+    const int delay_ms = GENERATE(0, 1, 30);
+    CAPTURE(delay_ms);
+    connection.Write(head + "\r\npart");
+    std::this_thread::sleep_for(std::chrono::milliseconds(delay_ms));
+    connection.Reset();
+    CHECK(std::holds_alternative<HttpFailure>(done.get()));
+  }
+  SECTION("a part of one without a length, an end, and a reset") {
+    const int delay_ms = GENERATE(0, 1, 30);
+    CAPTURE(delay_ms);
+    connection.Write(head + "\r\npart");
+    connection.EndOutput();
+    std::this_thread::sleep_for(std::chrono::milliseconds(delay_ms));
+    connection.Reset();
+    CHECK(std::holds_alternative<HttpFailure>(done.get()));
+  }
+  SECTION("all of one by its length") {
+    connection.Write(head + "Content-Length: 5\r\n\r\nwhole");
+    // Libcurl goes on with the upload unless the response is a failure.
+    if (status == 200) {
+      CHECK(connection.ReadBytes(kMoreThanBuffers).size() == kMoreThanBuffers);
+    }
+    CHECK(BodyOrError(done.get()) == "whole");
+  }
+  SECTION("all of one without a length, behind the upload") {
+    CHECK(connection.ReadBytes(kMoreThanBuffers).size() == kMoreThanBuffers);
+    connection.Write(head + "\r\nwhole");
+    connection.Close();
+    CHECK(BodyOrError(done.get()) == "whole");
+  }
+}
+
 }  // namespace verbenastile
