Quotas: needs name the limit that they ask by

Callers saw nothing; servers got more of a group than its quota.

Cause: a coordinator took a group that its configuration does not limit for one without a limit, and lent all that a node with the newer configuration asked for. A lowered limit was lent by the older one in the same way, a raised one too.

A need now names the limit and its generation. A coordinator with an older configuration lends by the newest limit that it heard of, and what is asked only if its own configuration is newer than the asker's.

--- a/src/core/group_quotas.cc
+++ b/src/core/group_quotas.cc
@@ -7,6 +7,8 @@
 
 // Groups whose used spare tokens are counted before there is a configuration.
 constexpr std::size_t kMaxGroupsBefore = 4'096;
+// A node learns no limits of further groups from this number of groups on.
+constexpr std::size_t kMaxLearnedGroups = 4'096;
 // When a node should ask again that asked one without a configuration.
 constexpr Duration kUnconfiguredPeriod = std::chrono::milliseconds(100);
 // A fleet that was restarted whole has its links after this long.
@@ -61,24 +63,69 @@
       coordinator_(limits),
       borrower_(&peers_) {}
 
-void GroupQuotas::SetGroups(std::span<const Group> groups, Time now) {
+void GroupQuotas::SetGroups(std::span<const Group> groups,
+                            std::uint64_t generation,
+                            Time now) {
   configured_ = true;
-  quotas_.clear();
-  std::vector<std::string> names;
+  generation_ = generation;
+  std::erase_if(limits_, [&](const auto& known) {
+    return known.second.generation <= generation;
+  });
   for (const Group& group : groups) {
     if (HasQuota(group)) {
-      quotas_.emplace(group.name, group.requests);
-      names.push_back(group.name);
+      limits_.try_emplace(group.name, QuotaLimit{group.requests, generation});
     }
   }
-  peers_.SetGroups(std::move(names), now);
   std::erase_if(spare_used_before_, [this](const auto& used) {
-    return !quotas_.contains(used.first);
+    return !limits_.contains(used.first);
   });
+  OnLimitsChanged(now);
+}
+
+bool GroupQuotas::IsNews(std::string_view group,
+                         const QuotaLimit& limit) const {
+  if (!configured_ || limit.quota.per_second <= 0) {
+    return false;
+  }
+  const auto known = limits_.find(group);
+  return known == limits_.end() ? limit.generation >= generation_
+                                : limit.generation > known->second.generation;
+}
+
+std::vector<std::string_view> GroupQuotas::LearnLimits(
+    std::span<const QuotaNeed> needs,
+    Time now) {
+  std::vector<std::string_view> learned;
+  for (const QuotaNeed& need : needs) {
+    const bool has_room =
+        limits_.size() < kMaxLearnedGroups || limits_.contains(need.group);
+    if (has_room && IsNews(need.group, need.limit)) {
+      limits_.insert_or_assign(need.group, need.limit);
+      learned.push_back(need.group);
+    }
+  }
+  if (!learned.empty()) {
+    OnLimitsChanged(now);
+  }
+  return learned;
+}
+
+void GroupQuotas::OnLimitsChanged(Time now) {
+  std::vector<std::string> names;
+  for (const auto& [group, limit] : limits_) {
+    names.push_back(group);
+  }
+  peers_.SetGroups(std::move(names), now);
   OnCoordinatorsChanged(now);
   UpdateOwners();
 }
 
+void GroupQuotas::Complete(QuotaNeed& need) const {
+  const auto known = limits_.find(need.group);
+  need.limit =
+      known == limits_.end() ? QuotaLimit{{}, generation_} : known->second;
+}
+
 void GroupQuotas::UpdateOwners() {
   part_holder_.SetOwners(peers_.OwnersOfCoordinated());
 }
@@ -155,7 +202,8 @@
       !peers_.Coordinates(group.name)) {
     return verdict;
   }
-  if (const auto need = borrower_.TakeNeed(group.name, now)) {
+  if (auto need = borrower_.TakeNeed(group.name, now)) {
+    Complete(*need);
     borrower_.OnLoan(peers_.self(), Answer(peers_.self(), *need, now), now);
   }
   return borrower_.Settle(group.name, Time::max(), now);
@@ -164,6 +212,7 @@
 GroupQuotas::Needs GroupQuotas::TakeNeeds(Time now) {
   Needs needs;
   for (QuotaNeed& need : borrower_.TakeNeeds(now)) {
+    Complete(need);
     const std::string_view coordinator = peers_.CoordinatorOf(need.group);
     if (coordinator == peers_.self()) {
       borrower_.OnLoan(coordinator, Answer(coordinator, need, now), now);
@@ -187,12 +236,15 @@
 QuotaLoan GroupQuotas::Answer(std::string_view member,
                               const QuotaNeed& need,
                               Time now) {
-  const auto quota = quotas_.find(need.group);
-  if (quota == quotas_.end()) {
+  const auto limit = limits_.find(need.group);
+  if (limit == limits_.end()) {
     QuotaLoan loan;
     loan.group = need.group;
-    if (configured_) {
-      // The configuration in force here has no limit for the group.
+    const bool has_limit_there =
+        need.limit.quota.per_second > 0 && need.limit.generation >= generation_;
+    if (configured_ && !has_limit_there) {
+      // The configuration in force here is the newer one, and has no limit for
+      // the group.
       loan.tokens = need.waiting;
     } else {
       if (spare_used_before_.size() < kMaxGroupsBefore) {
@@ -204,7 +256,7 @@
     return loan;
   }
   if (!peers_.Coordinates(need.group)) {
-    return borrower_.Relay(need, quota->second, now);
+    return borrower_.Relay(need, limit->second.quota, now);
   }
   QuotaNeed counted = need;
   if (const auto before = spare_used_before_.extract(need.group)) {
@@ -213,7 +265,7 @@
   const Time since = peers_.CoordinatedSince(need.group);
   const bool fleet_is_new =
       members_are_new_ && started_ && since - *started_ <= kFleetStart;
-  return coordinator_.Lend(member, counted, quota->second,
+  return coordinator_.Lend(member, counted, limit->second.quota,
                            {since, PartsOf(need.group, now), fleet_is_new},
                            now);
 }
--- a/src/core/group_quotas.h
+++ b/src/core/group_quotas.h
@@ -63,8 +63,14 @@
   }
 
   void SetLimits(const QuotaLimits& limits) { coordinator_.SetLimits(limits); }
-  // The groups of the configuration in force.
-  void SetGroups(std::span<const Group> groups, Time now);
+  // The groups of the configuration in force, which is of `generation`.
+  void SetGroups(std::span<const Group> groups,
+                 std::uint64_t generation,
+                 Time now);
+  // Takes over limits of newer configurations than the one in force, which the
+  // nodes that sent the needs have. Returns the groups concerned.
+  std::vector<std::string_view> LearnLimits(std::span<const QuotaNeed> needs,
+                                            Time now);
   void SetMembers(QuotaMembers members, Time now);
   // The link to the member broke. `silent`: it does not answer, and may still
   // be running.
@@ -135,11 +141,16 @@
   const QuotaCoordinator& coordinator() const { return coordinator_; }
   const QuotaPartHolder& part_holder() const { return part_holder_; }
   // Whether any group has a quota.
-  bool active() const { return !quotas_.empty(); }
+  bool active() const { return !limits_.empty(); }
 
  private:
+  // Whether the limit is to be kept beside those of the configuration in force.
+  bool IsNews(std::string_view group, const QuotaLimit& limit) const;
+  void OnLimitsChanged(Time now);
   void OnCoordinatorsChanged(Time now);
   void UpdateOwners();
+  // Adds the limit of the group.
+  void Complete(QuotaNeed& need) const;
   QuotaLoan Answer(std::string_view member, const QuotaNeed& need, Time now);
   std::vector<QuotaPart> PartsOf(std::string_view group, Time now) const;
 
@@ -148,7 +159,10 @@
   QuotaPartHolder part_holder_;
   QuotaCoordinator coordinator_;
   QuotaBorrower borrower_;
-  std::map<std::string, RequestQuota, std::less<>> quotas_;
+  // By group. Those of later generations than `generation_` were learned from
+  // nodes that have that configuration.
+  std::map<std::string, QuotaLimit, std::less<>> limits_;
+  std::uint64_t generation_ = 0;  // Of the configuration in force.
   std::set<std::string, std::less<>> reachable_;
   std::optional<Time> started_;
   bool members_are_new_ = false;
--- a/src/core/quota_messages.h
+++ b/src/core/quota_messages.h
@@ -9,9 +9,18 @@
 #include <vector>
 
 #include "base/time.h"
+#include "config/rules.h"
 
 namespace verbenastile {
 
+// The limit of a group in one generation of the configuration.
+struct QuotaLimit {
+  RequestQuota quota;
+  std::uint64_t generation = 0;
+
+  bool operator==(const QuotaLimit&) const = default;
+};
+
 // What a node needs of one group's quota.
 struct QuotaNeed {
   std::string group;
@@ -25,6 +34,8 @@
   std::uint32_t spare_used = 0;
   // Requests per 1,000 s that arrived lately, refused ones included.
   std::uint32_t demand_milli = 0;
+  // The limit of the group that the node knows. One without a rate is none.
+  QuotaLimit limit;
 
   bool operator==(const QuotaNeed&) const = default;
 };
--- a/src/mesh/link_codec.cc
+++ b/src/mesh/link_codec.cc
@@ -78,6 +78,15 @@
   out.setLeaving(notice.leaving);
 }
 
+// A limit that is no number is none.
+QuotaLimit ReadLimit(wire::QuotaNeed::Reader in) {
+  const RequestQuota quota = {in.getRatePerSecond(), in.getBurst()};
+  const bool is_valid = std::isfinite(quota.per_second) &&
+                        quota.per_second > 0 && std::isfinite(quota.burst) &&
+                        quota.burst >= 0;
+  return {is_valid ? quota : RequestQuota{}, in.getGeneration()};
+}
+
 InstanceNotice ReadNotice(wire::InstanceNotice::Reader in) {
   InstanceNotice notice{CopyToString(in.getInstance()), std::nullopt,
                         in.getLeaving()};
@@ -374,6 +383,9 @@
       list[i].setReturned(need.returned);
       list[i].setSpareUsed(need.spare_used);
       list[i].setDemandMilli(need.demand_milli);
+      list[i].setRatePerSecond(need.limit.quota.per_second);
+      list[i].setBurst(need.limit.quota.burst);
+      list[i].setGeneration(need.limit.generation);
     }
   }
   void operator()(const LinkQuotaLoans& message) {
@@ -527,9 +539,10 @@
     case Which::QUOTA_NEEDS: {
       LinkQuotaNeeds message;
       for (const auto need : in.getQuotaNeeds()) {
-        message.needs.push_back(
-            {CopyToString(need.getGroup()), need.getWaiting(), need.getHeld(),
-             need.getReturned(), need.getSpareUsed(), need.getDemandMilli()});
+        message.needs.push_back({CopyToString(need.getGroup()),
+                                 need.getWaiting(), need.getHeld(),
+                                 need.getReturned(), need.getSpareUsed(),
+                                 need.getDemandMilli(), ReadLimit(need)});
       }
       return message;
     }
--- a/src/mesh/quota_service.cc
+++ b/src/mesh/quota_service.cc
@@ -24,15 +24,17 @@
       needs_sent_(init_.metrics->Counter("quota_needs_sent_total")),
       needs_answered_(init_.metrics->Counter("quota_needs_answered_total")),
       tokens_lent_(init_.metrics->Counter("quota_tokens_lent_total")),
+      limits_learned_(init_.metrics->Counter("quota_limits_learned_total")),
       tokens_held_(init_.metrics->Gauge("quota_tokens_held")),
       coordinated_(init_.metrics->Gauge("quota_groups_coordinated")),
       part_requests_sent_(
           init_.metrics->Counter("quota_part_requests_sent_total")),
       parts_held_(init_.metrics->Gauge("quota_parts_held")) {}
 
-void QuotaService::SetGroups(const std::vector<Group>& groups) {
+void QuotaService::SetGroups(const std::vector<Group>& groups,
+                             std::uint64_t generation) {
   const Time now = SteadyNow();
-  quotas_.SetGroups(groups, now);
+  quotas_.SetGroups(groups, generation, now);
   last_logged_.clear();
   UpdateMembers(now);
 }
@@ -72,6 +74,7 @@
     std::string_view member,
     const std::vector<QuotaNeed>& needs) {
   const Time now = SteadyNow();
+  LearnLimits(member, needs, now);
   UpdateMembers(now);
   std::vector<QuotaLoan> loans = quotas_.OnNeeds(member, needs, now);
   init_.metrics->Add(needs_answered_, needs.size());
@@ -82,6 +85,21 @@
   return loans;
 }
 
+void QuotaService::LearnLimits(std::string_view member,
+                               const std::vector<QuotaNeed>& needs,
+                               Time now) {
+  const std::vector<std::string_view> learned = quotas_.LearnLimits(needs, now);
+  if (learned.empty()) {
+    return;
+  }
+  init_.metrics->Add(limits_learned_, learned.size());
+  Log(LogLevel::kInfo, "quota",
+      "A peer has a newer configuration with other limits of groups.",
+      {{"peer", member},
+       {"groups", learned.size()},
+       {"first", learned.front()}});
+}
+
 void QuotaService::OnLoans(std::string_view member,
                            const std::vector<QuotaLoan>& loans) {
   const Time now = SteadyNow();
--- a/src/mesh/quota_service.h
+++ b/src/mesh/quota_service.h
@@ -42,8 +42,8 @@
   QuotaService& operator=(const QuotaService&) = delete;
 
   void SetLimits(const QuotaLimits& limits) { quotas_.SetLimits(limits); }
-  // A configuration is in force.
-  void SetGroups(const std::vector<Group>& groups);
+  // The configuration of `generation` is in force.
+  void SetGroups(const std::vector<Group>& groups, std::uint64_t generation);
 
   // Decides on a request of a group that has a quota. After `kWait`, `callback`
   // gets the decision unless `StopWaiting` was called. A request waits for half
@@ -79,6 +79,9 @@
     Callback callback;
   };
 
+  void LearnLimits(std::string_view member,
+                   const std::vector<QuotaNeed>& needs,
+                   Time now);
   void UpdateMembers(Time now);
   void SendNeeds(Time now);
   void SendPartMessages(Time now);
@@ -100,6 +103,7 @@
   CounterHandle needs_sent_;
   CounterHandle needs_answered_;
   CounterHandle tokens_lent_;
+  CounterHandle limits_learned_;
   GaugeHandle tokens_held_;
   GaugeHandle coordinated_;
   CounterHandle part_requests_sent_;
--- a/src/mesh/sidecar_configuration.cc
+++ b/src/mesh/sidecar_configuration.cc
@@ -46,7 +46,7 @@
                    static_cast<double>(known.count()));
   configuration_source_.OnApplied(offered);
   caller_server_.SetLimits(configuration.limits);
-  quotas_.SetGroups(applier_.table()->document().groups);
+  quotas_.SetGroups(applier_.table()->document().groups, offered);
   Log(LogLevel::kInfo, "config", "Applied a configuration.",
       {{"generation", offered},
        {"before", before},
--- a/src/wire/link.capnp
+++ b/src/wire/link.capnp
@@ -76,6 +76,9 @@
   returned @3 :UInt32;
   spareUsed @4 :UInt32;
   demandMilli @5 :UInt32;
+  ratePerSecond @6 :Float64;
+  burst @7 :Float64;
+  generation @8 :UInt64;
 }
 
 struct QuotaLoan {
--- a/src/wire/link.capnp.h
+++ b/src/wire/link.capnp.h
@@ -165,7 +165,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8f93c18c9ad4f8e2, 3, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(8f93c18c9ad4f8e2, 6, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1215,6 +1215,12 @@
 
   inline  ::uint32_t getDemandMilli() const;
 
+  inline double getRatePerSecond() const;
+
+  inline double getBurst() const;
+
+  inline  ::uint64_t getGeneration() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1265,6 +1271,15 @@
   inline  ::uint32_t getDemandMilli();
   inline void setDemandMilli( ::uint32_t value);
 
+  inline double getRatePerSecond();
+  inline void setRatePerSecond(double value);
+
+  inline double getBurst();
+  inline void setBurst(double value);
+
+  inline  ::uint64_t getGeneration();
+  inline void setGeneration( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4505,6 +4520,48 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline double QuotaNeed::Reader::getRatePerSecond() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline double QuotaNeed::Builder::getRatePerSecond() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void QuotaNeed::Builder::setRatePerSecond(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline double QuotaNeed::Reader::getBurst() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline double QuotaNeed::Builder::getBurst() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void QuotaNeed::Builder::setBurst(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t QuotaNeed::Reader::getGeneration() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t QuotaNeed::Builder::getGeneration() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void QuotaNeed::Builder::setGeneration( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool QuotaLoan::Reader::hasGroup() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/tests/link_codec_test.cc
+++ b/tests/link_codec_test.cc
@@ -175,7 +175,7 @@
 
 SCENARIO("news of quotas and roll-outs are decoded as they were encoded") {
   Connection out;
-  const QuotaNeed need{"academies", 12, 5, 2, 7, 9'500};
+  const QuotaNeed need{"academies", 12, 5, 2, 7, 9'500, {{60, 30}, 21}};
   const QuotaLoan loan{"academies", 5,   3, std::chrono::milliseconds(40),
                        true,        true};
   const RolloutReport report{
--- a/tests/quota_fleet.h
+++ b/tests/quota_fleet.h
@@ -130,9 +130,17 @@
   void SetMaxLinkDelay(Duration delay) { max_link_delay_ = delay; }
   // The instances refuse all requests for `period`.
   void RefuseAtInstances(Duration period) { refusing_until_ = now_ + period; }
-  void SetQuota(double rate) {
+  void SetQuota(double rate) { SetQuotaBut(nodes_.size(), rate); }
+  // A new configuration limits the group to `rate`; 0: it has no such group. Of
+  // the nodes, `behind` keeps the configuration that it has.
+  void SetQuotaBut(std::size_t behind, double rate) {
     group_.requests = {rate, rate};
-    ForEach([&](Node& node) { node.quotas.SetGroups({&group_, 1}, now_); });
+    ++generation_;
+    for (std::size_t i = 0; i < nodes_.size(); ++i) {
+      if (nodes_[i] && i != behind) {
+        Configure(*nodes_[i]);
+      }
+    }
   }
   // The indices of the nodes, each of which coordinates the group when those
   // before it are away.
@@ -222,9 +230,13 @@
   }
   void Start(std::size_t i) {
     nodes_[i] = std::make_shared<Node>(NameOf(i), limits_, now_);
-    nodes_[i]->quotas.SetGroups({&group_, 1}, now_);
+    Configure(*nodes_[i]);
     Tick(i, nodes_[i]);
   }
+  void Configure(Node& node) {
+    const std::size_t groups = group_.requests.per_second > 0 ? 1 : 0;
+    node.quotas.SetGroups({&group_, groups}, generation_, now_);
+  }
   void SetSide(std::size_t first, std::size_t last, int side) {
     std::fill(side_.begin() + static_cast<std::ptrdiff_t>(first),
               side_.begin() + static_cast<std::ptrdiff_t>(last), side);
@@ -304,6 +316,7 @@
     for (auto& [name, needs] : node.quotas.TakeNeeds(now_)) {
       const std::size_t to = IndexOf(name);
       Deliver(i, i, to, [this, i, to, sent = std::move(needs)] {
+        nodes_[to]->quotas.LearnLimits(sent, now_);
         auto loans = nodes_[to]->quotas.OnNeeds(NameOf(i), sent, now_);
         Deliver(i, to, i, [this, i, to, lent = std::move(loans)] {
           nodes_[i]->quotas.OnLoans(NameOf(to), lent, now_);
@@ -368,6 +381,7 @@
 
   QuotaLimits limits_;
   Group group_;
+  std::uint64_t generation_ = 1;  // Of the newest configuration.
   std::vector<std::shared_ptr<Node>> nodes_;
   std::vector<int> side_;
   // By the nodes that open and accept the link; once for each cut.
--- a/tests/quota_test.cc
+++ b/tests/quota_test.cc
@@ -315,6 +315,75 @@
   }
 }
 
+// Guards against a coordinator that lends what is asked because the limit of
+// the group is newer than its configuration (rule QUOTA).
+SCENARIO("a coordinator has an older configuration than its borrowers") {
+  constexpr std::size_t kFewNodes = 9;
+  constexpr double kOverload = 4.65;  // Times the limit.
+  const double rate = GENERATE(5.0, 60.0, 600.0);
+  CAPTURE(rate);
+  QuotaFleet fleet(kFewNodes, rate, Limits());
+  const std::size_t coordinator = fleet.Coordinator();
+  // For a sample of 6,000 requests below the limit.
+  const auto seconds = static_cast<int>(std::max(60.0, 6'000 / (rate / 1.6)));
+  const auto call_others = [&](double per_second, Duration period) {
+    const auto callers = static_cast<double>(kFewNodes - 1);
+    const double before = per_second * static_cast<double>(coordinator);
+    const double after =
+        per_second * static_cast<double>(kFewNodes - 1 - coordinator);
+    if (before > 0) {
+      fleet.Call(before / callers, 0, coordinator, period);
+    }
+    if (after > 0) {
+      fleet.Call(after / callers, coordinator + 1, kFewNodes, period);
+    }
+  };
+  GIVEN("one without the group") {
+    fleet.SetQuota(0);
+    fleet.Run(10 * kSecond);
+    const Time changed = fleet.now();
+    fleet.SetQuotaBut(coordinator, rate);
+    WHEN("the group sends more than its limit") {
+      call_others(kOverload * rate, 20 * kSecond);
+      fleet.Run(21 * kSecond);
+      THEN("the limit holds") {
+        CHECK(static_cast<double>(fleet.MostInWindow(changed)) <=
+              fleet.Allowed());
+      }
+    }
+    WHEN("the group sends less") {
+      call_others(rate / 1.6, seconds * kSecond);
+      fleet.Run((seconds + 1) * kSecond);
+      THEN("fewer than 1 in 1,000 requests are refused") {
+        CHECK(RefusedPermille(fleet) < 1);
+      }
+    }
+  }
+  GIVEN("one with a higher limit") {
+    fleet.SetQuota(4 * rate);
+    fleet.Run(10 * kSecond);
+    call_others(kOverload * rate, 30 * kSecond);
+    fleet.Run(5 * kSecond);
+    fleet.SetQuotaBut(coordinator, rate);
+    fleet.Run(5 * kSecond);  // A window of the rule.
+    const Time bound = fleet.now();
+    fleet.Run(20 * kSecond);
+    THEN("the lower limit holds from the next window on") {
+      CHECK(static_cast<double>(fleet.MostInWindow(bound)) <= fleet.Allowed());
+    }
+  }
+  GIVEN("one with a lower limit") {
+    fleet.SetQuota(rate / 4);
+    fleet.Run(10 * kSecond);
+    fleet.SetQuotaBut(coordinator, rate);
+    call_others(rate / 1.6, seconds * kSecond);
+    fleet.Run((seconds + 1) * kSecond);
+    THEN("fewer than 1 in 1,000 requests are refused") {
+      CHECK(RefusedPermille(fleet) < 1);
+    }
+  }
+}
+
 SCENARIO("members without a link to a coordinator are not counted in reach") {
   MemberRegistry registry("n1");
   for (const char* name : {"n1", "n2", "n3"}) {
@@ -337,24 +406,43 @@
   QuotaNeed need;
   need.group = "tenant";
   need.waiting = 5;
+  need.limit = {{10, 10}, 3};
   const std::vector<QuotaLoan> loans = quotas.OnNeeds("n2", {&need, 1}, now);
   REQUIRE(loans.size() == 1);
   CHECK(loans[0].tokens == 0);
   CHECK(loans[0].provisional);
 
-  WHEN("its configuration has no limit for the group") {
-    quotas.SetGroups({}, now);
+  WHEN("its configuration is newer and has no limit for the group") {
+    quotas.SetGroups({}, 4, now);
+    CHECK(quotas.LearnLimits({&need, 1}, now).empty());
     THEN("it lends what is asked") {
       CHECK(quotas.OnNeeds("n2", {&need, 1}, now)[0].tokens == need.waiting);
     }
   }
+  WHEN("its configuration is older and has no limit for the group") {
+    quotas.SetGroups({}, 2, now);
+    THEN("it lends nothing") {
+      const QuotaLoan loan = quotas.OnNeeds("n2", {&need, 1}, now)[0];
+      CHECK(loan.tokens == 0);
+      CHECK(loan.provisional);
+    }
+    THEN("it learns the limit, and keeps it until it has that configuration") {
+      CHECK(quotas.LearnLimits({&need, 1}, now) ==
+            std::vector<std::string_view>{"tenant"});
+      CHECK(quotas.LearnLimits({&need, 1}, now).empty());
+      quotas.SetGroups({}, 2, now);
+      CHECK(quotas.active());
+      quotas.SetGroups({}, 3, now);
+      CHECK_FALSE(quotas.active());
+    }
+  }
 }
 
 SCENARIO("a group without a quota costs nothing") {
   GroupQuotas quotas("n1", Limits());
   Group group;
   group.name = "tenant";
-  quotas.SetGroups({&group, 1}, Time());
+  quotas.SetGroups({&group, 1}, 1, Time());
   quotas.SetMembers({{"n1", "n2"}, 2, 2}, Time());
   quotas.Tick(Time(kSecond));
   CHECK_FALSE(GroupQuotas::HasQuota(group));
@@ -368,7 +456,7 @@
   Group group;
   group.name = "tenant";
   group.requests = {10, 10};
-  quotas.SetGroups({&group, 1}, Time());
+  quotas.SetGroups({&group, 1}, 1, Time());
   quotas.SetMembers({{"n2"}, 2, 2}, Time());
   const Time now = Time(100 * kSecond);
   REQUIRE(quotas.Request(group, now).decision == QuotaDecision::kWait);
@@ -383,7 +471,7 @@
   Group group;
   group.name = "tenant";
   group.requests = {kRate, kRate};
-  quotas.SetGroups({&group, 1}, Time());
+  quotas.SetGroups({&group, 1}, 1, Time());
   quotas.SetMembers({{"n1"}, 1, 1}, Time());
   const Time now = Time(100 * kSecond);
   const auto admitted = [&](bool give_back) {
