Configuration: ask a peer at once when the store fails a call

A node that the store turned away, and that had heard from a peer that there is a newer configuration, waited for a second before it asked the peer, since the store had confirmed its own a moment ago. Callers got 503 or the earlier rules meanwhile. A failed call is no reason to wait.

"a node on a fast link watches the store", the store turns it away: fails without the change (no peer is asked), passes with it.

--- a/src/core/configuration_source.cc
+++ b/src/core/configuration_source.cc
@@ -165,9 +165,10 @@
 }
 
 // The watches of a node rest for `ConfigurationLimits::WatchPause` at most. One
-// that the store has not answered for longer has lost it.
+// that the store has not answered for longer has lost it. A store that has just
+// failed a call may go on to turn this node away while it serves others.
 bool ConfigurationSource::AwaitsStore(Time now) {
-  if (!ShouldWatchStore(now)) {
+  if (!ShouldWatchStore(now) || store_failed_) {
     return false;
   }
   if (held_generation_ == 0) {
--- a/src/core/configuration_source.h
+++ b/src/core/configuration_source.h
@@ -49,6 +49,8 @@
   // The store confirmed at `confirmed` to this node itself that nothing newer
   // exists than what it reported.
   void OnStoreConfirmed(Time confirmed) { store_confirmed_ = confirmed; }
+  // Whether the last call of this node to the store has failed.
+  void SetStoreFailed(bool failed) { store_failed_ = failed; }
   // Records the generation that this node has in force. This completes a
   // pending request to a peer.
   void OnApplied(std::uint64_t generation);
@@ -110,6 +112,7 @@
   // of this node if none did.
   Time last_reader_confirmation_;
   std::optional<Time> store_confirmed_;
+  bool store_failed_ = false;
   // Since when this node takes the place of a reader; `Time()` if it does not.
   Time substitute_since_;
   std::uint64_t held_generation_ = 0;
--- a/src/mesh/sidecar_configuration.cc
+++ b/src/mesh/sidecar_configuration.cc
@@ -78,6 +78,7 @@
   if (const auto confirmed = configuration_follower_.last_confirmed()) {
     configuration_source_.OnStoreConfirmed(*confirmed);
   }
+  configuration_source_.SetStoreFailed(configuration_follower_.has_failed());
   const bool follow_store = configuration_source_.ShouldWatchStore(now);
   if (rollouts_) {
     rollouts_->OnFollowsStore(follow_store);
--- a/src/mesh/store_follower.h
+++ b/src/mesh/store_follower.h
@@ -69,6 +69,8 @@
   StoreRevision revision() const { return revision_; }
   // Whether the objects are listed and no request has failed since.
   bool is_connected() const { return listed_ && failures_ == 0; }
+  // Whether the last request has failed.
+  bool has_failed() const { return failures_ > 0; }
 
  private:
   void HandleEvent(std::string_view event);
--- a/tests/configuration_source_test.cc
+++ b/tests/configuration_source_test.cc
@@ -215,6 +215,10 @@
   source.OnStoreConfirmed(kStart);
   source.OnPeerConfiguration("r1", {2, 0 * kMs}, kStart);
 
+  AND_WHEN("the store turns it away") {
+    source.SetStoreFailed(true);
+    CHECK(source.SelectPeerToQuery(kStart) == "r1");
+  }
   AND_WHEN("the store has not answered it for long") {
     source.OnStoreConfirmed(kStart - kApply);
     CHECK(source.SelectPeerToQuery(kStart) == "r1");
