--- a/src/core/instance_notice.h
+++ b/src/core/instance_notice.h
@@ -3,6 +3,7 @@
 #ifndef CORE_INSTANCE_NOTICE_H_
 #define CORE_INSTANCE_NOTICE_H_
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <variant>
@@ -42,6 +43,8 @@
   std::optional<double> rate_limit;
   // It said that it leaves, in a response or in a report.
   bool leaving = false;
+  // When it started, in Unix ms; 0: not known.
+  std::uint64_t started_ms = 0;
 
   bool operator==(const InstanceNotice&) const = default;
 };
--- a/src/core/instance_rate_limit.cc
+++ b/src/core/instance_rate_limit.cc
@@ -1,13 +1,19 @@
 #include "core/instance_rate_limit.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace verbenastile {
 
 void InstanceRateLimit::OnInstance(std::string_view id) {
-  if (id != instance_) {
-    *this = {};
-    instance_ = id;
+  if (id == instance_) {
+    return;
+  }
+  const auto early_notices = std::exchange(early_notices_, {});
+  *this = {};
+  instance_ = id;
+  if (const auto early = early_notices.find(id); early != early_notices.end()) {
+    OnPeerNotice(early->second);
   }
 }
 
@@ -35,8 +41,14 @@
 }
 
 bool InstanceRateLimit::OnPeerNotice(const InstanceNotice& notice) {
-  const bool is_ours = !instance_.empty() && notice.instance == instance_;
-  if (!is_ours || has_responded_ || !notice.rate_limit) {
+  if (!notice.rate_limit) {
+    return false;
+  }
+  if (instance_.empty()) {
+    KeepEarly(notice);
+    return false;
+  }
+  if (notice.instance != instance_ || has_responded_) {
     return false;
   }
   has_named_limit_ = true;
@@ -44,6 +56,17 @@
                        : *notice.rate_limit);
 }
 
+// Peers may have heard of different limits, and of former instances.
+void InstanceRateLimit::KeepEarly(const InstanceNotice& notice) {
+  const auto known = early_notices_.find(notice.instance);
+  if (known != early_notices_.end()) {
+    known->second.rate_limit =
+        std::min(known->second.rate_limit, notice.rate_limit);
+  } else if (early_notices_.size() < kMaxEarlyNotices) {
+    early_notices_.emplace(notice.instance, notice);
+  }
+}
+
 bool InstanceRateLimit::SetRate(std::optional<double> rate) {
   const bool changed = rate != rate_;
   rate_ = rate;
--- a/src/core/instance_rate_limit.h
+++ b/src/core/instance_rate_limit.h
@@ -4,6 +4,8 @@
 #ifndef CORE_INSTANCE_RATE_LIMIT_H_
 #define CORE_INSTANCE_RATE_LIMIT_H_
 
+#include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -25,7 +27,8 @@
                   Time sent,
                   Time now);
   // A peer returned what it has heard. It counts until the instance has
-  // responded to this process. Returns whether the limit changed.
+  // responded to this process, and is kept while no instance is known. Returns
+  // whether the limit changed.
   bool OnPeerNotice(const InstanceNotice& notice);
 
   // Empty: no limit.
@@ -34,9 +37,14 @@
   bool has_named_limit() const { return has_named_limit_; }
 
  private:
+  static constexpr std::size_t kMaxEarlyNotices = 64;
+
+  void KeepEarly(const InstanceNotice& notice);
   bool SetRate(std::optional<double> rate);
 
   std::string instance_;
+  // What peers returned before the instance was known, by instance.
+  std::map<std::string, InstanceNotice, std::less<>> early_notices_;
   std::optional<double> rate_;
   // When `rate_` or a lower limit was last named. Responses to calls that were
   // sent earlier may be older than that, whichever arrives first.
--- a/src/core/instance_tracker.cc
+++ b/src/core/instance_tracker.cc
@@ -34,6 +34,11 @@
   return "unknown";
 }
 
+bool IsLaterRun(const InstanceRun& run, const InstanceRun& earlier) {
+  return run.id == earlier.id && earlier.started_ms != 0 &&
+         run.started_ms > earlier.started_ms;
+}
+
 // Whether the report is a delayed one: from an earlier run, or overtaken by a
 // later report of the same run.
 bool InstanceTracker::IsOlder(const InstanceReport& report) const {
@@ -71,7 +76,8 @@
                        report.slots != report_->slots ||
                        (report.leaving && !report_->leaving);
   if (report_ && report_->id == report.id && !same_run) {
-    std::erase(left_by_response_, report.id);
+    std::erase_if(left_by_response_,
+                  [&](const InstanceRun& run) { return run.id == report.id; });
   }
   if (report_ && report_->id != report.id) {
     replaced_ids_.push_back(report_->id);
@@ -91,28 +97,39 @@
   return ReportVerdict::kChanged;
 }
 
-ReportVerdict InstanceTracker::OnDeregistered(std::string_view id, Time now) {
-  if (report_ && report_->id != id) {
+ReportVerdict InstanceTracker::OnDeregistered(const InstanceRun& run,
+                                              Time now) {
+  if (report_ && (report_->id != run.id || IsLaterRun(RunOf(*report_), run))) {
     return ReportVerdict::kForeign;
   }
   if (state_ == InstanceState::kGone) {
     return ReportVerdict::kUnchanged;
   }
   last_heard_ = now;
-  AddDeparted({std::string(id), true, 0});
+  const bool is_known = run.started_ms != 0 || !report_;
+  AddDeparted({is_known ? run : RunOf(*report_), true, 0, false});
   SetState(InstanceState::kGone, now);
   return ReportVerdict::kChanged;
 }
 
 ReportVerdict InstanceTracker::OnLeavingResponse(std::string_view id,
                                                  Time now) {
-  if (!SaidLeavingInResponse(id)) {
-    left_by_response_.emplace_back(id);
-    if (left_by_response_.size() > kMaxFormerInstances) {
-      left_by_response_.pop_front();
-    }
+  const bool is_current = report_ && report_->id == id;
+  return OnLeavingRun({std::string(id), is_current ? report_->started_ms : 0},
+                      now);
+}
+
+ReportVerdict InstanceTracker::OnLeavingPeerNotice(const InstanceRun& run,
+                                                   Time now) {
+  if (report_ && report_->id == run.id && has_reported_leaving_) {
+    return ReportVerdict::kUnchanged;
   }
-  if (!report_ || report_->id != id) {
+  return OnLeavingRun(run, now);
+}
+
+ReportVerdict InstanceTracker::OnLeavingRun(const InstanceRun& run, Time now) {
+  AddLeftByResponse(run);
+  if (!report_ || report_->id != run.id || IsLaterRun(RunOf(*report_), run)) {
     return ReportVerdict::kForeign;
   }
   if (is_leaving()) {
@@ -122,26 +139,44 @@
   return ReportVerdict::kChanged;
 }
 
-ReportVerdict InstanceTracker::OnLeavingPeerNotice(std::string_view id,
-                                                   Time now) {
-  if (report_ && report_->id == id && has_reported_leaving_) {
-    return ReportVerdict::kUnchanged;
+void InstanceTracker::AddLeftByResponse(const InstanceRun& run) {
+  if (SaidLeavingInResponse(run)) {
+    return;
+  }
+  left_by_response_.push_back(run);
+  if (left_by_response_.size() > kMaxFormerInstances) {
+    left_by_response_.pop_front();
   }
-  return OnLeavingResponse(id, now);
 }
 
-bool InstanceTracker::SaidLeavingInResponse(std::string_view id) const {
-  return std::find(left_by_response_.begin(), left_by_response_.end(), id) !=
-         left_by_response_.end();
+bool InstanceTracker::SaidLeavingInResponse(const InstanceRun& run) const {
+  return std::any_of(left_by_response_.begin(), left_by_response_.end(),
+                     [&](const InstanceRun& left) {
+                       return left.id == run.id && !IsLaterRun(run, left);
+                     });
+}
+
+std::optional<DepartedInstance> InstanceTracker::departed_before_report()
+    const {
+  if (report_ || (departed_.empty() && left_by_response_.empty())) {
+    return std::nullopt;
+  }
+  if (departed_.empty()) {
+    return DepartedInstance{left_by_response_.back(), false, 0, true};
+  }
+  DepartedInstance departed = departed_.back();
+  departed.by_response = SaidLeavingInResponse(departed.run);
+  return departed;
 }
 
-bool InstanceTracker::RestoreDeparted(std::string_view id,
+bool InstanceTracker::RestoreDeparted(const InstanceRun& run,
                                       bool gone,
                                       std::uint64_t sequence,
                                       Time now) {
-  AddDeparted({std::string(id), gone, sequence});
-  const bool is_older =
-      report_ && report_->id == id && (gone || report_->sequence <= sequence);
+  AddDeparted({run, gone, sequence, false});
+  const bool is_older = report_ && report_->id == run.id &&
+                        !IsLaterRun(RunOf(*report_), run) &&
+                        (gone || report_->sequence <= sequence);
   if (!is_older || is_leaving()) {
     return false;
   }
@@ -159,18 +194,19 @@
 // Whether the instance sent the report before it left. An instance that reports
 // its start time may start again under the same id.
 bool InstanceTracker::HasLeft(const InstanceReport& report) const {
+  const InstanceRun run = RunOf(report);
   const bool restarted = report.started_ms != 0 && report_ &&
                          report.started_ms > report_->started_ms;
   if (restarted) {
     return false;
   }
-  if (!report.leaving && SaidLeavingInResponse(report.id)) {
+  if (!report.leaving && SaidLeavingInResponse(run)) {
     return true;
   }
   return std::any_of(
       departed_.begin(), departed_.end(),
       [&](const DepartedInstance& departed) {
-        return departed.id == report.id &&
+        return departed.run.id == run.id && !IsLaterRun(run, departed.run) &&
                (departed.gone || report.sequence <= departed.sequence);
       });
 }
--- a/src/core/instance_tracker.h
+++ b/src/core/instance_tracker.h
@@ -28,6 +28,27 @@
   std::uint64_t started_ms = 0;   // Start time in Unix ms; 0: not reported.
 };
 
+// One run of an instance: instances may start again under the id that they had.
+struct InstanceRun {
+  std::string id;
+  std::uint64_t started_ms = 0;  // Start time in Unix ms; 0: not known.
+
+  bool operator==(const InstanceRun&) const = default;
+};
+
+// Whether `run` is known to have started after `earlier`, under the same id.
+bool IsLaterRun(const InstanceRun& run, const InstanceRun& earlier);
+
+// An instance that has announced its departure.
+struct DepartedInstance {
+  InstanceRun run;
+  bool gone = false;           // It has deregistered.
+  std::uint64_t sequence = 0;  // Later reports are accepted unless `gone`.
+  bool by_response = false;    // It said so in a response.
+
+  bool operator==(const DepartedInstance&) const = default;
+};
+
 // The result of handling a report.
 enum class ReportVerdict : std::uint8_t {
   kUnchanged = 0,  // Accepted; only the time of the last report changes.
@@ -56,20 +77,20 @@
   explicit InstanceTracker(SocketAddress slot) : slot_(std::move(slot)) {}
 
   ReportVerdict OnReport(const InstanceReport& report, Time now);
-  // The instance `id` has deregistered.
-  ReportVerdict OnDeregistered(std::string_view id, Time now);
+  // The run of an instance has deregistered.
+  ReportVerdict OnDeregistered(const InstanceRun& run, Time now);
   // The instance `id` said in a response that it leaves. It does not return:
   // reports that say otherwise were sent earlier.
   ReportVerdict OnLeavingResponse(std::string_view id, Time now);
-  // A peer returned that the instance `id` leaves. Counts only if this process
-  // has not heard it from the instance: it may have reported since that it
-  // stays.
-  ReportVerdict OnLeavingPeerNotice(std::string_view id, Time now);
-  // Restores state from an earlier run of this node: the instance `id` had
-  // deregistered (`gone`), or was leaving as of its report number `sequence`.
-  // Returns whether the state changed: a delayed report of the instance may
-  // have been accepted before.
-  bool RestoreDeparted(std::string_view id,
+  // A peer returned that the run of an instance leaves. Counts only if this
+  // process has not heard it from the instance: it may have reported since that
+  // it stays.
+  ReportVerdict OnLeavingPeerNotice(const InstanceRun& run, Time now);
+  // Restores state from an earlier run of this node: the run of the instance
+  // had deregistered (`gone`), or was leaving as of its report number
+  // `sequence`. Returns whether the state changed: a delayed report of the
+  // instance may have been accepted before.
+  bool RestoreDeparted(const InstanceRun& run,
                        bool gone,
                        std::uint64_t sequence,
                        Time now);
@@ -89,8 +110,11 @@
     return state_ == InstanceState::kLeaving || state_ == InstanceState::kGone;
   }
   bool said_leaving_in_response() const {
-    return report_ && SaidLeavingInResponse(report_->id);
+    return report_ && SaidLeavingInResponse(RunOf(*report_));
   }
+  // The instance that was last known to leave or to have left, if none has
+  // reported since this process started.
+  std::optional<DepartedInstance> departed_before_report() const;
   // The last accepted report, if any.
   const std::optional<InstanceReport>& report() const { return report_; }
   // When the current state began, and when the instance last reported.
@@ -104,22 +128,20 @@
   // Number of replaced and of departed instances that are kept.
   static constexpr std::size_t kMaxFormerInstances = 64;
 
-  // An instance that has announced its departure.
-  struct DepartedInstance {
-    std::string id;
-    bool gone = false;
-    std::uint64_t sequence = 0;  // Later reports are accepted unless `gone`.
-  };
-
   bool HasLeft(const InstanceReport& report) const;
   void AddDeparted(const DepartedInstance& departed);
-  bool SaidLeavingInResponse(std::string_view id) const;
+  bool SaidLeavingInResponse(const InstanceRun& run) const;
+  void AddLeftByResponse(const InstanceRun& run);
+  ReportVerdict OnLeavingRun(const InstanceRun& run, Time now);
+  static InstanceRun RunOf(const InstanceReport& report) {
+    return {report.id, report.started_ms};
+  }
 
   SocketAddress slot_;
   std::deque<std::string> replaced_ids_;
   std::deque<DepartedInstance> departed_;
   // Instances that said in a response that they leave.
-  std::deque<std::string> left_by_response_;
+  std::deque<InstanceRun> left_by_response_;
   std::optional<InstanceReport> report_;
   InstanceState state_ = InstanceState::kUnknown;
   bool has_reported_leaving_ = false;  // The instance in the slot.
--- a/src/core/member_record.h
+++ b/src/core/member_record.h
@@ -26,7 +26,8 @@
   // The instance said in a response that it leaves, so that later reports that
   // say otherwise are out of order.
   bool instance_left_by_response = false;
-  std::uint64_t instance_sequence = 0;  // Of the instance's last report.
+  std::uint64_t instance_sequence = 0;    // Of the instance's last report.
+  std::uint64_t instance_started_ms = 0;  // In Unix ms; 0: not known.
   // What the node has seen itself of requests that ended its instances. Only in
   // the store, for nodes that start while no peer runs.
   std::vector<CrashEvidence> crash_evidence;
--- a/src/core/peer_notices.cc
+++ b/src/core/peer_notices.cc
@@ -8,11 +8,17 @@
                            const InstanceNotice& notice,
                            Time now) {
   const auto known = entries_.find(name);
-  const bool left_before = known != entries_.end() &&
-                           known->second.notice.instance == notice.instance &&
-                           known->second.notice.leaving;
+  const bool left_before =
+      known != entries_.end() &&
+      known->second.notice.instance == notice.instance &&
+      known->second.notice.leaving &&
+      (notice.started_ms == 0 ||
+       notice.started_ms <= known->second.notice.started_ms);
   Entry next{notice, now};
   next.notice.leaving = notice.leaving || left_before;
+  if (left_before && !notice.leaving) {
+    next.notice.started_ms = known->second.notice.started_ms;
+  }
   if (!next.notice.rate_limit && !next.notice.leaving) {
     if (known != entries_.end()) {
       entries_.erase(known);
@@ -28,6 +34,17 @@
   }
 }
 
+void PeerNotices::OnStays(std::string_view name, std::string_view instance) {
+  const auto found = entries_.find(name);
+  if (found == entries_.end() || found->second.notice.instance != instance) {
+    return;
+  }
+  found->second.notice.leaving = false;
+  if (!found->second.notice.rate_limit) {
+    entries_.erase(found);
+  }
+}
+
 std::optional<InstanceNotice> PeerNotices::Find(
     std::string_view name,
     std::string_view instance) const {
--- a/src/core/peer_notices.h
+++ b/src/core/peer_notices.h
@@ -19,6 +19,10 @@
   // instance leaves is kept until the member has another instance.
   void OnNotice(std::string_view name, const InstanceNotice& notice, Time now);
 
+  // The member's process said that its instance leaves, and later that it
+  // stays.
+  void OnStays(std::string_view name, std::string_view instance);
+
   // What to return to the member `name`, beside which `instance` is known to
   // run. Empty if nothing is known or another instance said it. An empty
   // `instance` is an unknown one.
--- a/src/mesh/inbound_proxy.cc
+++ b/src/mesh/inbound_proxy.cc
@@ -126,7 +126,9 @@
   entry.reply = std::move(reply);
   entry.arrived = now;
   entry.deadline = now + entry.request.remaining;
-  OnPeerNotice(entry.request);
+  if (entry.request.notice) {
+    OnPeerNotice(*entry.request.notice, entry.request.origin);
+  }
   if (!init_.tracker->serves()) {
     Refuse(id, UnavailableReason(), Duration::zero());
   } else if (entry.request.service != init_.tracker->report()->service) {
--- a/src/mesh/inbound_proxy.h
+++ b/src/mesh/inbound_proxy.h
@@ -111,6 +111,9 @@
   // instance. Call it when the instance or its state has changed.
   void OnInstanceChanged();
 
+  // What `source`, a peer, has heard about the instance.
+  void OnPeerNotice(const InstanceNotice& notice, std::string_view source);
+
   GateLoad load() const;
   // Number of calls that have not ended.
   std::size_t active() const { return calls_.size(); }
@@ -166,7 +169,6 @@
   void OnResponseHead(CallId id, const Http1Head& head);
   void RejectResponse(CallId id, std::string_view why);
   void OnNotice(const Call& call, const ResponseNotice& notice);
-  void OnPeerNotice(const GateCall& call);
   void ApplyRateLimit(std::string_view source);
   void OnLeaving(std::string_view id, std::string_view source);
   std::optional<InstanceNotice> Notice() const;
--- a/src/mesh/inbound_response.cc
+++ b/src/mesh/inbound_response.cc
@@ -95,17 +95,15 @@
   }
 }
 
-void InboundProxy::OnPeerNotice(const GateCall& call) {
-  if (!call.notice) {
-    return;
-  }
-  if (rate_limit_.OnPeerNotice(*call.notice)) {
-    ApplyRateLimit(call.origin);
+void InboundProxy::OnPeerNotice(const InstanceNotice& notice,
+                                std::string_view source) {
+  if (rate_limit_.OnPeerNotice(notice)) {
+    ApplyRateLimit(source);
   }
-  if (call.notice->leaving &&
-      init_.tracker->OnLeavingPeerNotice(call.notice->instance, SteadyNow()) ==
-          ReportVerdict::kChanged) {
-    OnLeaving(call.notice->instance, call.origin);
+  if (notice.leaving && init_.tracker->OnLeavingPeerNotice(
+                            {notice.instance, notice.started_ms},
+                            SteadyNow()) == ReportVerdict::kChanged) {
+    OnLeaving(notice.instance, source);
   }
 }
 
@@ -123,7 +121,7 @@
     return std::nullopt;
   }
   return InstanceNotice{tracker.report()->id, rate_limit_.calls_per_second(),
-                        tracker.is_leaving()};
+                        tracker.is_leaving(), tracker.report()->started_ms};
 }
 
 // `source` is who reported the limit: the instance or the name of a peer.
--- a/src/mesh/link_codec.cc
+++ b/src/mesh/link_codec.cc
@@ -76,6 +76,7 @@
   out.setInstance(ToTextReader(notice.instance));
   out.setRateLimit(notice.rate_limit.value_or(kNoRateLimit));
   out.setLeaving(notice.leaving);
+  out.setStartedMs(notice.started_ms);
 }
 
 // A limit that is no number is none.
@@ -89,7 +90,7 @@
 
 InstanceNotice ReadNotice(wire::InstanceNotice::Reader in) {
   InstanceNotice notice{CopyToString(in.getInstance()), std::nullopt,
-                        in.getLeaving()};
+                        in.getLeaving(), in.getStartedMs()};
   if (std::isfinite(in.getRateLimit()) && in.getRateLimit() >= 0) {
     notice.rate_limit = in.getRateLimit();
   }
@@ -184,6 +185,7 @@
   out.setSlots(member.slots);
   out.setInstance(ToTextReader(record.instance));
   out.setInstanceLeaving(record.instance_leaving);
+  out.setInstanceStartedMs(record.instance_started_ms);
   out.setSoftware(ToTextReader(member.software));
 }
 
@@ -203,6 +205,7 @@
   member.slots = in.getSlots();
   record.instance = CopyToString(in.getInstance());
   record.instance_leaving = in.getInstanceLeaving();
+  record.instance_started_ms = in.getInstanceStartedMs();
   member.software = CopyToString(in.getSoftware());
   return record;
 }
@@ -423,6 +426,12 @@
     }
   }
   void operator()(const LinkQuotaPartChanged&) { out.setQuotaPartChanged(); }
+  void operator()(const LinkInstanceNotice& message) {
+    WriteNotice(message.notice, out.initInstanceNotice());
+  }
+  void operator()(const LinkMemberKnown& message) {
+    out.setMemberKnown(message.sequence);
+  }
   void operator()(const LinkRollouts& message) {
     const bool has_note = message.age || message.asks;
     auto list = out.initRollouts(
@@ -579,6 +588,10 @@
     }
     case Which::QUOTA_PART_CHANGED:
       return LinkQuotaPartChanged{};
+    case Which::INSTANCE_NOTICE:
+      return LinkInstanceNotice{ReadNotice(in.getInstanceNotice())};
+    case Which::MEMBER_KNOWN:
+      return LinkMemberKnown{in.getMemberKnown()};
     case Which::ROLLOUTS: {
       LinkRollouts message;
       for (const auto report : in.getRollouts()) {
--- a/src/mesh/link_frames.h
+++ b/src/mesh/link_frames.h
@@ -162,6 +162,18 @@
 // The receiver should ask again for the sender's part.
 struct LinkQuotaPartChanged {};
 
+// What the instance beside the receiver said to an earlier process there, as
+// far as the sender has heard.
+struct LinkInstanceNotice {
+  InstanceNotice notice;
+};
+
+// The sender knows the receiver's record of this sequence, by which the
+// receiver's instance leaves. It returns that to a later process there.
+struct LinkMemberKnown {
+  std::uint64_t sequence = 0;
+};
+
 // What the sender knows of roll-outs.
 struct LinkRollouts {
   std::vector<RolloutReport> reports;
@@ -191,7 +203,9 @@
                               LinkRollouts,
                               LinkQuotaPartRequest,
                               LinkQuotaPartGrant,
-                              LinkQuotaPartChanged>;
+                              LinkQuotaPartChanged,
+                              LinkInstanceNotice,
+                              LinkMemberKnown>;
 
 struct LinkFrame {
   CallId call = 0;  // 0: the frame belongs to no call.
--- a/src/mesh/link_hub.cc
+++ b/src/mesh/link_hub.cc
@@ -122,6 +122,8 @@
             init_.on_member_record(hello.self);
             peer->link->Send(HelloFrame());
             init_.on_load(peer->name, {{}, hello.configuration});
+            ConfirmRecord(*peer->link, hello.self);
+            ShareInstanceNotice(*peer->link, peer->name);
             ShareCrashEvidence(*peer->link);
             ShareRollouts(*peer->link);
           },
@@ -138,7 +140,12 @@
           },
           [&](const LinkMember& member) {
             init_.on_member_record(member.record);
+            ConfirmRecord(*peer->link, member.record);
           },
+          [&](const LinkInstanceNotice&) {
+            OnInstanceFrame(peer->name, frame);
+          },
+          [&](const LinkMemberKnown&) { OnInstanceFrame(peer->name, frame); },
           [&](const LinkSuspicion& suspicion) {
             const auto found = outgoing_.find(suspicion.member);
             if (found != outgoing_.end()) {
@@ -441,7 +448,12 @@
           [&](const LinkPong& pong) { init_.on_load(peer->name, pong.load); },
           [&](const LinkMember& member) {
             init_.on_member_record(member.record);
+            ConfirmRecord(*peer->link, member.record);
+          },
+          [&](const LinkInstanceNotice&) {
+            OnInstanceFrame(peer->name, frame);
           },
+          [&](const LinkMemberKnown&) { OnInstanceFrame(peer->name, frame); },
           [&](const LinkConfiguration& configuration) {
             init_.on_configuration(configuration.delta);
           },
@@ -503,6 +515,8 @@
   init_.on_member_record(hello.self);
   init_.member_registry->SetLinked(name, true, SteadyNow());
   init_.on_load(name, {{}, hello.configuration});
+  ConfirmRecord(*peer->link, hello.self);
+  ShareInstanceNotice(*peer->link, name);
   ShareCrashEvidence(*peer->link);
   ShareRollouts(*peer->link);
   // Tells the peer that this link is in use.
@@ -615,6 +629,35 @@
   }
 }
 
+// Confirms a record that the peer's next process will have to be told of.
+void LinkHub::ConfirmRecord(Link& link, const MemberRecord& record) {
+  if (record.instance_leaving) {
+    link.Send({0, LinkMemberKnown{record.sequence}});
+  }
+}
+
+void LinkHub::OnInstanceFrame(std::string_view member,
+                              const LinkFrame& frame) const {
+  if (const auto* known = std::get_if<LinkMemberKnown>(&frame.body)) {
+    if (init_.on_member_known) {
+      init_.on_member_known(member, known->sequence);
+    }
+  } else if (const auto* heard = std::get_if<LinkInstanceNotice>(&frame.body)) {
+    if (init_.on_instance_notice) {
+      init_.on_instance_notice(member, heard->notice);
+    }
+  }
+}
+
+void LinkHub::ShareInstanceNotice(Link& link, std::string_view member) const {
+  if (!init_.instance_notice) {
+    return;
+  }
+  if (auto notice = init_.instance_notice(member)) {
+    link.Send({0, LinkInstanceNotice{std::move(*notice)}});
+  }
+}
+
 void LinkHub::ShareCrashEvidence(Link& link) const {
   std::vector<CrashEvidence> evidence = init_.crash_evidence();
   if (!evidence.empty()) {
--- a/src/mesh/link_hub.h
+++ b/src/mesh/link_hub.h
@@ -57,6 +57,17 @@
     std::function<void(std::string_view member, const GateLoad&)> on_load;
     // A peer sent the member record of itself.
     std::function<void(const MemberRecord&)> on_member_record;
+    // What is known of the instance of a member that has just connected; empty:
+    // nothing.
+    std::function<std::optional<InstanceNotice>(std::string_view member)>
+        instance_notice;
+    // The member has heard this of the instance beside this node.
+    std::function<void(std::string_view member, const InstanceNotice&)>
+        on_instance_notice;
+    // The member knows the record of this node with that sequence, by which its
+    // instance leaves.
+    std::function<void(std::string_view member, std::uint64_t sequence)>
+        on_member_known;
     // What a node that has just connected should know of requests that ended
     // instances.
     std::function<std::vector<CrashEvidence>()> crash_evidence;
@@ -181,6 +192,9 @@
   void ScheduleReconnect(const OutgoingPointer& peer);
   void Discard(Outgoing& peer);
   LinkFrame HelloFrame() const;
+  static void ConfirmRecord(Link& link, const MemberRecord& record);
+  void OnInstanceFrame(std::string_view member, const LinkFrame& frame) const;
+  void ShareInstanceNotice(Link& link, std::string_view member) const;
   void ShareCrashEvidence(Link& link) const;
   void ShareRollouts(Link& link) const;
   void SendToAll(const LinkFrame& frame);
--- a/src/mesh/outbound_proxy.h
+++ b/src/mesh/outbound_proxy.h
@@ -107,6 +107,16 @@
   void OnPeerNotice(std::string_view member, const InstanceNotice& notice) {
     peer_notices_.OnNotice(member, notice, SteadyNow());
   }
+  // The instance of `member` said that it leaves, and later that it stays.
+  void OnPeerStays(std::string_view member, std::string_view instance) {
+    peer_notices_.OnStays(member, instance);
+  }
+  // What to return to `member`, beside which `instance` is known to run; empty
+  // if that is not known.
+  std::optional<InstanceNotice> PeerNotice(std::string_view member,
+                                           std::string_view instance) const {
+    return peer_notices_.Find(member, instance);
+  }
 
   void SetRetryAllowance(const FleetRetryBudgetLimits& limits) {
     retry_allowance_.SetLimits(limits);
--- a/src/mesh/sidecar.cc
+++ b/src/mesh/sidecar.cc
@@ -181,6 +181,19 @@
   init.on_member_record = [this](const MemberRecord& record) {
     MergeRecord(record);
   };
+  init.instance_notice = [this](std::string_view member) {
+    const MemberRegistry::Entry* entry = member_registry_.Find(member);
+    return outbound_.PeerNotice(
+        member, entry == nullptr ? std::string_view() : entry->record.instance);
+  };
+  init.on_instance_notice = [this](std::string_view member,
+                                   const InstanceNotice& notice) {
+    OnInstanceNotice(member, notice);
+  };
+  init.on_member_known = [this](std::string_view member,
+                                std::uint64_t sequence) {
+    OnMemberKnown(member, sequence);
+  };
   init.crash_evidence = [this] { return suspects_.Shared(); };
   init.on_crash_evidence = [this](std::string_view member,
                                   std::span<const CrashEvidence> evidence) {
--- a/src/mesh/sidecar.h
+++ b/src/mesh/sidecar.h
@@ -22,6 +22,7 @@
 #include "core/configuration_source.h"
 #include "core/crash_suspects.h"
 #include "core/instance_tracker.h"
+#include "core/leaving_witnesses.h"
 #include "core/member_registry.h"
 #include "core/node_charts.h"
 #include "core/state_chart.h"
@@ -83,10 +84,14 @@
   void OnReadyCheck(const ExchangePointer& exchange);
   void OnHeartbeat(const ExchangePointer& exchange,
                    const InstanceReport& report);
-  void OnDeregister(const ExchangePointer& exchange, const std::string& id);
-  // Acknowledges a control call after the store has recorded the change, but no
-  // later than after `kAcknowledgeTimeout`.
-  void AcknowledgeWhenPublished(const ExchangePointer& exchange);
+  void OnDeregister(const ExchangePointer& exchange, const InstanceRun& run);
+  // Acknowledges a control call by which the instance leaves once the store has
+  // recorded it, or enough peers know it, so that a process that replaces this
+  // one hears of it.
+  void AcknowledgeLeaving(const ExchangePointer& exchange);
+  void AnswerLeaving(std::uint64_t call, int status);
+  void OnMemberKnown(std::string_view member, std::uint64_t sequence);
+  void OnInstanceNotice(std::string_view member, const InstanceNotice& notice);
   void OnMetrics(const ExchangePointer& exchange);
 
   void OnInstanceChanged(std::string_view why);
@@ -156,6 +161,10 @@
   ConfigApplier applier_;
   ChartMachine lifecycle_;
   InstanceTracker tracker_;
+  LeavingWitnesses witnesses_;
+  // The calls by which the instance leaves that were not answered yet.
+  std::map<std::uint64_t, ExchangePointer> leaving_calls_;
+  std::uint64_t last_leaving_call_ = 0;
   MemberRegistry member_registry_;
   CrashSuspects suspects_;
   platform::StoreClient store_;
--- a/src/mesh/sidecar_control.cc
+++ b/src/mesh/sidecar_control.cc
@@ -9,9 +9,9 @@
 namespace verbenastile {
 namespace {
 
-// How long the acknowledgement of a leaving instance waits for the store. Other
-// nodes are told over links at once.
-constexpr Duration kAcknowledgeTimeout = std::chrono::milliseconds(400);
+// How long the acknowledgement of a leaving instance waits for the store and
+// for peers. The instance waits for a second, and then calls again.
+constexpr Duration kAcknowledgeTimeout = std::chrono::milliseconds(900);
 
 const HttpHeaders& JsonHeaders() {
   static const HttpHeaders headers = {{"Content-Type", "application/json"}};
@@ -29,7 +29,7 @@
   } else if (const auto* report = std::get_if<InstanceReport>(&call)) {
     OnHeartbeat(exchange, *report);
   } else if (const auto* leave = std::get_if<platform::DeregisterCall>(&call)) {
-    OnDeregister(exchange, leave->id);
+    OnDeregister(exchange, leave->run);
   } else if (const auto* error = std::get_if<platform::FormatError>(&call)) {
     Log(LogLevel::kWarning, "control", "Cannot parse a control call.",
         {{"target", head.target}, {"error", error->reason}});
@@ -48,56 +48,103 @@
 void Sidecar::OnHeartbeat(const ExchangePointer& exchange,
                           const InstanceReport& report) {
   const ReportVerdict verdict = tracker_.OnReport(report, SteadyNow());
-  if (verdict == ReportVerdict::kUnchanged) {
-    exchange->Send(kHttpOk, JsonHeaders(), "{}");
-    return;
+  if (verdict != ReportVerdict::kUnchanged) {
+    Log(verdict == ReportVerdict::kChanged ? LogLevel::kInfo
+                                           : LogLevel::kWarning,
+        "control", "Received a report of the instance.",
+        {{"instance", report.id},
+         {"verdict", ToString(verdict)},
+         {"state", ToString(tracker_.state())},
+         {"service", report.service},
+         {"address", ToString(report.address)},
+         {"slots", report.slots},
+         {"sequence", report.sequence},
+         {"started_ms", report.started_ms}});
   }
-  Log(verdict == ReportVerdict::kChanged ? LogLevel::kInfo : LogLevel::kWarning,
-      "control", "Received a report of the instance.",
-      {{"instance", report.id},
-       {"verdict", ToString(verdict)},
-       {"state", ToString(tracker_.state())},
-       {"service", report.service},
-       {"address", ToString(report.address)},
-       {"slots", report.slots},
-       {"sequence", report.sequence},
-       {"started_ms", report.started_ms}});
-  if (verdict != ReportVerdict::kChanged) {
-    exchange->Send(kHttpOk, JsonHeaders(), "{}");
-    return;
+  if (verdict == ReportVerdict::kChanged) {
+    OnInstanceChanged("report");
   }
-  OnInstanceChanged("report");
-  if (report.leaving) {
-    AcknowledgeWhenPublished(exchange);
+  if (report.leaving && tracker_.is_leaving()) {
+    AcknowledgeLeaving(exchange);
   } else {
     exchange->Send(kHttpOk, JsonHeaders(), "{}");
   }
 }
 
 void Sidecar::OnDeregister(const ExchangePointer& exchange,
-                           const std::string& id) {
-  const ReportVerdict verdict = tracker_.OnDeregistered(id, SteadyNow());
+                           const InstanceRun& run) {
+  const ReportVerdict verdict = tracker_.OnDeregistered(run, SteadyNow());
   Log(LogLevel::kInfo, "control", "The instance deregistered.",
-      {{"instance", id}, {"verdict", ToString(verdict)}});
-  if (verdict != ReportVerdict::kChanged) {
+      {{"instance", run.id},
+       {"started_ms", run.started_ms},
+       {"verdict", ToString(verdict)}});
+  if (verdict == ReportVerdict::kChanged) {
+    OnInstanceChanged("deregistered");
+  }
+  if (tracker_.is_leaving()) {
+    AcknowledgeLeaving(exchange);
+  } else {
     exchange->Send(kHttpOk, JsonHeaders(), "{}");
-    return;
   }
-  OnInstanceChanged("deregistered");
-  AcknowledgeWhenPublished(exchange);
 }
 
-void Sidecar::AcknowledgeWhenPublished(const ExchangePointer& exchange) {
-  const auto answered = std::make_shared<bool>(false);
-  const auto answer = [exchange, answered] {
-    if (!std::exchange(*answered, true)) {
-      exchange->Send(kHttpOk, JsonHeaders(), "{}");
-    }
-  };
+void Sidecar::AcknowledgeLeaving(const ExchangePointer& exchange) {
+  const std::uint64_t call = ++last_leaving_call_;
+  leaving_calls_.emplace(call, exchange);
+  if (witnesses_.AreEnough(member_registry_, settings_.name)) {
+    AnswerLeaving(call, kHttpOk);
+    return;
+  }
+  PublishOwnRecord([this, call] { AnswerLeaving(call, kHttpOk); });
+  if (!leaving_calls_.contains(call)) {
+    return;
+  }
+  // Peers that are linked anew, or whose confirmation was lost, confirm it.
+  links_.AnnounceSelf();
   const auto timer = std::make_shared<asio::steady_timer>(io_);
   timer->expires_after(kAcknowledgeTimeout);
-  timer->async_wait([timer, answer](const asio::error_code&) { answer(); });
-  PublishOwnRecord(answer);
+  timer->async_wait([timer, call, this](const asio::error_code&) {
+    if (leaving_calls_.contains(call)) {
+      Log(LogLevel::kWarning, "control",
+          "Neither the store nor enough peers know that the instance leaves.",
+          {{"state", ToString(tracker_.state())},
+           {"open_links", links_.open_links()}});
+      AnswerLeaving(call, kHttpUnavailable);
+    }
+  });
+}
+
+void Sidecar::AnswerLeaving(std::uint64_t call, int status) {
+  if (const auto found = leaving_calls_.extract(call)) {
+    found.mapped()->Send(status, JsonHeaders(), "{}");
+  }
+}
+
+void Sidecar::OnMemberKnown(std::string_view member, std::uint64_t sequence) {
+  witnesses_.OnKnown(member, sequence);
+  if (leaving_calls_.empty() ||
+      !witnesses_.AreEnough(member_registry_, settings_.name)) {
+    return;
+  }
+  while (!leaving_calls_.empty()) {
+    AnswerLeaving(leaving_calls_.begin()->first, kHttpOk);
+  }
+}
+
+void Sidecar::OnInstanceNotice(std::string_view member,
+                               const InstanceNotice& notice) {
+  Log(LogLevel::kInfo, "control",
+      "A peer returned what the instance said to an earlier process.",
+      {{"peer", member},
+       {"instance", notice.instance},
+       {"started_ms", notice.started_ms},
+       {"leaving", notice.leaving},
+       {"rate_limit", notice.rate_limit.value_or(-1)}});
+  const auto departed_before = tracker_.departed_before_report();
+  inbound_.OnPeerNotice(notice, member);
+  if (tracker_.departed_before_report() != departed_before) {
+    OnInstanceChanged("notice of a peer");
+  }
 }
 
 void Sidecar::OnMetrics(const ExchangePointer& exchange) {
--- a/src/mesh/sidecar_members.cc
+++ b/src/mesh/sidecar_members.cc
@@ -19,9 +19,11 @@
 void Sidecar::OnInstanceChanged(std::string_view why) {
   ++sequence_;
   inbound_.OnInstanceChanged();
-  MergeRecord(OwnRecord());
-  links_.AnnounceSelf();
   const MemberRecord self = OwnRecord();
+  witnesses_.OnRecord({self.instance, self.instance_started_ms},
+                      self.instance_leaving, sequence_);
+  MergeRecord(self);
+  links_.AnnounceSelf();
   Log(LogLevel::kInfo, kLogComponent, "The node's record changed.",
       {{"why", why},
        {"sequence", sequence_},
@@ -48,10 +50,20 @@
     member.software = tracker_.report()->software;
     record.instance = tracker_.report()->id;
     record.instance_sequence = tracker_.report()->sequence;
+    record.instance_started_ms = tracker_.report()->started_ms;
   }
   record.instance_gone = tracker_.state() == InstanceState::kGone;
   record.instance_leaving = tracker_.is_leaving();
   record.instance_left_by_response = tracker_.said_leaving_in_response();
+  if (const auto departed = tracker_.departed_before_report()) {
+    // Kept for the next process: the instance said it to an earlier one.
+    record.instance = departed->run.id;
+    record.instance_started_ms = departed->run.started_ms;
+    record.instance_sequence = departed->sequence;
+    record.instance_leaving = true;
+    record.instance_gone = departed->gone;
+    record.instance_left_by_response = departed->by_response;
+  }
   record.crash_evidence = suspects_.SeenBy(settings_.name);
   return record;
 }
@@ -215,12 +227,13 @@
   } else if (record.member.incarnation < incarnation_ &&
              record.instance_leaving) {
     const Time now = SteadyNow();
-    bool changed = tracker_.RestoreDeparted(
-        record.instance, record.instance_gone, record.instance_sequence, now);
+    const InstanceRun run{record.instance, record.instance_started_ms};
+    bool changed = tracker_.RestoreDeparted(run, record.instance_gone,
+                                            record.instance_sequence, now);
     if (record.instance_left_by_response) {
-      changed = tracker_.OnLeavingResponse(record.instance, now) ==
-                    ReportVerdict::kChanged ||
-                changed;
+      changed =
+          tracker_.OnLeavingPeerNotice(run, now) == ReportVerdict::kChanged ||
+          changed;
     }
     if (changed) {
       OnInstanceChanged("record of an earlier run");
@@ -235,6 +248,13 @@
 }
 
 bool Sidecar::StoreRecord(const MemberRecord& record) {
+  const MemberRegistry::Entry* known =
+      member_registry_.Find(record.member.name);
+  // Said by the same process, which has heard both from the instance.
+  const bool leaving_before =
+      known != nullptr && known->record.instance_leaving &&
+      known->record.instance == record.instance &&
+      known->record.member.incarnation == record.member.incarnation;
   if (!member_registry_.Merge(record, SteadyNow())) {
     return false;
   }
@@ -251,8 +271,11 @@
          {"slots", record.member.slots}});
   }
   if (record.instance_leaving) {
-    outbound_.OnPeerNotice(record.member.name,
-                           {record.instance, std::nullopt, true});
+    outbound_.OnPeerNotice(
+        record.member.name,
+        {record.instance, std::nullopt, true, record.instance_started_ms});
+  } else if (leaving_before) {
+    outbound_.OnPeerStays(record.member.name, record.instance);
   }
   return true;
 }
--- a/src/wire/link.capnp
+++ b/src/wire/link.capnp
@@ -30,6 +30,8 @@
     quotaPartRequest @19 :QuotaPartRequest;
     quotaPartGrant @20 :QuotaPartGrant;
     quotaPartChanged @21 :Void;
+    instanceNotice @22 :InstanceNotice;
+    memberKnown @23 :UInt64;  # The sequence of the record.
   }
 }
 
@@ -54,6 +56,7 @@
   instance @0 :Text;
   rateLimit @1 :Float64 = -1;  # Negative: no limit.
   leaving @2 :Bool;
+  startedMs @3 :UInt64;
 }
 
 struct CrashEvidence {
@@ -149,6 +152,7 @@
   instance @11 :Text;
   instanceLeaving @12 :Bool;
   software @13 :Text;
+  instanceStartedMs @14 :UInt64;
 }
 
 struct Hello {
--- a/src/wire/link.capnp.h
+++ b/src/wire/link.capnp.h
@@ -72,10 +72,12 @@
     QUOTA_PART_REQUEST,
     QUOTA_PART_GRANT,
     QUOTA_PART_CHANGED,
+    INSTANCE_NOTICE,
+    MEMBER_KNOWN,
   };
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c58b9a962c86a4f7, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(c58b9a962c86a4f7, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -120,7 +122,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e5d9023a0e6b8b26, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(e5d9023a0e6b8b26, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -255,7 +257,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9affee385b0a4f72, 3, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(9affee385b0a4f72, 4, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -484,6 +486,13 @@
   inline bool isQuotaPartChanged() const;
   inline  ::capnp::Void getQuotaPartChanged() const;
 
+  inline bool isInstanceNotice() const;
+  inline bool hasInstanceNotice() const;
+  inline  ::verbenastile::wire::InstanceNotice::Reader getInstanceNotice() const;
+
+  inline bool isMemberKnown() const;
+  inline  ::uint64_t getMemberKnown() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -668,6 +677,18 @@
   inline  ::capnp::Void getQuotaPartChanged();
   inline void setQuotaPartChanged( ::capnp::Void value = ::capnp::VOID);
 
+  inline bool isInstanceNotice();
+  inline bool hasInstanceNotice();
+  inline  ::verbenastile::wire::InstanceNotice::Builder getInstanceNotice();
+  inline void setInstanceNotice( ::verbenastile::wire::InstanceNotice::Reader value);
+  inline  ::verbenastile::wire::InstanceNotice::Builder initInstanceNotice();
+  inline void adoptInstanceNotice(::capnp::Orphan< ::verbenastile::wire::InstanceNotice>&& value);
+  inline ::capnp::Orphan< ::verbenastile::wire::InstanceNotice> disownInstanceNotice();
+
+  inline bool isMemberKnown();
+  inline  ::uint64_t getMemberKnown();
+  inline void setMemberKnown( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -931,6 +952,8 @@
 
   inline bool getLeaving() const;
 
+  inline  ::uint64_t getStartedMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -972,6 +995,9 @@
   inline bool getLeaving();
   inline void setLeaving(bool value);
 
+  inline  ::uint64_t getStartedMs();
+  inline void setStartedMs( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1946,6 +1972,8 @@
   inline bool hasSoftware() const;
   inline  ::capnp::Text::Reader getSoftware() const;
 
+  inline  ::uint64_t getInstanceStartedMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2044,6 +2072,9 @@
   inline void adoptSoftware(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownSoftware();
 
+  inline  ::uint64_t getInstanceStartedMs();
+  inline void setInstanceStartedMs( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3997,6 +4028,86 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool LinkFrame::Reader::isInstanceNotice() const {
+  return which() == LinkFrame::INSTANCE_NOTICE;
+}
+inline bool LinkFrame::Builder::isInstanceNotice() {
+  return which() == LinkFrame::INSTANCE_NOTICE;
+}
+inline bool LinkFrame::Reader::hasInstanceNotice() const {
+  if (which() != LinkFrame::INSTANCE_NOTICE) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool LinkFrame::Builder::hasInstanceNotice() {
+  if (which() != LinkFrame::INSTANCE_NOTICE) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::verbenastile::wire::InstanceNotice::Reader LinkFrame::Reader::getInstanceNotice() const {
+  KJ_IREQUIRE((which() == LinkFrame::INSTANCE_NOTICE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::verbenastile::wire::InstanceNotice>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::verbenastile::wire::InstanceNotice::Builder LinkFrame::Builder::getInstanceNotice() {
+  KJ_IREQUIRE((which() == LinkFrame::INSTANCE_NOTICE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::verbenastile::wire::InstanceNotice>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LinkFrame::Builder::setInstanceNotice( ::verbenastile::wire::InstanceNotice::Reader value) {
+  _builder.setDataField<LinkFrame::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::INSTANCE_NOTICE);
+  ::capnp::_::PointerHelpers< ::verbenastile::wire::InstanceNotice>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::verbenastile::wire::InstanceNotice::Builder LinkFrame::Builder::initInstanceNotice() {
+  _builder.setDataField<LinkFrame::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::INSTANCE_NOTICE);
+  return ::capnp::_::PointerHelpers< ::verbenastile::wire::InstanceNotice>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LinkFrame::Builder::adoptInstanceNotice(
+    ::capnp::Orphan< ::verbenastile::wire::InstanceNotice>&& value) {
+  _builder.setDataField<LinkFrame::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::INSTANCE_NOTICE);
+  ::capnp::_::PointerHelpers< ::verbenastile::wire::InstanceNotice>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::verbenastile::wire::InstanceNotice> LinkFrame::Builder::disownInstanceNotice() {
+  KJ_IREQUIRE((which() == LinkFrame::INSTANCE_NOTICE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::verbenastile::wire::InstanceNotice>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool LinkFrame::Reader::isMemberKnown() const {
+  return which() == LinkFrame::MEMBER_KNOWN;
+}
+inline bool LinkFrame::Builder::isMemberKnown() {
+  return which() == LinkFrame::MEMBER_KNOWN;
+}
+inline  ::uint64_t LinkFrame::Reader::getMemberKnown() const {
+  KJ_IREQUIRE((which() == LinkFrame::MEMBER_KNOWN),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LinkFrame::Builder::getMemberKnown() {
+  KJ_IREQUIRE((which() == LinkFrame::MEMBER_KNOWN),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void LinkFrame::Builder::setMemberKnown( ::uint64_t value) {
+  _builder.setDataField<LinkFrame::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::MEMBER_KNOWN);
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Header::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4278,6 +4389,20 @@
       ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t InstanceNotice::Reader::getStartedMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t InstanceNotice::Builder::getStartedMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void InstanceNotice::Builder::setStartedMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t CrashEvidence::Reader::getRequestHigh() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -5614,6 +5739,20 @@
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Member::Reader::getInstanceStartedMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Member::Builder::getInstanceStartedMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setInstanceStartedMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Hello::Reader::hasMember() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/tests/instance_tracker_test.cc
+++ b/tests/instance_tracker_test.cc
@@ -63,7 +63,7 @@
       CHECK_FALSE(tracker.serves());
     }
     WHEN("it deregisters without announcing that it leaves") {
-      REQUIRE(tracker.OnDeregistered("i-1", kNow) == ReportVerdict::kChanged);
+      REQUIRE(tracker.OnDeregistered({"i-1"}, kNow) == ReportVerdict::kChanged);
       THEN("a delayed report does not make it serve again") {
         CHECK(tracker.OnReport(ReportOf("i-1", 6), kNow) ==
               ReportVerdict::kStale);
@@ -101,7 +101,7 @@
       }
     }
     WHEN("it deregisters and restarts under the same id") {
-      tracker.OnDeregistered("i-1", kNow);
+      tracker.OnDeregistered({"i-1"}, kNow);
       report.started_ms = 2'000;
       CHECK(tracker.OnReport(report, kNow) == ReportVerdict::kChanged);
       CHECK(tracker.serves());
@@ -112,7 +112,7 @@
   // from the instance was the deregistration, and a delayed heartbeat arrived
   // after it.
   GIVEN("a deregistration as the first message of an instance") {
-    REQUIRE(tracker.OnDeregistered("i-1", kNow) == ReportVerdict::kChanged);
+    REQUIRE(tracker.OnDeregistered({"i-1"}, kNow) == ReportVerdict::kChanged);
     CHECK(tracker.OnReport(ReportOf("i-1", 23), kNow) == ReportVerdict::kStale);
     CHECK_FALSE(tracker.serves());
   }
@@ -136,7 +136,7 @@
             ReportVerdict::kChanged);
       CHECK(tracker.OnReport(LeavingReportOf("i-1", 6), kNow) ==
             ReportVerdict::kUnchanged);
-      CHECK(tracker.OnDeregistered("i-1", kNow) == ReportVerdict::kChanged);
+      CHECK(tracker.OnDeregistered({"i-1"}, kNow) == ReportVerdict::kChanged);
     }
     THEN("another instance at the address serves") {
       CHECK(tracker.OnReport(ReportOf("i-2", 1), kNow) ==
@@ -150,7 +150,7 @@
 
   GIVEN("a peer that returns that an instance leaves") {
     WHEN("the node was restarted and has no report yet") {
-      tracker.OnLeavingPeerNotice("i-1", kNow);
+      tracker.OnLeavingPeerNotice({"i-1"}, kNow);
       THEN("reports that it serves are stale") {
         CHECK(tracker.OnReport(ReportOf("i-1", 9), kNow) ==
               ReportVerdict::kStale);
@@ -160,7 +160,7 @@
       tracker.OnReport(LeavingReportOf("i-1", 4), kNow);
       tracker.OnReport(ReportOf("i-1", 5), kNow);
       THEN("the peer's notice is older") {
-        CHECK(tracker.OnLeavingPeerNotice("i-1", kNow) ==
+        CHECK(tracker.OnLeavingPeerNotice({"i-1"}, kNow) ==
               ReportVerdict::kUnchanged);
         CHECK(tracker.serves());
       }
@@ -173,23 +173,82 @@
     tracker.OnReport(ReportOf("i-1", 6), kNow);
     REQUIRE(tracker.serves());
     WHEN("the record is from after that report") {
-      tracker.RestoreDeparted("i-1", false, 7, kNow);
+      tracker.RestoreDeparted({"i-1"}, false, 7, kNow);
       CHECK(tracker.state() == InstanceState::kLeaving);
     }
     WHEN("the instance had deregistered") {
-      tracker.RestoreDeparted("i-1", true, 3, kNow);
+      tracker.RestoreDeparted({"i-1"}, true, 3, kNow);
       CHECK(tracker.state() == InstanceState::kGone);
     }
     WHEN("the record is from before that report, or of another instance") {
-      tracker.RestoreDeparted("i-1", false, 5, kNow);
-      tracker.RestoreDeparted("i-2", true, 9, kNow);
+      tracker.RestoreDeparted({"i-1"}, false, 5, kNow);
+      tracker.RestoreDeparted({"i-2"}, true, 9, kNow);
       CHECK(tracker.serves());
     }
   }
 
+  // Guards against an instance that left, started again under its id, and is
+  // shut out because another process or peer says that the id has left
+  // (review/3).
+  GIVEN("an instance that starts again under the id that has left") {
+    const InstanceRun earlier{"i-1", 1'000};
+    InstanceReport report = ReportOf("i-1", 1);
+    report.started_ms = 2'000;
+    const auto check_serves = [&] {
+      CHECK(tracker.OnReport(report, kNow) == ReportVerdict::kChanged);
+      CHECK(tracker.serves());
+    };
+    WHEN("the earlier run deregistered from an earlier process") {
+      tracker.RestoreDeparted(earlier, true, 7, kNow);
+      check_serves();
+      THEN("a delayed report of the earlier run is stale") {
+        report.started_ms = 1'000;
+        report.sequence = 9;
+        CHECK(tracker.OnReport(report, kNow) == ReportVerdict::kStale);
+      }
+    }
+    WHEN("a peer returns that the earlier run leaves") {
+      tracker.OnLeavingPeerNotice(earlier, kNow);
+      check_serves();
+    }
+    WHEN("a peer returns it, or it is restored, after the report") {
+      check_serves();
+      CHECK(tracker.OnLeavingPeerNotice(earlier, kNow) ==
+            ReportVerdict::kForeign);
+      CHECK_FALSE(tracker.RestoreDeparted(earlier, true, 7, kNow));
+      CHECK(tracker.serves());
+    }
+    WHEN("the earlier run's deregistration comes late") {
+      check_serves();
+      CHECK(tracker.OnDeregistered(earlier, kNow) == ReportVerdict::kForeign);
+      CHECK(tracker.serves());
+    }
+  }
+
+  // Guards against a departure that is forgotten with the second process that
+  // has not heard it from the instance (rule DRAIN, review/8).
+  GIVEN("a departure that another process told, and no report") {
+    CHECK_FALSE(tracker.departed_before_report());
+    WHEN("the store told it") {
+      tracker.RestoreDeparted({"i-1", 1'000}, true, 7, kNow);
+      CHECK(tracker.departed_before_report() ==
+            DepartedInstance{{"i-1", 1'000}, true, 7, false});
+    }
+    WHEN("a peer told it") {
+      tracker.OnLeavingPeerNotice({"i-1", 1'000}, kNow);
+      CHECK(tracker.departed_before_report() ==
+            DepartedInstance{{"i-1", 1'000}, false, 0, true});
+    }
+    WHEN("another instance reports") {
+      tracker.RestoreDeparted({"i-1"}, true, 7, kNow);
+      tracker.OnReport(ReportOf("i-2", 1), kNow);
+      CHECK_FALSE(tracker.departed_before_report());
+    }
+  }
+
   GIVEN("state restored from an earlier run of the node") {
-    tracker.RestoreDeparted("i-1", false, 7, kNow);
-    tracker.RestoreDeparted("i-2", true, 3, kNow);
+    tracker.RestoreDeparted({"i-1"}, false, 7, kNow);
+    tracker.RestoreDeparted({"i-2"}, true, 3, kNow);
     THEN("reports from before the instance left are stale") {
       CHECK(tracker.OnReport(ReportOf("i-1", 7), kNow) ==
             ReportVerdict::kStale);
--- a/tests/link_codec_test.cc
+++ b/tests/link_codec_test.cc
@@ -19,7 +19,7 @@
   call.remaining = std::chrono::milliseconds(900);
   call.objective = std::chrono::milliseconds(-5);
   call.idempotent = true;
-  call.notice = InstanceNotice{"i-1", 8.5};
+  call.notice = InstanceNotice{"i-1", 8.5, false, 1'000};
   call.group = "academies";
   call.group_priority = Priority::kHigh;
   return call;
@@ -85,7 +85,7 @@
   CHECK(call.objective == std::chrono::milliseconds(-5));
   CHECK(call.rule == "r-1");
   CHECK(call.idempotent);
-  CHECK(call.notice == InstanceNotice{"i-1", 8.5});
+  CHECK(call.notice == InstanceNotice{"i-1", 8.5, false, 1'000});
   CHECK(std::holds_alternative<LinkCancel>(frames[1].body));
   const auto& decoded_response = std::get<GateResponse>(frames[2].body);
   CHECK(decoded_response.status == 503);
@@ -114,6 +114,7 @@
   MemberRecord record;
   record.instance = "i-1";
   record.instance_leaving = true;
+  record.instance_started_ms = 1'000;
   out.Append({0, LinkMember{record}});
   const std::vector<CrashEvidence> evidence = {
       {{1, 2}, 3, true, {{"node-1", 4}, {"node-2", 5}}},
@@ -206,6 +207,17 @@
         std::vector<RolloutReport>{report});
 }
 
+SCENARIO("news of instances are decoded as they were encoded") {
+  Connection out;
+  const InstanceNotice notice{"i-1", 8.5, true, 1'000};
+  out.Append({0, LinkInstanceNotice{notice}});
+  out.Append({0, LinkMemberKnown{9}});
+  const auto frames = Decode(out.bytes, out.bytes.size());
+  REQUIRE(frames.size() == 2);
+  CHECK(std::get<LinkInstanceNotice>(frames[0].body).notice == notice);
+  CHECK(std::get<LinkMemberKnown>(frames[1].body).sequence == 9);
+}
+
 SCENARIO("parts of quotas are decoded as they were encoded") {
   Connection out;
   const QuotaPartRequest request{7, 3, std::chrono::milliseconds(800)};
--- a/tests/mesh_support.h
+++ b/tests/mesh_support.h
@@ -89,6 +89,7 @@
       outbound->OnLoad(member, load);
     };
     hub.on_member_record = [](const MemberRecord&) {};
+    hub.instance_notice = [this](std::string_view) { return instance_notice; };
     hub.crash_evidence = [] { return std::vector<CrashEvidence>(); };
     links = std::make_unique<LinkHub>(hub);
     OutboundProxy::Init init;
@@ -150,6 +151,8 @@
   MemberRegistry registry;
   PacedSender sender;
   MemberRecord record;
+  // What is told to nodes that link to this one.
+  std::optional<InstanceNotice> instance_notice;
   std::unique_ptr<InboundProxy> inbound;
   std::unique_ptr<LinkHub> links;
   std::unique_ptr<OutboundProxy> outbound;
@@ -287,18 +290,29 @@
     writer.Append(frame, bytes);
     connection.Write(bytes);
   }
-  // Reads frames until the response to a call.
-  GateResponse ReadResponse() {
+  // Reads the next frame. Returns nothing if the link ends first, or if none
+  // comes in time.
+  std::optional<LinkFrame> TryRead() {
     while (true) {
       auto next = reader.Next();
       auto& frame = std::get<std::optional<LinkFrame>>(next);
-      if (frame && std::holds_alternative<GateResponse>(frame->body)) {
-        return std::get<GateResponse>(std::move(frame->body));
+      if (frame) {
+        return std::move(frame);
       }
-      if (!frame) {
-        const std::string byte = connection.ReadBytes(1);
-        REQUIRE(byte.size() == 1);
-        reader.Append(byte.data(), 1);
+      const std::string byte = connection.ReadBytes(1);
+      if (byte.empty()) {
+        return std::nullopt;
+      }
+      reader.Append(byte.data(), 1);
+    }
+  }
+  // Reads frames until the response to a call.
+  GateResponse ReadResponse() {
+    while (true) {
+      auto frame = TryRead();
+      REQUIRE(frame);
+      if (std::holds_alternative<GateResponse>(frame->body)) {
+        return std::get<GateResponse>(std::move(frame->body));
       }
     }
   }
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -216,7 +216,7 @@
         ParseControlCall("GET", "/api/ready", "")));
     const auto leave =
         ParseControlCall("POST", "/api/Instances.Deregister/i-1", "");
-    CHECK(std::get<DeregisterCall>(leave).id == "i-1");
+    CHECK(std::get<DeregisterCall>(leave).run == InstanceRun{"i-1", 0});
     CHECK(std::holds_alternative<UnknownCall>(
         ParseControlCall("GET", "/api/other", "")));
   }
@@ -264,6 +264,7 @@
   record.instance = "i-1";
   record.instance_leaving = true;
   record.instance_sequence = 12;
+  record.instance_started_ms = 1'000;
   record.instance_left_by_response = true;
   record.crash_evidence = {{{1, 2}, 3, true, {{"node-1", 4}, {"node-1", 5}}}};
   const std::string text = FormatMember(record);
--- a/tests/rate_limit_test.cc
+++ b/tests/rate_limit_test.cc
@@ -200,6 +200,41 @@
   }
 }
 
+// Guards against a limit that is dropped since peers return it before the
+// instance has reported.
+SCENARIO("a limit that peers return early is kept until the instance reports") {
+  InstanceRateLimit limit;
+  CHECK_FALSE(limit.OnPeerNotice({"i-1", 8.0}));
+  CHECK_FALSE(limit.OnPeerNotice({"i-1", 5.0}));
+  CHECK_FALSE(limit.OnPeerNotice({"i-2", 3.0}));
+  CHECK_FALSE(limit.calls_per_second());
+  limit.OnInstance("i-1");
+  CHECK(limit.calls_per_second() == 5);
+  limit.OnInstance("i-2");
+  CHECK_FALSE(limit.calls_per_second());
+}
+
+// Guards against an instance that is shut out because it left in an earlier
+// run, or changed its mind.
+SCENARIO("a leaving that peers return is of one run") {
+  PeerNotices notices;
+  notices.OnNotice("node-1", {"i-1", std::nullopt, true, 1'000}, kStart);
+  const InstanceNotice leaving{"i-1", std::nullopt, true, 1'000};
+  CHECK(notices.Find("node-1", "i-1") == leaving);
+  WHEN("a notice of the same run does not say so") {
+    notices.OnNotice("node-1", {"i-1", 5.0, false, 1'000}, kStart);
+    CHECK(notices.Find("node-1", "i-1")->leaving);
+  }
+  WHEN("a later run names a limit") {
+    notices.OnNotice("node-1", {"i-1", 5.0, false, 2'000}, kStart);
+    CHECK_FALSE(notices.Find("node-1", "i-1")->leaving);
+  }
+  WHEN("its process said that it stays") {
+    notices.OnStays("node-1", "i-1");
+    CHECK_FALSE(notices.Find("node-1", "i-1"));
+  }
+}
+
 SCENARIO("peers return what they have heard about an instance") {
   PeerNotices notices;
   notices.OnNotice("node-1", {"i-1", 5.0}, kStart);
