--- a/src/core/group_quotas.cc
+++ b/src/core/group_quotas.cc
@@ -36,7 +36,11 @@
     const bool linked = name == self || (reachable && incoming.contains(name));
     if (reachable || !left) {
       ++members.known;
-      members.names.insert(name);
+    }
+    const bool counts = entry.owned_quota_parts || entry.record.joins_owners;
+    if (name != self && counts && !entry.record.instance_leaving &&
+        !entry.record.instance_gone) {
+      members.owners.insert(name);
     }
     members.linked += linked ? 1 : 0;
     if (reachable) {
@@ -142,8 +146,12 @@
 void GroupQuotas::SetMembers(QuotaMembers members, Time now) {
   started_ = started_.value_or(now);
   members_are_new_ = members.all_new;
-  members.names.insert(members.candidates.begin(), members.candidates.end());
-  peers_.SetMembers(std::move(members.names));
+  part_giver_.owners().SetMembers(members.owners, members.reachable,
+                                  members.introduced, standing_, now);
+  if (may_own_parts()) {
+    members.owners.insert(std::string(peers_.self()));
+  }
+  peers_.SetMembers(std::move(members.owners));
   const bool changed = peers_.SetCandidates(std::move(members.candidates), now);
   part_giver_.SetMembers(peers_.candidate_digests(), members.all_new, now);
   part_holder_.SetCandidates(peers_.candidate_digests());
@@ -173,14 +181,13 @@
 std::vector<QuotaPart> GroupQuotas::PartsOf(std::string_view group,
                                             Time now) const {
   const std::uint64_t digest = QuotaDigest(group);
-  const std::vector<std::string>& owners = peers_.OwnersOf(group);
   std::vector<QuotaPart> parts;
-  for (const std::string& owner : owners) {
-    const auto since = owner == peers_.self()
-                           ? part_giver_.OwnSince(digest, now)
-                           : part_holder_.Since(owner, digest, now);
-    if (since) {
-      parts.push_back({1.0 / static_cast<double>(owners.size()), *since});
+  for (const std::string& owner : peers_.OwnersOf(group)) {
+    const auto part = owner == peers_.self()
+                          ? part_giver_.OwnPart(digest, now)
+                          : part_holder_.Part(owner, digest, now);
+    if (part) {
+      parts.push_back(*part);
     }
   }
   return parts;
--- a/src/core/group_quotas.h
+++ b/src/core/group_quotas.h
@@ -39,8 +39,11 @@
   bool all_new = false;
   // That this node has a link to.
   std::set<std::string, std::less<>> reachable = {};
-  // All `known` members; candidates may be left out.
-  std::set<std::string, std::less<>> names = {};
+  // The other members that own parts of quotas or join those that do: see
+  // core/quota_owners.h.
+  std::set<std::string, std::less<>> owners = {};
+  // Those that know the record by which this node joins the owners.
+  std::set<std::string, std::less<>> introduced = {};
 };
 
 // `incoming`: the members that have an open link to this node.
@@ -72,6 +75,13 @@
   std::vector<std::string_view> LearnLimits(std::span<const QuotaNeed> needs,
                                             Time now);
   void SetMembers(QuotaMembers members, Time now);
+  // What this node knows of its own place in the fleet. Counts from the next
+  // call of `SetMembers` on.
+  void SetStanding(const QuotaStanding& standing) { standing_ = standing; }
+  // Whether this node joins the owners of parts of quotas, and whether it is
+  // one.
+  bool joins_owners() const { return part_giver_.owners().joins(); }
+  bool may_own_parts() const { return part_giver_.owners().may_own(); }
   // The link to the member broke. `silent`: it does not answer, and may still
   // be running.
   void OnMemberLost(std::string_view member, bool silent, Time now);
@@ -132,7 +142,10 @@
 
   // To be called about every 100 ms. Returns the coordinators that did not
   // answer in time.
-  std::set<std::string> Tick(Time now) { return borrower_.Tick(now); }
+  std::set<std::string> Tick(Time now) {
+    part_giver_.owners().Update(now);
+    return borrower_.Tick(now);
+  }
 
   // The fraction of the group's quota that this node may lend.
   double ReachOf(std::string_view group, Time now) const;
@@ -155,6 +168,7 @@
   std::vector<QuotaPart> PartsOf(std::string_view group, Time now) const;
 
   QuotaPeers peers_;
+  QuotaStanding standing_;
   QuotaPartGiver part_giver_;
   QuotaPartHolder part_holder_;
   QuotaCoordinator coordinator_;
--- a/src/core/member_record.h
+++ b/src/core/member_record.h
@@ -28,6 +28,13 @@
   bool instance_left_by_response = false;
   std::uint64_t instance_sequence = 0;    // Of the instance's last report.
   std::uint64_t instance_started_ms = 0;  // In Unix ms; 0: not known.
+  // The node owns parts of quotas, or did so before it was restarted; see
+  // core/quota_owners.h.
+  bool owns_quota_parts = false;
+  // The node is about to own parts.
+  bool joins_owners = false;
+  // Members that hear of the record confirm it. Not in the store.
+  bool wants_confirmation = false;
   // What the node has seen itself of requests that ended its instances. Only in
   // the store, for nodes that start while no peer runs.
   std::vector<CrashEvidence> crash_evidence;
--- a/src/core/member_registry.cc
+++ b/src/core/member_registry.cc
@@ -9,6 +9,9 @@
   }
   Entry& entry = entries_[record.member.name];
   entry.record = record;
+  entry.owned_quota_parts =
+      !record.instance_leaving && !record.instance_gone &&
+      (entry.owned_quota_parts || record.owns_quota_parts);
   entry.received_at = now;
   UpdateDirectory(entry);
   return true;
--- a/src/core/member_registry.h
+++ b/src/core/member_registry.h
@@ -22,6 +22,8 @@
     Time received_at;     // When the record was received.
     bool linked = false;  // Whether a link to the member is open.
     Time linked_since;    // When `linked` last changed.
+    // A process of the member owned parts of quotas, since the member joined.
+    bool owned_quota_parts = false;
   };
   using Entries = std::map<std::string, Entry, std::less<>>;
 
--- a/src/core/quota_messages.h
+++ b/src/core/quota_messages.h
@@ -59,8 +59,14 @@
   bool operator==(const QuotaLoan&) const = default;
 };
 
-// Asks a member for its parts of the quotas of all groups for which the sender
-// is the member's first candidate.
+// A part of a group's quota that may be lent.
+struct QuotaPart {
+  double share = 0;  // Of the quota.
+  Time since;        // When no other node could lend it any more.
+};
+
+// Asks a member for its parts of the quotas of groups for which the sender is
+// the member's first candidate.
 struct QuotaPartRequest {
   std::uint64_t id = 0;  // Greater than that of each earlier request.
   // The version of the member's candidates that the sender has; 0: none.
@@ -68,6 +74,8 @@
   // The sender counts the parts for this long from when it sent the request; 0:
   // it gives them back.
   Duration lifetime{0};
+  // Digests of the groups that the sender coordinates.
+  std::vector<std::uint64_t> groups;
 
   bool operator==(const QuotaPartRequest&) const = default;
 };
@@ -84,6 +92,9 @@
   std::uint64_t version = 0;
   std::vector<std::uint64_t> added;
   std::vector<std::uint64_t> removed;
+  // For each group of the request, how many members own equal parts of its
+  // quota; 0: the sender is none of them.
+  std::vector<std::uint8_t> owners;
 
   bool operator==(const QuotaPartGrant&) const = default;
 };
--- a/src/core/quota_part_giver.cc
+++ b/src/core/quota_part_giver.cc
@@ -11,18 +11,16 @@
 
 // A request that names a longer lifetime is given this one.
 constexpr Duration kMaxLifetime = std::chrono::seconds(5);
-// The fraction by which the clocks of two nodes may differ in speed.
-constexpr int kClockDriftDivisor = 14;
 constexpr std::size_t kMaxChangesKept = 1'024;
 
 Duration WithDrift(Duration lifetime) {
-  return lifetime + lifetime / kClockDriftDivisor;
+  return lifetime * kQuotaPartFreeAfter.count() / kQuotaPartLifetime.count();
 }
 
 }  // namespace
 
 QuotaPartGiver::QuotaPartGiver(std::string_view self, Time started)
-    : self_(QuotaDigest(self)), started_(started) {}
+    : self_(QuotaDigest(self)), owners_(self), started_(started) {}
 
 void QuotaPartGiver::SetMembers(std::span<const std::uint64_t> candidates,
                                 bool all_new,
@@ -98,7 +96,7 @@
 // Since when no other node can have counted what this node gives the candidate.
 Time QuotaPartGiver::FreeSince(const Candidate& candidate) const {
   return std::max({candidate.known_since.value_or(Time::max()), removed_until_,
-                   MayGiveFrom()});
+                   MayGiveFrom(), owners_.changed_at()});
 }
 
 // Whether all that may count a part know that the candidate precedes them where
@@ -116,7 +114,8 @@
 bool QuotaPartGiver::MayGive(std::uint64_t member, Time now) const {
   const auto found = candidates_.find(member);
   return found != candidates_.end() && !found->second.leaves &&
-         now >= MayGiveFrom() && IsKnownToHolders(member, found->second, now);
+         owners_.may_own() && now >= MayGiveFrom() &&
+         IsKnownToHolders(member, found->second, now);
 }
 
 QuotaPartGrant QuotaPartGiver::OnRequest(std::string_view member,
@@ -149,6 +148,10 @@
   grant.granted = MayGive(digest, now);
   holder.was_refused = !grant.granted && candidates_.contains(digest);
   if (grant.granted) {
+    for (const std::uint64_t group : request.groups) {
+      grant.owners.push_back(
+          static_cast<std::uint8_t>(owners_.OwnersWithSelf(group)));
+    }
     Candidate& given = candidates_.at(digest);
     Time free_since = FreeSince(given);
     if (request.version == 0) {
@@ -204,9 +207,10 @@
   return changed;
 }
 
-std::optional<Time> QuotaPartGiver::OwnSince(std::uint64_t group,
-                                             Time now) const {
-  if (!MayGive(self_, now)) {
+std::optional<QuotaPart> QuotaPartGiver::OwnPart(std::uint64_t group,
+                                                 Time now) const {
+  const std::size_t owners = owners_.OwnersWithSelf(group);
+  if (owners == 0 || !MayGive(self_, now)) {
     return std::nullopt;
   }
   const std::uint64_t own_rank = CoordinatorRank(group, self_);
@@ -215,12 +219,13 @@
       return std::nullopt;
     }
   }
-  return FreeSince(candidates_.at(self_));
+  return QuotaPart{1.0 / static_cast<double>(owners),
+                   FreeSince(candidates_.at(self_))};
 }
 
 // A coordinator may still count the part that an earlier process gave.
 Time QuotaPartGiver::MayGiveFrom() const {
-  return fleet_was_new_ ? started_ : started_ + WithDrift(kQuotaPartLifetime);
+  return fleet_was_new_ ? started_ : started_ + kQuotaPartFreeAfter;
 }
 
 }  // namespace verbenastile
--- a/src/core/quota_part_giver.h
+++ b/src/core/quota_part_giver.h
@@ -20,6 +20,7 @@
 
 #include "base/time.h"
 #include "core/quota_messages.h"
+#include "core/quota_owners.h"
 
 namespace verbenastile {
 
@@ -30,12 +31,20 @@
 // ended can serve them.
 constexpr Duration kQuotaPartLifetime = std::chrono::milliseconds(900);
 
+// When a part that was given is free again, whatever the speeds of two clocks.
+constexpr Duration kQuotaPartFreeAfter =
+    kQuotaPartLifetime + kQuotaPartLifetime / 14;
+
 class QuotaPartGiver {
  public:
   // `started`: when this process started. Coordinators may still count the part
   // that an earlier process gave.
   QuotaPartGiver(std::string_view self, Time started);
 
+  // The members, and whether this node owns parts by them.
+  QuotaOwners& owners() { return owners_; }
+  const QuotaOwners& owners() const { return owners_; }
+
   // `candidates`: the digests of the members to which this node would give its
   // part, itself included unless it leaves. `all_new`: no coordinator has a
   // part that an earlier process gave.
@@ -50,9 +59,9 @@
   // or because they can be given what they were refused.
   std::vector<std::string> TakeChanged(Time now);
 
-  // Since when this node's own part of the quota of a group that it coordinates
-  // is free; empty: it is not.
-  std::optional<Time> OwnSince(std::uint64_t group, Time now) const;
+  // This node's own part of the quota of a group that it coordinates; empty: it
+  // is not free.
+  std::optional<QuotaPart> OwnPart(std::uint64_t group, Time now) const;
 
  private:
   struct Candidate {
@@ -90,6 +99,7 @@
   void DescribeCandidates(std::uint64_t base, QuotaPartGrant& grant) const;
 
   std::uint64_t self_;
+  QuotaOwners owners_;
   Time started_;
   bool fleet_was_new_ = false;
   std::map<std::uint64_t, Candidate> candidates_;
--- a/src/core/quota_part_holder.cc
+++ b/src/core/quota_part_holder.cc
@@ -18,13 +18,17 @@
   }
 }
 
-void QuotaPartHolder::SetOwners(
-    const std::set<std::string, std::less<>>& owners) {
+void QuotaPartHolder::SetOwners(const Owners& owners) {
   for (auto& [name, owner] : owners_) {
     owner.wanted = owners.contains(name);
   }
-  for (const std::string& name : owners) {
-    owners_[name].wanted = true;
+  for (const auto& [name, groups] : owners) {
+    Owner& owner = owners_[name];
+    owner.wanted = true;
+    if (owner.groups != groups) {
+      owner.groups = groups;
+      owner.ask_again_at = Time();
+    }
   }
 }
 
@@ -40,7 +44,7 @@
   for (auto it = owners_.begin(); it != owners_.end();) {
     auto& [name, owner] = *it;
     if (!owner.wanted) {
-      requests.emplace_back(name, QuotaPartRequest{++last_id_, 0, {}});
+      requests.emplace_back(name, QuotaPartRequest{++last_id_, 0, {}, {}});
       it = owners_.erase(it);
       continue;
     }
@@ -50,9 +54,10 @@
       owner.asked_id = ++last_id_;
       owner.asked_at = now;
       owner.ask_again_at = now + kQuotaPartInterval;
-      requests.emplace_back(
-          name,
-          QuotaPartRequest{owner.asked_id, owner.version, kQuotaPartLifetime});
+      owner.asked_groups = owner.groups;
+      requests.emplace_back(name,
+                            QuotaPartRequest{owner.asked_id, owner.version,
+                                             kQuotaPartLifetime, owner.groups});
     }
     ++it;
   }
@@ -88,6 +93,12 @@
     owner.since = now - grant.free_for;
   }
   owner.until = grant.granted ? owner.asked_at + kQuotaPartLifetime : Time();
+  owner.owners_of.clear();
+  const std::size_t answered =
+      std::min(owner.asked_groups.size(), grant.owners.size());
+  for (std::size_t i = 0; i < answered; ++i) {
+    owner.owners_of[owner.asked_groups[i]] = grant.owners[i];
+  }
   if (std::exchange(owner.version, grant.version) != grant.version) {
     owner.ask_again_at = now;  // Confirms the version.
   }
@@ -108,21 +119,28 @@
   }
 }
 
-std::optional<Time> QuotaPartHolder::Since(std::string_view owner_name,
-                                           std::uint64_t group,
-                                           Time now) const {
+std::optional<QuotaPart> QuotaPartHolder::Part(std::string_view owner_name,
+                                               std::uint64_t group,
+                                               Time now) const {
   const auto found = owners_.find(owner_name);
   if (found == owners_.end() || found->second.until <= now ||
       !found->second.candidates.contains(self_)) {
     return std::nullopt;
   }
   const Owner& owner = found->second;
+  const auto owners = owner.owners_of.find(group);
+  if (owners == owner.owners_of.end() || owners->second == 0) {
+    return std::nullopt;
+  }
   const std::uint64_t own_rank = CoordinatorRank(group, self_);
   const bool precedes_rivals = std::none_of(
       owner.rivals.begin(), owner.rivals.end(), [&](std::uint64_t rival) {
         return CoordinatorRank(group, rival) > own_rank;
       });
-  return precedes_rivals ? std::optional(owner.since) : std::nullopt;
+  return precedes_rivals
+             ? std::optional(QuotaPart{
+                   1.0 / static_cast<double>(owners->second), owner.since})
+             : std::nullopt;
 }
 
 std::size_t QuotaPartHolder::held(Time now) const {
--- a/src/core/quota_part_holder.h
+++ b/src/core/quota_part_holder.h
@@ -20,12 +20,6 @@
 
 namespace verbenastile {
 
-// A part of a group's quota that may be lent.
-struct QuotaPart {
-  double share = 0;  // Of the quota.
-  Time since;        // When no other node could lend it any more.
-};
-
 class QuotaPartHolder {
  public:
   using Requests = std::vector<std::pair<std::string, QuotaPartRequest>>;
@@ -35,9 +29,10 @@
   // `candidates`: the digests of the names of the members that this node takes
   // for coordinators.
   void SetCandidates(std::span<const std::uint64_t> candidates);
-  // The members that own parts of the quotas which this node coordinates, with
-  // and without a link.
-  void SetOwners(const std::set<std::string, std::less<>>& owners);
+  // The members that may own parts of the quotas which this node coordinates,
+  // with and without a link, and the digests of these groups.
+  using Owners = std::map<std::string, std::vector<std::uint64_t>, std::less<>>;
+  void SetOwners(const Owners& owners);
   // Returns what to send now to keep the parts of the owners, and to give back
   // the others.
   Requests TakeRequests(Time now);
@@ -48,17 +43,21 @@
   // No answer of the member to earlier requests will come.
   void OnLinkLost(std::string_view member);
 
-  // Since when the part that the owner has of the quota of a group that this
-  // node coordinates is free for this node; empty: it is not here.
-  std::optional<Time> Since(std::string_view owner,
-                            std::uint64_t group,
-                            Time now) const;
+  // The part that the owner has of the quota of a group that this node
+  // coordinates; empty: it is not here.
+  std::optional<QuotaPart> Part(std::string_view owner,
+                                std::uint64_t group,
+                                Time now) const;
   // The number of owners whose parts this node holds.
   std::size_t held(Time now) const;
 
  private:
   struct Owner {
     bool wanted = false;
+    std::vector<std::uint64_t> groups;
+    std::vector<std::uint64_t> asked_groups;
+    // How many members own parts of the group, as the owner says.
+    std::map<std::uint64_t, std::uint8_t> owners_of;
     std::uint64_t asked_id = 0;  // Of the request without an answer; 0: none.
     Time asked_at;
     Time ask_again_at;
--- a/src/core/quota_peers.cc
+++ b/src/core/quota_peers.cc
@@ -120,14 +120,19 @@
   return found == groups_.end() ? none : found->second.owners;
 }
 
-QuotaPeers::Names QuotaPeers::OwnersOfCoordinated() const {
-  Names owners;
+std::map<std::string, std::vector<std::uint64_t>, std::less<>>
+QuotaPeers::OwnersOfCoordinated() const {
+  std::map<std::string, std::vector<std::uint64_t>, std::less<>> owners;
   for (const auto& [group, assignment] : groups_) {
-    if (assignment.coordinator == self_) {
-      owners.insert(assignment.owners.begin(), assignment.owners.end());
+    if (assignment.coordinator != self_) {
+      continue;
+    }
+    for (const std::string& owner : assignment.owners) {
+      if (owner != self_) {
+        owners[owner].push_back(QuotaDigest(group));
+      }
     }
   }
-  owners.erase(self_);
   return owners;
 }
 
--- a/src/core/quota_peers.h
+++ b/src/core/quota_peers.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "core/quota_owners.h"
 
 namespace verbenastile {
 
@@ -23,12 +24,6 @@
 // Of several members, the one with the highest rank coordinates the group.
 // Those with the highest ranks of all own its parts.
 std::uint64_t CoordinatorRank(std::uint64_t group, std::uint64_t member);
-// The number of owners, in fleets that have so many members. A coordinator asks
-// each of them for its part all the time, so that it does not grow with the
-// fleet. One of the owners may be away without harm to groups that send as much
-// of their quota as is usual.
-constexpr std::size_t kMaxQuotaOwners = 5;
-
 class QuotaPeers {
  public:
   explicit QuotaPeers(std::string self) : self_(std::move(self)) {}
@@ -37,7 +32,8 @@
 
   // The groups that have a quota.
   void SetGroups(std::vector<std::string> groups, Time now);
-  // All members that may have calls, those included that cannot be reached.
+  // The members that may own parts of quotas, those included that cannot be
+  // reached.
   void SetMembers(Names members);
   // `candidates`: the members that may coordinate, this node included unless it
   // leaves. Returns whether a group may have another coordinator than before.
@@ -52,10 +48,13 @@
   }
   // When the coordinator of the group last changed.
   Time CoordinatedSince(std::string_view group) const;
-  // The owners of the parts of the group's quota.
+  // The owners of the parts of the group's quota, by the members that this node
+  // knows. They may know others, and own no parts.
   const std::vector<std::string>& OwnersOf(std::string_view group) const;
-  // The owners of all groups that this node coordinates, without this node.
-  Names OwnersOfCoordinated() const;
+  // The owners of the groups that this node coordinates, without this node,
+  // with the digests of these groups.
+  std::map<std::string, std::vector<std::uint64_t>, std::less<>>
+  OwnersOfCoordinated() const;
   std::string_view self() const { return self_; }
   const std::vector<std::string>& candidates() const { return candidates_; }
   // The digests of the candidates' names, in the same order.
--- a/src/mesh/link_codec.cc
+++ b/src/mesh/link_codec.cc
@@ -186,6 +186,9 @@
   out.setInstance(ToTextReader(record.instance));
   out.setInstanceLeaving(record.instance_leaving);
   out.setInstanceStartedMs(record.instance_started_ms);
+  out.setOwnsQuotaParts(record.owns_quota_parts);
+  out.setWantsConfirmation(record.wants_confirmation);
+  out.setJoinsOwners(record.joins_owners);
   out.setSoftware(ToTextReader(member.software));
 }
 
@@ -206,6 +209,9 @@
   record.instance = CopyToString(in.getInstance());
   record.instance_leaving = in.getInstanceLeaving();
   record.instance_started_ms = in.getInstanceStartedMs();
+  record.owns_quota_parts = in.getOwnsQuotaParts();
+  record.wants_confirmation = in.getWantsConfirmation();
+  record.joins_owners = in.getJoinsOwners();
   member.software = CopyToString(in.getSoftware());
   return record;
 }
@@ -408,6 +414,8 @@
     request.setId(message.request.id);
     request.setVersion(message.request.version);
     request.setLifetimeUs(ToMicroseconds32(message.request.lifetime));
+    const std::vector<std::uint64_t>& groups = message.request.groups;
+    request.setGroups(kj::arrayPtr(groups.data(), groups.size()));
   }
   void operator()(const LinkQuotaPartGrant& message) {
     const QuotaPartGrant& grant = message.grant;
@@ -424,11 +432,23 @@
       result.setRemoved(
           kj::arrayPtr(grant.removed.data(), grant.removed.size()));
     }
+    result.setOwners(kj::arrayPtr(grant.owners.data(), grant.owners.size()));
   }
   void operator()(const LinkQuotaPartChanged&) { out.setQuotaPartChanged(); }
   void operator()(const LinkInstanceNotice& message) {
     WriteNotice(message.notice, out.initInstanceNotice());
   }
+  void operator()(const LinkMembersWanted&) { out.setMembersWanted(); }
+  void operator()(const LinkMembers& message) {
+    auto result = out.initMembers();
+    auto list =
+        result.initMembers(static_cast<unsigned>(message.records.size()));
+    for (unsigned i = 0; i < list.size(); ++i) {
+      WriteRecord(message.records[i], list[i]);
+    }
+    result.setSenderOwnsQuotaParts(message.sender_owns_quota_parts);
+    result.setReceiverOwnedQuotaParts(message.receiver_owned_quota_parts);
+  }
   void operator()(const LinkMemberKnown& message) {
     out.setMemberKnown(message.sequence);
   }
@@ -509,6 +529,65 @@
   return failure;
 }
 
+LinkQuotaNeeds ReadNeeds(capnp::List<wire::QuotaNeed>::Reader in) {
+  LinkQuotaNeeds message;
+  for (const auto need : in) {
+    message.needs.push_back({CopyToString(need.getGroup()), need.getWaiting(),
+                             need.getHeld(), need.getReturned(),
+                             need.getSpareUsed(), need.getDemandMilli(),
+                             ReadLimit(need)});
+  }
+  return message;
+}
+
+LinkQuotaLoans ReadLoans(capnp::List<wire::QuotaLoan>::Reader in) {
+  LinkQuotaLoans message;
+  for (const auto loan : in) {
+    message.loans.push_back({CopyToString(loan.getGroup()), loan.getTokens(),
+                             loan.getSpare(), Duration(loan.getNextTokenInUs()),
+                             loan.getOverloaded(), loan.getProvisional()});
+  }
+  return message;
+}
+
+LinkQuotaPartRequest ReadPartRequest(wire::QuotaPartRequest::Reader in) {
+  QuotaPartRequest request{
+      in.getId(), in.getVersion(), Duration(in.getLifetimeUs()), {}};
+  for (const std::uint64_t group : in.getGroups()) {
+    request.groups.push_back(group);
+  }
+  return {std::move(request)};
+}
+
+LinkQuotaPartGrant ReadPartGrant(wire::QuotaPartGrant::Reader in) {
+  QuotaPartGrant grant;
+  grant.id = in.getId();
+  grant.granted = in.getGranted();
+  grant.free_for = Duration(in.getFreeForUs());
+  grant.base = in.getBase();
+  grant.version = in.getVersion();
+  for (const std::uint64_t digest : in.getAdded()) {
+    grant.added.push_back(digest);
+  }
+  for (const std::uint64_t digest : in.getRemoved()) {
+    grant.removed.push_back(digest);
+  }
+  for (const std::uint8_t owners : in.getOwners()) {
+    grant.owners.push_back(owners);
+  }
+  return {std::move(grant)};
+}
+
+LinkMembers ReadMembers(wire::Members::Reader in) {
+  LinkMembers message;
+  for (const auto member : in.getMembers()) {
+    message.records.push_back(ReadRecord(member));
+  }
+  message.sender_owns_quota_parts = in.getSenderOwnsQuotaParts();
+  message.receiver_owned_quota_parts = in.getReceiverOwnedQuotaParts();
+  return message;
+}
+
 std::optional<LinkBody> ReadBody(wire::LinkFrame::Reader in) {
   using Which = wire::LinkFrame::Which;
   switch (in.which()) {
@@ -545,51 +624,22 @@
       }
       return known;
     }
-    case Which::QUOTA_NEEDS: {
-      LinkQuotaNeeds message;
-      for (const auto need : in.getQuotaNeeds()) {
-        message.needs.push_back({CopyToString(need.getGroup()),
-                                 need.getWaiting(), need.getHeld(),
-                                 need.getReturned(), need.getSpareUsed(),
-                                 need.getDemandMilli(), ReadLimit(need)});
-      }
-      return message;
-    }
-    case Which::QUOTA_LOANS: {
-      LinkQuotaLoans message;
-      for (const auto loan : in.getQuotaLoans()) {
-        message.loans.push_back({CopyToString(loan.getGroup()),
-                                 loan.getTokens(), loan.getSpare(),
-                                 Duration(loan.getNextTokenInUs()),
-                                 loan.getOverloaded(), loan.getProvisional()});
-      }
-      return message;
-    }
-    case Which::QUOTA_PART_REQUEST: {
-      const auto request = in.getQuotaPartRequest();
-      return LinkQuotaPartRequest{{request.getId(), request.getVersion(),
-                                   Duration(request.getLifetimeUs())}};
-    }
-    case Which::QUOTA_PART_GRANT: {
-      const auto result = in.getQuotaPartGrant();
-      QuotaPartGrant grant;
-      grant.id = result.getId();
-      grant.granted = result.getGranted();
-      grant.free_for = Duration(result.getFreeForUs());
-      grant.base = result.getBase();
-      grant.version = result.getVersion();
-      for (const std::uint64_t digest : result.getAdded()) {
-        grant.added.push_back(digest);
-      }
-      for (const std::uint64_t digest : result.getRemoved()) {
-        grant.removed.push_back(digest);
-      }
-      return LinkQuotaPartGrant{std::move(grant)};
-    }
+    case Which::QUOTA_NEEDS:
+      return ReadNeeds(in.getQuotaNeeds());
+    case Which::QUOTA_LOANS:
+      return ReadLoans(in.getQuotaLoans());
+    case Which::QUOTA_PART_REQUEST:
+      return ReadPartRequest(in.getQuotaPartRequest());
+    case Which::QUOTA_PART_GRANT:
+      return ReadPartGrant(in.getQuotaPartGrant());
     case Which::QUOTA_PART_CHANGED:
       return LinkQuotaPartChanged{};
     case Which::INSTANCE_NOTICE:
       return LinkInstanceNotice{ReadNotice(in.getInstanceNotice())};
+    case Which::MEMBERS_WANTED:
+      return LinkMembersWanted{};
+    case Which::MEMBERS:
+      return ReadMembers(in.getMembers());
     case Which::MEMBER_KNOWN:
       return LinkMemberKnown{in.getMemberKnown()};
     case Which::ROLLOUTS: {
--- a/src/mesh/link_frames.h
+++ b/src/mesh/link_frames.h
@@ -168,12 +168,24 @@
   InstanceNotice notice;
 };
 
-// The sender knows the receiver's record of this sequence, by which the
-// receiver's instance leaves. It returns that to a later process there.
+// The sender knows the receiver's record of this sequence. If the receiver's
+// instance leaves by it, it returns that to a later process there.
 struct LinkMemberKnown {
   std::uint64_t sequence = 0;
 };
 
+// Asks for the members that the receiver knows.
+struct LinkMembersWanted {};
+
+// The response to `LinkMembersWanted`.
+struct LinkMembers {
+  std::vector<MemberRecord> records;
+  // See core/quota_owners.h.
+  bool sender_owns_quota_parts = false;
+  // An earlier process of the receiver did.
+  bool receiver_owned_quota_parts = false;
+};
+
 // What the sender knows of roll-outs.
 struct LinkRollouts {
   std::vector<RolloutReport> reports;
@@ -205,7 +217,9 @@
                               LinkQuotaPartGrant,
                               LinkQuotaPartChanged,
                               LinkInstanceNotice,
-                              LinkMemberKnown>;
+                              LinkMemberKnown,
+                              LinkMembersWanted,
+                              LinkMembers>;
 
 struct LinkFrame {
   CallId call = 0;  // 0: the frame belongs to no call.
--- a/src/mesh/link_hub.cc
+++ b/src/mesh/link_hub.cc
@@ -122,7 +122,7 @@
             init_.on_member_record(hello.self);
             peer->link->Send(HelloFrame());
             init_.on_load(peer->name, {{}, hello.configuration});
-            ConfirmRecord(*peer->link, hello.self);
+            peer->link->Send({0, LinkMemberKnown{hello.self.sequence}});
             ShareInstanceNotice(*peer->link, peer->name);
             ShareCrashEvidence(*peer->link);
             ShareRollouts(*peer->link);
@@ -146,6 +146,11 @@
             OnInstanceFrame(peer->name, frame);
           },
           [&](const LinkMemberKnown&) { OnInstanceFrame(peer->name, frame); },
+          [&](const LinkMembersWanted&) {
+            if (init_.members) {
+              peer->link->Send({0, init_.members(peer->name)});
+            }
+          },
           [&](const LinkSuspicion& suspicion) {
             const auto found = outgoing_.find(suspicion.member);
             if (found != outgoing_.end()) {
@@ -454,6 +459,11 @@
             OnInstanceFrame(peer->name, frame);
           },
           [&](const LinkMemberKnown&) { OnInstanceFrame(peer->name, frame); },
+          [&](const LinkMembers& message) {
+            if (init_.on_members) {
+              init_.on_members(peer->name, message);
+            }
+          },
           [&](const LinkConfiguration& configuration) {
             init_.on_configuration(configuration.delta);
           },
@@ -515,7 +525,7 @@
   init_.on_member_record(hello.self);
   init_.member_registry->SetLinked(name, true, SteadyNow());
   init_.on_load(name, {{}, hello.configuration});
-  ConfirmRecord(*peer->link, hello.self);
+  peer->link->Send({0, LinkMemberKnown{hello.self.sequence}});
   ShareInstanceNotice(*peer->link, name);
   ShareCrashEvidence(*peer->link);
   ShareRollouts(*peer->link);
@@ -629,9 +639,8 @@
   }
 }
 
-// Confirms a record that the peer's next process will have to be told of.
 void LinkHub::ConfirmRecord(Link& link, const MemberRecord& record) {
-  if (record.instance_leaving) {
+  if (record.wants_confirmation) {
     link.Send({0, LinkMemberKnown{record.sequence}});
   }
 }
--- a/src/mesh/link_hub.h
+++ b/src/mesh/link_hub.h
@@ -64,10 +64,13 @@
     // The member has heard this of the instance beside this node.
     std::function<void(std::string_view member, const InstanceNotice&)>
         on_instance_notice;
-    // The member knows the record of this node with that sequence, by which its
-    // instance leaves.
+    // The member knows the record of this node with that sequence.
     std::function<void(std::string_view member, std::uint64_t sequence)>
         on_member_known;
+    // What to tell the member that asks for the members of the fleet.
+    std::function<LinkMembers(std::string_view member)> members;
+    // The member told the members of the fleet.
+    std::function<void(std::string_view member, const LinkMembers&)> on_members;
     // What a node that has just connected should know of requests that ended
     // instances.
     std::function<std::vector<CrashEvidence>()> crash_evidence;
--- a/src/mesh/quota_service.cc
+++ b/src/mesh/quota_service.cc
@@ -29,7 +29,8 @@
       coordinated_(init_.metrics->Gauge("quota_groups_coordinated")),
       part_requests_sent_(
           init_.metrics->Counter("quota_part_requests_sent_total")),
-      parts_held_(init_.metrics->Gauge("quota_parts_held")) {}
+      parts_held_(init_.metrics->Gauge("quota_parts_held")),
+      may_own_parts_(init_.metrics->Gauge("quota_may_own_parts")) {}
 
 void QuotaService::SetGroups(const std::vector<Group>& groups,
                              std::uint64_t generation) {
@@ -149,6 +150,13 @@
   for (const std::string& member : quotas_.Tick(now)) {
     init_.on_unanswered(member);
   }
+  if (joined_owners_ != quotas_.joins_owners() ||
+      owned_parts_ != quotas_.may_own_parts()) {
+    joined_owners_ = quotas_.joins_owners();
+    owned_parts_ = quotas_.may_own_parts();
+    init_.on_ownership();
+    members_revision_ = 0;  // This node counts as an owner, or no more.
+  }
   SettleWaiters(now);
   SendNeeds(now);
   SendPartMessages(now);
@@ -156,19 +164,25 @@
                      static_cast<double>(quotas_.borrower().tokens_held()));
   init_.metrics->Set(coordinated_,
                      static_cast<double>(quotas_.coordinator().groups()));
+  init_.metrics->Set(may_own_parts_, quotas_.may_own_parts() ? 1 : 0);
   init_.metrics->Set(parts_held_,
                      static_cast<double>(quotas_.part_holder().held(now)));
 }
 
 void QuotaService::UpdateMembers(Time now) {
   const MemberDirectory& directory = init_.member_registry->directory();
-  if (directory.revision() == members_revision_ || !quotas_.active()) {
+  const QuotaStanding standing = init_.standing();
+  if ((directory.revision() == members_revision_ && standing == standing_) ||
+      !quotas_.active()) {
     return;
   }
   members_revision_ = directory.revision();
-  quotas_.SetMembers(QuotaMembersOf(*init_.member_registry, init_.node_name,
-                                    incoming_members_),
-                     now);
+  standing_ = standing;
+  quotas_.SetStanding(standing);
+  QuotaMembers members = QuotaMembersOf(*init_.member_registry, init_.node_name,
+                                        incoming_members_);
+  members.introduced = init_.introduced();
+  quotas_.SetMembers(std::move(members), now);
   SendPartMessages(now);
 }
 
--- a/src/mesh/quota_service.h
+++ b/src/mesh/quota_service.h
@@ -33,6 +33,12 @@
     // The member did not answer in time: its link may be silent.
     std::function<void(std::string_view member)> on_unanswered =
         [](std::string_view) {};
+    // What this node knows of its own place in the fleet.
+    std::function<QuotaStanding()> standing;
+    // The members that know the record of this node.
+    std::function<std::set<std::string, std::less<>>()> introduced;
+    // This node joins the owners, is one, or has left them.
+    std::function<void()> on_ownership = [] {};
   };
   // Receives the decision on a request that had to wait; never `kWait`.
   using Callback = std::function<void(const QuotaVerdict&)>;
@@ -71,6 +77,12 @@
   void OnMemberLost(std::string_view member, bool silent);
   // To be called every 100 ms.
   void Tick(Time now);
+  // Whether any group has a quota.
+  bool active() const { return quotas_.active(); }
+  // Whether this node joins the owners of parts of quotas, and whether it is
+  // one: see core/quota_owners.h.
+  bool joins_owners() const { return quotas_.joins_owners(); }
+  bool may_own_parts() const { return quotas_.may_own_parts(); }
 
  private:
   struct Waiter {
@@ -93,6 +105,9 @@
   std::map<CallId, Waiter> waiters_;  // In the order of arrival.
   std::map<std::string, Time, std::less<>> last_logged_;  // By group.
   std::uint64_t members_revision_ = 0;
+  QuotaStanding standing_;
+  bool joined_owners_ = false;
+  bool owned_parts_ = false;
   std::set<std::string, std::less<>> incoming_members_;
   CounterHandle admitted_;
   CounterHandle admitted_spare_;
@@ -108,6 +123,7 @@
   GaugeHandle coordinated_;
   CounterHandle part_requests_sent_;
   GaugeHandle parts_held_;
+  GaugeHandle may_own_parts_;
 };
 
 }  // namespace verbenastile
--- a/src/mesh/record_publisher.h
+++ b/src/mesh/record_publisher.h
@@ -35,6 +35,8 @@
   // Runs `on_written` once the store holds the last published record: at once
   // if no write is pending.
   void WhenWritten(std::function<void()> on_written);
+  // Whether the store holds the last record that was published, if any.
+  bool is_written() const { return version_ != 0 && !write_pending_; }
   // Deletes the record in a single attempt, without retries.
   void Delete();
   // Reports that the store holds the record at `revision`.
--- a/src/mesh/sidecar.cc
+++ b/src/mesh/sidecar.cc
@@ -194,6 +194,11 @@
                                 std::uint64_t sequence) {
     OnMemberKnown(member, sequence);
   };
+  init.members = [this](std::string_view member) { return Members(member); };
+  init.on_members = [this](std::string_view member,
+                           const LinkMembers& message) {
+    OnMembers(member, message);
+  };
   init.crash_evidence = [this] { return suspects_.Shared(); };
   init.on_crash_evidence = [this](std::string_view member,
                                   std::span<const CrashEvidence> evidence) {
@@ -265,6 +270,9 @@
     links_.SuspectSilence(member);
   };
   init.metrics = &metrics_;
+  init.standing = [this] { return Standing(); };
+  init.introduced = [this] { return Introduced(); };
+  init.on_ownership = [this] { AnnounceRecord("parts of quotas"); };
   return init;
 }
 
@@ -613,6 +621,7 @@
       if (rollouts_) {
         rollouts_->Tick(now);
       }
+      RequestMembers(now);
       quotas_.Tick(now);
       FlushLog();
     }
--- a/src/mesh/sidecar.h
+++ b/src/mesh/sidecar.h
@@ -10,12 +10,14 @@
 #include <asio/steady_timer.hpp>
 #include <map>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "base/metrics.h"
+#include "base/random.h"
 #include "config/sidecar_settings.h"
 #include "core/config_apply.h"
 #include "core/configuration_archive.h"
@@ -95,6 +97,15 @@
   void OnMetrics(const ExchangePointer& exchange);
 
   void OnInstanceChanged(std::string_view why);
+  // Tells the peers and the store that the node's record has changed.
+  void AnnounceRecord(std::string_view why);
+  void UpdateStanding(const MemberRecord& self);
+  QuotaStanding Standing() const;
+  std::set<std::string, std::less<>> Introduced() const;
+  // Finds out which members there are, if the store does not tell.
+  void RequestMembers(Time now);
+  LinkMembers Members(std::string_view asked_by) const;
+  void OnMembers(std::string_view member, const LinkMembers& message);
   MemberRecord OwnRecord() const;
   // Writes the node's record to the store if something that the store needs has
   // changed: the instance, the node's address for links, or whether the
@@ -187,6 +198,25 @@
   // State of the instance that was last written to the store.
   std::string published_state_;
   bool has_listed_members_ = false;
+  // Whether a list of the store has shown the record by which this node joins
+  // the owners of parts of quotas.
+  bool is_listed_ = false;
+  // Whether a list was requested because the own record was written.
+  bool requested_own_record_ = false;
+  // Any member has told this node the members, and one that owns parts of
+  // quotas has.
+  bool heard_members_ = false;
+  bool was_told_members_ = false;
+  // An earlier process of this node owned parts of quotas.
+  bool was_owner_ = false;
+  // The first record by which this node joins the owners; empty: it does not.
+  std::optional<std::uint64_t> joins_since_;
+  bool is_leaving_ = false;  // The instance, by the last record.
+  // The last record that each member has confirmed.
+  std::map<std::string, std::uint64_t, std::less<>> known_by_;
+  std::uint64_t introductions_ = 0;  // Confirmations that it joins, so far.
+  Time requested_members_at_;
+  Random members_random_{NondeterministicSeed()};
   // Runs when the first record is written, which awaits the first list.
   std::function<void()> on_first_publish_;
   // When periodic work last ran, latest first.
--- a/src/mesh/sidecar_control.cc
+++ b/src/mesh/sidecar_control.cc
@@ -1,5 +1,6 @@
 #include "mesh/sidecar.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "base/log.h"
@@ -122,6 +123,11 @@
 
 void Sidecar::OnMemberKnown(std::string_view member, std::uint64_t sequence) {
   witnesses_.OnKnown(member, sequence);
+  std::uint64_t& known = known_by_[std::string(member)];
+  known = std::max(known, sequence);
+  if (joins_since_ && sequence >= *joins_since_) {
+    ++introductions_;
+  }
   if (leaving_calls_.empty() ||
       !witnesses_.AreEnough(member_registry_, settings_.name)) {
     return;
@@ -133,16 +139,15 @@
 
 void Sidecar::OnInstanceNotice(std::string_view member,
                                const InstanceNotice& notice) {
-  Log(LogLevel::kInfo, "control",
-      "A peer returned what the instance said to an earlier process.",
-      {{"peer", member},
-       {"instance", notice.instance},
-       {"started_ms", notice.started_ms},
-       {"leaving", notice.leaving},
-       {"rate_limit", notice.rate_limit.value_or(-1)}});
   const auto departed_before = tracker_.departed_before_report();
   inbound_.OnPeerNotice(notice, member);
   if (tracker_.departed_before_report() != departed_before) {
+    Log(LogLevel::kInfo, "control",
+        "A peer returned that the instance said to an earlier process that it "
+        "leaves.",
+        {{"peer", member},
+         {"instance", notice.instance},
+         {"started_ms", notice.started_ms}});
     OnInstanceChanged("notice of a peer");
   }
 }
--- a/src/mesh/sidecar_members.cc
+++ b/src/mesh/sidecar_members.cc
@@ -14,12 +14,22 @@
 
 constexpr std::string_view kLogComponent = "sidecar";
 
+// A node that the store does not serve asks peers for the members after this
+// time, and again at this interval.
+constexpr Duration kMembersGrace = std::chrono::milliseconds(300);
+constexpr Duration kMembersRequestInterval = std::chrono::milliseconds(500);
+
 }  // namespace
 
 void Sidecar::OnInstanceChanged(std::string_view why) {
-  ++sequence_;
   inbound_.OnInstanceChanged();
+  AnnounceRecord(why);
+}
+
+void Sidecar::AnnounceRecord(std::string_view why) {
+  ++sequence_;
   const MemberRecord self = OwnRecord();
+  UpdateStanding(self);
   witnesses_.OnRecord({self.instance, self.instance_started_ms},
                       self.instance_leaving, sequence_);
   MergeRecord(self);
@@ -64,6 +74,12 @@
     record.instance_gone = departed->gone;
     record.instance_left_by_response = departed->by_response;
   }
+  // A process that has not found out yet leaves the record as it was.
+  record.owns_quota_parts =
+      !record.instance_leaving && (quotas_.may_own_parts() || was_owner_);
+  record.joins_owners = !record.instance_leaving && quotas_.joins_owners();
+  record.wants_confirmation = record.instance_leaving ||
+                              (record.joins_owners && !record.owns_quota_parts);
   record.crash_evidence = suspects_.SeenBy(settings_.name);
   return record;
 }
@@ -71,8 +87,9 @@
 void Sidecar::PublishOwnRecord(std::function<void()> on_written) {
   const MemberRecord self = OwnRecord();
   std::string record_state =
-      fmt::format("{} {} {} {}", self.instance, self.instance_leaving,
-                  self.instance_gone, self.instance_left_by_response);
+      fmt::format("{} {} {} {} {} {}", self.instance, self.instance_leaving,
+                  self.instance_gone, self.instance_left_by_response,
+                  self.owns_quota_parts, self.joins_owners);
   for (const CrashEvidence& evidence : self.crash_evidence) {
     record_state += fmt::format(" {} {} {}", ToString(evidence.request),
                                 evidence.clearances, evidence.crashes.size());
@@ -115,6 +132,7 @@
     Log(LogLevel::kInfo, "members",
         "Removed a member that is no longer in the store.", {{"name", name}});
     member_registry_.Forget(name, incarnation);
+    known_by_.erase(name);
   }
   links_.UpdateLinks();
 }
@@ -222,6 +240,14 @@
     return;
   }
   MergeCrashEvidence(kStoreSource, record.crash_evidence);
+  if (object.name == settings_.name && !record.instance_leaving &&
+      !is_leaving_) {
+    const bool is_earlier = record.member.incarnation < incarnation_;
+    is_listed_ =
+        is_listed_ || (!is_earlier && joins_since_ && record.joins_owners &&
+                       record.sequence >= *joins_since_);
+    was_owner_ = was_owner_ || (is_earlier && record.owns_quota_parts);
+  }
   if (object.name != settings_.name) {
     StoreRecord(record);
   } else if (record.member.incarnation < incarnation_ &&
@@ -241,6 +267,96 @@
   }
 }
 
+// A node whose instance has left is a new one for the others when another
+// instance comes: they may have given its parts of quotas to others meanwhile.
+void Sidecar::UpdateStanding(const MemberRecord& self) {
+  is_leaving_ = self.instance_leaving;
+  if (is_leaving_) {
+    was_owner_ = false;
+  }
+  if (!self.joins_owners) {
+    joins_since_.reset();
+    is_listed_ = false;
+    requested_own_record_ = false;
+  } else if (!joins_since_) {
+    joins_since_ = self.sequence;
+  }
+}
+
+QuotaStanding Sidecar::Standing() const {
+  return {has_listed_members_ || was_told_members_, is_listed_, was_owner_,
+          is_leaving_, introductions_};
+}
+
+std::set<std::string, std::less<>> Sidecar::Introduced() const {
+  std::set<std::string, std::less<>> introduced;
+  for (const auto& [member, sequence] : known_by_) {
+    if (joins_since_ && sequence >= *joins_since_) {
+      introduced.insert(member);
+    }
+  }
+  return introduced;
+}
+
+void Sidecar::RequestMembers(Time now) {
+  if (has_listed_members_) {
+    if (joins_since_ && !is_listed_ && publisher_.is_written() &&
+        !std::exchange(requested_own_record_, true)) {
+      member_follower_.ListNow(ObjectStore::Freshness::kCurrent);
+    }
+    return;
+  }
+  const bool was_told = quotas_.active() ? was_told_members_ : heard_members_;
+  if (was_told || now - started_ < kMembersGrace ||
+      now - requested_members_at_ < kMembersRequestInterval) {
+    return;
+  }
+  std::vector<std::string> linked;
+  for (const auto& [name, entry] : member_registry_.entries()) {
+    if (entry.linked) {
+      linked.push_back(name);
+    }
+  }
+  if (!linked.empty()) {
+    requested_members_at_ = now;
+    links_.Send(linked[members_random_.Below(linked.size())],
+                {0, LinkMembersWanted{}});
+  }
+}
+
+LinkMembers Sidecar::Members(std::string_view asked_by) const {
+  LinkMembers members;
+  members.sender_owns_quota_parts = quotas_.may_own_parts();
+  for (const auto& [name, entry] : member_registry_.entries()) {
+    if (name == asked_by) {
+      members.receiver_owned_quota_parts = entry.owned_quota_parts;
+    } else {
+      members.records.push_back(entry.record);
+      members.records.back().owns_quota_parts = entry.owned_quota_parts;
+    }
+  }
+  return members;
+}
+
+void Sidecar::OnMembers(std::string_view member, const LinkMembers& message) {
+  Log(LogLevel::kInfo, "members", "A peer told which members there are.",
+      {{"peer", member},
+       {"members", message.records.size()},
+       {"owns_quota_parts", message.sender_owns_quota_parts}});
+  for (const MemberRecord& record : message.records) {
+    if (record.member.name != settings_.name) {
+      StoreRecord(record);
+    }
+  }
+  links_.UpdateLinks();
+  heard_members_ = true;
+  if (message.sender_owns_quota_parts) {
+    was_told_members_ = true;
+    was_owner_ =
+        !is_leaving_ && (was_owner_ || message.receiver_owned_quota_parts);
+  }
+}
+
 void Sidecar::MergeRecord(const MemberRecord& record) {
   if (StoreRecord(record)) {
     links_.UpdateLinks();
--- a/src/mesh/store_follower.cc
+++ b/src/mesh/store_follower.cc
@@ -65,8 +65,9 @@
   ScheduleRelist(kRelistSpread);
 }
 
-void StoreFollower::ListNow() {
+void StoreFollower::ListNow(ObjectStore::Freshness freshness) {
   if (machine_.state() == "watching") {
+    freshness_ = freshness;
     init_.store->Cancel(call_);
     timer_.cancel();
     HandleEvent("watch_too_old");
@@ -107,9 +108,8 @@
 
 void StoreFollower::List() {
   // The first list must include everything written before this node started.
-  const auto freshness = init_.poll_interval && listed_
-                             ? ObjectStore::Freshness::kMayBeStale
-                             : ObjectStore::Freshness::kCurrent;
+  const auto freshness =
+      init_.poll_interval ? freshness_ : ObjectStore::Freshness::kCurrent;
   const auto on_done = [this](StoreResult<StoreList> result) {
     if (const auto* error = std::get_if<StoreError>(&result)) {
       OnError(*error, "list_failed");
@@ -119,6 +119,7 @@
     revision_ = list.revision;
     era_ = list.era;
     listed_ = true;
+    freshness_ = ObjectStore::Freshness::kMayBeStale;
     OnSuccess(sent_);
     init_.on_listed(list.items);
     HandleEvent("listed");
--- a/src/mesh/store_follower.h
+++ b/src/mesh/store_follower.h
@@ -58,7 +58,9 @@
   // are polled or were listed in that era.
   void OnStoreRestored(StoreEra era);
   // Lists the objects now instead of waiting for the watch to end.
-  void ListNow();
+  void ListNow() { ListNow(ObjectStore::Freshness::kMayBeStale); }
+  // The same; polled objects are as `freshness` says.
+  void ListNow(ObjectStore::Freshness freshness);
 
   // The latest time at which the store is known to have had nothing newer than
   // what was reported; empty before the first successful request.
@@ -98,6 +100,8 @@
   Duration wait_{0};       // How long the last watch may wait for an event.
   unsigned failures_ = 0;  // Since the last successful request.
   bool listed_ = false;
+  // Of the next list of polled objects.
+  ObjectStore::Freshness freshness_ = ObjectStore::Freshness::kCurrent;
 };
 
 }  // namespace verbenastile
--- a/src/wire/link.capnp
+++ b/src/wire/link.capnp
@@ -32,6 +32,8 @@
     quotaPartChanged @21 :Void;
     instanceNotice @22 :InstanceNotice;
     memberKnown @23 :UInt64;  # The sequence of the record.
+    membersWanted @24 :Void;
+    members @25 :Members;
   }
 }
 
@@ -97,6 +99,7 @@
   id @0 :UInt64;
   version @1 :UInt64;
   lifetimeUs @2 :UInt32;
+  groups @3 :List(UInt64);
 }
 
 struct QuotaPartGrant {
@@ -107,6 +110,7 @@
   added @4 :List(UInt64);
   removed @5 :List(UInt64);
   freeForUs @6 :UInt32;
+  owners @7 :List(UInt8);
 }
 
 # One without a service is about all orders: `recorded` says that the others are
@@ -153,6 +157,15 @@
   instanceLeaving @12 :Bool;
   software @13 :Text;
   instanceStartedMs @14 :UInt64;
+  ownsQuotaParts @15 :Bool;
+  wantsConfirmation @16 :Bool;
+  joinsOwners @17 :Bool;
+}
+
+struct Members {
+  members @0 :List(Member);
+  senderOwnsQuotaParts @1 :Bool;
+  receiverOwnedQuotaParts @2 :Bool;
 }
 
 struct Hello {
--- a/src/wire/link.capnp.h
+++ b/src/wire/link.capnp.h
@@ -29,6 +29,7 @@
 CAPNP_DECLARE_SCHEMA(912ec23d49323b6f);
 CAPNP_DECLARE_SCHEMA(8efcecb9d7ab7f9c);
 CAPNP_DECLARE_SCHEMA(9affee385b0a4f72);
+CAPNP_DECLARE_SCHEMA(a90d8ed2ce037f38);
 CAPNP_DECLARE_SCHEMA(dbaf62b7d0b2972f);
 CAPNP_DECLARE_SCHEMA(f1085aa461e1ac80);
 CAPNP_DECLARE_SCHEMA(93cdc160b55bdfbc);
@@ -74,6 +75,8 @@
     QUOTA_PART_CHANGED,
     INSTANCE_NOTICE,
     MEMBER_KNOWN,
+    MEMBERS_WANTED,
+    MEMBERS,
   };
 
   struct _capnpPrivate {
@@ -197,7 +200,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a258060a4200a8c7, 3, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(a258060a4200a8c7, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -212,7 +215,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e2a8541f6b22c144, 4, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(e2a8541f6b22c144, 4, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -264,6 +267,21 @@
   };
 };
 
+struct Members {
+  Members() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a90d8ed2ce037f38, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Hello {
   Hello() = delete;
 
@@ -493,6 +511,13 @@
   inline bool isMemberKnown() const;
   inline  ::uint64_t getMemberKnown() const;
 
+  inline bool isMembersWanted() const;
+  inline  ::capnp::Void getMembersWanted() const;
+
+  inline bool isMembers() const;
+  inline bool hasMembers() const;
+  inline  ::verbenastile::wire::Members::Reader getMembers() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -689,6 +714,18 @@
   inline  ::uint64_t getMemberKnown();
   inline void setMemberKnown( ::uint64_t value);
 
+  inline bool isMembersWanted();
+  inline  ::capnp::Void getMembersWanted();
+  inline void setMembersWanted( ::capnp::Void value = ::capnp::VOID);
+
+  inline bool isMembers();
+  inline bool hasMembers();
+  inline  ::verbenastile::wire::Members::Builder getMembers();
+  inline void setMembers( ::verbenastile::wire::Members::Reader value);
+  inline  ::verbenastile::wire::Members::Builder initMembers();
+  inline void adoptMembers(::capnp::Orphan< ::verbenastile::wire::Members>&& value);
+  inline ::capnp::Orphan< ::verbenastile::wire::Members> disownMembers();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1461,6 +1498,9 @@
 
   inline  ::uint32_t getLifetimeUs() const;
 
+  inline bool hasGroups() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getGroups() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1498,6 +1538,14 @@
   inline  ::uint32_t getLifetimeUs();
   inline void setLifetimeUs( ::uint32_t value);
 
+  inline bool hasGroups();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getGroups();
+  inline void setGroups( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setGroups(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initGroups(unsigned int size);
+  inline void adoptGroups(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownGroups();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1557,6 +1605,9 @@
 
   inline  ::uint32_t getFreeForUs() const;
 
+  inline bool hasOwners() const;
+  inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Reader getOwners() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1616,6 +1667,14 @@
   inline  ::uint32_t getFreeForUs();
   inline void setFreeForUs( ::uint32_t value);
 
+  inline bool hasOwners();
+  inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Builder getOwners();
+  inline void setOwners( ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setOwners(::kj::ArrayPtr<const  ::uint8_t> value);
+  inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Builder initOwners(unsigned int size);
+  inline void adoptOwners(::capnp::Orphan< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>> disownOwners();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1974,6 +2033,12 @@
 
   inline  ::uint64_t getInstanceStartedMs() const;
 
+  inline bool getOwnsQuotaParts() const;
+
+  inline bool getWantsConfirmation() const;
+
+  inline bool getJoinsOwners() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2075,6 +2140,15 @@
   inline  ::uint64_t getInstanceStartedMs();
   inline void setInstanceStartedMs( ::uint64_t value);
 
+  inline bool getOwnsQuotaParts();
+  inline void setOwnsQuotaParts(bool value);
+
+  inline bool getWantsConfirmation();
+  inline void setWantsConfirmation(bool value);
+
+  inline bool getJoinsOwners();
+  inline void setJoinsOwners(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2101,6 +2175,97 @@
 };
 #endif  // !CAPNP_LITE
 
+class Members::Reader {
+public:
+  typedef Members Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasMembers() const;
+  inline  ::capnp::List< ::verbenastile::wire::Member,  ::capnp::Kind::STRUCT>::Reader getMembers() const;
+
+  inline bool getSenderOwnsQuotaParts() const;
+
+  inline bool getReceiverOwnedQuotaParts() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Members::Builder {
+public:
+  typedef Members Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasMembers();
+  inline  ::capnp::List< ::verbenastile::wire::Member,  ::capnp::Kind::STRUCT>::Builder getMembers();
+  inline void setMembers( ::capnp::List< ::verbenastile::wire::Member,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::verbenastile::wire::Member,  ::capnp::Kind::STRUCT>::Builder initMembers(unsigned int size);
+  inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::verbenastile::wire::Member,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::verbenastile::wire::Member,  ::capnp::Kind::STRUCT>> disownMembers();
+
+  inline bool getSenderOwnsQuotaParts();
+  inline void setSenderOwnsQuotaParts(bool value);
+
+  inline bool getReceiverOwnedQuotaParts();
+  inline void setReceiverOwnedQuotaParts(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Members::Pipeline {
+public:
+  typedef Members Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Hello::Reader {
 public:
   typedef Hello Reads;
@@ -4108,6 +4273,86 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool LinkFrame::Reader::isMembersWanted() const {
+  return which() == LinkFrame::MEMBERS_WANTED;
+}
+inline bool LinkFrame::Builder::isMembersWanted() {
+  return which() == LinkFrame::MEMBERS_WANTED;
+}
+inline  ::capnp::Void LinkFrame::Reader::getMembersWanted() const {
+  KJ_IREQUIRE((which() == LinkFrame::MEMBERS_WANTED),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::capnp::Void LinkFrame::Builder::getMembersWanted() {
+  KJ_IREQUIRE((which() == LinkFrame::MEMBERS_WANTED),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void LinkFrame::Builder::setMembersWanted( ::capnp::Void value) {
+  _builder.setDataField<LinkFrame::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::MEMBERS_WANTED);
+  _builder.setDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool LinkFrame::Reader::isMembers() const {
+  return which() == LinkFrame::MEMBERS;
+}
+inline bool LinkFrame::Builder::isMembers() {
+  return which() == LinkFrame::MEMBERS;
+}
+inline bool LinkFrame::Reader::hasMembers() const {
+  if (which() != LinkFrame::MEMBERS) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool LinkFrame::Builder::hasMembers() {
+  if (which() != LinkFrame::MEMBERS) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::verbenastile::wire::Members::Reader LinkFrame::Reader::getMembers() const {
+  KJ_IREQUIRE((which() == LinkFrame::MEMBERS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Members>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::verbenastile::wire::Members::Builder LinkFrame::Builder::getMembers() {
+  KJ_IREQUIRE((which() == LinkFrame::MEMBERS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Members>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LinkFrame::Builder::setMembers( ::verbenastile::wire::Members::Reader value) {
+  _builder.setDataField<LinkFrame::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::MEMBERS);
+  ::capnp::_::PointerHelpers< ::verbenastile::wire::Members>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::verbenastile::wire::Members::Builder LinkFrame::Builder::initMembers() {
+  _builder.setDataField<LinkFrame::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::MEMBERS);
+  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Members>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LinkFrame::Builder::adoptMembers(
+    ::capnp::Orphan< ::verbenastile::wire::Members>&& value) {
+  _builder.setDataField<LinkFrame::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, LinkFrame::MEMBERS);
+  ::capnp::_::PointerHelpers< ::verbenastile::wire::Members>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::verbenastile::wire::Members> LinkFrame::Builder::disownMembers() {
+  KJ_IREQUIRE((which() == LinkFrame::MEMBERS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::verbenastile::wire::Members>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool Header::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4833,6 +5078,44 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool QuotaPartRequest::Reader::hasGroups() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool QuotaPartRequest::Builder::hasGroups() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader QuotaPartRequest::Reader::getGroups() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder QuotaPartRequest::Builder::getGroups() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void QuotaPartRequest::Builder::setGroups( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void QuotaPartRequest::Builder::setGroups(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder QuotaPartRequest::Builder::initGroups(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void QuotaPartRequest::Builder::adoptGroups(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> QuotaPartRequest::Builder::disownGroups() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t QuotaPartGrant::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -4979,6 +5262,44 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool QuotaPartGrant::Reader::hasOwners() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool QuotaPartGrant::Builder::hasOwners() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Reader QuotaPartGrant::Reader::getOwners() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Builder QuotaPartGrant::Builder::getOwners() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void QuotaPartGrant::Builder::setOwners( ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void QuotaPartGrant::Builder::setOwners(::kj::ArrayPtr<const  ::uint8_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Builder QuotaPartGrant::Builder::initOwners(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void QuotaPartGrant::Builder::adoptOwners(
+    ::capnp::Orphan< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>> QuotaPartGrant::Builder::disownOwners() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline bool RolloutReport::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -5753,6 +6074,110 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Member::Reader::getOwnsQuotaParts() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<138>() * ::capnp::ELEMENTS);
+}
+
+inline bool Member::Builder::getOwnsQuotaParts() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<138>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setOwnsQuotaParts(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<138>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Member::Reader::getWantsConfirmation() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<139>() * ::capnp::ELEMENTS);
+}
+
+inline bool Member::Builder::getWantsConfirmation() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<139>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setWantsConfirmation(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<139>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Member::Reader::getJoinsOwners() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<140>() * ::capnp::ELEMENTS);
+}
+
+inline bool Member::Builder::getJoinsOwners() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<140>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setJoinsOwners(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<140>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Members::Reader::hasMembers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Members::Builder::hasMembers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::verbenastile::wire::Member,  ::capnp::Kind::STRUCT>::Reader Members::Reader::getMembers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::verbenastile::wire::Member,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::verbenastile::wire::Member,  ::capnp::Kind::STRUCT>::Builder Members::Builder::getMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::verbenastile::wire::Member,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Members::Builder::setMembers( ::capnp::List< ::verbenastile::wire::Member,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::verbenastile::wire::Member,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::verbenastile::wire::Member,  ::capnp::Kind::STRUCT>::Builder Members::Builder::initMembers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::verbenastile::wire::Member,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Members::Builder::adoptMembers(
+    ::capnp::Orphan< ::capnp::List< ::verbenastile::wire::Member,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::verbenastile::wire::Member,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::verbenastile::wire::Member,  ::capnp::Kind::STRUCT>> Members::Builder::disownMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::verbenastile::wire::Member,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Members::Reader::getSenderOwnsQuotaParts() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Members::Builder::getSenderOwnsQuotaParts() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Members::Builder::setSenderOwnsQuotaParts(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Members::Reader::getReceiverOwnedQuotaParts() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline bool Members::Builder::getReceiverOwnedQuotaParts() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Members::Builder::setReceiverOwnedQuotaParts(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Hello::Reader::hasMember() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/tests/link_codec_test.cc
+++ b/tests/link_codec_test.cc
@@ -212,17 +212,28 @@
   const InstanceNotice notice{"i-1", 8.5, true, 1'000};
   out.Append({0, LinkInstanceNotice{notice}});
   out.Append({0, LinkMemberKnown{9}});
+  MemberRecord record;
+  record.member.name = "n1";
+  record.owns_quota_parts = true;
+  out.Append({0, LinkMembersWanted{}});
+  out.Append({0, LinkMembers{{record, record}, true, true}});
   const auto frames = Decode(out.bytes, out.bytes.size());
-  REQUIRE(frames.size() == 2);
+  REQUIRE(frames.size() == 4);
+  CHECK(std::holds_alternative<LinkMembersWanted>(frames[2].body));
+  const auto& members = std::get<LinkMembers>(frames[3].body);
+  CHECK(members.records == std::vector<MemberRecord>{record, record});
+  CHECK(members.sender_owns_quota_parts);
+  CHECK(members.receiver_owned_quota_parts);
   CHECK(std::get<LinkInstanceNotice>(frames[0].body).notice == notice);
   CHECK(std::get<LinkMemberKnown>(frames[1].body).sequence == 9);
 }
 
 SCENARIO("parts of quotas are decoded as they were encoded") {
   Connection out;
-  const QuotaPartRequest request{7, 3, std::chrono::milliseconds(800)};
+  const QuotaPartRequest request{
+      7, 3, std::chrono::milliseconds(800), {~0ULL, 5}};
   const QuotaPartGrant grant{
-      7, true, std::chrono::milliseconds(5), 3, 5, {~0ULL, 1}, {2}};
+      7, true, std::chrono::milliseconds(5), 3, 5, {~0ULL, 1}, {2}, {0, 5}};
   out.Append({0, LinkQuotaPartRequest{request}});
   out.Append({0, LinkQuotaPartGrant{grant}});
   out.Append({0, LinkQuotaPartChanged{}});
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -265,6 +265,7 @@
   record.instance_leaving = true;
   record.instance_sequence = 12;
   record.instance_started_ms = 1'000;
+  record.owns_quota_parts = true;
   record.instance_left_by_response = true;
   record.crash_evidence = {{{1, 2}, 3, true, {{"node-1", 4}, {"node-1", 5}}}};
   const std::string text = FormatMember(record);
--- a/tests/quota_fleet.h
+++ b/tests/quota_fleet.h
@@ -36,6 +36,32 @@
     Run(10 * kQuotaSecond);
   }
 
+  // A node joins. Returns its index.
+  std::size_t Join() {
+    nodes_.emplace_back();
+    side_.push_back(0);
+    Start(nodes_.size() - 1);
+    At(now_ + kLinkDelay, [this] { UpdateMembers(); });
+    return nodes_.size() - 1;
+  }
+  // The node ends as planned, and its record is removed.
+  void Leave(std::size_t i) {
+    store_.erase(NameOf(i));
+    left_.insert(i);
+    ForEach([&](Node& node) {
+      if (HasLink(i, node.index) || HasLink(node.index, i)) {
+        node.known.erase(NameOf(i));
+      }
+    });
+    End(i);
+    UpdateMembers();
+  }
+  // The store does not serve the node for `period`.
+  void TurnAway(std::size_t i, Duration period) {
+    turned_away_until_[i] = std::max(turned_away_until_[i], now_ + period);
+  }
+  std::size_t size() const { return nodes_.size(); }
+
   // Callers send `per_second` requests to the nodes [first, last), each to one
   // of them at random, for `period`.
   void Call(double per_second,
@@ -67,18 +93,14 @@
   // after `pause`, and are linked a little later.
   void Restart(std::size_t first, std::size_t last, Duration pause) {
     for (std::size_t i = first; i < last; ++i) {
-      refused_ += nodes_[i]->waiting.size();
-      nodes_[i].reset();
-    }
-    for (std::size_t i = first; i < last; ++i) {
-      ForEach([&](Node& node) {
-        node.quotas.OnMemberLost(NameOf(i), false, now_);
-      });
+      End(i);
     }
     UpdateMembers();
     At(now_ + pause, [this, first, last] {
       for (std::size_t i = first; i < last; ++i) {
-        Start(i);
+        if (!left_.contains(i)) {
+          Start(i);
+        }
       }
       UpdateMembers();
     });
@@ -205,13 +227,37 @@
   static constexpr Duration kTick = std::chrono::milliseconds(100);
   // A link that does not answer is noticed within this time.
   static constexpr Duration kNotice = std::chrono::milliseconds(2'700);
+  static constexpr Duration kMaxListInterval = std::chrono::seconds(8);
+  static constexpr Duration kMembersRequestInterval =
+      std::chrono::milliseconds(500);
 
+  // What members say of themselves.
+  struct Record {
+    bool joins = false;  // The owners of parts.
+    bool owned = false;  // Parts, then or in an earlier process.
+    std::uint64_t version = 0;
+  };
   struct Node {
-    Node(std::string name, const QuotaLimits& limits, Time start)
-        : quotas(std::move(name), limits, start), started(start) {}
+    Node(std::size_t at,
+         std::string name,
+         const QuotaLimits& limits,
+         Time start)
+        : index(at), quotas(name, limits, start), started(start) {
+      known[name] = {};
+    }
+    std::size_t index;
     GroupQuotas quotas;
     std::vector<Time> waiting;
     Time started;
+    std::map<std::string, Record> known;  // The members that it has heard of.
+    Record record;                        // Its own, as it announced it.
+    // Whether the store has its record since it joins the owners.
+    bool has_written_joining = false;
+    std::set<std::string, std::less<>> introduced;
+    QuotaMembers members;  // As far as they depend on the links.
+    QuotaStanding standing;
+    bool asked_for_members = false;
+    Time list_at;
   };
 
   static std::string NameOf(std::size_t i) { return "n" + std::to_string(i); }
@@ -229,7 +275,8 @@
     }
   }
   void Start(std::size_t i) {
-    nodes_[i] = std::make_shared<Node>(NameOf(i), limits_, now_);
+    nodes_[i] = std::make_shared<Node>(i, NameOf(i), limits_, now_);
+    ListMembers(*nodes_[i]);
     Configure(*nodes_[i]);
     Tick(i, nodes_[i]);
   }
@@ -241,36 +288,177 @@
     std::fill(side_.begin() + static_cast<std::ptrdiff_t>(first),
               side_.begin() + static_cast<std::ptrdiff_t>(last), side);
   }
+  void End(std::size_t i) {
+    refused_ += nodes_[i]->waiting.size();
+    nodes_[i].reset();
+    ForEach(
+        [&](Node& node) { node.quotas.OnMemberLost(NameOf(i), false, now_); });
+  }
   void Tick(std::size_t i, const std::weak_ptr<Node>& weak) {
     if (const auto node = weak.lock()) {
       node->quotas.Tick(now_);
+      Announce(*node);
+      const bool joins = node->record.joins && !node->standing.is_listed;
+      if (now_ >= node->list_at || joins || !node->standing.knows_owners) {
+        ListMembers(*node);
+        SetMembers(*node);
+      }
       Work(i);
       At(now_ + kTick, [this, i, weak] { Tick(i, weak); });
     }
   }
-  void UpdateMembers() {
-    for (std::size_t i = 0; i < nodes_.size(); ++i) {
-      QuotaMembers members;
-      members.known = nodes_.size();
-      for (std::size_t j = 0; j < nodes_.size(); ++j) {
-        if (nodes_[j] && HasLink(i, j)) {
-          members.candidates.push_back(NameOf(j));
-          members.linked += HasLink(j, i) ? 1 : 0;
-          members.reachable.insert(NameOf(j));
+  bool AreLinked(std::size_t i, std::size_t j) const {
+    return nodes_[i] && nodes_[j] && (HasLink(i, j) || HasLink(j, i));
+  }
+  // Tells linked nodes that the node joins the owners, or is one. Those that
+  // hear it confirm it.
+  void Announce(Node& node) {
+    const bool joins = node.quotas.joins_owners();
+    const bool owns = node.quotas.may_own_parts();
+    if (joins == node.record.joins && owns == node.record.owned) {
+      return;
+    }
+    if (!joins) {
+      node.introduced.clear();
+      node.has_written_joining = false;
+      node.standing.is_listed = false;
+    }
+    node.record = {joins, owns, ++last_version_};
+    ForEach([&](Node& other) {
+      if (&other != &node && AreLinked(node.index, other.index)) {
+        Tell(node.index, other.index);
+      }
+    });
+  }
+  void Tell(std::size_t i, std::size_t j) {
+    const std::size_t opener = HasLink(i, j) ? i : j;
+    Deliver(opener, i, j, [this, i, j, opener, said = nodes_[i]->record] {
+      Hear(*nodes_[j], NameOf(i), said);
+      SetMembers(*nodes_[j]);
+      Deliver(opener, j, i, [this, i, j, version = said.version] {
+        Node& node = *nodes_[i];
+        if (node.record.joins && version >= node.record.version) {
+          node.introduced.insert(NameOf(j));
+          SetMembers(node);
+        }
+      });
+    });
+  }
+  // What nodes tell each other when they are linked.
+  void HearMembers(Node& node) {
+    ForEach([&](Node& other) {
+      if (&other != &node && AreLinked(node.index, other.index)) {
+        Hear(node, NameOf(other.index), other.record);
+        if (other.record.joins) {
+          other.introduced.insert(NameOf(node.index));
         }
-        members.names.insert(NameOf(j));
       }
-      members.all_new = 2 * members.linked > members.known;
-      for (std::size_t j = 0; nodes_[i] && j < nodes_.size(); ++j) {
-        members.all_new =
-            members.all_new && !(nodes_[j] && HasLink(i, j) &&
-                                 nodes_[j]->started < nodes_[i]->started);
+    });
+  }
+  // What a node writes to the store and reads there, at some interval, or hears
+  // from a peer if the store does not serve it.
+  void ListMembers(Node& node) {
+    if (now_ < turned_away_until_[node.index]) {
+      if (!node.standing.knows_owners) {
+        AskForMembers(node);
+      }
+      return;
+    }
+    Record& stored = store_[NameOf(node.index)];
+    if (!node.standing.knows_owners && stored.owned) {
+      node.standing.was_owner = true;
+    }
+    node.standing.is_listed =
+        node.record.joins &&
+        std::exchange(node.has_written_joining, node.record.joins);
+    stored = {node.record.joins, node.record.owned || node.standing.was_owner,
+              ++last_version_};
+    for (const auto& [member, record] : store_) {
+      Hear(node, member, record);
+    }
+    std::erase_if(node.known, [&](const auto& known) {
+      return !store_.contains(known.first) &&
+             !AreLinked(node.index, IndexOf(known.first));
+    });
+    node.standing.knows_owners = true;
+    std::uniform_int_distribution<std::int64_t> interval(
+        kTick.count(), kMaxListInterval.count());
+    node.list_at = now_ + Duration(interval(delays_));
+  }
+  static void Hear(Node& node, const std::string& member, const Record& said) {
+    Record& known = node.known[member];
+    known.owned = known.owned || said.owned;
+    if (said.version >= known.version) {
+      known.joins = said.joins;
+      known.version = said.version;
+    }
+  }
+  void AskForMembers(Node& node) {
+    if (std::exchange(node.asked_for_members, true)) {
+      return;
+    }
+    ForEach([&](Node& other) {
+      if (&other == &node || !HasLink(node.index, other.index) ||
+          !other.quotas.may_own_parts()) {
+        return;
+      }
+      Deliver(node.index, other.index, node.index,
+              [this, at = node.index, members = other.known] {
+                Node& asked = *nodes_[at];
+                for (const auto& [member, record] : members) {
+                  Hear(asked, member, record);
+                }
+                const auto own = members.find(NameOf(at));
+                asked.standing.was_owner =
+                    asked.standing.was_owner ||
+                    (own != members.end() && own->second.owned);
+                asked.standing.knows_owners = true;
+                SetMembers(asked);
+              });
+    });
+    At(now_ + kMembersRequestInterval,
+       [weak = std::weak_ptr<Node>(nodes_[node.index])] {
+         if (const auto asking = weak.lock()) {
+           asking->asked_for_members = false;
+         }
+       });
+  }
+  void UpdateMembers() {
+    ForEach([&](Node& node) { HearMembers(node); });
+    ForEach([&](Node& node) {
+      NoticeLinks(node);
+      SetMembers(node);
+      Work(node.index);
+    });
+  }
+  // The node notices which links there are.
+  void NoticeLinks(Node& node) {
+    const std::size_t i = node.index;
+    QuotaMembers& members = node.members;
+    members = {};
+    members.all_new = true;
+    for (std::size_t j = 0; j < nodes_.size(); ++j) {
+      if (!nodes_[j] || !HasLink(i, j)) {
+        continue;
       }
-      if (nodes_[i]) {
-        nodes_[i]->quotas.SetMembers(members, now_);
-        Work(i);
+      members.candidates.push_back(NameOf(j));
+      members.linked += HasLink(j, i) ? 1 : 0;
+      members.reachable.insert(NameOf(j));
+      members.all_new = members.all_new && nodes_[j]->started >= node.started;
+    }
+  }
+  void SetMembers(Node& node) {
+    QuotaMembers members = node.members;
+    members.known = node.known.size();
+    for (const auto& [name, record] : node.known) {
+      if (name != NameOf(node.index) && (record.joins || record.owned)) {
+        members.owners.insert(name);
       }
     }
+    members.all_new = members.all_new && 2 * members.linked > members.known;
+    members.introduced = node.introduced;
+    node.quotas.SetStanding(node.standing);
+    node.quotas.SetMembers(std::move(members), now_);
   }
   void Request(std::size_t i) {
     if (!nodes_[i]) {
@@ -384,6 +572,10 @@
   std::uint64_t generation_ = 1;  // Of the newest configuration.
   std::vector<std::shared_ptr<Node>> nodes_;
   std::vector<int> side_;
+  std::map<std::string, Record> store_;
+  std::uint64_t last_version_ = 0;
+  std::map<std::size_t, Time> turned_away_until_;
+  std::set<std::size_t> left_;
   // By the nodes that open and accept the link; once for each cut.
   std::multiset<std::pair<std::size_t, std::size_t>> cut_links_;
   Time now_ = Time(100 * kQuotaSecond);
--- a/tests/quota_parts_test.cc
+++ b/tests/quota_parts_test.cc
@@ -31,12 +31,16 @@
   return digests;
 }
 
+// It reads from the store that an earlier process owned parts.
+constexpr QuotaStanding kOwnedBefore = {true, true, true, false};
+
 // An owner, and the two members that coordinate before it.
 struct PartsFixture {
   PartsFixture() { Link({first, second, owner}); }
 
-  void Link(const std::vector<std::string>& candidates) {
-    giver.SetMembers(Digests(candidates), false, now);
+  void Link(const std::vector<std::string>& candidates, bool all_new = false) {
+    giver.owners().SetMembers({first, second}, {}, {}, kOwnedBefore, now);
+    giver.SetMembers(Digests(candidates), all_new, now);
   }
   // A coordinator asks, and gets the answer at once.
   void Ask(QuotaPartHolder& holder, const std::string& name) {
@@ -46,13 +50,13 @@
     }
   }
   bool Has(const QuotaPartHolder& holder) const {
-    return holder.Since(owner, QuotaDigest("tenant"), now).has_value();
+    return holder.Part(owner, QuotaDigest("tenant"), now).has_value();
   }
   static QuotaPartHolder Holder(const std::string& name,
                                 const std::vector<std::string>& candidates) {
     QuotaPartHolder holder(name);
     holder.SetCandidates(Digests(candidates));
-    holder.SetOwners({Ranked()[2]});
+    holder.SetOwners({{Ranked()[2], {QuotaDigest("tenant")}}});
     return holder;
   }
 
@@ -157,8 +161,7 @@
     CHECK(fleet.Has(fleet.at_first));
   }
   WHEN("all started with it") {
-    fleet.giver.SetMembers(Digests({fleet.first, fleet.second, fleet.owner}),
-                           true, fleet.now);
+    fleet.Link({fleet.first, fleet.second, fleet.owner}, true);
     fleet.Ask(fleet.at_first, fleet.first);
     CHECK(fleet.Has(fleet.at_first));
   }
@@ -169,21 +172,21 @@
   Time now = Time(100 * kSecond);
   giver.SetMembers(Digests({"n1", "n2", "n3"}), false, now);
   const QuotaPartGrant whole =
-      giver.OnRequest("n1", {1, 0, kQuotaPartLifetime}, now);
+      giver.OnRequest("n1", {1, 0, kQuotaPartLifetime, {}}, now);
   CHECK(whole.base == 0);
   CHECK(whole.added.size() == 3);
   const QuotaPartGrant same =
-      giver.OnRequest("n1", {2, whole.version, kQuotaPartLifetime}, now);
+      giver.OnRequest("n1", {2, whole.version, kQuotaPartLifetime, {}}, now);
   CHECK(same.base == whole.version);
   CHECK(same.added.empty());
   giver.SetMembers(Digests({"n1", "n3", "n4"}), false, now);
   const QuotaPartGrant changed =
-      giver.OnRequest("n1", {3, whole.version, kQuotaPartLifetime}, now);
+      giver.OnRequest("n1", {3, whole.version, kQuotaPartLifetime, {}}, now);
   CHECK(changed.added == Digests({"n4"}));
   CHECK(changed.removed == Digests({"n2"}));
   WHEN("the coordinator names a version that never was") {
     const QuotaPartGrant again =
-        giver.OnRequest("n1", {4, 1'000, kQuotaPartLifetime}, now);
+        giver.OnRequest("n1", {4, 1'000, kQuotaPartLifetime, {}}, now);
     THEN("it gets all of them") {
       CHECK(again.base == 0);
       CHECK(again.added.size() == 3);
--- a/tests/quota_test.cc
+++ b/tests/quota_test.cc
@@ -472,6 +472,7 @@
   group.name = "tenant";
   group.requests = {kRate, kRate};
   quotas.SetGroups({&group, 1}, 1, Time());
+  quotas.SetStanding({true, true, true, false});
   quotas.SetMembers({{"n1"}, 1, 1}, Time());
   const Time now = Time(100 * kSecond);
   const auto admitted = [&](bool give_back) {
--- a/tests/sidecar_leaving_test.cc
+++ b/tests/sidecar_leaving_test.cc
@@ -203,6 +203,7 @@
     record.member.incarnation = 1;
     record.sequence = 9;
     record.instance_leaving = true;
+    record.wants_confirmation = true;
     node.Send({0, LinkMember{record}});
     THEN("that is confirmed") {
       std::optional<std::uint64_t> known;
