Tests: count what nodes announce apart from the messages of quotas

Traced: the test's fleet counted the records by which nodes join the owners, once at the start, among the messages of the quotas. They are counted apart now, with a bound of their own: two for each pair of nodes. The bound on messages is as it was.

--- a/tests/quota_fleet.h
+++ b/tests/quota_fleet.h
@@ -217,6 +217,8 @@
   std::size_t refused() const { return refused_; }
   Duration longest_wait() const { return longest_wait_; }
   std::size_t messages() const { return messages_; }
+  // Records that nodes told each other, beside those of the handshakes.
+  std::size_t announcements() const { return announcements_; }
   Duration last_retry_after() const { return last_retry_after_; }
   Duration longest_retry_after() const { return longest_retry_after_; }
   Time now() const { return now_; }
@@ -332,10 +334,11 @@
   }
   void Tell(std::size_t i, std::size_t j) {
     const std::size_t opener = HasLink(i, j) ? i : j;
-    Deliver(opener, i, j, [this, i, j, opener, said = nodes_[i]->record] {
+    ++announcements_;
+    Carry(opener, i, j, [this, i, j, opener, said = nodes_[i]->record] {
       Hear(*nodes_[j], NameOf(i), said);
       SetMembers(*nodes_[j]);
-      Deliver(opener, j, i, [this, i, j, version = said.version] {
+      Carry(opener, j, i, [this, i, j, version = said.version] {
         Node& node = *nodes_[i];
         if (node.record.joins && version >= node.record.version) {
           node.introduced.insert(NameOf(j));
@@ -402,19 +405,19 @@
           !other.quotas.may_own_parts()) {
         return;
       }
-      Deliver(node.index, other.index, node.index,
-              [this, at = node.index, members = other.known] {
-                Node& asked = *nodes_[at];
-                for (const auto& [member, record] : members) {
-                  Hear(asked, member, record);
-                }
-                const auto own = members.find(NameOf(at));
-                asked.standing.was_owner =
-                    asked.standing.was_owner ||
-                    (own != members.end() && own->second.owned);
-                asked.standing.knows_owners = true;
-                SetMembers(asked);
-              });
+      Carry(node.index, other.index, node.index,
+            [this, at = node.index, members = other.known] {
+              Node& asked = *nodes_[at];
+              for (const auto& [member, record] : members) {
+                Hear(asked, member, record);
+              }
+              const auto own = members.find(NameOf(at));
+              asked.standing.was_owner =
+                  asked.standing.was_owner ||
+                  (own != members.end() && own->second.owned);
+              asked.standing.knows_owners = true;
+              SetMembers(asked);
+            });
     });
     At(now_ + kMembersRequestInterval,
        [weak = std::weak_ptr<Node>(nodes_[node.index])] {
@@ -545,12 +548,19 @@
   bool HasLink(std::size_t from, std::size_t to) const {
     return side_[from] == side_[to] && !cut_links_.contains({from, to});
   }
-  // On the link that node `opener` opened.
+  // A message of the quotas.
   void Deliver(std::size_t opener,
                std::size_t from,
                std::size_t to,
                std::function<void()> event) {
     ++messages_;
+    Carry(opener, from, to, std::move(event));
+  }
+  // On the link that node `opener` opened.
+  void Carry(std::size_t opener,
+             std::size_t from,
+             std::size_t to,
+             std::function<void()> event) {
     if (!HasLink(opener, opener == from ? to : from)) {
       return;
     }
@@ -590,6 +600,7 @@
   std::vector<Time> admitted_;
   std::size_t refused_ = 0;
   std::size_t messages_ = 0;
+  std::size_t announcements_ = 0;
   Duration last_retry_after_{0};
   Duration longest_retry_after_{0};
   Duration longest_wait_{0};
--- a/tests/quota_test.cc
+++ b/tests/quota_test.cc
@@ -41,6 +41,8 @@
       CHECK(RefusedPermille(fleet) < 1);
       CHECK(static_cast<double>(fleet.messages()) / seconds <=
             2.5 * usual + 50);
+      // Each node told the others that it joins the owners, and that it is one.
+      CHECK(fleet.announcements() <= 2 * kNodes * (kNodes - 1));
     }
   }
   WHEN("they move to other nodes every second") {
