Quotas: name the drift of clocks

The time after which a part is free was written as the lifetime and a fourteenth, without a word on why; no caller is concerned.

--- a/src/core/quota_part_giver.cc
+++ b/src/core/quota_part_giver.cc
@@ -14,7 +14,7 @@
 constexpr std::size_t kMaxChangesKept = 1'024;
 
 Duration WithDrift(Duration lifetime) {
-  return lifetime * kQuotaPartFreeAfter.count() / kQuotaPartLifetime.count();
+  return lifetime + lifetime / kQuotaClockDriftDivisor;
 }
 
 }  // namespace
--- a/src/core/quota_part_giver.h
+++ b/src/core/quota_part_giver.h
@@ -31,9 +31,11 @@
 // ended can serve them.
 constexpr Duration kQuotaPartLifetime = std::chrono::milliseconds(900);
 
-// When a part that was given is free again, whatever the speeds of two clocks.
+// The fraction by which the clocks of two nodes may differ in speed.
+constexpr int kQuotaClockDriftDivisor = 14;
+// How long after its owner gave a part nobody counts it any more.
 constexpr Duration kQuotaPartFreeAfter =
-    kQuotaPartLifetime + kQuotaPartLifetime / 14;
+    kQuotaPartLifetime + kQuotaPartLifetime / kQuotaClockDriftDivisor;
 
 class QuotaPartGiver {
  public:
