Quotas: a node that does not know the owners is not of a new fleet

Two nodes that started again behind a cut, before any owner told them the others, had links to most members that they knew, and took themselves for a fleet that has just started. They gave their parts at once, where a coordinator on the other side may count for 0.9 s what their earlier processes gave.

That most members have just started counts only once the owners are known.

"a node that does not know the owners is not of a new fleet" failed before (granted 0.96 s early) and passes.

--- a/src/core/group_quotas.cc
+++ b/src/core/group_quotas.cc
@@ -145,6 +145,8 @@
 
 void GroupQuotas::SetMembers(QuotaMembers members, Time now) {
   started_ = started_.value_or(now);
+  // Those that this node has heard of may be a few of many.
+  members.all_new = members.all_new && standing_.knows_owners;
   members_are_new_ = members.all_new;
   part_giver_.owners().SetMembers(members.owners, members.reachable,
                                   members.introduced, standing_, now);
--- a/tests/quota_test.cc
+++ b/tests/quota_test.cc
@@ -440,6 +440,44 @@
   }
 }
 
+// Guards against an owner that gives a part again which a coordinator behind a
+// cut still counts: two nodes that start together there know only each other,
+// and took themselves for a fleet that has just started (rule QUOTA).
+SCENARIO("a node that does not know the owners is not of a new fleet") {
+  constexpr Time kStart = Time(100 * kSecond);
+  const QuotaPartRequest request{1, 0, kQuotaPartLifetime, {}};
+  GroupQuotas quotas("n1", Limits(), kStart);
+  Group group;
+  group.name = "tenant";
+  group.requests = {10, 10};
+  quotas.SetGroups({&group, 1}, 1, kStart);
+  QuotaMembers members;
+  members.candidates = {"n1", "n2"};
+  members.linked = members.known = 2;
+  members.all_new = true;
+  members.reachable = {"n1", "n2"};
+  const auto grants = [&](Time now) {
+    return quotas.OnPartRequest("n2", request, now).granted;
+  };
+  WHEN("it learns later that there are others") {
+    quotas.SetMembers(members, kStart);
+    quotas.SetStanding({true, false, true, false});
+    members.known = 7;
+    members.all_new = false;
+    members.owners = {"n2", "n3"};
+    quotas.SetMembers(members, kStart);
+    THEN("it waits until what its earlier process gave is free") {
+      CHECK_FALSE(grants(kStart + kQuotaPartFreeAfter - Duration(1)));
+      CHECK(grants(kStart + kQuotaPartFreeAfter));
+    }
+  }
+  WHEN("it knows that all have started") {
+    quotas.SetStanding({true, false, true, false});
+    quotas.SetMembers(members, kStart);
+    CHECK(grants(kStart));
+  }
+}
+
 SCENARIO("a group without a quota costs nothing") {
   GroupQuotas quotas("n1", Limits());
   Group group;
