--- a/src/mesh/sidecar_control.cc
+++ b/src/mesh/sidecar_control.cc
@@ -122,6 +122,9 @@
 }
 
 void Sidecar::OnMemberKnown(std::string_view member, std::uint64_t sequence) {
+  if (member_registry_.Find(member) == nullptr) {
+    return;  // A peer that has not said who it is, or was removed.
+  }
   witnesses_.OnKnown(member, sequence);
   std::uint64_t& known = known_by_[std::string(member)];
   known = std::max(known, sequence);
