Names: confirmations in place of witnesses and introductions

No caller is concerned. Readers had two figures of speech for one thing: a peer has confirmed a record of this node. The class of leavings and the members that an owner needs say so now.

--- a/src/core/group_quotas.cc
+++ b/src/core/group_quotas.cc
@@ -86,8 +86,8 @@
   OnLimitsChanged(now);
 }
 
-bool GroupQuotas::IsNews(std::string_view group,
-                         const QuotaLimit& limit) const {
+bool GroupQuotas::IsNewer(std::string_view group,
+                          const QuotaLimit& limit) const {
   if (!configured_ || limit.quota.per_second <= 0) {
     return false;
   }
@@ -103,7 +103,7 @@
   for (const QuotaNeed& need : needs) {
     const bool has_room =
         limits_.size() < kMaxLearnedGroups || limits_.contains(need.group);
-    if (has_room && IsNews(need.group, need.limit)) {
+    if (has_room && IsNewer(need.group, need.limit)) {
       limits_.insert_or_assign(need.group, need.limit);
       learned.push_back(need.group);
     }
@@ -149,7 +149,7 @@
   members.all_new = members.all_new && standing_.knows_owners;
   members_are_new_ = members.all_new;
   part_giver_.owners().SetMembers(members.owners, members.reachable,
-                                  members.introduced, standing_, now);
+                                  members.confirmed_by, standing_, now);
   if (may_own_parts()) {
     members.owners.insert(std::string(peers_.self()));
   }
--- a/src/core/group_quotas.h
+++ b/src/core/group_quotas.h
@@ -43,7 +43,7 @@
   // core/quota_owners.h.
   std::set<std::string, std::less<>> owners = {};
   // Those that know the record by which this node joins the owners.
-  std::set<std::string, std::less<>> introduced = {};
+  std::set<std::string, std::less<>> confirmed_by = {};
 };
 
 // `incoming`: the members that have an open link to this node.
@@ -158,7 +158,7 @@
 
  private:
   // Whether the limit is to be kept beside those of the configuration in force.
-  bool IsNews(std::string_view group, const QuotaLimit& limit) const;
+  bool IsNewer(std::string_view group, const QuotaLimit& limit) const;
   void OnLimitsChanged(Time now);
   void OnCoordinatorsChanged(Time now);
   void UpdateOwners();
--- a/src/core/leaving_witnesses.h
+++ b/src/core/leaving_confirmations.h
@@ -1,8 +1,8 @@
 // Which peers know that the instance beside this node leaves. A node keeps
 // nothing on disk: what it promises the instance has to be known elsewhere
 // first, to those that the node's next process hears from.
-#ifndef CORE_LEAVING_WITNESSES_H_
-#define CORE_LEAVING_WITNESSES_H_
+#ifndef CORE_LEAVING_CONFIRMATIONS_H_
+#define CORE_LEAVING_CONFIRMATIONS_H_
 
 #include <cstdint>
 #include <functional>
@@ -15,7 +15,7 @@
 
 namespace verbenastile {
 
-class LeavingWitnesses {
+class LeavingConfirmations {
  public:
   // The record of `sequence` is the current one. `run` leaves by it if
   // `leaving`.
@@ -36,4 +36,4 @@
 
 }  // namespace verbenastile
 
-#endif  // CORE_LEAVING_WITNESSES_H_
+#endif  // CORE_LEAVING_CONFIRMATIONS_H_
--- a/src/core/quota_owners.cc
+++ b/src/core/quota_owners.cc
@@ -20,12 +20,12 @@
 
 void QuotaOwners::SetMembers(const Names& owners,
                              const Names& linked,
-                             const Names& introduced,
+                             const Names& confirmed_by,
                              const QuotaStanding& standing,
                              Time now) {
   standing_ = standing;
   linked_ = linked;
-  introduced_ = introduced;
+  confirmed_by_ = confirmed_by;
   for (const std::string& owner : owners) {
     seen_since_.try_emplace(owner, now);
     left_until_.erase(owner);
@@ -59,12 +59,12 @@
   const bool may_stand = !standing_.is_leaving && standing_.knows_owners;
   if (!may_stand) {
     joins_ = false;
-    introduced_since_.reset();
+    confirmed_since_.reset();
   } else if (!may_own_ && !standing_.was_owner) {
     UpdateJoining(now);
   }
-  const bool has_joined = joins_ && introduced_since_ &&
-                          now - *introduced_since_ >= kQuotaPartFreeAfter;
+  const bool has_joined = joins_ && confirmed_since_ &&
+                          now - *confirmed_since_ >= kQuotaPartFreeAfter;
   const bool may_own =
       may_stand && (may_own_ || standing_.was_owner || has_joined);
   if (std::exchange(may_own_, may_own) != may_own) {
@@ -82,10 +82,10 @@
     }
     return;
   }
-  if (!introduced_since_ && standing_.is_listed && HasAll(introduced_, now)) {
-    introduced_since_ = now;
+  if (!confirmed_since_ && standing_.is_listed && HasAll(confirmed_by_, now)) {
+    confirmed_since_ = now;
   }
-  if (!introduced_since_ && now - joins_changed_at_ >= kJoinTimeout) {
+  if (!confirmed_since_ && now - joins_changed_at_ >= kJoinTimeout) {
     joins_ = false;
     joins_changed_at_ = now;
   }
--- a/src/core/quota_owners.h
+++ b/src/core/quota_owners.h
@@ -44,7 +44,7 @@
   // and is a new one for the others if another instance comes.
   bool is_leaving = false;
   // Changes with the members that know the record by which this node joins.
-  std::uint64_t introductions = 0;
+  std::uint64_t confirmations = 0;
 
   bool operator==(const QuotaStanding&) const = default;
 };
@@ -56,11 +56,11 @@
   explicit QuotaOwners(std::string_view self) : self_(self) {}
 
   // `owners`: the other members that own parts or join the owners. `linked`:
-  // the members that can be reached. `introduced`: those that know the record
+  // the members that can be reached. `confirmed_by`: those that know the record
   // by which this node joins.
   void SetMembers(const Names& owners,
                   const Names& linked,
-                  const Names& introduced,
+                  const Names& confirmed_by,
                   const QuotaStanding& standing,
                   Time now);
   // To be called about every 100 ms.
@@ -85,7 +85,7 @@
   Names owners_;  // The others.
   QuotaStanding standing_;
   Names linked_;
-  Names introduced_;
+  Names confirmed_by_;
   // When each owner was first seen.
   std::map<std::string, Time, std::less<>> seen_since_;
   // Members that are owners no more, and until when what they gave may be
@@ -94,7 +94,7 @@
   bool joins_ = false;
   Time joins_changed_at_;
   // Since when all owners know that this node joins.
-  std::optional<Time> introduced_since_;
+  std::optional<Time> confirmed_since_;
   bool may_own_ = false;
   // Of the other owners and of those that have left.
   std::set<std::uint64_t> digests_;
--- a/src/mesh/quota_service.cc
+++ b/src/mesh/quota_service.cc
@@ -181,7 +181,7 @@
   quotas_.SetStanding(standing);
   QuotaMembers members = QuotaMembersOf(*init_.member_registry, init_.node_name,
                                         incoming_members_);
-  members.introduced = init_.introduced();
+  members.confirmed_by = init_.confirmed_by();
   quotas_.SetMembers(std::move(members), now);
   SendPartMessages(now);
 }
--- a/src/mesh/quota_service.h
+++ b/src/mesh/quota_service.h
@@ -36,7 +36,7 @@
     // What this node knows of its own place in the fleet.
     std::function<QuotaStanding()> standing;
     // The members that know the record of this node.
-    std::function<std::set<std::string, std::less<>>()> introduced;
+    std::function<std::set<std::string, std::less<>>()> confirmed_by;
     // This node joins the owners, is one, or has left them.
     std::function<void()> on_ownership = [] {};
   };
--- a/src/mesh/sidecar.cc
+++ b/src/mesh/sidecar.cc
@@ -271,7 +271,7 @@
   };
   init.metrics = &metrics_;
   init.standing = [this] { return Standing(); };
-  init.introduced = [this] { return Introduced(); };
+  init.confirmed_by = [this] { return ConfirmedBy(); };
   init.on_ownership = [this] { AnnounceRecord("parts of quotas"); };
   return init;
 }
--- a/src/mesh/sidecar.h
+++ b/src/mesh/sidecar.h
@@ -24,7 +24,7 @@
 #include "core/configuration_source.h"
 #include "core/crash_suspects.h"
 #include "core/instance_tracker.h"
-#include "core/leaving_witnesses.h"
+#include "core/leaving_confirmations.h"
 #include "core/member_registry.h"
 #include "core/node_charts.h"
 #include "core/state_chart.h"
@@ -101,7 +101,7 @@
   void AnnounceRecord(std::string_view why);
   void UpdateStanding(const MemberRecord& self);
   QuotaStanding Standing() const;
-  std::set<std::string, std::less<>> Introduced() const;
+  std::set<std::string, std::less<>> ConfirmedBy() const;
   // Finds out which members there are, if the store does not tell.
   void RequestMembers(Time now);
   LinkMembers Members(std::string_view asked_by) const;
@@ -172,7 +172,7 @@
   ConfigApplier applier_;
   ChartMachine lifecycle_;
   InstanceTracker tracker_;
-  LeavingWitnesses witnesses_;
+  LeavingConfirmations leaving_confirmations_;
   // The calls by which the instance leaves that were not answered yet.
   std::map<std::uint64_t, ExchangePointer> leaving_calls_;
   std::uint64_t last_leaving_call_ = 0;
@@ -214,7 +214,8 @@
   bool is_leaving_ = false;  // The instance, by the last record.
   // The last record that each member has confirmed.
   std::map<std::string, std::uint64_t, std::less<>> known_by_;
-  std::uint64_t introductions_ = 0;  // Confirmations that it joins, so far.
+  std::uint64_t join_confirmations_ =
+      0;  // Confirmations that it joins, so far.
   Time requested_members_at_;
   Random members_random_{NondeterministicSeed()};
   // Runs when the first record is written, which awaits the first list.
--- a/src/mesh/sidecar_control.cc
+++ b/src/mesh/sidecar_control.cc
@@ -92,7 +92,7 @@
 void Sidecar::AcknowledgeLeaving(const ExchangePointer& exchange) {
   const std::uint64_t call = ++last_leaving_call_;
   leaving_calls_.emplace(call, exchange);
-  if (witnesses_.AreEnough(member_registry_, settings_.name)) {
+  if (leaving_confirmations_.AreEnough(member_registry_, settings_.name)) {
     AnswerLeaving(call, kHttpOk);
     return;
   }
@@ -125,14 +125,14 @@
   if (member_registry_.Find(member) == nullptr) {
     return;  // A peer that has not said who it is, or was removed.
   }
-  witnesses_.OnKnown(member, sequence);
+  leaving_confirmations_.OnKnown(member, sequence);
   std::uint64_t& known = known_by_[std::string(member)];
   known = std::max(known, sequence);
   if (joins_since_ && sequence >= *joins_since_) {
-    ++introductions_;
+    ++join_confirmations_;
   }
   if (leaving_calls_.empty() ||
-      !witnesses_.AreEnough(member_registry_, settings_.name)) {
+      !leaving_confirmations_.AreEnough(member_registry_, settings_.name)) {
     return;
   }
   while (!leaving_calls_.empty()) {
--- a/src/mesh/sidecar_members.cc
+++ b/src/mesh/sidecar_members.cc
@@ -30,8 +30,8 @@
   ++sequence_;
   const MemberRecord self = OwnRecord();
   UpdateStanding(self);
-  witnesses_.OnRecord({self.instance, self.instance_started_ms},
-                      self.instance_leaving, sequence_);
+  leaving_confirmations_.OnRecord({self.instance, self.instance_started_ms},
+                                  self.instance_leaving, sequence_);
   MergeRecord(self);
   links_.AnnounceSelf();
   Log(LogLevel::kInfo, kLogComponent, "The node's record changed.",
@@ -285,17 +285,17 @@
 
 QuotaStanding Sidecar::Standing() const {
   return {has_listed_members_ || was_told_members_, is_listed_, was_owner_,
-          is_leaving_, introductions_};
+          is_leaving_, join_confirmations_};
 }
 
-std::set<std::string, std::less<>> Sidecar::Introduced() const {
-  std::set<std::string, std::less<>> introduced;
+std::set<std::string, std::less<>> Sidecar::ConfirmedBy() const {
+  std::set<std::string, std::less<>> confirmed_by;
   for (const auto& [member, sequence] : known_by_) {
     if (joins_since_ && sequence >= *joins_since_) {
-      introduced.insert(member);
+      confirmed_by.insert(member);
     }
   }
-  return introduced;
+  return confirmed_by;
 }
 
 void Sidecar::RequestMembers(Time now) {
--- a/tests/quota_fleet.h
+++ b/tests/quota_fleet.h
@@ -255,7 +255,7 @@
     Record record;                        // Its own, as it announced it.
     // Whether the store has its record since it joins the owners.
     bool has_written_joining = false;
-    std::set<std::string, std::less<>> introduced;
+    std::set<std::string, std::less<>> confirmed_by;
     QuotaMembers members;  // As far as they depend on the links.
     QuotaStanding standing;
     bool asked_for_members = false;
@@ -321,7 +321,7 @@
       return;
     }
     if (!joins) {
-      node.introduced.clear();
+      node.confirmed_by.clear();
       node.has_written_joining = false;
       node.standing.is_listed = false;
     }
@@ -341,7 +341,7 @@
       Carry(opener, j, i, [this, i, j, version = said.version] {
         Node& node = *nodes_[i];
         if (node.record.joins && version >= node.record.version) {
-          node.introduced.insert(NameOf(j));
+          node.confirmed_by.insert(NameOf(j));
           SetMembers(node);
         }
       });
@@ -353,7 +353,7 @@
       if (&other != &node && AreLinked(node.index, other.index)) {
         Hear(node, NameOf(other.index), other.record);
         if (other.record.joins) {
-          other.introduced.insert(NameOf(node.index));
+          other.confirmed_by.insert(NameOf(node.index));
         }
       }
     });
@@ -459,7 +459,7 @@
       }
     }
     members.all_new = members.all_new && 2 * members.linked > members.known;
-    members.introduced = node.introduced;
+    members.confirmed_by = node.confirmed_by;
     node.quotas.SetStanding(node.standing);
     node.quotas.SetMembers(std::move(members), now_);
   }
