Quotas: a fleet starts beside members without links

What callers saw: seven nodes start, one of them without links to the others, in either direction.

Cause: no node owned parts before all that join had confirmed each other, and the one without links joined as well: its first list of the store showed no other member. Each joiner that did not come through withdrew for 3 s, all at the same time.

Change: a node joins once the store has shown its own record, and links to more than half of the members, so that those with links do not wait for the one without. What has no link is asked through the store: the joining node's record names whom it asks, and they confirm in theirs that they count it (core/join_requests). So a node without links owns its part a few seconds later, and an owner that started alone and cannot be reached by links does not keep the others from joining for 60 s. A node with no links at all waits 2.5 s for a later list. Any two owners still know each other: a member that confirms counts the asking node from then on.

On the way: an owner that had been known for 60 s counted as dead as soon as its link broke; it counts as dead now once it could not be reached for 60 s.

Tests: "a fleet that starts beside nodes without links has its quotas" and four of quota_owners_test fail without the change; random graphs of links pass.

--- a/src/core/group_quotas.cc
+++ b/src/core/group_quotas.cc
@@ -36,6 +36,9 @@
     const bool linked = name == self || (reachable && incoming.contains(name));
     if (reachable || !left) {
       ++members.known;
+      if (!linked) {
+        members.unlinked_majority.insert(name);
+      }
     }
     const bool counts = entry.owned_quota_parts || entry.record.joins_owners;
     if (name != self && counts && !entry.record.instance_leaving &&
@@ -53,6 +56,9 @@
       members.candidates.push_back(name);
     }
   }
+  if (2 * members.linked > members.known) {
+    members.unlinked_majority.clear();
+  }
   members.all_new =
       !older && members.linked > 1 && 2 * members.linked > members.known;
   return members;
@@ -148,8 +154,10 @@
   // Those that this node has heard of may be a few of many.
   members.all_new = members.all_new && standing_.knows_owners;
   members_are_new_ = members.all_new;
-  part_giver_.owners().SetMembers(members.owners, members.reachable,
-                                  members.confirmed_by, standing_, now);
+  part_giver_.owners().SetMembers(
+      {members.owners, members.reachable, std::move(members.confirmed_by),
+       std::move(members.unlinked_majority)},
+      standing_, now);
   if (may_own_parts()) {
     members.owners.insert(std::string(peers_.self()));
   }
--- a/src/core/group_quotas.h
+++ b/src/core/group_quotas.h
@@ -42,8 +42,11 @@
   // The other members that own parts of quotas or join those that do: see
   // core/quota_owners.h.
   std::set<std::string, std::less<>> owners = {};
-  // Those that know the record by which this node joins the owners.
+  // Those that count this node as one that joins the owners.
   std::set<std::string, std::less<>> confirmed_by = {};
+  // Those without a link in both directions that have not left, if they are
+  // half of the members or more.
+  std::set<std::string, std::less<>> unlinked_majority = {};
 };
 
 // `incoming`: the members that have an open link to this node.
@@ -82,6 +85,10 @@
   // one.
   bool joins_owners() const { return part_giver_.owners().joins(); }
   bool may_own_parts() const { return part_giver_.owners().may_own(); }
+  // The members that this node asks through the store to count it as an owner.
+  const QuotaOwners::Names& asked_members() const {
+    return part_giver_.owners().asked();
+  }
   // The link to the member broke. `silent`: it does not answer, and may still
   // be running.
   void OnMemberLost(std::string_view member, bool silent, Time now);
--- a/src/core/member_record.h
+++ b/src/core/member_record.h
@@ -3,7 +3,10 @@
 #ifndef CORE_MEMBER_RECORD_H_
 #define CORE_MEMBER_RECORD_H_
 
+#include <compare>
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -12,6 +15,15 @@
 
 namespace verbenastile {
 
+// Identifies what a member's record said at a time.
+struct RecordVersion {
+  std::uint64_t incarnation = 0;
+  std::uint64_t sequence = 0;
+
+  auto operator<=>(const RecordVersion&) const = default;
+};
+using RecordVersions = std::map<std::string, RecordVersion, std::less<>>;
+
 struct MemberRecord {
   // `member.incarnation` is the node's start time in Unix milliseconds;
   // `member.peer_address` is the address that accepts calls from other nodes.
@@ -35,6 +47,12 @@
   bool joins_owners = false;
   // Members that hear of the record confirm it. Not in the store.
   bool wants_confirmation = false;
+  // Members without a link to this node that are asked to count it as an owner,
+  // with the sequence of the first record that asked. Only in the store.
+  std::map<std::string, std::uint64_t, std::less<>> asked_since;
+  // The first records of members that asked this node, by which it counts them.
+  // Only in the store.
+  RecordVersions confirmed;
   // What the node has seen itself of requests that ended its instances. Only in
   // the store, for nodes that start while no peer runs.
   std::vector<CrashEvidence> crash_evidence;
--- a/src/core/quota_owners.h
+++ b/src/core/quota_owners.h
@@ -10,6 +10,12 @@
 // instance leaves owns nothing. A node that starts again knows neither the
 // owners nor whether it was one. It learns both from the store, or from an
 // owner.
+//
+// A node that is linked with no more than half of the members does not join
+// before the others count it: the members that are linked with each other must
+// not have to wait for it. It asks those without a link to it by its record in
+// the store, and they confirm in their own records that they count it. An owner
+// without a link to a node that joins is asked the same way.
 #ifndef CORE_QUOTA_OWNERS_H_
 #define CORE_QUOTA_OWNERS_H_
 
@@ -43,24 +49,37 @@
   // The instance beside this node leaves or has left: the node owns nothing,
   // and is a new one for the others if another instance comes.
   bool is_leaving = false;
-  // Changes with the members that know the record by which this node joins.
+  // A list of the store has shown a record of this process: nodes that start
+  // together see each other.
+  bool is_stored = true;
+  // Changes with the members that count this node as one that joins, and with
+  // those that asked this node to count them.
   std::uint64_t confirmations = 0;
 
   bool operator==(const QuotaStanding&) const = default;
 };
 
+// The other members that a node which joins the owners has to heed.
+struct QuotaOwnersView {
+  using Names = std::set<std::string, std::less<>>;
+
+  // Own parts, join the owners, or asked this node to count them.
+  Names owners;
+  // Can be reached over a link.
+  Names linked;
+  // Count this node as one that joins.
+  Names confirmed_by;
+  // Without a link, if these are half of the members or more; empty otherwise.
+  Names unlinked_majority = {};
+};
+
 class QuotaOwners {
  public:
-  using Names = std::set<std::string, std::less<>>;
+  using Names = QuotaOwnersView::Names;
 
   explicit QuotaOwners(std::string_view self) : self_(self) {}
 
-  // `owners`: the other members that own parts or join the owners. `linked`:
-  // the members that can be reached. `confirmed_by`: those that know the record
-  // by which this node joins.
-  void SetMembers(const Names& owners,
-                  const Names& linked,
-                  const Names& confirmed_by,
+  void SetMembers(QuotaOwnersView view,
                   const QuotaStanding& standing,
                   Time now);
   // To be called about every 100 ms.
@@ -69,6 +88,8 @@
   // Whether this node joins the owners, and whether it is one.
   bool joins() const { return joins_; }
   bool may_own() const { return may_own_; }
+  // The members that this node asks through the store to count it as an owner.
+  const Names& asked() const { return asked_; }
   // The number of owners of the group's quota, if this node may be one and is;
   // 0 otherwise.
   std::size_t OwnersWithSelf(std::uint64_t group) const;
@@ -76,23 +97,30 @@
   Time changed_at() const { return changed_at_; }
 
  private:
-  // Whether all other owners that are not taken for dead are in `names`.
-  bool HasAll(const Names& names, Time now) const;
+  // Whether the member could not be reached for so long that it is taken for
+  // dead.
+  bool IsDead(std::string_view member, Time now) const;
+  // Whether all `required` members that are not taken for dead are in `names`.
+  bool HasAll(const Names& required, const Names& names, Time now) const;
+  // The members without which this node does not join.
+  Names Required() const;
+  void UpdateUnlinked(Time now);
   void UpdateJoining(Time now);
+  void UpdateAsked(Time now);
   void UpdateDigests(Time now);
 
   std::string self_;
-  Names owners_;  // The others.
+  QuotaOwnersView view_;
   QuotaStanding standing_;
-  Names linked_;
-  Names confirmed_by_;
-  // When each owner was first seen.
-  std::map<std::string, Time, std::less<>> seen_since_;
+  // Since when each required member that has no link could not be reached.
+  std::map<std::string, Time, std::less<>> unlinked_since_;
+  Names asked_;
   // Members that are owners no more, and until when what they gave may be
   // counted.
   std::map<std::string, Time, std::less<>> left_until_;
   bool joins_ = false;
   Time joins_changed_at_;
+  std::optional<Time> stored_since_;
   // Since when all owners know that this node joins.
   std::optional<Time> confirmed_since_;
   bool may_own_ = false;
--- a/src/mesh/quota_service.cc
+++ b/src/mesh/quota_service.cc
@@ -151,9 +151,11 @@
     init_.on_unanswered(member);
   }
   if (joined_owners_ != quotas_.joins_owners() ||
-      owned_parts_ != quotas_.may_own_parts()) {
+      owned_parts_ != quotas_.may_own_parts() ||
+      asked_members_ != quotas_.asked_members()) {
     joined_owners_ = quotas_.joins_owners();
     owned_parts_ = quotas_.may_own_parts();
+    asked_members_ = quotas_.asked_members();
     init_.on_ownership();
     members_revision_ = 0;  // This node counts as an owner, or no more.
   }
@@ -181,6 +183,7 @@
   quotas_.SetStanding(standing);
   QuotaMembers members = QuotaMembersOf(*init_.member_registry, init_.node_name,
                                         incoming_members_);
+  members.owners.merge(init_.join_requests());
   members.confirmed_by = init_.confirmed_by();
   quotas_.SetMembers(std::move(members), now);
   SendPartMessages(now);
--- a/src/mesh/quota_service.h
+++ b/src/mesh/quota_service.h
@@ -37,7 +37,10 @@
     std::function<QuotaStanding()> standing;
     // The members that know the record of this node.
     std::function<std::set<std::string, std::less<>>()> confirmed_by;
-    // This node joins the owners, is one, or has left them.
+    // The members that asked this node through the store to count them.
+    std::function<std::set<std::string, std::less<>>()> join_requests;
+    // This node joins the owners, is one, or has left them, or asks other
+    // members to count it.
     std::function<void()> on_ownership = [] {};
   };
   // Receives the decision on a request that had to wait; never `kWait`.
@@ -83,6 +86,9 @@
   // one: see core/quota_owners.h.
   bool joins_owners() const { return quotas_.joins_owners(); }
   bool may_own_parts() const { return quotas_.may_own_parts(); }
+  const QuotaOwners::Names& asked_members() const {
+    return quotas_.asked_members();
+  }
 
  private:
   struct Waiter {
@@ -108,6 +114,7 @@
   QuotaStanding standing_;
   bool joined_owners_ = false;
   bool owned_parts_ = false;
+  QuotaOwners::Names asked_members_;
   std::set<std::string, std::less<>> incoming_members_;
   CounterHandle admitted_;
   CounterHandle admitted_spare_;
--- a/src/mesh/sidecar.cc
+++ b/src/mesh/sidecar.cc
@@ -69,6 +69,7 @@
       lifecycle_(&charts_.lifecycle),
       tracker_(settings_.upstream),
       member_registry_(settings_.name),
+      join_requests_(settings_.name),
       store_(io_, settings_.platform),
       configuration_source_({settings_.link_bytes_per_second, SteadyNow(),
                              NondeterministicSeed(), settings_.name,
@@ -272,6 +273,7 @@
   init.metrics = &metrics_;
   init.standing = [this] { return Standing(); };
   init.confirmed_by = [this] { return ConfirmedBy(); };
+  init.join_requests = [this] { return join_requests_.members(); };
   init.on_ownership = [this] { AnnounceRecord("parts of quotas"); };
   return init;
 }
--- a/src/mesh/sidecar.h
+++ b/src/mesh/sidecar.h
@@ -24,6 +24,7 @@
 #include "core/configuration_source.h"
 #include "core/crash_suspects.h"
 #include "core/instance_tracker.h"
+#include "core/join_requests.h"
 #include "core/leaving_confirmations.h"
 #include "core/member_registry.h"
 #include "core/node_charts.h"
@@ -100,6 +101,9 @@
   // Tells the peers and the store that the node's record has changed.
   void AnnounceRecord(std::string_view why);
   void UpdateStanding(const MemberRecord& self);
+  void UpdateAskedMembers();
+  // Notes which members `record` asks to count its node, and which it confirms.
+  void OnJoinRequest(const MemberRecord& record);
   QuotaStanding Standing() const;
   std::set<std::string, std::less<>> ConfirmedBy() const;
   // Finds out which members there are, if the store does not tell.
@@ -177,6 +181,7 @@
   std::map<std::uint64_t, ExchangePointer> leaving_calls_;
   std::uint64_t last_leaving_call_ = 0;
   MemberRegistry member_registry_;
+  JoinRequests join_requests_;
   CrashSuspects suspects_;
   platform::StoreClient store_;
   ConfigurationArchive configuration_archive_;
@@ -198,6 +203,8 @@
   // State of the instance that was last written to the store.
   std::string published_state_;
   bool has_listed_members_ = false;
+  // Whether a list of the store has shown a record of this process.
+  bool is_stored_ = false;
   // Whether a list of the store has shown the record by which this node joins
   // the owners of parts of quotas.
   bool is_listed_ = false;
@@ -212,10 +219,13 @@
   // The first record by which this node joins the owners; empty: it does not.
   std::optional<std::uint64_t> joins_since_;
   bool is_leaving_ = false;  // The instance, by the last record.
+  // The members that this node asks through the store to count it as an owner,
+  // with the sequence of the first record that asked.
+  std::map<std::string, std::uint64_t, std::less<>> asked_since_;
   // The last record that each member has confirmed.
   std::map<std::string, std::uint64_t, std::less<>> known_by_;
-  std::uint64_t join_confirmations_ =
-      0;  // Confirmations that it joins, so far.
+  std::uint64_t confirmations_ =
+      0;  // Confirmations that were given or received, so far.
   Time requested_members_at_;
   Random members_random_{NondeterministicSeed()};
   // Runs when the first record is written, which awaits the first list.
--- a/src/mesh/sidecar_control.cc
+++ b/src/mesh/sidecar_control.cc
@@ -129,7 +129,7 @@
   std::uint64_t& known = known_by_[std::string(member)];
   known = std::max(known, sequence);
   if (joins_since_ && sequence >= *joins_since_) {
-    ++join_confirmations_;
+    ++confirmations_;
   }
   if (leaving_calls_.empty() ||
       !leaving_confirmations_.AreEnough(member_registry_, settings_.name)) {
--- a/src/mesh/sidecar_members.cc
+++ b/src/mesh/sidecar_members.cc
@@ -28,6 +28,7 @@
 
 void Sidecar::AnnounceRecord(std::string_view why) {
   ++sequence_;
+  UpdateAskedMembers();
   const MemberRecord self = OwnRecord();
   UpdateStanding(self);
   leaving_confirmations_.OnRecord({self.instance, self.instance_started_ms},
@@ -38,7 +39,9 @@
       {{"why", why},
        {"sequence", sequence_},
        {"instance", ToString(tracker_.state())},
-       {"serving", self.member.serving}});
+       {"serving", self.member.serving},
+       {"joins_owners", self.joins_owners},
+       {"owns_quota_parts", self.owns_quota_parts}});
   PublishOwnRecord(nullptr);
 }
 
@@ -80,6 +83,8 @@
   record.joins_owners = !record.instance_leaving && quotas_.joins_owners();
   record.wants_confirmation = record.instance_leaving ||
                               (record.joins_owners && !record.owns_quota_parts);
+  record.asked_since = asked_since_;
+  record.confirmed = join_requests_.Confirmed();
   record.crash_evidence = suspects_.SeenBy(settings_.name);
   return record;
 }
@@ -90,6 +95,13 @@
       fmt::format("{} {} {} {} {} {}", self.instance, self.instance_leaving,
                   self.instance_gone, self.instance_left_by_response,
                   self.owns_quota_parts, self.joins_owners);
+  for (const auto& [name, sequence] : self.asked_since) {
+    record_state += fmt::format(" asks {} {}", name, sequence);
+  }
+  for (const auto& [name, version] : self.confirmed) {
+    record_state += fmt::format(" confirms {} {} {}", name, version.incarnation,
+                                version.sequence);
+  }
   for (const CrashEvidence& evidence : self.crash_evidence) {
     record_state += fmt::format(" {} {} {}", ToString(evidence.request),
                                 evidence.clearances, evidence.crashes.size());
@@ -122,6 +134,10 @@
     has_listed_members_ = true;
     PublishOwnRecord(std::exchange(on_first_publish_, nullptr));
   }
+  if (join_requests_.OnListed(SteadyNow())) {
+    ++confirmations_;
+  }
+  PublishOwnRecord(nullptr);
   std::vector<std::pair<std::string, std::uint64_t>> gone;
   for (const auto& [name, entry] : member_registry_.entries()) {
     if (!entry.linked && name != settings_.name && !names.contains(name)) {
@@ -240,9 +256,11 @@
     return;
   }
   MergeCrashEvidence(kStoreSource, record.crash_evidence);
+  OnJoinRequest(record);
   if (object.name == settings_.name && !record.instance_leaving &&
       !is_leaving_) {
     const bool is_earlier = record.member.incarnation < incarnation_;
+    is_stored_ = is_stored_ || !is_earlier;
     is_listed_ =
         is_listed_ || (!is_earlier && joins_since_ && record.joins_owners &&
                        record.sequence >= *joins_since_);
@@ -283,15 +301,58 @@
   }
 }
 
+void Sidecar::UpdateAskedMembers() {
+  const QuotaOwners::Names& asked = quotas_.asked_members();
+  std::erase_if(asked_since_, [&](const auto& known) {
+    return !asked.contains(known.first);
+  });
+  for (const std::string& member : asked) {
+    if (asked_since_.try_emplace(member, sequence_).second) {
+      Log(LogLevel::kInfo, "quota",
+          "Asks a member without a link to count this node as an owner.",
+          {{"member", member}, {"sequence", sequence_}});
+    }
+  }
+}
+
+void Sidecar::OnJoinRequest(const MemberRecord& record) {
+  const std::string& name = record.member.name;
+  if (name == settings_.name) {
+    return;
+  }
+  // This node would have to wait for a member that it counts, while the other
+  // members wait for this node.
+  const bool accepts = !quotas_.joins_owners() || quotas_.may_own_parts();
+  if (join_requests_.OnRecord(record, accepts, SteadyNow())) {
+    ++confirmations_;
+  }
+  const auto confirmed = record.confirmed.find(settings_.name);
+  if (confirmed == record.confirmed.end() ||
+      confirmed->second.incarnation != incarnation_) {
+    return;
+  }
+  std::uint64_t& known = known_by_[name];
+  if (known < confirmed->second.sequence) {
+    known = confirmed->second.sequence;
+    ++confirmations_;
+  }
+}
+
 QuotaStanding Sidecar::Standing() const {
-  return {has_listed_members_ || was_told_members_, is_listed_, was_owner_,
-          is_leaving_, join_confirmations_};
+  return {has_listed_members_ || was_told_members_,
+          is_listed_,
+          was_owner_,
+          is_leaving_,
+          is_stored_,
+          confirmations_};
 }
 
 std::set<std::string, std::less<>> Sidecar::ConfirmedBy() const {
   std::set<std::string, std::less<>> confirmed_by;
   for (const auto& [member, sequence] : known_by_) {
-    if (joins_since_ && sequence >= *joins_since_) {
+    const auto asked = asked_since_.find(member);
+    if ((joins_since_ && sequence >= *joins_since_) ||
+        (asked != asked_since_.end() && sequence >= asked->second)) {
       confirmed_by.insert(member);
     }
   }
@@ -300,7 +361,9 @@
 
 void Sidecar::RequestMembers(Time now) {
   if (has_listed_members_) {
-    if (joins_since_ && !is_listed_ && publisher_.is_written() &&
+    const bool awaits_list =
+        quotas_.active() && (!is_stored_ || (joins_since_ && !is_listed_));
+    if (awaits_list && publisher_.is_written() &&
         !std::exchange(requested_own_record_, true)) {
       member_follower_.ListNow(ObjectStore::Freshness::kCurrent);
     }
@@ -327,12 +390,15 @@
 LinkMembers Sidecar::Members(std::string_view asked_by) const {
   LinkMembers members;
   members.sender_owns_quota_parts = quotas_.may_own_parts();
+  const auto join_requests = join_requests_.members();
   for (const auto& [name, entry] : member_registry_.entries()) {
     if (name == asked_by) {
       members.receiver_owned_quota_parts = entry.owned_quota_parts;
     } else {
       members.records.push_back(entry.record);
       members.records.back().owns_quota_parts = entry.owned_quota_parts;
+      // The asking node may join before the receiver hears of it.
+      members.records.back().joins_owners |= join_requests.contains(name);
     }
   }
   return members;
--- a/tests/quota_fleet.h
+++ b/tests/quota_fleet.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "core/group_quotas.h"
+#include "core/join_requests.h"
 
 namespace verbenastile {
 
@@ -25,10 +26,18 @@
   QuotaFleet(std::size_t nodes,
              double rate,
              QuotaLimits limits = {},
-             std::uint64_t seed = 7)
+             std::uint64_t seed = 7,
+             std::size_t unlinked = 0)
       : limits_(limits), nodes_(nodes), side_(nodes, 0), random_(seed) {
     group_.name = "tenant";
     group_.requests = {rate, rate};
+    // These have no links to others for as long as the fleet runs.
+    for (std::size_t i = 0; i < unlinked; ++i) {
+      for (std::size_t j = 0; j < nodes; ++j) {
+        cut_links_.insert({i, j});
+        cut_links_.insert({j, i});
+      }
+    }
     for (std::size_t i = 0; i < nodes; ++i) {
       Start(i);
     }
@@ -238,13 +247,21 @@
     bool joins = false;  // The owners of parts.
     bool owned = false;  // Parts, then or in an earlier process.
     std::uint64_t version = 0;
+    // In the store only; see core/join_requests.h.
+    std::uint64_t incarnation = 0;
+    std::map<std::string, std::uint64_t, std::less<>> asked_since;
+    RecordVersions confirmed;
   };
   struct Node {
     Node(std::size_t at,
          std::string name,
          const QuotaLimits& limits,
          Time start)
-        : index(at), quotas(name, limits, start), started(start) {
+        : index(at),
+          quotas(name, limits, start),
+          started(start),
+          join_requests(name) {
+      standing.is_stored = false;
       known[name] = {};
     }
     std::size_t index;
@@ -256,6 +273,11 @@
     // Whether the store has its record since it joins the owners.
     bool has_written_joining = false;
     std::set<std::string, std::less<>> confirmed_by;
+    JoinRequests join_requests;
+    std::map<std::string, std::uint64_t, std::less<>> asked_since;
+    // The members that confirmed through the store, and which record.
+    std::map<std::string, std::uint64_t, std::less<>> counted_by;
+    std::set<std::string, std::less<>> linked_both_ways;
     QuotaMembers members;  // As far as they depend on the links.
     QuotaStanding standing;
     bool asked_for_members = false;
@@ -301,7 +323,9 @@
       node->quotas.Tick(now_);
       Announce(*node);
       const bool joins = node->record.joins && !node->standing.is_listed;
-      if (now_ >= node->list_at || joins || !node->standing.knows_owners) {
+      const bool is_new = !std::exchange(node->standing.is_stored, true);
+      if (now_ >= node->list_at || joins || is_new ||
+          !node->standing.knows_owners) {
         ListMembers(*node);
         SetMembers(*node);
       }
@@ -315,6 +339,7 @@
   // Tells linked nodes that the node joins the owners, or is one. Those that
   // hear it confirm it.
   void Announce(Node& node) {
+    UpdateAsked(node);
     const bool joins = node.quotas.joins_owners();
     const bool owns = node.quotas.may_own_parts();
     if (joins == node.record.joins && owns == node.record.owned) {
@@ -325,13 +350,64 @@
       node.has_written_joining = false;
       node.standing.is_listed = false;
     }
-    node.record = {joins, owns, ++last_version_};
+    node.record.joins = joins;
+    node.record.owned = owns;
+    node.record.version = ++last_version_;
     ForEach([&](Node& other) {
       if (&other != &node && AreLinked(node.index, other.index)) {
         Tell(node.index, other.index);
       }
     });
   }
+  void UpdateAsked(Node& node) {
+    const QuotaOwners::Names& asked = node.quotas.asked_members();
+    bool changed = std::erase_if(node.asked_since, [&](const auto& known) {
+                     return !asked.contains(known.first);
+                   }) > 0;
+    for (const std::string& member : asked) {
+      changed =
+          node.asked_since.try_emplace(member, last_version_ + 1).second ||
+          changed;
+    }
+    if (changed) {
+      node.record.version = ++last_version_;
+      WriteRecord(node);
+    }
+  }
+  // Writes what is asked and confirmed through the store, if it serves the
+  // node.
+  void WriteRecord(Node& node) {
+    if (now_ < turned_away_until_[node.index]) {
+      return;
+    }
+    const bool owned = store_[NameOf(node.index)].owned;
+    Record& stored = store_[NameOf(node.index)] = node.record;
+    stored.owned = owned || node.record.owned || node.standing.was_owner;
+    stored.version = ++last_version_;
+    stored.incarnation =
+        static_cast<std::uint64_t>(node.started.time_since_epoch().count());
+    stored.asked_since = node.asked_since;
+    stored.confirmed = node.join_requests.Confirmed();
+  }
+  // Reads what another member asks and confirms.
+  void ReadRequests(Node& node, const std::string& member, const Record& said) {
+    MemberRecord record;
+    record.member.name = member;
+    record.member.incarnation = said.incarnation;
+    record.sequence = said.version;
+    record.asked_since = said.asked_since;
+    const bool accepts =
+        !node.quotas.joins_owners() || node.quotas.may_own_parts();
+    node.join_requests.OnRecord(record, accepts, now_);
+    const auto confirmed = said.confirmed.find(NameOf(node.index));
+    if (confirmed != said.confirmed.end() &&
+        confirmed->second.incarnation ==
+            static_cast<std::uint64_t>(
+                node.started.time_since_epoch().count())) {
+      std::uint64_t& counted = node.counted_by[member];
+      counted = std::max(counted, confirmed->second.sequence);
+    }
+  }
   void Tell(std::size_t i, std::size_t j) {
     const std::size_t opener = HasLink(i, j) ? i : j;
     ++announcements_;
@@ -367,18 +443,25 @@
       }
       return;
     }
-    Record& stored = store_[NameOf(node.index)];
+    const Record& stored = store_[NameOf(node.index)];
     if (!node.standing.knows_owners && stored.owned) {
       node.standing.was_owner = true;
     }
     node.standing.is_listed =
         node.record.joins &&
         std::exchange(node.has_written_joining, node.record.joins);
-    stored = {node.record.joins, node.record.owned || node.standing.was_owner,
-              ++last_version_};
+    WriteRecord(node);
     for (const auto& [member, record] : store_) {
       Hear(node, member, record);
+      const bool may_concern_node =
+          !record.asked_since.empty() || !record.confirmed.empty() ||
+          node.join_requests.members().contains(member);
+      if (member != NameOf(node.index) && may_concern_node) {
+        ReadRequests(node, member, record);
+      }
     }
+    node.join_requests.OnListed(now_);
+    WriteRecord(node);
     std::erase_if(node.known, [&](const auto& known) {
       return !store_.contains(known.first) &&
              !AreLinked(node.index, IndexOf(known.first));
@@ -396,6 +479,14 @@
       known.version = said.version;
     }
   }
+  // What the node tells one that starts.
+  static std::map<std::string, Record> KnownAt(const Node& node) {
+    std::map<std::string, Record> known = node.known;
+    for (const std::string& member : node.join_requests.members()) {
+      known[member].joins = true;
+    }
+    return known;
+  }
   void AskForMembers(Node& node) {
     if (std::exchange(node.asked_for_members, true)) {
       return;
@@ -406,7 +497,7 @@
         return;
       }
       Carry(node.index, other.index, node.index,
-            [this, at = node.index, members = other.known] {
+            [this, at = node.index, members = KnownAt(other)] {
               Node& asked = *nodes_[at];
               for (const auto& [member, record] : members) {
                 Hear(asked, member, record);
@@ -439,6 +530,7 @@
     const std::size_t i = node.index;
     QuotaMembers& members = node.members;
     members = {};
+    node.linked_both_ways.clear();
     members.all_new = true;
     for (std::size_t j = 0; j < nodes_.size(); ++j) {
       if (!nodes_[j] || !HasLink(i, j)) {
@@ -446,6 +538,9 @@
       }
       members.candidates.push_back(NameOf(j));
       members.linked += HasLink(j, i) ? 1 : 0;
+      if (HasLink(j, i)) {
+        node.linked_both_ways.insert(NameOf(j));
+      }
       members.reachable.insert(NameOf(j));
       members.all_new = members.all_new && nodes_[j]->started >= node.started;
     }
@@ -457,9 +552,20 @@
       if (name != NameOf(node.index) && (record.joins || record.owned)) {
         members.owners.insert(name);
       }
+      if (2 * members.linked <= members.known &&
+          !node.linked_both_ways.contains(name)) {
+        members.unlinked_majority.insert(name);
+      }
     }
+    members.owners.merge(node.join_requests.members());
     members.all_new = members.all_new && 2 * members.linked > members.known;
     members.confirmed_by = node.confirmed_by;
+    for (const auto& [member, since] : node.asked_since) {
+      const auto counted = node.counted_by.find(member);
+      if (counted != node.counted_by.end() && counted->second >= since) {
+        members.confirmed_by.insert(member);
+      }
+    }
     node.quotas.SetStanding(node.standing);
     node.quotas.SetMembers(std::move(members), now_);
   }
--- a/tests/quota_links_test.cc
+++ b/tests/quota_links_test.cc
@@ -137,6 +137,34 @@
   }
 }
 
+// Guards against a fleet that owns nothing of its quotas, since it starts
+// beside nodes that the others cannot reach (issue 60).
+SCENARIO("a fleet that starts beside nodes without links has its quotas") {
+  constexpr std::size_t kNodes = 7;
+  constexpr double kRate = 60;
+  constexpr double kRounding = 1e-9;
+  const std::size_t unlinked = GENERATE(0U, 1U, 2U, 3U);
+  CAPTURE(unlinked);
+  QuotaFleet fleet(kNodes, kRate, {std::chrono::seconds(5), 0.1, 20}, unlinked,
+                   unlinked);
+  const double linked_part =
+      static_cast<double>(kNodes - unlinked) / static_cast<double>(kNodes);
+  THEN("those with links lend all but the parts of the others") {
+    fleet.Run(20 * kSecond);
+    double most_lent = 0;
+    double least_lent = 1;
+    fleet.Call(4 * kRate, 0, kNodes, 20 * kSecond);
+    for (int i = 0; i < 2'000; ++i) {
+      fleet.Run(kSecond / 100);
+      most_lent = std::max(most_lent, fleet.TotalReach());
+      least_lent = std::min(least_lent, fleet.TotalReach());
+    }
+    CHECK(most_lent <= 1 + kRounding);
+    CHECK(least_lent >= linked_part - 0.2);
+    CHECK(static_cast<double>(fleet.MostInWindow()) <= fleet.Allowed());
+  }
+}
+
 // Guards against parts of a quota that two coordinators lend at a time. More
 // seeds: VERBENASTILE_QUOTA_SEEDS=FIRST-LAST.
 SCENARIO("no graph of links lets a group exceed its limit") {
--- a/tests/quota_owners_test.cc
+++ b/tests/quota_owners_test.cc
@@ -24,7 +24,7 @@
 // do not know each other (rule QUOTA, review/9).
 SCENARIO("a node owns parts once all owners know that it joins them") {
   QuotaOwners owners("n1");
-  owners.SetMembers(kOthers, {"n2"}, {}, kUnlisted, kStart);
+  owners.SetMembers({kOthers, {"n2"}, {}}, kUnlisted, kStart);
   THEN("it does not join while one cannot be reached") {
     CHECK_FALSE(owners.joins());
     owners.Update(kStart + std::chrono::seconds(59));
@@ -33,20 +33,20 @@
     CHECK(owners.joins());
   }
   WHEN("all can be reached") {
-    owners.SetMembers(kOthers, kOthers, {}, kUnlisted, kStart);
+    owners.SetMembers({kOthers, kOthers, {}}, kUnlisted, kStart);
     CHECK(owners.joins());
     CHECK_FALSE(owners.may_own());
     THEN("it waits for the store and for all of them") {
-      owners.SetMembers(kOthers, kOthers, kOthers, kUnlisted, kStart);
+      owners.SetMembers({kOthers, kOthers, kOthers}, kUnlisted, kStart);
       owners.Update(kStart + 2 * kQuotaPartFreeAfter);
       CHECK_FALSE(owners.may_own());
-      owners.SetMembers(kOthers, kOthers, {"n2"}, kListed, kStart);
+      owners.SetMembers({kOthers, kOthers, {"n2"}}, kListed, kStart);
       owners.Update(kStart + 2 * kQuotaPartFreeAfter);
       CHECK_FALSE(owners.may_own());
       CHECK(owners.OwnersWithSelf(kGroup) == 0);
     }
     AND_WHEN("the store and all owners have its record") {
-      owners.SetMembers(kOthers, kOthers, kOthers, kListed, kStart);
+      owners.SetMembers({kOthers, kOthers, kOthers}, kListed, kStart);
       THEN("it waits until what they gave before is free") {
         owners.Update(kStart + kQuotaPartFreeAfter - kMillisecond);
         CHECK_FALSE(owners.may_own());
@@ -54,13 +54,13 @@
         CHECK(owners.may_own());
         CHECK(owners.OwnersWithSelf(kGroup) == 3);
         AND_WHEN("another one joins") {
-          owners.SetMembers({"n2", "n3", "n4"}, {}, {}, kListed, kStart);
+          owners.SetMembers({{"n2", "n3", "n4"}, {}, {}}, kListed, kStart);
           CHECK(owners.OwnersWithSelf(kGroup) == 4);
         }
       }
     }
     AND_WHEN("one of them does not answer") {
-      owners.SetMembers(kOthers, kOthers, {"n2"}, kListed, kStart);
+      owners.SetMembers({kOthers, kOthers, {"n2"}}, kListed, kStart);
       owners.Update(kStart + std::chrono::seconds(3));
       THEN("it withdraws, and tries again later") {
         CHECK_FALSE(owners.joins());
@@ -73,30 +73,131 @@
   }
 }
 
+// Guards against parts that are passed over as a dead member's, since it has
+// been known for long, although it could be reached until now.
+SCENARIO("a member is taken for dead once it could not be reached for long") {
+  QuotaOwners owners("n1");
+  owners.SetMembers({kOthers, kOthers, {}}, {}, kStart);
+  const Time later = kStart + std::chrono::seconds(90);
+  owners.SetMembers({kOthers, {"n2"}, {}}, kUnlisted, later);
+  CHECK_FALSE(owners.joins());
+  owners.Update(later + std::chrono::seconds(59));
+  CHECK_FALSE(owners.joins());
+  owners.Update(later + std::chrono::seconds(60));
+  CHECK(owners.joins());
+}
+
+SCENARIO("a node without links waits for others that start with it") {
+  constexpr Duration kWaits = std::chrono::milliseconds(2'500);
+  QuotaOwners owners("n1");
+  owners.SetMembers({{}, {"n1"}, {}}, kUnlisted, kStart);
+  owners.Update(kStart + kWaits - kMillisecond);
+  CHECK_FALSE(owners.joins());
+  WHEN("a list shows no other member") {
+    owners.Update(kStart + kWaits);
+    CHECK(owners.joins());
+  }
+  WHEN("one is linked") {
+    owners.SetMembers({{}, {"n2"}, {}}, kUnlisted, kStart + kMillisecond);
+    CHECK(owners.joins());
+  }
+}
+
+// Guards against a fleet that starts beside a member without links, and waits
+// for it to confirm that the others join the owners (rule QUOTA, issue 60).
+SCENARIO("a node that is linked with few members does not join at once") {
+  constexpr Duration kAsksAfter = std::chrono::seconds(3);
+  QuotaOwners owners("n1");
+  owners.SetMembers({{}, {}, {}, kOthers}, kUnlisted, kStart);
+  CHECK_FALSE(owners.joins());
+  CHECK(owners.asked().empty());
+  WHEN("it has links with the others") {
+    owners.SetMembers({{}, kOthers, {}, {}}, kUnlisted, kStart);
+    THEN("it joins") {
+      CHECK(owners.joins());
+    }
+  }
+  WHEN("it goes on without links") {
+    owners.Update(kStart + kAsksAfter - kMillisecond);
+    CHECK(owners.asked().empty());
+    owners.Update(kStart + kAsksAfter);
+    THEN("it asks them through the store to count it") {
+      CHECK(owners.asked() == kOthers);
+      CHECK_FALSE(owners.joins());
+      AND_WHEN("one of them does") {
+        owners.SetMembers({{}, {}, {"n2"}, kOthers}, kUnlisted,
+                          kStart + kAsksAfter);
+        CHECK_FALSE(owners.joins());
+      }
+      AND_WHEN("all of them do") {
+        owners.SetMembers({kOthers, {}, kOthers, kOthers}, kListed,
+                          kStart + kAsksAfter);
+        CHECK(owners.joins());
+        owners.Update(kStart + kAsksAfter);
+        owners.Update(kStart + kAsksAfter + kQuotaPartFreeAfter);
+        CHECK(owners.may_own());
+        CHECK(owners.asked().empty());
+        CHECK(owners.OwnersWithSelf(kGroup) == 3);
+      }
+    }
+  }
+}
+
+SCENARIO("a node joins once the store has shown its record") {
+  QuotaOwners owners("n1");
+  QuotaStanding standing = kUnlisted;
+  standing.is_stored = false;
+  owners.SetMembers({kOthers, kOthers, {}}, standing, kStart);
+  CHECK_FALSE(owners.joins());
+  owners.SetMembers({kOthers, kOthers, {}}, kUnlisted, kStart);
+  CHECK(owners.joins());
+}
+
+SCENARIO("a node that joins asks an owner without a link through the store") {
+  QuotaOwners owners("n1");
+  owners.SetMembers({kOthers, {"n2"}, {}}, kUnlisted, kStart);
+  owners.Update(kStart + std::chrono::seconds(3));
+  CHECK(owners.asked() == Names{"n3"});
+  CHECK_FALSE(owners.joins());
+  owners.SetMembers({kOthers, {"n2"}, {"n3"}}, kUnlisted,
+                    kStart + std::chrono::seconds(4));
+  CHECK(owners.joins());
+  THEN("those with a link confirm that it joins") {
+    owners.SetMembers({kOthers, {"n2"}, {"n3"}}, kListed,
+                      kStart + std::chrono::seconds(4));
+    owners.Update(kStart + std::chrono::seconds(6));
+    CHECK_FALSE(owners.may_own());
+    owners.SetMembers({kOthers, {"n2"}, kOthers}, kListed,
+                      kStart + std::chrono::seconds(6));
+    owners.Update(kStart + std::chrono::seconds(6) + kQuotaPartFreeAfter);
+    CHECK(owners.may_own());
+  }
+}
+
 SCENARIO("a node that starts again goes on with what it owned") {
   QuotaOwners owners("n1");
   WHEN("it does not know the owners") {
-    owners.SetMembers({"n2"}, {"n2"}, {"n2"}, {}, kStart);
+    owners.SetMembers({{"n2"}, {"n2"}, {"n2"}}, {}, kStart);
     CHECK_FALSE(owners.joins());
     owners.Update(kStart + 10 * kQuotaPartFreeAfter);
     CHECK_FALSE(owners.joins());
     CHECK_FALSE(owners.may_own());
     AND_WHEN("an owner tells them, and that it was one") {
-      owners.SetMembers(kOthers, {"n2"}, {}, kWasOwner, kStart);
+      owners.SetMembers({kOthers, {"n2"}, {}}, kWasOwner, kStart);
       CHECK(owners.may_own());
       CHECK(owners.OwnersWithSelf(kGroup) == 3);
     }
   }
   WHEN("its instance leaves") {
-    owners.SetMembers(kOthers, {}, {}, kWasOwner, kStart);
+    owners.SetMembers({kOthers, {}, {}}, kWasOwner, kStart);
     REQUIRE(owners.may_own());
-    owners.SetMembers(kOthers, {}, {}, {true, false, false, true}, kStart);
+    owners.SetMembers({kOthers, {}, {}}, {true, false, false, true}, kStart);
     CHECK_FALSE(owners.may_own());
     THEN("it is a new member when another instance comes") {
-      owners.SetMembers(kOthers, {"n2"}, {}, kUnlisted, kStart);
+      owners.SetMembers({kOthers, {"n2"}, {}}, kUnlisted, kStart);
       owners.Update(kStart + 10 * kQuotaPartFreeAfter);
       CHECK_FALSE(owners.may_own());
-      owners.SetMembers(kOthers, kOthers, {}, kUnlisted, kStart);
+      owners.SetMembers({kOthers, kOthers, {}}, kUnlisted, kStart);
       CHECK(owners.joins());
     }
   }
@@ -104,9 +205,9 @@
 
 SCENARIO("the part of a member that left is free after some time") {
   QuotaOwners owners("n1");
-  owners.SetMembers(kOthers, {}, {}, kWasOwner, kStart);
+  owners.SetMembers({kOthers, {}, {}}, kWasOwner, kStart);
   REQUIRE(owners.OwnersWithSelf(kGroup) == 3);
-  owners.SetMembers({"n2"}, {}, {}, kWasOwner, kStart);
+  owners.SetMembers({{"n2"}, {}, {}}, kWasOwner, kStart);
   CHECK(owners.OwnersWithSelf(kGroup) == 3);
   owners.Update(kStart + kQuotaPartFreeAfter);
   CHECK(owners.OwnersWithSelf(kGroup) == 2);
@@ -124,7 +225,7 @@
   std::sort(ranked.rbegin(), ranked.rend());
   for (std::size_t i = 0; i < ranked.size(); ++i) {
     QuotaOwners owners(ranked[i].second);
-    owners.SetMembers(members, {}, {}, kWasOwner, kStart);
+    owners.SetMembers({members, {}, {}}, kWasOwner, kStart);
     CHECK(owners.OwnersWithSelf(kGroup) == (i < 5 ? 5 : 0));
   }
 }
--- a/tests/quota_parts_test.cc
+++ b/tests/quota_parts_test.cc
@@ -39,7 +39,7 @@
   PartsFixture() { Link({first, second, owner}); }
 
   void Link(const std::vector<std::string>& candidates, bool all_new = false) {
-    giver.owners().SetMembers({first, second}, {}, {}, kOwnedBefore, now);
+    giver.owners().SetMembers({{first, second}, {}, {}}, kOwnedBefore, now);
     giver.SetMembers(Digests(candidates), all_new, now);
   }
   // A coordinator asks, and gets the answer at once.
