--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -3,6 +3,7 @@
 
 #include <string_view>
 
+#include "base/build_id.h"
 #include "cli/commands.h"
 #include "cli/exit_codes.h"
 
@@ -47,7 +48,7 @@
     return kExitOk;
   }
   if (name == "--version") {
-    fmt::print("verbenastile {}\n", VERBENASTILE_VERSION);
+    fmt::print("verbenastile {}\n", BuildId());
     return kExitOk;
   }
   for (const Command& command : kCommands) {
--- a/src/core/member_record.h
+++ b/src/core/member_record.h
@@ -3,11 +3,11 @@
 #ifndef CORE_MEMBER_RECORD_H_
 #define CORE_MEMBER_RECORD_H_
 
-#include <compare>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "core/crash_suspects.h"
@@ -20,7 +20,11 @@
   std::uint64_t incarnation = 0;
   std::uint64_t sequence = 0;
 
-  auto operator<=>(const RecordVersion&) const = default;
+  bool operator==(const RecordVersion&) const = default;
+  bool operator<(const RecordVersion& other) const {
+    return std::tie(incarnation, sequence) <
+           std::tie(other.incarnation, other.sequence);
+  }
 };
 using RecordVersions = std::map<std::string, RecordVersion, std::less<>>;
 
--- a/src/mesh/sidecar.cc
+++ b/src/mesh/sidecar.cc
@@ -5,6 +5,7 @@
 #include <csignal>
 #include <utility>
 
+#include "base/build_id.h"
 #include "base/log.h"
 #include "config/yaml_reader.h"
 #include "core/shutdown_schedule.h"
@@ -381,6 +382,7 @@
 int Sidecar::Run() {
   Log(LogLevel::kInfo, kLogComponent, "Started.",
       {{"name", settings_.name},
+       {"build", BuildId()},
        {"incarnation", incarnation_},
        {"failure_domain", settings_.failure_domain},
        {"service", settings_.service},
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -10,6 +10,7 @@
 #include <nlohmann/json.hpp>
 #include <string>
 
+#include "base/build_id.h"
 #include "base/log.h"
 #include "base/random.h"
 #include "core/invariant.h"
@@ -130,6 +131,8 @@
 }
 
 int Node::Run() {
+  Log(LogLevel::kInfo, kLogComponent, "Started.",
+      {{"name", settings_.name}, {"build", BuildId()}});
   if (settings_.end_on_violation) {
     SetViolationHandler(
         [](std::string_view, std::string_view) { std::abort(); });
