Instances: a report without a start time does not replace one that has it

Cause: the reports were compared by their sequence, or by who had replaced whom, although one of them states no run.

Change: while an instance that states its start time serves or leaves, a report without one is foreign; one with a start time is never older than one without.

--- a/src/core/instance_tracker.cc
+++ b/src/core/instance_tracker.cc
@@ -45,6 +45,9 @@
   if (have_start_times && report.started_ms != report_->started_ms) {
     return report.started_ms < report_->started_ms;
   }
+  if (report.started_ms != 0 && report_->started_ms == 0) {
+    return false;  // The sequence of the other one may be another writer's.
+  }
   if (report.id == report_->id) {
     return report.sequence <= report_->sequence;
   }
@@ -55,9 +58,17 @@
              replaced_ids_.end();
 }
 
+// An instance that states its start time does so in each report. Only where it
+// has ended may one that states none be in the slot now.
+bool InstanceTracker::IsOfOtherWriter(const InstanceReport& report) const {
+  return report_ && report_->started_ms != 0 && report.started_ms == 0 &&
+         (state_ == InstanceState::kServing ||
+          state_ == InstanceState::kLeaving);
+}
+
 ReportVerdict InstanceTracker::OnReport(const InstanceReport& report,
                                         Time now) {
-  if (report.address != slot_) {
+  if (report.address != slot_ || IsOfOtherWriter(report)) {
     return ReportVerdict::kForeign;
   }
   if (IsOlder(report) || HasLeft(report)) {
--- a/src/core/instance_tracker.h
+++ b/src/core/instance_tracker.h
@@ -113,6 +113,7 @@
 
  private:
   bool IsOlder(const InstanceReport& report) const;
+  bool IsOfOtherWriter(const InstanceReport& report) const;
   void SetState(InstanceState state, Time now);
 
   // Number of replaced and of departed instances that are kept.
--- a/tests/instance_tracker_test.cc
+++ b/tests/instance_tracker_test.cc
@@ -262,5 +262,56 @@
   }
 }
 
+// Guards against a report of another writer, without a start time, that hides
+// what the instance says (rules DRAIN and RECOVER, review/7 and review/4).
+SCENARIO("a report without a start time does not replace one that has it") {
+  constexpr std::uint64_t kStarted = 1'700'000'000'000;
+  InstanceTracker tracker(kSlot);
+  const auto report_of = [](const char* id, std::uint64_t sequence,
+                            std::uint64_t started_ms) {
+    InstanceReport report = ReportOf(id, sequence);
+    report.started_ms = started_ms;
+    return report;
+  };
+  GIVEN("an instance that states when it started") {
+    REQUIRE(tracker.OnReport(report_of("i-1", 4, kStarted), kNow) ==
+            ReportVerdict::kChanged);
+    WHEN("one comes that looks like its own, and is ahead of it") {
+      CHECK(tracker.OnReport(report_of("i-1", 900, 0), kNow) ==
+            ReportVerdict::kForeign);
+      THEN("it is heard when it leaves") {
+        InstanceReport leaving = report_of("i-1", 5, kStarted);
+        leaving.leaving = true;
+        CHECK(tracker.OnReport(leaving, kNow) == ReportVerdict::kChanged);
+        CHECK(tracker.is_leaving());
+        CHECK(tracker.OnReport(report_of("i-1", 901, 0), kNow) ==
+              ReportVerdict::kForeign);
+        CHECK(tracker.is_leaving());
+      }
+    }
+    WHEN("one comes of another instance") {
+      CHECK(tracker.OnReport(report_of("i-9", 1, 0), kNow) ==
+            ReportVerdict::kForeign);
+      CHECK(tracker.report()->id == "i-1");
+    }
+    WHEN("its address refuses connections") {
+      REQUIRE(tracker.OnConnectFailed(kNow));
+      THEN("one that states no start may have replaced it") {
+        CHECK(tracker.OnReport(report_of("i-9", 1, 0), kNow) ==
+              ReportVerdict::kChanged);
+      }
+    }
+  }
+  GIVEN("a report without a start time that comes first") {
+    REQUIRE(tracker.OnReport(report_of("i-1", 900, 0), kNow) ==
+            ReportVerdict::kChanged);
+    THEN("the instance that states its start takes its place") {
+      CHECK(tracker.OnReport(report_of("i-1", 4, kStarted), kNow) ==
+            ReportVerdict::kChanged);
+      CHECK(tracker.report()->sequence == 4);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace verbenastile
