--- a/cmake/build_id.cmake
+++ b/cmake/build_id.cmake
@@ -1,6 +1,6 @@
 # Writes OUTPUT, a source file that says which sources the build is of: the
 # commit, if SOURCE_DIR is the top of a git checkout, and a digest of the files.
-# Run with -P at each build; needs SOURCE_DIR, OUTPUT and VERSION.
+# Run with cmake -P at each build; needs SOURCE_DIR, OUTPUT and VERSION.
 cmake_minimum_required(VERSION 3.20)
 set(product src platform include charts)
 set(files "")
