Quotas: a confirmation through the store is of one process

Found by reading, not seen: a member that confirmed through the store that it counts a joining node, and started again before that node joined, was still taken for one that counts it. Its new process may be about to own parts and take up no requests, so that both own parts and one does not count the other.

Change: a confirmation holds for the incarnation of the member that gave it. The lists that both read after they wrote that they join show one of them the other. The fleet of the tests does the same; random graphs of links pass.

--- a/src/mesh/sidecar.h
+++ b/src/mesh/sidecar.h
@@ -222,6 +222,9 @@
   // The members that this node asks through the store to count it as an owner,
   // with the sequence of the first record that asked.
   std::map<std::string, std::uint64_t, std::less<>> asked_since_;
+  // The process of each member that confirmed through the store, and which
+  // record of this node.
+  RecordVersions counted_by_;
   // The last record that each member has confirmed.
   std::map<std::string, std::uint64_t, std::less<>> known_by_;
   std::uint64_t confirmations_ =
--- a/src/mesh/sidecar_members.cc
+++ b/src/mesh/sidecar_members.cc
@@ -149,6 +149,7 @@
         "Removed a member that is no longer in the store.", {{"name", name}});
     member_registry_.Forget(name, incarnation);
     known_by_.erase(name);
+    counted_by_.erase(name);
   }
   links_.UpdateLinks();
 }
@@ -331,9 +332,11 @@
       confirmed->second.incarnation != incarnation_) {
     return;
   }
-  std::uint64_t& known = known_by_[name];
-  if (known < confirmed->second.sequence) {
-    known = confirmed->second.sequence;
+  const RecordVersion counted{record.member.incarnation,
+                              confirmed->second.sequence};
+  RecordVersion& known = counted_by_[name];
+  if (known < counted) {
+    known = counted;
     ++confirmations_;
   }
 }
@@ -350,9 +353,17 @@
 std::set<std::string, std::less<>> Sidecar::ConfirmedBy() const {
   std::set<std::string, std::less<>> confirmed_by;
   for (const auto& [member, sequence] : known_by_) {
-    const auto asked = asked_since_.find(member);
-    if ((joins_since_ && sequence >= *joins_since_) ||
-        (asked != asked_since_.end() && sequence >= asked->second)) {
+    if (joins_since_ && sequence >= *joins_since_) {
+      confirmed_by.insert(member);
+    }
+  }
+  for (const auto& [member, since] : asked_since_) {
+    const auto counted = counted_by_.find(member);
+    const MemberRegistry::Entry* entry = member_registry_.Find(member);
+    // A process that started since then has to confirm as well.
+    if (counted != counted_by_.end() && counted->second.sequence >= since &&
+        entry != nullptr &&
+        entry->record.member.incarnation == counted->second.incarnation) {
       confirmed_by.insert(member);
     }
   }
--- a/tests/quota_fleet.h
+++ b/tests/quota_fleet.h
@@ -276,7 +276,7 @@
     JoinRequests join_requests;
     std::map<std::string, std::uint64_t, std::less<>> asked_since;
     // The members that confirmed through the store, and which record.
-    std::map<std::string, std::uint64_t, std::less<>> counted_by;
+    RecordVersions counted_by;
     std::set<std::string, std::less<>> linked_both_ways;
     QuotaMembers members;  // As far as they depend on the links.
     QuotaStanding standing;
@@ -404,8 +404,9 @@
         confirmed->second.incarnation ==
             static_cast<std::uint64_t>(
                 node.started.time_since_epoch().count())) {
-      std::uint64_t& counted = node.counted_by[member];
-      counted = std::max(counted, confirmed->second.sequence);
+      RecordVersion& counted = node.counted_by[member];
+      counted = std::max(
+          counted, RecordVersion{said.incarnation, confirmed->second.sequence});
     }
   }
   void Tell(std::size_t i, std::size_t j) {
@@ -477,6 +478,7 @@
     if (said.version >= known.version) {
       known.joins = said.joins;
       known.version = said.version;
+      known.incarnation = std::max(known.incarnation, said.incarnation);
     }
   }
   // What the node tells one that starts.
@@ -562,7 +564,10 @@
     members.confirmed_by = node.confirmed_by;
     for (const auto& [member, since] : node.asked_since) {
       const auto counted = node.counted_by.find(member);
-      if (counted != node.counted_by.end() && counted->second >= since) {
+      const auto known = node.known.find(member);
+      if (counted != node.counted_by.end() &&
+          counted->second.sequence >= since && known != node.known.end() &&
+          known->second.incarnation == counted->second.incarnation) {
         members.confirmed_by.insert(member);
       }
     }
