Quotas: an owner notices a member whose record says only that it joins

Cause: the quotas read the members anew only when the member directory changed. It doesn't show who joins the owners or owns parts. An owner that nothing else reminded went on to give its part by the owners that it knew before, here the whole quota, beside the parts of six others.

Change: the registry has a revision that changes with these as well.

Measured: quota_service_test, the grant names 1 owner in place of 2 without the change, 2 with it.

--- a/src/core/member_registry.cc
+++ b/src/core/member_registry.cc
@@ -1,6 +1,18 @@
 #include "core/member_registry.h"
 
+#include <tuple>
+
 namespace verbenastile {
+namespace {
+
+// What the record says of the member that the directory does not show.
+auto QuotaFieldsOf(const MemberRegistry::Entry& entry) {
+  return std::tuple(entry.owned_quota_parts, entry.record.joins_owners,
+                    entry.record.instance_leaving, entry.record.instance_gone,
+                    entry.record.member.state);
+}
+
+}  // namespace
 
 bool MemberRegistry::Merge(const MemberRecord& record, Time now) {
   const auto found = entries_.find(record.member.name);
@@ -8,11 +20,15 @@
     return false;
   }
   Entry& entry = entries_[record.member.name];
+  const auto said_before = QuotaFieldsOf(entry);
   entry.record = record;
   entry.owned_quota_parts =
       !record.instance_leaving && !record.instance_gone &&
       (entry.owned_quota_parts || record.owns_quota_parts);
   entry.received_at = now;
+  if (QuotaFieldsOf(entry) != said_before) {
+    ++changes_;
+  }
   UpdateDirectory(entry);
   return true;
 }
--- a/src/core/member_registry.h
+++ b/src/core/member_registry.h
@@ -4,6 +4,7 @@
 #ifndef CORE_MEMBER_REGISTRY_H_
 #define CORE_MEMBER_REGISTRY_H_
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <string>
@@ -45,6 +46,9 @@
   // The members as seen by the load balancer. Members that are not serving or
   // not reachable have a state that excludes them from new calls.
   const MemberDirectory& directory() const { return directory_; }
+  // Changes with the directory, and when a member leaves, joins the owners of
+  // parts of quotas or becomes one. 0: no member was ever known.
+  std::uint64_t revision() const { return directory_.revision() + changes_; }
 
  private:
   void UpdateDirectory(const Entry& entry);
@@ -52,6 +56,7 @@
   std::string self_;
   Entries entries_;
   MemberDirectory directory_;
+  std::uint64_t changes_ = 0;  // That the directory does not show.
 };
 
 }  // namespace verbenastile
--- a/src/mesh/quota_service.cc
+++ b/src/mesh/quota_service.cc
@@ -144,7 +144,7 @@
   }
   if (auto incoming = init_.incoming_members(); incoming != incoming_members_) {
     incoming_members_ = std::move(incoming);
-    members_revision_ = 0;  // Of no directory.
+    members_revision_ = 0;  // Of no registry.
   }
   UpdateMembers(now);
   for (const std::string& member : quotas_.Tick(now)) {
@@ -172,13 +172,13 @@
 }
 
 void QuotaService::UpdateMembers(Time now) {
-  const MemberDirectory& directory = init_.member_registry->directory();
+  const std::uint64_t revision = init_.member_registry->revision();
   const QuotaStanding standing = init_.standing();
-  if ((directory.revision() == members_revision_ && standing == standing_) ||
+  if ((revision == members_revision_ && standing == standing_) ||
       !quotas_.active()) {
     return;
   }
-  members_revision_ = directory.revision();
+  members_revision_ = revision;
   standing_ = standing;
   quotas_.SetStanding(standing);
   QuotaMembers members = QuotaMembersOf(*init_.member_registry, init_.node_name,
