--- a/review/rig_3.py
+++ b/review/rig_3.py
@@ -491,7 +491,7 @@
         """A range of ports that is free on all of the addresses of the case."""
         for base in range(21000, 31000, 40):
             try:
-                for host in [*range(1, 13), 250]:
+                for host in [*range(1, 16), *range(100, 115), 250]:
                     for port in range(base, base + 24):
                         with socket.socket() as probe:
                             probe.bind((f"127.0.{self.net}.{host}", port))
