Instances: a report of another writer does not end an instance's service

Cause: a report with the address of the slot replaced the instance, and what was replaced counted as older for good. Control calls were answered 200 for each verdict.

A report that names a service of nobody is ignored. One that names another service than the slot has, that is of a replaced run, or that is behind its own run has to be repeated while the instance in the slot is silent, so that an instance that goes on to report is back after three reports at most. The tracker says which service the slot has. Calls without effect get 503.

--- a/src/core/instance_tracker.cc
+++ b/src/core/instance_tracker.cc
@@ -3,6 +3,16 @@
 #include <algorithm>
 
 namespace verbenastile {
+namespace {
+
+// Reports that confirm a claim to the slot, and the shortest time between the
+// first and the last of them: reports that a partition delayed come together.
+constexpr std::size_t kClaimReports = 3;
+constexpr std::size_t kClaimReportsIfDisproved = 2;
+constexpr Duration kMinClaimTime = std::chrono::milliseconds(500);
+constexpr std::size_t kMaxClaims = 8;
+
+}  // namespace
 
 std::string_view ToString(ReportVerdict verdict) {
   switch (verdict) {
@@ -66,14 +76,101 @@
           state_ == InstanceState::kLeaving);
 }
 
+bool InstanceTracker::SetSettingsService(std::string_view service, Time now) {
+  if (service == settings_service_) {
+    return false;
+  }
+  settings_service_ = service;
+  if (service == service_) {
+    return false;  // The instance has named it before.
+  }
+  service_ = service;
+  claims_.clear();
+  if (serves() || state_ == InstanceState::kUnreachable) {
+    SetState(InstanceState::kUnknown, now);
+  }
+  return true;
+}
+
+bool InstanceTracker::MayBeInSlot(std::string_view service) const {
+  return service == service_ || service == settings_service_ ||
+         known_services_.contains(service);
+}
+
+bool InstanceTracker::IsDisproved(const InstanceRun& run) const {
+  return std::find(disproved_.begin(), disproved_.end(), run) !=
+         disproved_.end();
+}
+
+void InstanceTracker::Disprove(const InstanceRun& run) {
+  if (IsDisproved(run)) {
+    return;
+  }
+  disproved_.push_back(run);
+  if (disproved_.size() > kMaxFormerInstances) {
+    disproved_.pop_front();
+  }
+}
+
+// Whether the run of `report` has reported again and again while the instance
+// in the slot was silent.
+bool InstanceTracker::ConfirmsClaim(const InstanceReport& report, Time now) {
+  const InstanceRun run = RunOf(report);
+  if (IsCurrent(run) && is_leaving() && !report.leaving) {
+    return false;  // Sent before it left.
+  }
+  const auto claim =
+      std::find_if(claims_.begin(), claims_.end(),
+                   [&](const Claim& known) { return known.run == run; });
+  if (claim == claims_.end()) {
+    claims_.push_back({run, report.sequence, 1, now});
+    if (claims_.size() > kMaxClaims) {
+      claims_.pop_front();
+    }
+    return false;
+  }
+  if (report.sequence <= claim->sequence) {
+    return false;
+  }
+  claim->sequence = report.sequence;
+  ++claim->reports;
+  const std::size_t needed =
+      report_ && IsDisproved(RunOf(*report_)) && !IsDisproved(run)
+          ? kClaimReportsIfDisproved
+          : kClaimReports;
+  return claim->reports >= needed && now - claim->since >= kMinClaimTime;
+}
+
 ReportVerdict InstanceTracker::OnReport(const InstanceReport& report,
                                         Time now) {
-  if (report.address != slot_ || IsOfOtherWriter(report)) {
+  if (report.address != slot_ || !MayBeInSlot(report.service)) {
     return ReportVerdict::kForeign;
   }
-  if (IsOlder(report) || HasLeft(report)) {
+  if (HasLeft(report)) {
     return ReportVerdict::kStale;
   }
+  const InstanceRun run = RunOf(report);
+  const bool is_older = IsOlder(report);
+  // An instance that leaves may do so under the service that the slot had.
+  const bool has_other_service =
+      report.service != service_ && !(IsCurrent(run) && report.leaving);
+  const bool is_foreign =
+      IsOfOtherWriter(report) || has_other_service || IsDisproved(run);
+  if (!is_older && !is_foreign) {
+    return Accept(report, now);
+  }
+  if (!ConfirmsClaim(report, now)) {
+    return is_foreign ? ReportVerdict::kForeign : ReportVerdict::kStale;
+  }
+  if (report_ && !IsCurrent(run)) {
+    Disprove(RunOf(*report_));
+  }
+  std::erase(disproved_, run);
+  return Accept(report, now);
+}
+
+ReportVerdict InstanceTracker::Accept(const InstanceReport& report, Time now) {
+  claims_.clear();
   const bool same_run = report_ && report.id == report_->id &&
                         report.started_ms == report_->started_ms;
   // A first report that the instance leaves is a change also if a response said
@@ -92,6 +189,9 @@
     }
   }
   has_reported_leaving_ = report.leaving || (same_run && has_reported_leaving_);
+  if (!report.leaving) {
+    service_ = report.service;
+  }
   report_ = report;
   last_heard_ = now;
   const InstanceState next =
@@ -106,11 +206,14 @@
 ReportVerdict InstanceTracker::OnDeregistered(const InstanceRun& run,
                                               Time now) {
   if (report_ && (report_->id != run.id || IsLaterRun(RunOf(*report_), run))) {
+    // Its delayed reports do not bring it back.
+    AddDeparted({run, true, 0, false});
     return ReportVerdict::kForeign;
   }
   if (state_ == InstanceState::kGone) {
     return ReportVerdict::kUnchanged;
   }
+  claims_.clear();
   last_heard_ = now;
   const bool is_known = run.started_ms != 0 || !report_;
   AddDeparted({is_known ? run : RunOf(*report_), true, 0, false});
@@ -206,15 +309,18 @@
   if (restarted) {
     return false;
   }
-  if (!report.leaving && SaidLeavingInResponse(run)) {
-    return true;
-  }
-  return std::any_of(
-      departed_.begin(), departed_.end(),
-      [&](const DepartedInstance& departed) {
-        return departed.run.id == run.id && !IsLaterRun(run, departed.run) &&
-               (departed.gone || report.sequence <= departed.sequence);
-      });
+  return (!report.leaving && SaidLeavingInResponse(run)) ||
+         HasLeft(run, report.sequence);
+}
+
+bool InstanceTracker::HasLeft(const InstanceRun& run,
+                              std::uint64_t sequence) const {
+  return std::any_of(departed_.begin(), departed_.end(),
+                     [&](const DepartedInstance& departed) {
+                       return departed.run.id == run.id &&
+                              !IsLaterRun(run, departed.run) &&
+                              (departed.gone || sequence <= departed.sequence);
+                     });
 }
 
 bool InstanceTracker::OnConnectFailed(Time now) {
@@ -229,6 +335,7 @@
   if (!report_ || report_->id != id) {
     return false;
   }
+  Disprove(RunOf(*report_));
   return OnConnectFailed(now);
 }
 
--- a/src/core/instance_tracker.h
+++ b/src/core/instance_tracker.h
@@ -5,7 +5,9 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -44,14 +46,14 @@
   kUnchanged = 0,  // Accepted; only the time of the last report changes.
   kChanged,        // Accepted; the instance or its state has changed.
   kStale,          // Ignored: older than the current state.
-  kForeign,        // Ignored: not from the instance in this slot.
+  kForeign,        // Ignored: not known to be from the instance in this slot.
 };
 
 // The lower-case name of `verdict`.
 std::string_view ToString(ReportVerdict verdict);
 
 enum class InstanceState : std::uint8_t {
-  kUnknown = 0,  // No report has arrived yet.
+  kUnknown = 0,  // No instance of the slot's service has reported yet.
   kServing,
   kUnreachable,  // A connection failed since its last report.
   kLeaving,
@@ -61,10 +63,30 @@
 // The lower-case name of `state`.
 std::string_view ToString(InstanceState state);
 
+// Decides which instance is in the slot, and which service the slot has.
+//
+// A report that looks like that of a replacement is accepted at once. Others
+// need to be repeated while the instance in the slot is silent: one that names
+// another service than the slot has, one of an instance that was replaced, and
+// one that is behind what is known of its run. So a report of another writer
+// silences the instance for a few of its reports at most.
 class InstanceTracker {
  public:
-  // Only accepts reports that have `slot` as their address.
-  explicit InstanceTracker(SocketAddress slot) : slot_(std::move(slot)) {}
+  // Only accepts reports that have `slot` as their address. `service` is that
+  // of the settings.
+  InstanceTracker(SocketAddress slot, std::string service)
+      : slot_(std::move(slot)),
+        settings_service_(std::move(service)),
+        service_(settings_service_) {}
+
+  // The settings name `service` from now on. Returns whether that changes the
+  // service of the slot: an instance of another service has ended.
+  bool SetSettingsService(std::string_view service, Time now);
+  // The services of the configuration in force. A report that names neither one
+  // of them nor that of the settings is not from an instance.
+  void SetKnownServices(std::set<std::string, std::less<>> services) {
+    known_services_ = std::move(services);
+  }
 
   ReportVerdict OnReport(const InstanceReport& report, Time now);
   // The run of an instance has deregistered.
@@ -91,6 +113,14 @@
   // state changed.
   bool OnIdentityMismatch(std::string_view id, Time now);
 
+  // The service that the slot has, whether or not an instance serves it.
+  const std::string& service() const { return service_; }
+  // Whether `run` is that of the instance in the slot.
+  bool IsCurrent(const InstanceRun& run) const {
+    return report_ && RunOf(*report_) == run;
+  }
+  // Whether it is known that the run left before its report number `sequence`.
+  bool HasLeft(const InstanceRun& run, std::uint64_t sequence) const;
   // Whether the instance accepts new work.
   bool serves() const { return state_ == InstanceState::kServing; }
   InstanceState state() const { return state_; }
@@ -112,6 +142,20 @@
   Time last_heard() const { return last_heard_; }
 
  private:
+  // Reports of a run that is not accepted by one of them alone, since the last
+  // accepted report.
+  struct Claim {
+    InstanceRun run;
+    std::uint64_t sequence = 0;  // Of the latest one.
+    std::size_t reports = 0;
+    Time since;
+  };
+
+  bool MayBeInSlot(std::string_view service) const;
+  bool IsDisproved(const InstanceRun& run) const;
+  void Disprove(const InstanceRun& run);
+  bool ConfirmsClaim(const InstanceReport& report, Time now);
+  ReportVerdict Accept(const InstanceReport& report, Time now);
   bool IsOlder(const InstanceReport& report) const;
   bool IsOfOtherWriter(const InstanceReport& report) const;
   void SetState(InstanceState state, Time now);
@@ -129,6 +173,12 @@
   }
 
   SocketAddress slot_;
+  std::string settings_service_;
+  std::string service_;
+  std::set<std::string, std::less<>> known_services_;
+  std::deque<Claim> claims_;
+  // Runs that reported, and were found not to be in the slot.
+  std::deque<InstanceRun> disproved_;
   std::deque<std::string> replaced_ids_;
   std::deque<DepartedInstance> departed_;
   // Instances that said in a response that they leave.
--- a/src/mesh/sidecar.cc
+++ b/src/mesh/sidecar.cc
@@ -68,7 +68,7 @@
       incarnation_(UnixMilliseconds()),
       applier_(&charts_.config_apply, NondeterministicSeed()),
       lifecycle_(&charts_.lifecycle),
-      tracker_(settings_.upstream),
+      tracker_(settings_.upstream, settings_.service),
       member_registry_(settings_.name),
       join_requests_(settings_.name),
       store_(io_, settings_.platform),
@@ -533,7 +533,6 @@
         settings_text_ = text;
         BOOST_LEAF_AUTO(new_settings,
                         ParseSidecarSettings(text, settings_path_));
-        const bool service_changed = new_settings.service != settings_.service;
         settings_.service = new_settings.service;
         settings_.log_level = new_settings.log_level;
         settings_.bounds = new_settings.bounds;
@@ -550,7 +549,7 @@
         Log(LogLevel::kInfo, kLogComponent, "Reloaded the settings.",
             {{"why", why}, {"service", settings_.service}});
         ApplyRequestOverrides(requests_before);
-        if (service_changed) {
+        if (tracker_.SetSettingsService(settings_.service, SteadyNow())) {
           OnInstanceChanged("settings");
         }
         return {};
--- a/src/mesh/sidecar_configuration.cc
+++ b/src/mesh/sidecar_configuration.cc
@@ -1,6 +1,9 @@
 #include "mesh/sidecar.h"
 
 #include <algorithm>
+#include <functional>
+#include <set>
+#include <string>
 #include <utility>
 
 #include "base/log.h"
@@ -45,6 +48,11 @@
   metrics_.Observe(metrics_.Summary("configuration_known_microseconds"),
                    static_cast<double>(known.count()));
   configuration_source_.OnApplied(offered);
+  std::set<std::string, std::less<>> services;
+  for (const auto& service : applier_.table()->document().services) {
+    services.insert(service.name);
+  }
+  tracker_.SetKnownServices(std::move(services));
   caller_server_.SetLimits(configuration.limits);
   quotas_.SetGroups(applier_.table()->document().groups, offered);
   Log(LogLevel::kInfo, "config", "Applied a configuration.",
--- a/src/mesh/sidecar_control.cc
+++ b/src/mesh/sidecar_control.cc
@@ -65,11 +65,19 @@
   if (verdict == ReportVerdict::kChanged) {
     OnInstanceChanged("report");
   }
-  if (report.leaving && tracker_.is_leaving()) {
+  const InstanceRun run{report.id, report.started_ms};
+  if (report.leaving && tracker_.IsCurrent(run) && tracker_.is_leaving()) {
     AcknowledgeLeaving(exchange);
-  } else {
-    exchange->Send(kHttpOk, JsonHeaders(), "{}");
+    return;
   }
+  // What a later report of the run, or its departure, has replaced counts as
+  // acknowledged by that one. A call without effect is not acknowledged.
+  const bool has_effect = verdict == ReportVerdict::kChanged ||
+                          verdict == ReportVerdict::kUnchanged ||
+                          tracker_.HasLeft(run, report.sequence) ||
+                          (tracker_.IsCurrent(run) && !report.leaving &&
+                           verdict == ReportVerdict::kStale);
+  exchange->Send(has_effect ? kHttpOk : kHttpUnavailable, JsonHeaders(), "{}");
 }
 
 void Sidecar::OnDeregister(const ExchangePointer& exchange,
@@ -82,10 +90,11 @@
   if (verdict == ReportVerdict::kChanged) {
     OnInstanceChanged("deregistered");
   }
-  if (tracker_.is_leaving()) {
-    AcknowledgeLeaving(exchange);
-  } else {
+  if (verdict == ReportVerdict::kForeign) {
+    // It is not in the slot, and does not return to it.
     exchange->Send(kHttpOk, JsonHeaders(), "{}");
+  } else {
+    AcknowledgeLeaving(exchange);
   }
 }
 
--- a/src/mesh/sidecar_members.cc
+++ b/src/mesh/sidecar_members.cc
@@ -54,11 +54,10 @@
   member.state = leaving_ ? MemberState::kLeaving : MemberState::kAlive;
   member.failure_domain = settings_.failure_domain;
   member.region = settings_.region;
-  member.service = settings_.service;
+  member.service = tracker_.service();
   member.peer_address = settings_.listen.links_from_outside;
   member.serving = tracker_.serves();
   if (tracker_.report()) {
-    member.service = tracker_.report()->service;
     member.slots = tracker_.report()->slots;
     member.software = tracker_.report()->software;
     record.instance = tracker_.report()->id;
--- a/tests/inbound_proxy_fixture.h
+++ b/tests/inbound_proxy_fixture.h
@@ -32,7 +32,7 @@
 };
 
 struct InboundProxyFixture {
-  InboundProxyFixture() : tracker(listener.address()) {
+  InboundProxyFixture() : tracker(listener.address(), "booking") {
     loop.Call([this] {
       InboundProxy::Init init;
       init.io = &loop.io;
@@ -64,10 +64,11 @@
 
   void Report(std::uint64_t sequence,
               bool leaving,
-              std::string_view id = "i-1") {
+              std::string_view id = "i-1",
+              std::string_view service = "booking") {
     InstanceReport report;
     report.id = id;
-    report.service = "booking";
+    report.service = service;
     report.address = listener.address();
     report.slots = 1;
     report.sequence = sequence;
--- a/tests/instance_tracker_test.cc
+++ b/tests/instance_tracker_test.cc
@@ -25,7 +25,7 @@
 }
 
 SCENARIO("a node tracks the instance in its slot") {
-  InstanceTracker tracker(kSlot);
+  InstanceTracker tracker(kSlot, "booking");
   CHECK_FALSE(tracker.serves());
 
   GIVEN("a first report") {
@@ -266,7 +266,7 @@
 // what the instance says (rules DRAIN and RECOVER, review/7 and review/4).
 SCENARIO("a report without a start time does not replace one that has it") {
   constexpr std::uint64_t kStarted = 1'700'000'000'000;
-  InstanceTracker tracker(kSlot);
+  InstanceTracker tracker(kSlot, "booking");
   const auto report_of = [](const char* id, std::uint64_t sequence,
                             std::uint64_t started_ms) {
     InstanceReport report = ReportOf(id, sequence);
@@ -313,5 +313,161 @@
   }
 }
 
+// Guards against a report of another writer that ends the service of a sound
+// instance for good (rule Fault, review/13).
+SCENARIO("a report of another writer does not end an instance's service") {
+  constexpr Duration kInterval = std::chrono::milliseconds(870);
+  constexpr std::uint64_t kStarted = 1'700'000'000'000;
+  const bool states_start = GENERATE(true, false);
+  CAPTURE(states_start);
+  InstanceTracker tracker(kSlot, "booking");
+  tracker.SetKnownServices({"booking", "catalogue"});
+  Time now = kNow;
+  std::uint64_t sequence = 0;
+  const auto report_of = [&](const char* id, std::uint64_t number) {
+    InstanceReport report = ReportOf(id, number);
+    report.started_ms = states_start ? kStarted : 0;
+    return report;
+  };
+  // The instance reports until it serves. Returns how often.
+  const auto reports_until_it_serves = [&] {
+    int reports = 0;
+    do {
+      now += kInterval;
+      tracker.OnReport(report_of("i-1", ++sequence), now);
+      ++reports;
+    } while (reports < 20 &&
+             !(tracker.serves() && tracker.report()->id == "i-1" &&
+               tracker.report()->sequence == sequence));
+    return reports;
+  };
+  REQUIRE(reports_until_it_serves() == 1);
+  InstanceReport forged = ReportOf("i-forged", 1);
+  forged.started_ms = kStarted + 60'000;
+
+  GIVEN("reports with a service that nobody names") {
+    forged.service = "nightly-report";
+    const int count = GENERATE(1, 2, 12);
+    for (int i = 0; i < count; ++i) {
+      forged.sequence = i + 1;
+      now += kInterval;
+      CHECK(tracker.OnReport(forged, now) == ReportVerdict::kForeign);
+    }
+    CHECK(tracker.serves());
+    CHECK(tracker.report()->id == "i-1");
+    CHECK(tracker.service() == "booking");
+    CHECK(reports_until_it_serves() == 1);
+  }
+  GIVEN("one with a service that the slot does not have") {
+    forged.service = "catalogue";
+    forged.leaving = GENERATE(true, false);
+    CHECK(tracker.OnReport(forged, now) == ReportVerdict::kForeign);
+    CHECK(tracker.serves());
+    CHECK(reports_until_it_serves() == 1);
+  }
+  GIVEN("one that looks like that of a replacement") {
+    forged.leaving = GENERATE(true, false);
+    if (!states_start) {
+      forged.started_ms = GENERATE(0, 1) * kStarted;
+    }
+    REQUIRE(tracker.OnReport(forged, now) == ReportVerdict::kChanged);
+    THEN("the instance is back after three reports") {
+      CHECK(reports_until_it_serves() <= 3);
+      AND_WHEN("the other writer goes on between its reports") {
+        int served = 0;
+        for (int i = 0; i < 12; ++i) {
+          now += kInterval / 2;
+          ++forged.sequence;
+          tracker.OnReport(forged, now);
+          now += kInterval / 2;
+          tracker.OnReport(report_of("i-1", ++sequence), now);
+          served += tracker.report()->id == "i-1" ? 1 : 0;
+        }
+        CHECK(served == 12);
+      }
+    }
+    THEN("it is back after two if it answers that it is another one") {
+      tracker.OnIdentityMismatch("i-forged", now);
+      CHECK(reports_until_it_serves() <= 2);
+    }
+    THEN("delayed reports that come together do not bring it back") {
+      for (int i = 0; i < 9; ++i) {
+        now += std::chrono::milliseconds(20);
+        tracker.OnReport(report_of("i-1", ++sequence), now);
+      }
+      CHECK(tracker.report()->id == "i-forged");
+    }
+    THEN("delayed reports do not replace one that goes on") {
+      for (int i = 0; i < 9 && !forged.leaving; ++i) {
+        now += kInterval;
+        tracker.OnReport(report_of("i-1", ++sequence), now);
+        ++forged.sequence;
+        tracker.OnReport(forged, now);
+        CHECK(tracker.report()->id == "i-forged");
+        CHECK(tracker.serves());
+      }
+    }
+  }
+  GIVEN("one in its own name that is ahead of it") {
+    InstanceReport ahead = report_of("i-1", sequence + 1'000'000);
+    REQUIRE(tracker.OnReport(ahead, now) == ReportVerdict::kUnchanged);
+    CHECK(reports_until_it_serves() <= 3);
+    THEN("it is heard when it leaves") {
+      InstanceReport leaving = report_of("i-1", ++sequence);
+      leaving.leaving = true;
+      CHECK(tracker.OnReport(leaving, now) == ReportVerdict::kChanged);
+      CHECK(tracker.is_leaving());
+      AND_WHEN("reports from before it left come late") {
+        for (std::uint64_t i = 1; i < sequence; ++i) {
+          now += kInterval;
+          tracker.OnReport(report_of("i-1", i), now);
+          CHECK(tracker.is_leaving());
+        }
+      }
+    }
+  }
+  GIVEN("a deregistration of another instance") {
+    CHECK(tracker.OnDeregistered({"i-0"}, now) == ReportVerdict::kForeign);
+    CHECK(tracker.serves());
+    THEN("no report of it counts any more") {
+      CHECK(tracker.OnReport(ReportOf("i-0", 1), now) == ReportVerdict::kStale);
+    }
+  }
+}
+
+SCENARIO("an instance is served whose service comes and goes") {
+  InstanceTracker tracker(kSlot, "booking");
+  GIVEN("no configuration yet") {
+    CHECK(tracker.OnReport(ReportOf("i-1", 1), kNow) ==
+          ReportVerdict::kChanged);
+    CHECK(tracker.serves());
+  }
+  GIVEN("a configuration that does not name it") {
+    tracker.SetKnownServices({"catalogue"});
+    CHECK(tracker.OnReport(ReportOf("i-1", 1), kNow) ==
+          ReportVerdict::kChanged);
+    CHECK(tracker.serves());
+  }
+  GIVEN("settings that name another service than it does") {
+    tracker.SetKnownServices({"booking", "catalogue"});
+    InstanceReport report = ReportOf("i-1", 1);
+    report.service = "catalogue";
+    Time now = kNow;
+    int reports = 1;
+    while (tracker.OnReport(report, now) != ReportVerdict::kChanged &&
+           reports < 20) {
+      CHECK(tracker.service() == "booking");
+      now += std::chrono::milliseconds(1'500);
+      ++report.sequence;
+      ++reports;
+    }
+    THEN("its reports outweigh them when there is no other") {
+      CHECK(reports == 3);
+      CHECK(tracker.serves());
+      CHECK(tracker.service() == "catalogue");
+    }
+  }
+}
+
 }  // namespace
 }  // namespace verbenastile
--- a/tests/link_break_test.cc
+++ b/tests/link_break_test.cc
@@ -194,7 +194,7 @@
   Metrics metrics;
   NodeCharts charts;
   ConfigApplier applier;
-  InstanceTracker tracker{SocketAddress()};
+  InstanceTracker tracker{SocketAddress(), "wallet"};
   CrashSuspects suspects;
   MemberRegistry registry;
   PacedSender sender;
--- a/tests/mesh_support.h
+++ b/tests/mesh_support.h
@@ -49,7 +49,7 @@
            bool serves)
       : charts(MustSucceed([] { return LoadNodeCharts(); })),
         applier(&charts.config_apply, 7),
-        tracker(listener.address()),
+        tracker(listener.address(), "wallet"),
         registry(name),
         sender(io, {}) {
     InboundProxy::Init gate;
--- a/tests/outbound_keys_test.cc
+++ b/tests/outbound_keys_test.cc
@@ -56,7 +56,7 @@
   explicit NodeFixture(std::vector<Group> groups)
       : charts(MustSucceed([] { return LoadNodeCharts(); })),
         applier(&charts.config_apply, 7),
-        tracker(listener.address()),
+        tracker(listener.address(), "wallet"),
         registry("node") {
     Apply(std::move(groups));
     loop.Call([this] {
--- a/tests/sidecar_leaving_test.cc
+++ b/tests/sidecar_leaving_test.cc
@@ -1,95 +1,15 @@
 // Guards against a leaving that is acknowledged and forgotten with the process:
 // its instance is sent requests again by the next one (rule DRAIN, review/8).
 #include <atomic>
-#include <csignal>
 
-#include "core/node_charts.h"
-#include "mesh/sidecar.h"
 #include "mesh_support.h"
+#include "sidecar_support.h"
 
 namespace verbenastile {
 namespace {
 
 using std::chrono::milliseconds;
 
-SocketAddress FreeAddress() {
-  return RawListener().address();
-}
-
-// A sidecar process on a thread. The store takes its calls and answers none.
-struct RunningSidecar {
-  RunningSidecar()
-      : sidecar(
-            MustSucceed([&] { return LoadSidecarSettings(settings.path()); }),
-            MakeBounds(),
-            MustSucceed([] { return LoadNodeCharts(); }),
-            settings.path()),
-        thread([this] { sidecar.Run(); }) {}
-  ~RunningSidecar() {
-    std::raise(SIGTERM);
-    thread.join();
-  }
-
-  static platform::Bounds MakeBounds() {
-    platform::Bounds bounds;
-    bounds.termination_grace = milliseconds(600);
-    return bounds;
-  }
-
-  // Returns the head of the response.
-  std::string Control(std::string_view path, std::string_view body) {
-    std::optional<RawConnection> connection;
-    for (const Time end = SteadyNow() + std::chrono::seconds(20);
-         !connection;) {
-      try {
-        connection = RawConnection::ConnectTo(io, control);
-      } catch (const asio::system_error&) {
-        REQUIRE(SteadyNow() < end);  // It does not listen yet.
-        std::this_thread::sleep_for(milliseconds(5));
-      }
-    }
-    connection->Write(
-        fmt::format("POST /api/Instances.{} HTTP/1.1\r\nHost: a\r\n"
-                    "Content-Length: {}\r\nConnection: close\r\n\r\n{}",
-                    path, body.size(), body));
-    return connection->ReadAll();
-  }
-  std::string Heartbeat(std::string_view state, int sequence) {
-    return Control("Heartbeat/i-1",
-                   fmt::format(R"({{"address": "{}", "info": {{"service": "s",
-                     "version": "v1", "zone": "a", "slots": 4}}, "status":
-                     {{"state": "{}", "sequence": {}, "warmup_left_ms": 0}}}})",
-                               ToString(instance), state, sequence));
-  }
-  std::string Deregister() { return Control("Deregister/i-1", "{}"); }
-
-  RawListener store;
-  SocketAddress links = FreeAddress();
-  SocketAddress control = FreeAddress();
-  SocketAddress instance = FreeAddress();
-  ScratchFile settings{
-      fmt::format("node: {{name: self, failure_domain: a, region: r}}\n"
-                  "listen:\n"
-                  "  callers: {}\n  links: {}\n  control: {}\n  ready: {}\n"
-                  "  metrics: {}\n"
-                  "upstream: {{service: s, address: \"{}\"}}\n"
-                  "platform: {{address: \"{}\"}}\n",
-                  ToString(FreeAddress()),
-                  ToString(links),
-                  ToString(control),
-                  ToString(FreeAddress()),
-                  ToString(FreeAddress()),
-                  ToString(instance),
-                  ToString(store.address()))};
-  asio::io_context io;
-  Sidecar sidecar;
-  std::thread thread;
-};
-
-bool IsAcknowledged(const std::string& response) {
-  return response.starts_with("HTTP/1.1 200 ");
-}
-
 // A peer that the sidecar is linked to, on a thread. It confirms that the
 // instance leaves if it `confirms`, and reports each record that says so.
 struct PlayedPeer {
