Inbound proxy: what waits is checked again when the instance changes

Cause: the service was compared when a call arrived. The queue was not looked at when the instance changed, and a call was sent to the instance of the moment.

A queued call is refused as not run, at once, when the service of the slot is another one, or when the instance is gone, cannot be reached or has been leaving for too long; before, such calls waited for a free slot. The service is compared once more when the call is sent.

--- a/src/mesh/inbound_proxy.cc
+++ b/src/mesh/inbound_proxy.cc
@@ -100,12 +100,20 @@
   instance_check_timer_.cancel();
 }
 
-bool InboundProxy::CanStartCalls(Time now) const {
+// Why a queued call must not be sent to the instance any more; empty if it may.
+std::optional<RefusalReason> InboundProxy::StartRefusal(const Call& call,
+                                                        Time now) const {
   const InstanceTracker& tracker = *init_.tracker;
   const bool may_still_start =
       tracker.state() == InstanceState::kLeaving &&
       now - tracker.state_since() < init_.leaving_start_period();
-  return tracker.serves() || may_still_start;
+  if (call.request.service != tracker.service() ||
+      (tracker.report() && call.request.service != tracker.report()->service)) {
+    return RefusalReason::kOtherService;
+  }
+  return tracker.serves() || may_still_start
+             ? std::nullopt
+             : std::optional(UnavailableReason());
 }
 
 RefusalReason InboundProxy::UnavailableReason() const {
@@ -131,7 +139,7 @@
   }
   if (!init_.tracker->serves()) {
     Refuse(id, UnavailableReason(), Duration::zero());
-  } else if (entry.request.service != init_.tracker->report()->service) {
+  } else if (entry.request.service != init_.tracker->service()) {
     Refuse(id, RefusalReason::kOtherService, Duration::zero());
   } else if (!MayRun(entry, Judge(entry))) {
     Refuse(id, RefusalReason::kCrashSuspect, Duration::zero());
@@ -277,9 +285,9 @@
 void InboundProxy::SendToInstance(CallId id) {
   Call& call = calls_.at(id);
   const Time now = SteadyNow();
-  if (!CanStartCalls(now)) {
+  if (const auto refusal = StartRefusal(call, now)) {
     Execute(admission_.OnEnded(id, now));
-    Refuse(id, UnavailableReason(), Duration::zero());
+    Refuse(id, *refusal, Duration::zero());
     return;
   }
   // The evidence may have arrived while the call waited.
@@ -444,7 +452,29 @@
   }
 }
 
+// Refuses the queued calls that the instance must not run, so that their
+// callers can try others while there is time.
+void InboundProxy::RefuseQueued(Time now) {
+  if (admission_.queued() == 0) {
+    return;
+  }
+  std::vector<std::pair<CallId, RefusalReason>> refused;
+  for (const auto& [id, call] : calls_) {
+    if (call.started != Time()) {
+      continue;
+    }
+    if (const auto refusal = StartRefusal(call, now)) {
+      refused.emplace_back(id, *refusal);
+    }
+  }
+  for (const auto& [id, reason] : refused) {
+    admission_.OnCancelled(id, now);
+    Refuse(id, reason, Duration::zero());
+  }
+}
+
 void InboundProxy::OnInstanceChanged() {
+  RefuseQueued(SteadyNow());
   const auto& report = init_.tracker->report();
   if (report) {
     http_client_.CloseIdle(report->address);
@@ -507,6 +537,9 @@
       held_slots_.push_back(slot);
     }
   }
+  if (!init_.tracker->serves()) {
+    RefuseQueued(now);  // It may be leaving for too long by now.
+  }
   Execute(admission_.Tick(now));
 }
 
--- a/src/mesh/inbound_proxy.h
+++ b/src/mesh/inbound_proxy.h
@@ -153,7 +153,8 @@
   };
 
   CounterHandle CancelCounter(std::string_view state, CancelCause cause);
-  bool CanStartCalls(Time now) const;
+  std::optional<RefusalReason> StartRefusal(const Call& call, Time now) const;
+  void RefuseQueued(Time now);
   static const Digest& ContentDigest(Call& call);
   SuspectVerdict Judge(Call& call) const;
   bool MayRun(Call& call, SuspectVerdict verdict) const;
--- a/tests/inbound_proxy_test.cc
+++ b/tests/inbound_proxy_test.cc
@@ -462,5 +462,102 @@
   CHECK(refusal.load.notice == fixture.notice);
 }
 
+// Guards against calls that wait while another service takes over the address,
+// and run there (rule ROUTE, review/11).
+SCENARIO("a waiting call does not run at an instance of another service") {
+  const bool idempotent = GENERATE(true, false);
+  const int waiting = GENERATE(1, 2, 7);
+  CAPTURE(idempotent, waiting);
+  InboundProxyFixture fixture;
+  const auto running = fixture.Start(true);
+  RawConnection instance = fixture.listener.Accept();
+  instance.ReadRequest();
+  std::vector<InboundProxyFixture::Replies> queued;
+  for (int i = 0; i < waiting; ++i) {
+    queued.push_back(fixture.Start(idempotent));
+  }
+  const auto change_settings = [&] {
+    fixture.loop.Call([&] {
+      fixture.tracker.SetSettingsService("catalogue", SteadyNow());
+      fixture.proxy->OnInstanceChanged();
+      return 0;
+    });
+  };
+  const auto report = [&] {
+    fixture.loop.Call([&] {
+      fixture.Report(1, false, "i-2", "catalogue");
+      return 0;
+    });
+  };
+  const auto check_refused = [&](RefusalReason reason) {
+    for (const auto& replies : queued) {
+      const LinkBody reply = fixture.Reply(replies);
+      CHECK(std::get<GateRefusal>(reply).reason == reason);
+    }
+    CHECK(fixture.loop.Call([&] { return running->empty(); }));
+    // The slot is free again.
+    instance.Write(OkResponse("X-Signature: s\r\nX-Id: r1\r\n", "1"));
+    fixture.Reply(running);
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    CHECK_FALSE(fixture.listener.TryAccept());
+  };
+  WHEN("the settings change, and then the instance") {
+    change_settings();
+    report();
+    check_refused(RefusalReason::kOtherService);
+  }
+  WHEN("the settings change, and no instance has reported yet") {
+    change_settings();
+    check_refused(RefusalReason::kOtherService);
+  }
+  WHEN("an instance reports again and again, and the settings stay") {
+    fixture.loop.Call([&] {
+      fixture.tracker.SetKnownServices({"booking", "catalogue"});
+      return 0;
+    });
+    for (int i = 1; i <= 3; ++i) {
+      fixture.loop.Call([&] {
+        fixture.Report(i, false, "i-2", "catalogue");
+        return 0;
+      });
+      std::this_thread::sleep_for(std::chrono::milliseconds(260));
+    }
+    check_refused(RefusalReason::kOtherService);
+  }
+  WHEN("the instance deregisters") {
+    fixture.loop.Call([&] {
+      fixture.tracker.OnDeregistered({"i-1"}, SteadyNow());
+      fixture.proxy->OnInstanceChanged();
+      return 0;
+    });
+    check_refused(RefusalReason::kLeaving);
+  }
+  WHEN("the instance has been leaving for too long") {
+    fixture.loop.Call([&] {
+      fixture.Report(2, true);
+      return 0;
+    });
+    check_refused(RefusalReason::kLeaving);
+  }
+  WHEN("its address refuses connections") {
+    fixture.loop.Call([&] {
+      fixture.tracker.OnConnectFailed(SteadyNow());
+      fixture.proxy->OnInstanceChanged();
+      return 0;
+    });
+    check_refused(RefusalReason::kNoInstance);
+  }
+  WHEN("another instance of the same service takes over the address") {
+    fixture.loop.Call([&] {
+      fixture.Report(1, false, "i-2");
+      return 0;
+    });
+    THEN("the calls run there") {
+      instance.Write(OkResponse("X-Signature: s\r\nX-Id: r1\r\n", "1"));
+      CHECK(instance.ReadRequest().find("X-Expect: i-2") != std::string::npos);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace verbenastile
