Configuration: more nodes take the place of readers until one is served

Cause: when no reader confirmed anything, three nodes chosen by name tried to read the store, and the others after 3.75 s only. The store turned away these three as well, and nobody heard of it.

Each but the first three tries once for a second, and again after 3.75 s. A failed call of a reader, and a list without news, are announced at once.

--- a/src/core/configuration_belief.h
+++ b/src/core/configuration_belief.h
@@ -29,6 +29,20 @@
   // other nodes take the place of the readers. Exceeds the time between two
   // confirmations around a change.
   constexpr Duration MaxReaderAge() const { return apply_period * 2 / 3; }
+  // The same when all readers have said that the store does not answer them, or
+  // have ended.
+  constexpr Duration MaxLostReaderAge() const { return apply_period * 2 / 5; }
+  // After which more nodes take the place of the readers, if none of those that
+  // did has heard from the store.
+  constexpr Duration SubstituteInterval() const {
+    return apply_period * 3 / 50;
+  }
+  // How long such a node waits for the store, before it leaves it to others,
+  // and after which it tries again.
+  constexpr Duration SubstituteTrial() const { return apply_period * 2 / 5; }
+  constexpr Duration SubstituteRetry() const {
+    return (apply_period + max_stretch) / 2;
+  }
 };
 
 // How far this node's configuration can be relied on.
--- a/src/core/configuration_source.cc
+++ b/src/core/configuration_source.cc
@@ -19,13 +19,12 @@
 // The same for a node without any link: when all nodes start at once, it learns
 // of the others from its second or third list of the members.
 constexpr Duration kDiscoveryGrace = std::chrono::milliseconds(3'500);
-// Nodes that take the place of readers at once. The store is most likely
-// unreachable for all nodes when the readers cannot reach it, so that the
-// others try later.
+// Nodes that take the place of readers first, and go on to ask the store while
+// it answers nobody.
 constexpr std::size_t kFirstSubstitutes = 3;
-// Time between the attempts of two nodes to take the place of a reader. The
-// later one hears of it if the earlier one succeeds meanwhile.
-constexpr Duration kSubstituteInterval = std::chrono::milliseconds(50);
+// How many times as many nodes, those before included, try at each further
+// step.
+constexpr std::size_t kSubstituteGrowth = 4;
 // How long a node without any configuration, which cannot serve until it has
 // one, waits for the store before it asks a peer. Covers a response of the
 // store that is not slow.
@@ -55,6 +54,7 @@
   if (const auto reader = readers_.find(name); reader == readers_.end()) {
     if (reported.age) {
       readers_.emplace(std::string(name), now - *reported.age);
+      had_readers_ = true;
     }
   } else if (reported.age) {
     reader->second = now - *reported.age;
@@ -121,9 +121,15 @@
   const Duration max_age = limits_.MaxReaderAge();
   if (substitute_since_ == Time()) {
     const Duration unconfirmed = now - last_reader_confirmation_;
-    if (unconfirmed >= max_age && unconfirmed >= SubstituteDelay()) {
+    const bool lost_readers = had_readers_ && readers_.empty();
+    const Duration delay = lost_readers ? limits_.MaxLostReaderAge() : max_age;
+    if (unconfirmed >= delay && now >= substitute_again_at_ &&
+        unconfirmed - delay >= WaitForTurn()) {
       substitute_since_ = now;
     }
+  } else if (GivesUp(now)) {
+    substitute_since_ = Time();
+    substitute_again_at_ = now + limits_.SubstituteRetry();
   } else if (ReadersSince(now - max_age) >= kMinReaders &&
              now - substitute_since_ >= SubstituteTerm(now - max_age)) {
     substitute_since_ = Time();
@@ -131,6 +137,14 @@
   return substitute_since_ != Time();
 }
 
+bool ConfigurationSource::GivesUp(Time now) const {
+  const bool was_answered =
+      store_confirmed_ && *store_confirmed_ >= substitute_since_;
+  return !was_answered &&
+         now - substitute_since_ >= limits_.SubstituteTrial() &&
+         SubstituteTurn() >= kFirstSubstitutes;
+}
+
 // Nodes take their turns in the order of a hash of their names, in which those
 // that are not linked have none.
 std::size_t ConfigurationSource::SubstituteTurn() const {
@@ -141,21 +155,27 @@
       }));
 }
 
-Duration ConfigurationSource::SubstituteDelay() const {
+// The store may answer any of the nodes or none. So the number that tries grows
+// fast enough to reach all of them in time, and each tries once.
+Duration ConfigurationSource::WaitForTurn() const {
+  Duration wait{0};
   const std::size_t turn = SubstituteTurn();
-  const Duration waits = kSubstituteInterval * static_cast<std::int64_t>(turn);
-  return turn < kFirstSubstitutes
-             ? limits_.MaxReaderAge() + waits
-             : (limits_.apply_period + limits_.max_stretch) / 2 + waits;
+  for (std::size_t tried = kFirstSubstitutes; turn >= tried;
+       tried *= kSubstituteGrowth) {
+    wait += limits_.SubstituteInterval();
+  }
+  return wait;
 }
 
-// Differs between substitutes, so that each sees which of the others are left.
+// Of many substitutes all but the first few stop at once, and those one after
+// the other, so that each sees which of the others are left.
 Duration ConfigurationSource::SubstituteTerm(Time fresh_since) const {
   const auto readers_before = std::count_if(
       readers_.begin(), readers_.lower_bound(node_name_),
       [&](const auto& reader) { return reader.second >= fresh_since; });
+  constexpr auto kFirst = static_cast<std::int64_t>(kFirstSubstitutes);
   return limits_.apply_period *
-         (1 + std::min<std::int64_t>(readers_before, kFirstSubstitutes));
+         (1 + kFirst - std::min<std::int64_t>(readers_before, kFirst));
 }
 
 std::size_t ConfigurationSource::ReadersSince(Time confirmed) const {
--- a/src/core/configuration_source.h
+++ b/src/core/configuration_source.h
@@ -3,7 +3,8 @@
 // configuration takes longer than a change may take to reach all nodes.
 // Nodes on slow links therefore receive deltas from readers, which are nodes
 // whose links are fast enough to watch the store. When no reader confirms the
-// configuration any more, a few nodes on slow links take their place.
+// configuration any more, a few nodes on slow links take their place, and more
+// from step to step until one of them hears from the store.
 #ifndef CORE_CONFIGURATION_SOURCE_H_
 #define CORE_CONFIGURATION_SOURCE_H_
 
@@ -85,9 +86,11 @@
   bool IsSubstitute(Time now);
   // The number of nodes that take the place of a reader before this one does.
   std::size_t SubstituteTurn() const;
-  // How long no reader has to have confirmed anything for this node to take
-  // the place of one.
-  Duration SubstituteDelay() const;
+  // How long this node waits for those before it to take the place of readers.
+  Duration WaitForTurn() const;
+  // Whether this node, which takes the place of a reader, leaves it to others:
+  // the store does not answer it.
+  bool GivesUp(Time now) const;
   // How long this node takes the place of a reader at least. Readers that were
   // confirmed after `fresh_since` count.
   Duration SubstituteTerm(Time fresh_since) const;
@@ -115,6 +118,9 @@
   bool store_failed_ = false;
   // Since when this node takes the place of a reader; `Time()` if it does not.
   Time substitute_since_;
+  // When this node may take the place of a reader again.
+  Time substitute_again_at_;
+  bool had_readers_ = false;
   std::uint64_t held_generation_ = 0;
   std::optional<Time> last_confirmed_;
   // When the store last confirmed each generation newer than the one in force
--- a/src/mesh/sidecar.cc
+++ b/src/mesh/sidecar.cc
@@ -344,9 +344,14 @@
     return configuration_source_.ReaderCount() + 1;
   };
   init.on_listed = [this](const std::vector<StoreObject>& items) {
+    const Generation before = applier_.generation();
     for (const StoreObject& object : items) {
       OnConfigurationObject(object);
     }
+    if (applier_.generation() == before) {
+      // Nodes that would take this one's place hear that it is not needed.
+      links_.AnnounceConfiguration();
+    }
   };
   init.on_event = [this](const StoreEvent& event) {
     if (!event.deleted) {
@@ -354,6 +359,7 @@
     }
   };
   init.on_unchanged = [this] { links_.AnnounceConfiguration(); };
+  init.on_failed = [this] { links_.AnnounceConfiguration(); };
   return init;
 }
 
--- a/src/mesh/store_follower.cc
+++ b/src/mesh/store_follower.cc
@@ -209,7 +209,11 @@
          {"detail", error.detail},
          {"state", machine_.state()}});
   }
+  const bool is_first = failures_ == 0;
   HandleEvent(event);
+  if (is_first && failures_ > 0 && init_.on_failed) {
+    init_.on_failed();
+  }
 }
 
 }  // namespace verbenastile
--- a/src/mesh/store_follower.h
+++ b/src/mesh/store_follower.h
@@ -44,6 +44,8 @@
     std::function<void(const StoreEvent&)> on_event;
     // A watch ended without an event: the known objects are up to date.
     std::function<void()> on_unchanged;
+    // A request has failed, and the one before had not.
+    std::function<void()> on_failed;
   };
 
   explicit StoreFollower(Init init);
--- a/tests/configuration_fleet.h
+++ b/tests/configuration_fleet.h
@@ -5,6 +5,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <functional>
 #include <optional>
 #include <string>
@@ -27,6 +28,8 @@
     std::uint64_t generation = 1;
     bool running = true;
     bool reaches_store = true;
+    bool is_refused = false;  // By a store that does not serve it: not silent.
+    bool has_failed = false;
     bool watches = false;
     Time contact{};   // When the list or watch in progress ends.
     Time heard{};     // When the response of a peer arrives; `Time()`: none.
@@ -60,6 +63,11 @@
   void Freeze(std::size_t index) { nodes[index].running = false; }
   // The store does not answer this node.
   void TurnAway(std::size_t index) { nodes[index].reaches_store = false; }
+  // The store refuses all calls of this node.
+  void Refuse(std::size_t index) {
+    TurnAway(index);
+    nodes[index].is_refused = true;
+  }
 
   void Run(Duration time) {
     RunUntil([] { return false; }, time);
@@ -83,12 +91,21 @@
     ++stored;
     return RunUntil(
         [this] {
-          for (const Node& node : nodes) {
-            if (node.running && node.generation < stored) {
-              return false;
-            }
-          }
-          return true;
+          return std::all_of(nodes.begin(), nodes.end(), [&](const Node& node) {
+            return !node.running || node.generation >= stored;
+          });
+        },
+        limit);
+  }
+  // The same for the nodes that the store serves.
+  Duration ChangeForServed(Duration limit) {
+    ++stored;
+    return RunUntil(
+        [this] {
+          return std::all_of(nodes.begin(), nodes.end(), [&](const Node& node) {
+            return !node.running || !node.reaches_store ||
+                   node.generation >= stored;
+          });
         },
         limit);
   }
@@ -102,6 +119,7 @@
 
   std::vector<Node> nodes;
   std::uint64_t stored = 1;
+  std::uint64_t calls = 0;  // Of nodes to the store.
   Time now = Time(std::chrono::seconds(100));
 
  private:
@@ -109,13 +127,23 @@
   // A list of the store, with the whole text on a slow link.
   static constexpr Duration kListTime = std::chrono::milliseconds(150);
   static constexpr Duration kWatchTime = std::chrono::milliseconds(500);
+  // After which a call that the store does not answer is repeated.
+  static constexpr Duration kSilenceTime = std::chrono::milliseconds(1'000);
   static constexpr Duration kPeerTime = std::chrono::milliseconds(50);
 
   void Step(std::size_t index) {
     Node& node = nodes[index];
     if (node.watches && now >= node.contact) {
-      node.contact = now + kWatchTime;
+      const bool is_silent = !node.reaches_store && !node.is_refused;
+      node.contact = now + (is_silent ? kSilenceTime : kWatchTime);
+      const bool fails = node.is_refused && !node.reaches_store;
+      if (fails != std::exchange(node.has_failed, fails) && fails) {
+        node.source.SetStoreFailed(true);
+        Announce(node, std::nullopt);
+      }
+      calls += 1;
       if (node.reaches_store) {
+        node.source.SetStoreFailed(false);
         node.generation = stored;
         node.source.OnApplied(stored);
         node.source.OnStoreConfirmed(now);
--- a/tests/configuration_source_test.cc
+++ b/tests/configuration_source_test.cc
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include "base/random.h"
 #include "configuration_fleet.h"
 
 namespace verbenastile {
@@ -196,6 +197,69 @@
   }
 }
 
+// Guards against a change that is late on nodes that the store serves, because
+// the readers and those that are the first to take their place are turned away
+// (rule CONFIG, review/15). Which nodes are, when and how, is random.
+SCENARIO("a change is in force in time whichever nodes are turned away") {
+  const auto [size, rounds] = GENERATE(
+      table<std::size_t, int>({{5, 300}, {15, 300}, {87, 120}, {295, 25}}));
+  const int apply_ms = GENERATE(2'000, 2'500);
+  const ConfigurationLimits limits = {apply_ms * kMs, 5'000 * kMs};
+  const std::size_t readers = std::max<std::size_t>(2, size / 10);
+  ConfigurationFleet calm(readers, size - readers, limits);
+  Random random(1'000 * size + static_cast<std::uint64_t>(apply_ms));
+  for (int round = 0; round < rounds; ++round) {
+    ConfigurationFleet fleet = calm;
+    const std::uint64_t percent = 20 + random.Below(61);
+    const bool lose_readers = random.Below(2) == 0;
+    // 0 to 2 s before the change, or up to 0.3 s after it.
+    const Duration before = random.UpTo(2'300 * kMs) - 300 * kMs;
+    CAPTURE(size, apply_ms, round, percent, before.count());
+    const auto turn_away = [&] {
+      for (std::size_t i = 0; i < size; ++i) {
+        if ((lose_readers && i < readers) || random.Below(100) < percent) {
+          random.Below(2) == 0 ? fleet.TurnAway(i) : fleet.Refuse(i);
+        }
+      }
+    };
+    if (before > Duration::zero()) {
+      turn_away();
+      fleet.Run(before);
+      CHECK(fleet.ChangeForServed(limits.apply_period * 2) <=
+            limits.apply_period);
+    } else {
+      ++fleet.stored;
+      fleet.Run(-before);
+      turn_away();
+      --fleet.stored;
+      CHECK(fleet.ChangeForServed(limits.apply_period * 2) - before <=
+            limits.apply_period);
+    }
+  }
+}
+
+SCENARIO("a store that answers nobody is asked by few nodes") {
+  ConfigurationFleet fleet(20, 275, kLimits);
+  for (std::size_t i = 0; i < fleet.nodes.size(); ++i) {
+    fleet.TurnAway(i);
+  }
+  fleet.Run(2'500 * kMs);
+  for (int i = 0; i < 10; ++i) {
+    fleet.Run(1'000 * kMs);
+    fleet.calls = 0;
+    fleet.Run(1'000 * kMs);
+    // The readers go on, with two calls a second each.
+    CHECK(fleet.calls <= 20 * 2 + 275);
+  }
+  THEN("they are back in time when it answers some of them again") {
+    for (std::size_t i = 100; i < 150; ++i) {
+      fleet.nodes[i].reaches_store = true;
+    }
+    CHECK(fleet.ChangeForServed(20'000 * kMs) <=
+          kLimits.SubstituteRetry() + kLimits.apply_period);
+  }
+}
+
 SCENARIO("a node that restarts while the store rejects it asks a peer") {
   ConfigurationSource source = MakeSource(125'000'000);
   source.OnPeerConfiguration("r1", {18, 0 * kMs}, kStart);
