Quotas: a new fleet has no spare tokens in its first window

Cause: a new coordinator gave spare tokens with loans that covered all that was asked, as they do while instances are unknown and tokens come back. Nodes used them with the first short loan. A window that spans the restart holds what the processes before admitted, and has no room for them.

In a new fleet there are no spare tokens for 2.5 s, and few for the rest of a window. The start credit takes all of the margin that is left, 0.4 in place of 0.3.

The fakes now take members that started up to a second earlier for new ones, as the sidecar does.

--- a/src/core/quota_coordinator.cc
+++ b/src/core/quota_coordinator.cc
@@ -22,7 +22,7 @@
 // When no member holds tokens of an earlier coordinator, a new one starts with
 // this part of the margin instead: a window that spans the restart of all
 // admits that much beyond what the processes before could.
-constexpr double kNewFleetMargin = 0.3;
+constexpr double kNewFleetMargin = 0.4;
 constexpr Duration kProvisionalPeriod = std::chrono::milliseconds(1'500);
 // After a restart of all, callers that found no node come at once.
 constexpr Duration kNewFleetProvisionalPeriod =
@@ -284,13 +284,17 @@
   return FromSeconds(std::clamp(wait, kMinWaitSeconds, kMaxWaitSeconds));
 }
 
+// `age`: of the coordinator.
 std::uint32_t QuotaCoordinator::SpareFor(const Bucket& bucket,
-                                         const Borrower& borrower) {
+                                         const Borrower& borrower,
+                                         Duration age) const {
   const double share = std::min(borrower.demand, bucket.fair_rate);
   double total = kSpareSeconds * bucket.rate;
-  if (bucket.demand > bucket.rate) {
-    // The group uses all that it may: a window has no room for more than what
-    // is saved up and what the next coordinator does not lend at first.
+  if (bucket.demand > bucket.rate ||
+      (bucket.fleet_is_new && age < limits_.window)) {
+    // The group uses all that it may, or may have used it before the restart: a
+    // window has no room for more than what is saved up and what the next
+    // coordinator does not lend at first.
     total = std::min(
         total, std::max(0.0, bucket.level) + kStartDelaySeconds * bucket.rate);
   }
@@ -340,18 +344,23 @@
   }
   const bool has_none = loan.tokens == 0 && need.held == 0 && wanted > 0;
   const bool shared = IsScarce(bucket) && loan.tokens < std::floor(wanted);
+  const Duration age = now - place.since;
+  const Duration provisional_period =
+      bucket.fleet_is_new ? kNewFleetProvisionalPeriod : kProvisionalPeriod;
+  const bool is_provisional = age < provisional_period || place.parts.empty();
   if (loan.tokens < need.waiting || has_none || shared) {
     loan.next_token_in = NextTokenIn(bucket);
     // What is asked of a new coordinator includes what was refused before.
-    loan.overloaded = bucket.demand > kOverload * bucket.rate &&
-                      now - place.since >= limits_.window;
-    const Duration period =
-        bucket.fleet_is_new ? kNewFleetProvisionalPeriod : kProvisionalPeriod;
-    loan.provisional = now - place.since < period || place.parts.empty();
+    loan.overloaded =
+        bucket.demand > kOverload * bucket.rate && age >= limits_.window;
+    loan.provisional = is_provisional;
   }
-  // While this coordinator is new, borrowers have those of the one before.
+  // While this coordinator is new, borrowers have those of the one before. In a
+  // new fleet they have none, and a window has no room for any.
+  const bool lends_spare =
+      !(bucket.fleet_is_new ? is_provisional : loan.provisional);
   borrower.spare = loan.spare =
-      loan.provisional ? 0 : SpareFor(bucket, borrower);
+      lends_spare ? SpareFor(bucket, borrower, age) : 0;
   bucket.spare += borrower.spare;
   return loan;
 }
--- a/src/core/quota_coordinator.h
+++ b/src/core/quota_coordinator.h
@@ -134,7 +134,9 @@
                                  double wanted,
                                  Time now);
   static Duration NextTokenIn(const Bucket& bucket);
-  static std::uint32_t SpareFor(const Bucket& bucket, const Borrower& borrower);
+  std::uint32_t SpareFor(const Bucket& bucket,
+                         const Borrower& borrower,
+                         Duration age) const;
 
   QuotaLimits limits_;
   std::map<std::string, Bucket, std::less<>> buckets_;
--- a/tests/quota_fleet.h
+++ b/tests/quota_fleet.h
@@ -161,11 +161,18 @@
   void SetMaxLinkDelay(Duration delay) { max_link_delay_ = delay; }
   // The instances refuse all requests for `period`.
   void RefuseAtInstances(Duration period) { refusing_until_ = now_ + period; }
+  // The same for the requests that come to one node.
+  void RefuseAtInstanceOf(std::size_t i, Duration period) {
+    node_refusing_until_[i] = now_ + period;
+  }
   void SetQuota(double rate) { SetQuotaBut(nodes_.size(), rate); }
   // A new configuration limits the group to `rate`; 0: it has no such group. Of
   // the nodes, `behind` keeps the configuration that it has.
   void SetQuotaBut(std::size_t behind, double rate) {
-    group_.requests = {rate, rate};
+    SetLimitBut(behind, {rate, rate});
+  }
+  void SetLimitBut(std::size_t behind, const RequestQuota& limit) {
+    group_.requests = limit;
     ++generation_;
     for (std::size_t i = 0; i < nodes_.size(); ++i) {
       if (nodes_[i] && i != behind) {
@@ -238,6 +245,8 @@
   static constexpr Duration kTick = std::chrono::milliseconds(100);
   // A link that does not answer is noticed within this time.
   static constexpr Duration kNotice = std::chrono::milliseconds(2'700);
+  // Nodes that start within this time of each other start at once.
+  static constexpr Duration kSameStart = std::chrono::seconds(1);
   static constexpr Duration kMaxListInterval = std::chrono::seconds(8);
   static constexpr Duration kMembersRequestInterval =
       std::chrono::milliseconds(500);
@@ -544,7 +553,8 @@
         node.linked_both_ways.insert(NameOf(j));
       }
       members.reachable.insert(NameOf(j));
-      members.all_new = members.all_new && nodes_[j]->started >= node.started;
+      members.all_new = members.all_new &&
+                        nodes_[j]->started + kSameStart >= node.started;
     }
   }
   void SetMembers(Node& node) {
@@ -587,7 +597,11 @@
     Work(i);
   }
   void Count(std::size_t i, const QuotaVerdict& verdict) {
-    if (verdict.decision == QuotaDecision::kAdmit && now_ < refusing_until_) {
+    const auto refuses = node_refusing_until_.find(i);
+    const bool is_refused =
+        now_ < refusing_until_ ||
+        (refuses != node_refusing_until_.end() && now_ < refuses->second);
+    if (verdict.decision == QuotaDecision::kAdmit && is_refused) {
       At(now_ + kRefusalTime, [this, weak = std::weak_ptr<Node>(nodes_[i])] {
         if (const auto node = weak.lock()) {
           node->quotas.GiveBack(group_.name, kRefusalTime);
@@ -701,6 +715,7 @@
   std::multiset<std::pair<std::size_t, std::size_t>> cut_links_;
   Time now_ = Time(100 * kQuotaSecond);
   Time refusing_until_;
+  std::map<std::size_t, Time> node_refusing_until_;
   Duration max_link_delay_ = kLinkDelay;
   // By the opener, sender and receiver.
   std::map<std::tuple<std::size_t, std::size_t, std::size_t>, Time>
