Sidecar: settings that change after the start are compared with those in use

Cause: the first look at the file, 2 s after the start, was taken for what the process had started with. The header of requests went by the settings, the gate and the record by the report of the instance.

The tracker says which service the slot has, for all three. The file is compared with the text that was parsed, by its time of change each 100 ms, and read at once when a report names another service. A request keeps the service that the slot had when it came. A SIGHUP before the handlers are installed is ignored.

--- a/src/cli/sidecar_command.cc
+++ b/src/cli/sidecar_command.cc
@@ -1,6 +1,8 @@
 // The command `verbenastile sidecar`.
 #include <fmt/format.h>
 
+#include <csignal>
+
 #include "base/log.h"
 #include "cli/command_line.h"
 #include "mesh/sidecar.h"
@@ -26,6 +28,9 @@
 }  // namespace
 
 int RunSidecarCommand(CommandArgs args) {
+  // Until the sidecar handles signals. It notices a change of its settings also
+  // without one.
+  std::signal(SIGHUP, SIG_IGN);
   int exit_code = kExitOk;
   const auto file = ParseSettingsArg("Runs a sidecar on the users' platform.",
                                      args, exit_code);
--- a/src/config/sidecar_settings.cc
+++ b/src/config/sidecar_settings.cc
@@ -118,6 +118,7 @@
   if (!error.faults.empty()) {
     return leaf::new_error(std::move(error));
   }
+  settings.text = text;
   return settings;
 }
 
--- a/src/config/sidecar_settings.h
+++ b/src/config/sidecar_settings.h
@@ -22,6 +22,8 @@
   SocketAddress control;  // HTTP: heartbeats of the local instance.
   SocketAddress ready;    // HTTP: readiness probes of the platform.
   SocketAddress metrics;  // HTTP: metrics for operators.
+
+  bool operator==(const SidecarListenSettings&) const = default;
 };
 
 // What an operator decided about a request that may end instances.
@@ -44,6 +46,7 @@
   DomainPrice domain_price;
   bool copies = true;  // Late requests are sent to a second instance.
   LogLevel log_level = LogLevel::kInfo;
+  std::string text;  // That these were parsed from.
 };
 
 // Reads the settings file at `path`. Errors: `ConfigError` with all faults.
--- a/src/mesh/outbound_proxy.cc
+++ b/src/mesh/outbound_proxy.cc
@@ -117,6 +117,7 @@
   Call& call = calls_[id];
   call.exchange = std::move(exchange);
   call.begin = SteadyNow();
+  call.caller_service = init_.caller_service();
   call.request_id =
       FindHeader(call.exchange->head().headers, init_.headers.request_id);
   if (!accepts_requests_) {
@@ -259,7 +260,7 @@
   if (!call.digest) {
     const Http1Head& head = call.exchange->head();
     call.digest =
-        DigestOf({init_.caller_service(), FindHeader(head.headers, "host"),
+        DigestOf({call.caller_service, FindHeader(head.headers, "host"),
                   head.method, head.target, call.exchange->body()});
   }
   return init_.suspects->Judge(*call.digest);
@@ -410,7 +411,7 @@
   GateCall request;
   request.origin = init_.node_name;
   request.service = call.service;
-  request.caller_service = init_.caller_service();
+  request.caller_service = call.caller_service;
   request.request_id = call.request_id;
   request.rule = call.rule->id;
   request.method = head.method;
--- a/src/mesh/outbound_proxy.h
+++ b/src/mesh/outbound_proxy.h
@@ -197,6 +197,7 @@
   struct Call {
     ExchangePointer exchange;
     std::string request_id;
+    std::string caller_service;  // When the request came.
     std::shared_ptr<const RouteTable> table;
     const Rule* rule = nullptr;
     const RouteAction* route = nullptr;
--- a/src/mesh/sidecar.cc
+++ b/src/mesh/sidecar.cc
@@ -23,7 +23,9 @@
 // acknowledgement, and calls take time to reach the instance.
 constexpr int kDrainDivisor = 3;
 constexpr Duration kDrainCheckInterval = std::chrono::milliseconds(50);
-constexpr Duration kSettingsCheckInterval = std::chrono::seconds(2);
+// A change of the settings file that leaves its size and time of change is
+// noticed within this time.
+constexpr Duration kSettingsReadInterval = std::chrono::seconds(2);
 constexpr Duration kPeriodicInterval = std::chrono::milliseconds(100);
 // Timers that fire later than this are logged: calls were delayed as long.
 constexpr Duration kMaxLoopLag = std::chrono::milliseconds(50);
@@ -45,6 +47,29 @@
 constexpr double kPermille = 1'000;
 constexpr std::size_t kMaxControlBodyBytes = 65'536;
 
+// The names of the settings that differ and that a running process cannot take
+// over.
+std::string ChangedFixedSettings(const SidecarSettings& used,
+                                 const SidecarSettings& changed) {
+  std::string names;
+  const auto compare = [&](std::string_view name, const auto& a,
+                           const auto& b) {
+    if (a != b) {
+      names += (names.empty() ? "" : ",");
+      names += name;
+    }
+  };
+  compare("node.name", used.name, changed.name);
+  compare("node.failure_domain", used.failure_domain, changed.failure_domain);
+  compare("node.region", used.region, changed.region);
+  compare("listen", used.listen, changed.listen);
+  compare("upstream.address", used.upstream, changed.upstream);
+  compare("platform.address", used.platform, changed.platform);
+  compare("link_mbps", used.link_bytes_per_second,
+          changed.link_bytes_per_second);
+  return names;
+}
+
 Duration MembersPollInterval(std::size_t members) {
   const Duration scaled = kMinMembersPoll * static_cast<std::int64_t>(members) /
                           static_cast<std::int64_t>(kMembersAtMinPoll);
@@ -60,10 +85,10 @@
     : settings_(settings),
       bounds_(bounds),
       charts_(std::move(charts)),
-      settings_path_(std::move(path)),
+      settings_file_(std::move(path), settings.text),
+      settings_read_at_(SteadyNow()),
       signals_(io_, SIGTERM, SIGINT, SIGHUP),
       drain_timer_(io_),
-      settings_timer_(io_),
       periodic_timer_(io_),
       incarnation_(UnixMilliseconds()),
       applier_(&charts_.config_apply, NondeterministicSeed()),
@@ -308,7 +333,7 @@
   init.seed = NondeterministicSeed();
   init.domain_price = settings_.domain_price;
   init.copies.enabled = settings_.copies;
-  init.caller_service = [this] { return settings_.service; };
+  init.caller_service = [this] { return tracker_.service(); };
   init.configuration_belief = [this] { return Belief(); };
   init.rollouts = rollouts_.get();
   init.key_limits = [this] {
@@ -408,7 +433,6 @@
   ApplyRequestOverrides(cleared);
   member_follower_.Start();
   UpdateConfigurationSource(SteadyNow());
-  WatchSettingsFile();
   SchedulePeriodicWork();
   const CounterHandle errors = metrics_.Counter("handler_errors_total");
   RunEventLoop(io_, [&](std::string_view error) {
@@ -451,7 +475,10 @@
 
 void Sidecar::OnSignal(int number) {
   if (number == SIGHUP) {
-    ReloadSettings("signal");
+    if (!CheckSettings("signal", WatchedFile::When::kAlways)) {
+      Log(LogLevel::kInfo, kLogComponent, "The settings have not changed.",
+          {{"service", settings_.service}});
+    }
   } else {
     FireEvent("leave_requested");
   }
@@ -532,18 +559,48 @@
   drain_timer_.async_wait([this](const asio::error_code&) { io_.stop(); });
 }
 
-void Sidecar::ReloadSettings(std::string_view why) {
+// The file may change without a signal, and at any time after the start.
+bool Sidecar::CheckSettings(std::string_view why, WatchedFile::When when) {
+  if (when == WatchedFile::When::kAlways) {
+    settings_read_at_ = SteadyNow();
+  }
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<bool> {
+        BOOST_LEAF_AUTO(text, settings_file_.Check(when));
+        if (text) {
+          ApplySettings(*text, why);
+        }
+        return text.has_value();
+      },
+      [&](const ConfigError& error) {
+        Log(LogLevel::kWarning, kLogComponent,
+            "Cannot read the settings file; keeping the settings.",
+            {{"why", why}, {"error", ToString(error)}});
+        return false;
+      },
+      [&] {
+        Log(LogLevel::kError, kLogComponent, "Cannot read the settings.",
+            {{"why", why}});
+        return false;
+      });
+}
+
+void Sidecar::ApplySettings(const std::string& text, std::string_view why) {
   leaf::try_handle_all(
       [&]() -> leaf::result<void> {
-        BOOST_LEAF_AUTO(text, ReadConfigFile(settings_path_));
-        settings_text_ = text;
-        BOOST_LEAF_AUTO(new_settings,
-                        ParseSidecarSettings(text, settings_path_));
-        settings_.service = new_settings.service;
-        settings_.log_level = new_settings.log_level;
-        settings_.bounds = new_settings.bounds;
+        BOOST_LEAF_AUTO(changed,
+                        ParseSidecarSettings(text, settings_file_.path()));
+        const std::string fixed = ChangedFixedSettings(settings_, changed);
+        if (!fixed.empty()) {
+          Log(LogLevel::kWarning, kLogComponent,
+              "Some changed settings take effect after a restart only.",
+              {{"why", why}, {"settings", fixed}});
+        }
+        settings_.service = changed.service;
+        settings_.log_level = changed.log_level;
+        settings_.bounds = changed.bounds;
         const auto requests_before =
-            std::exchange(settings_.requests, new_settings.requests);
+            std::exchange(settings_.requests, changed.requests);
         SetLogLevel(settings_.log_level);
         const auto bounds = platform::ParseBounds(settings_.bounds);
         if (const auto* parsed = std::get_if<platform::Bounds>(&bounds)) {
@@ -551,6 +608,11 @@
           outbound_.SetRetryAllowance(AllowanceLimits());
           quotas_.SetLimits(RequestQuotaLimits());
           configuration_source_.SetLimits(bounds_.configuration);
+        } else {
+          Log(LogLevel::kError, kLogComponent,
+              "The new bounds are invalid; keeping the old ones.",
+              {{"why", why},
+               {"error", std::get<platform::FormatError>(bounds).reason}});
         }
         Log(LogLevel::kInfo, kLogComponent, "Reloaded the settings.",
             {{"why", why}, {"service", settings_.service}});
@@ -566,37 +628,11 @@
             {{"why", why}, {"error", ToString(error)}});
       },
       [&] {
-        Log(LogLevel::kError, kLogComponent, "Cannot read the settings.",
+        Log(LogLevel::kError, kLogComponent, "Cannot parse the settings.",
             {{"why", why}});
       });
 }
 
-// Polls the settings file, because it may change without a signal.
-void Sidecar::WatchSettingsFile() {
-  settings_timer_.expires_after(kSettingsCheckInterval);
-  settings_timer_.async_wait([this](const asio::error_code& error) {
-    if (error) {
-      return;
-    }
-    leaf::try_handle_all(
-        [&]() -> leaf::result<void> {
-          BOOST_LEAF_AUTO(text, ReadConfigFile(settings_path_));
-          if (settings_text_.empty()) {
-            settings_text_ = text;
-          } else if (text != settings_text_) {
-            ReloadSettings("file changed");
-          }
-          return {};
-        },
-        [&](const ConfigError& fault) {
-          Log(LogLevel::kWarning, kLogComponent,
-              "Cannot read the settings file.", {{"error", ToString(fault)}});
-        },
-        [] {});
-    WatchSettingsFile();
-  });
-}
-
 // The lag of timers shows how long calls wait for the CPU on this node.
 void Sidecar::RecordLoopLag(Duration lag) {
   metrics_.Observe(metrics_.Summary("loop_lag_microseconds"),
@@ -626,6 +662,10 @@
       const Time now = SteadyNow();
       RecordLoopLag(now - due);
       last_ticks_ = {now, last_ticks_.front()};
+      CheckSettings("file changed",
+                    now - settings_read_at_ >= kSettingsReadInterval
+                        ? WatchedFile::When::kAlways
+                        : WatchedFile::When::kIfTouched);
       UpdateConfigurationSource(now);
       if (rollouts_) {
         rollouts_->Tick(now);
--- a/src/mesh/sidecar.h
+++ b/src/mesh/sidecar.h
@@ -30,6 +30,7 @@
 #include "core/node_charts.h"
 #include "core/state_chart.h"
 #include "io/http1_server.h"
+#include "io/watched_file.h"
 #include "mesh/inbound_proxy.h"
 #include "mesh/link_hub.h"
 #include "mesh/outbound_proxy.h"
@@ -80,8 +81,10 @@
   void BeginLeaving();
   void CheckDrain();
   void Stop();
-  void ReloadSettings(std::string_view why);
-  void WatchSettingsFile();
+  // Applies the settings file if it has changed; with `kAlways`, also if its
+  // time of change has not. Returns whether it has.
+  bool CheckSettings(std::string_view why, WatchedFile::When when);
+  void ApplySettings(const std::string& text, std::string_view why);
 
   void OnControlCall(const ExchangePointer& exchange);
   void OnReadyCheck(const ExchangePointer& exchange);
@@ -162,12 +165,11 @@
   SidecarSettings settings_;
   platform::Bounds bounds_;
   NodeCharts charts_;
-  std::string settings_path_;
-  std::string settings_text_;
+  WatchedFile settings_file_;
+  Time settings_read_at_;  // Whether or not they had changed.
   asio::io_context io_{1};
   asio::signal_set signals_;
   asio::steady_timer drain_timer_;
-  asio::steady_timer settings_timer_;
   asio::steady_timer periodic_timer_;
   Metrics metrics_;
   const Time started_ = SteadyNow();
--- a/src/mesh/sidecar_control.cc
+++ b/src/mesh/sidecar_control.cc
@@ -48,6 +48,10 @@
 
 void Sidecar::OnHeartbeat(const ExchangePointer& exchange,
                           const InstanceReport& report) {
+  if (report.service != tracker_.service()) {
+    // A replacement comes with new settings.
+    CheckSettings("report of another service", WatchedFile::When::kAlways);
+  }
   const ReportVerdict verdict = tracker_.OnReport(report, SteadyNow());
   if (verdict != ReportVerdict::kUnchanged) {
     Log(verdict == ReportVerdict::kChanged ? LogLevel::kInfo
--- a/tests/sidecar_control_test.cc
+++ b/tests/sidecar_control_test.cc
@@ -1,3 +1,5 @@
+#include "config/yaml_reader.h"
+#include "mesh_support.h"
 #include "sidecar_support.h"
 
 namespace verbenastile {
@@ -33,5 +35,60 @@
   }
 }
 
+// Guards against a change of the settings that is not read, so that requests
+// bear the service of the instance before (rule UNASKED, review/14).
+SCENARIO("the service of the slot follows the settings and the instance") {
+  constexpr Duration kNoticed = std::chrono::milliseconds(1'000);
+  RunningSidecar node;
+  REQUIRE(IsAcknowledged(node.Heartbeat("ready", 1)));
+  PlayedNode peer(node.io, node.links);
+  const std::string settings_text =
+      MustSucceed([&] { return ReadConfigFile(node.settings.path()); });
+  // Waits for a record that names the service. Returns how long.
+  const auto time_until = [&](std::string_view service) {
+    const Time begin = SteadyNow();
+    while (auto frame = peer.TryRead()) {
+      const auto* member = std::get_if<LinkMember>(&frame->body);
+      if (member != nullptr && member->record.member.service == service) {
+        return SteadyNow() - begin;
+      }
+    }
+    return Duration::max();
+  };
+  // After the start.
+  const int delay_ms = GENERATE(0, 150, 1'200, 2'300);
+  CAPTURE(delay_ms);
+  std::this_thread::sleep_for(std::chrono::milliseconds(delay_ms));
+  GIVEN("settings that change without a signal") {
+    node.ChangeService("t");
+    THEN("they are noticed before an instance reports") {
+      CHECK(time_until("t") < kNoticed);
+      AND_THEN("so is the next change") {
+        node.ChangeService("u");
+        CHECK(time_until("u") < kNoticed);
+      }
+    }
+    THEN("its instance is served from its first report on") {
+      CHECK(IsAcknowledged(node.Heartbeat("ready", 1, "i-2", "t")));
+    }
+  }
+  GIVEN("settings that are written in two parts") {
+    node.ReplaceSettings("node: {name: self, ");
+    std::this_thread::sleep_for(std::chrono::milliseconds(250));
+    CHECK(IsAcknowledged(node.Heartbeat("ready", 2)));
+    node.ReplaceSettings(settings_text);
+    node.ChangeService("t");
+    CHECK(time_until("t") < kNoticed);
+  }
+  GIVEN("settings that are gone for a moment") {
+    std::filesystem::remove(node.settings.path());
+    std::this_thread::sleep_for(std::chrono::milliseconds(250));
+    CHECK(IsAcknowledged(node.Heartbeat("ready", 2)));
+    node.ReplaceSettings(settings_text);
+    node.ChangeService("t");
+    CHECK(time_until("t") < kNoticed);
+  }
+}
+
 }  // namespace
 }  // namespace verbenastile
--- a/tests/sidecar_support.h
+++ b/tests/sidecar_support.h
@@ -7,6 +7,9 @@
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -71,6 +74,20 @@
                      {{"state": "{}", "sequence": {}, "warmup_left_ms": 0}}}})",
                                ToString(instance), service, state, sequence));
   }
+  // The settings file is replaced, and names `service`.
+  void ChangeService(std::string_view service) {
+    std::ifstream stream(settings.path());
+    std::string text(std::istreambuf_iterator<char>(stream), {});
+    const std::string key = "service: ";
+    const std::size_t at = text.find(key) + key.size();
+    text.replace(at, text.find(',', at) - at, service);
+    ReplaceSettings(text);
+  }
+  void ReplaceSettings(std::string_view text) {
+    const std::string fresh = settings.path() + ".new";
+    std::ofstream(fresh, std::ios::binary) << text;
+    std::filesystem::rename(fresh, settings.path());
+  }
   std::string Deregister() { return Control("Deregister/i-1", "{}"); }
 
   RawListener store;
