Tests: what the linter asks of the new tests

A binding that a lambda captures and a vector without a reserved size were rejected by clang-tidy; the format of one line. No check changes.

--- a/tests/configuration_source_test.cc
+++ b/tests/configuration_source_test.cc
@@ -201,14 +201,19 @@
 // the readers and those that are the first to take their place are turned away
 // (rule CONFIG, review/15). Which nodes are, when and how, is random.
 SCENARIO("a change is in force in time whichever nodes are turned away") {
-  const auto [size, rounds] = GENERATE(
-      table<std::size_t, int>({{5, 300}, {15, 300}, {87, 120}, {295, 25}}));
+  struct Draw {
+    std::size_t size;
+    int rounds;
+  };
+  const auto draw =
+      GENERATE(Draw{5, 300}, Draw{15, 300}, Draw{87, 120}, Draw{295, 25});
+  const std::size_t size = draw.size;
   const int apply_ms = GENERATE(2'000, 2'500);
   const ConfigurationLimits limits = {apply_ms * kMs, 5'000 * kMs};
   const std::size_t readers = std::max<std::size_t>(2, size / 10);
   ConfigurationFleet calm(readers, size - readers, limits);
   Random random(1'000 * size + static_cast<std::uint64_t>(apply_ms));
-  for (int round = 0; round < rounds; ++round) {
+  for (int round = 0; round < draw.rounds; ++round) {
     ConfigurationFleet fleet = calm;
     const std::uint64_t percent = 20 + random.Below(61);
     const bool lose_readers = random.Below(2) == 0;
--- a/tests/inbound_proxy_test.cc
+++ b/tests/inbound_proxy_test.cc
@@ -473,6 +473,7 @@
   RawConnection instance = fixture.listener.Accept();
   instance.ReadRequest();
   std::vector<InboundProxyFixture::Replies> queued;
+  queued.reserve(waiting);
   for (int i = 0; i < waiting; ++i) {
     queued.push_back(fixture.Start(idempotent));
   }
--- a/tests/quota_fleet.h
+++ b/tests/quota_fleet.h
@@ -553,8 +553,8 @@
         node.linked_both_ways.insert(NameOf(j));
       }
       members.reachable.insert(NameOf(j));
-      members.all_new = members.all_new &&
-                        nodes_[j]->started + kSameStart >= node.started;
+      members.all_new =
+          members.all_new && nodes_[j]->started + kSameStart >= node.started;
     }
   }
   void SetMembers(Node& node) {
