Instances: a replaced instance that was leaving does not return by its old reports

An instance that says that it leaves, and is replaced, could have come back as serving by three late reports from before it left, since only its sequence was lost. None was seen; found by reading. Its leaving is kept as that of an instance that deregisters is.

`Contender` was `Claim`, which is a term of quotas.

--- a/src/core/instance_tracker.cc
+++ b/src/core/instance_tracker.cc
@@ -5,12 +5,13 @@
 namespace verbenastile {
 namespace {
 
-// Reports that confirm a claim to the slot, and the shortest time between the
-// first and the last of them: reports that a partition delayed come together.
-constexpr std::size_t kClaimReports = 3;
-constexpr std::size_t kClaimReportsIfDisproved = 2;
-constexpr Duration kMinClaimTime = std::chrono::milliseconds(500);
-constexpr std::size_t kMaxClaims = 8;
+// Reports that confirm a contender to the slot, and the shortest time between
+// the first and the last of them: reports that a partition delayed come
+// together.
+constexpr std::size_t kContenderReports = 3;
+constexpr std::size_t kContenderReportsIfDisproved = 2;
+constexpr Duration kMinContenderTime = std::chrono::milliseconds(500);
+constexpr std::size_t kMaxContenders = 8;
 
 }  // namespace
 
@@ -85,7 +86,7 @@
     return false;  // The instance has named it before.
   }
   service_ = service;
-  claims_.clear();
+  contenders_.clear();
   if (serves() || state_ == InstanceState::kUnreachable) {
     SetState(InstanceState::kUnknown, now);
   }
@@ -114,31 +115,32 @@
 
 // Whether the run of `report` has reported again and again while the instance
 // in the slot was silent.
-bool InstanceTracker::ConfirmsClaim(const InstanceReport& report, Time now) {
+bool InstanceTracker::OutlastsInstance(const InstanceReport& report, Time now) {
   const InstanceRun run = RunOf(report);
   if (IsCurrent(run) && is_leaving() && !report.leaving) {
     return false;  // Sent before it left.
   }
-  const auto claim =
-      std::find_if(claims_.begin(), claims_.end(),
-                   [&](const Claim& known) { return known.run == run; });
-  if (claim == claims_.end()) {
-    claims_.push_back({run, report.sequence, 1, now});
-    if (claims_.size() > kMaxClaims) {
-      claims_.pop_front();
+  const auto contender =
+      std::find_if(contenders_.begin(), contenders_.end(),
+                   [&](const Contender& known) { return known.run == run; });
+  if (contender == contenders_.end()) {
+    contenders_.push_back({run, report.sequence, 1, now});
+    if (contenders_.size() > kMaxContenders) {
+      contenders_.pop_front();
     }
     return false;
   }
-  if (report.sequence <= claim->sequence) {
+  if (report.sequence <= contender->sequence) {
     return false;
   }
-  claim->sequence = report.sequence;
-  ++claim->reports;
+  contender->sequence = report.sequence;
+  ++contender->reports;
   const std::size_t needed =
       report_ && IsDisproved(RunOf(*report_)) && !IsDisproved(run)
-          ? kClaimReportsIfDisproved
-          : kClaimReports;
-  return claim->reports >= needed && now - claim->since >= kMinClaimTime;
+          ? kContenderReportsIfDisproved
+          : kContenderReports;
+  return contender->reports >= needed &&
+         now - contender->since >= kMinContenderTime;
 }
 
 ReportVerdict InstanceTracker::OnReport(const InstanceReport& report,
@@ -159,7 +161,7 @@
   if (!is_older && !is_foreign) {
     return Accept(report, now);
   }
-  if (!ConfirmsClaim(report, now)) {
+  if (!OutlastsInstance(report, now)) {
     return is_foreign ? ReportVerdict::kForeign : ReportVerdict::kStale;
   }
   if (report_ && !IsCurrent(run)) {
@@ -170,7 +172,7 @@
 }
 
 ReportVerdict InstanceTracker::Accept(const InstanceReport& report, Time now) {
-  claims_.clear();
+  contenders_.clear();
   const bool same_run = report_ && report.id == report_->id &&
                         report.started_ms == report_->started_ms;
   // A first report that the instance leaves is a change also if a response said
@@ -182,6 +184,9 @@
     std::erase_if(left_by_response_,
                   [&](const InstanceRun& run) { return run.id == report.id; });
   }
+  if (report_ && !same_run && is_leaving() && state_ != InstanceState::kGone) {
+    AddDeparted({RunOf(*report_), false, report_->sequence, false});
+  }
   if (report_ && report_->id != report.id) {
     replaced_ids_.push_back(report_->id);
     if (replaced_ids_.size() > kMaxFormerInstances) {
@@ -213,7 +218,7 @@
   if (state_ == InstanceState::kGone) {
     return ReportVerdict::kUnchanged;
   }
-  claims_.clear();
+  contenders_.clear();
   last_heard_ = now;
   const bool is_known = run.started_ms != 0 || !report_;
   AddDeparted({is_known ? run : RunOf(*report_), true, 0, false});
--- a/src/core/instance_tracker.h
+++ b/src/core/instance_tracker.h
@@ -144,7 +144,7 @@
  private:
   // Reports of a run that is not accepted by one of them alone, since the last
   // accepted report.
-  struct Claim {
+  struct Contender {
     InstanceRun run;
     std::uint64_t sequence = 0;  // Of the latest one.
     std::size_t reports = 0;
@@ -154,7 +154,7 @@
   bool MayBeInSlot(std::string_view service) const;
   bool IsDisproved(const InstanceRun& run) const;
   void Disprove(const InstanceRun& run);
-  bool ConfirmsClaim(const InstanceReport& report, Time now);
+  bool OutlastsInstance(const InstanceReport& report, Time now);
   ReportVerdict Accept(const InstanceReport& report, Time now);
   bool IsOlder(const InstanceReport& report) const;
   bool IsOfOtherWriter(const InstanceReport& report) const;
@@ -176,7 +176,7 @@
   std::string settings_service_;
   std::string service_;
   std::set<std::string, std::less<>> known_services_;
-  std::deque<Claim> claims_;
+  std::deque<Contender> contenders_;
   // Runs that reported, and were found not to be in the slot.
   std::deque<InstanceRun> disproved_;
   std::deque<std::string> replaced_ids_;
--- a/tests/instance_tracker_test.cc
+++ b/tests/instance_tracker_test.cc
@@ -342,6 +342,9 @@
     return reports;
   };
   REQUIRE(reports_until_it_serves() == 1);
+  for (int i = 0; i < 4; ++i) {
+    REQUIRE(reports_until_it_serves() == 1);
+  }
   InstanceReport forged = ReportOf("i-forged", 1);
   forged.started_ms = kStarted + 60'000;
 
@@ -408,6 +411,20 @@
       }
     }
   }
+  GIVEN("one that replaces it after it said that it leaves") {
+    InstanceReport leaving = report_of("i-1", ++sequence);
+    leaving.leaving = true;
+    REQUIRE(tracker.OnReport(leaving, now) == ReportVerdict::kChanged);
+    REQUIRE(tracker.OnReport(forged, now) == ReportVerdict::kChanged);
+    THEN("its reports from before that do not bring it back") {
+      for (std::uint64_t i = 1; i < sequence; ++i) {
+        now += kInterval;
+        CHECK(tracker.OnReport(report_of("i-1", i), now) ==
+              ReportVerdict::kStale);
+      }
+      CHECK(tracker.report()->id == "i-forged");
+    }
+  }
   GIVEN("one in its own name that is ahead of it") {
     InstanceReport ahead = report_of("i-1", sequence + 1'000'000);
     REQUIRE(tracker.OnReport(ahead, now) == ReportVerdict::kUnchanged);
